Thin path: callers, entries, agents and upstreams over real sockets

Cause: the design needs one running path before any part is deepened. Change: wire types, agent and entry state machines, framed CBOR links, HTTP shells, a sample upstream, dev command, numbered events and hybrid logical clock. The scheduler is a simple baseline behind policy.Scheduler. Ruled out: net/rpc on the link (design 5.6). Measured: the dev test answers a job through each of 3 entries and 11 agents under the race detector. Conclusion: the interfaces hold; parts can now be built side by side.

--- /dev/null
+++ b/core/entry/events.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// Event is an input of the machine.
+type Event interface{ isEvent() }
+
+// Submit offers a new job. The answer is one Answer action.
+type Submit struct {
+	Submission wire.SubmissionID
+	Class      string
+	Team       string
+	// Deadline is the time left until the caller gives up.
+	Deadline time.Duration
+	// Claimed says that the caller of the machine must obtain a claim for the
+	// request before any task may start: the machine emits Claim and waits.
+	Claimed  bool
+	Need     wire.Capacity
+	Declared time.Duration
+	Payloads [][]byte // one for each task
+}
+
+// Claimed tells the machine how the claim of a submission ended.
+type Claimed struct {
+	Submission wire.SubmissionID
+	Won        bool
+	// Reason is the caller-visible reason if the claim was not won.
+	Reason string
+	// RunBefore says that the key's work may have run under another submission,
+	// so the answer must be unknown, not refused.
+	RunBefore  bool
+	RetryAfter time.Duration
+}
+
+// CancelJob abandons a submission.
+type CancelJob struct{ Submission wire.SubmissionID }
+
+// LinkUp says that an agent's connection is established.
+type LinkUp struct{ Hello wire.AgentHello }
+
+// LinkDown says that the connection with this epoch is closed.
+type LinkDown struct {
+	Agent wire.Incarnation
+	Epoch wire.Epoch
+}
+
+// Received delivers one frame from an agent.
+type Received struct {
+	Agent wire.Incarnation
+	Epoch wire.Epoch
+	Frame *wire.ToEntry
+}
+
+// Replaced says that the agent incarnation is gone for good, for instance
+// because the same worker announced a new incarnation.
+type Replaced struct{ Agent wire.Incarnation }
+
+// Configured replaces the published targets.
+type Configured struct{ Settings policy.Settings }
+
+// Tick lets time-driven work happen. Deliver it every 10 ms or so.
+type Tick struct{}
+
+// Drain begins the graceful shutdown: new jobs are refused as not run.
+type Drain struct{}
+
+func (Submit) isEvent()     {}
+func (Claimed) isEvent()    {}
+func (CancelJob) isEvent()  {}
+func (LinkUp) isEvent()     {}
+func (LinkDown) isEvent()   {}
+func (Received) isEvent()   {}
+func (Replaced) isEvent()   {}
+func (Configured) isEvent() {}
+func (Tick) isEvent()       {}
+func (Drain) isEvent()      {}
+
+// Action is an output of the machine.
+type Action interface{ isAction() }
+
+// Send asks the caller to send a frame to an agent on the link with this epoch.
+type Send struct {
+	Agent wire.Incarnation
+	Epoch wire.Epoch
+	Frame *wire.ToAgent
+}
+
+// Claim asks the caller to obtain the claim of a submission and to deliver Claimed.
+type Claim struct{ Submission wire.SubmissionID }
+
+// Release says that no task of a claimed submission started or will start, so
+// that its claim may be given up.
+type Release struct{ Submission wire.SubmissionID }
+
+// Answer ends a submission. It is emitted exactly once for each Submit.
+type Answer struct {
+	Submission wire.SubmissionID
+	Answer     JobAnswer
+}
+
+// Drained says that the graceful shutdown is complete. It is emitted once.
+type Drained struct{}
+
+func (Send) isAction()    {}
+func (Claim) isAction()   {}
+func (Release) isAction() {}
+func (Answer) isAction()  {}
+func (Drained) isAction() {}
+
+// JobOutcome is how a submission ended.
+type JobOutcome uint8
+
+// Outcomes of a submission.
+const (
+	// Complete: every task succeeded and every result is in the answer.
+	Complete JobOutcome = iota + 1
+	// Failed: at least one task started; no result is returned.
+	Failed
+	// Refused: no task started and none will.
+	Refused
+	// Unknown: the outcome of at least one task is not known.
+	Unknown
+)
+
+// String returns the outcome's name in replies and logs.
+func (o JobOutcome) String() string {
+	switch o {
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Refused:
+		return "refused"
+	case Unknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
+// JobAnswer is the whole answer to one submission.
+type JobAnswer struct {
+	Outcome JobOutcome
+	// Reason is a machine-readable word, empty for Complete.
+	Reason string
+	// RetryAfter is set on Refused if a retry is safe and may succeed.
+	RetryAfter time.Duration
+	// Results holds one body for each task, in order, for Complete only.
+	Results [][]byte
+	// Started counts the tasks that are known to have started.
+	Started int
+	// Unknown counts the tasks whose outcome is not known.
+	Unknown int
+	// LongestRun and TotalRun describe the observed run times of the tasks.
+	LongestRun time.Duration
+	TotalRun   time.Duration
+}
--- /dev/null
+++ b/core/policy/leastbusy.go
@@ -0,0 +1,145 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+const (
+	fifoMaxWait     = 10 * time.Second
+	fifoRetryDelay  = 2 * time.Millisecond
+	fifoMaxAttempts = 50
+)
+
+// LeastBusy is a baseline: first in, first out, on the agent with the most
+// free slots as last reported, less this entry's own sends since.
+type LeastBusy struct {
+	classes map[string]Class
+	agents  []*leastBusyAgent
+	waiting []*Task
+}
+
+type leastBusyAgent struct {
+	info   AgentInfo
+	placed int // attempts of this entry in flight
+	others int // tasks of other entries, as last reported
+}
+
+// NewLeastBusy returns the baseline scheduler.
+func NewLeastBusy() *LeastBusy { return &LeastBusy{classes: make(map[string]Class)} }
+
+// Configure implements Scheduler.
+func (s *LeastBusy) Configure(_ time.Duration, settings Settings) {
+	clear(s.classes)
+	for _, c := range settings.Classes {
+		s.classes[c.Name] = c
+	}
+}
+
+// AgentUp implements Scheduler.
+func (s *LeastBusy) AgentUp(_ time.Duration, info AgentInfo) {
+	if a := s.find(info.Agent); a != nil {
+		a.info = info
+		return
+	}
+	s.agents = append(s.agents, &leastBusyAgent{info: info})
+}
+
+// AgentDown implements Scheduler.
+func (s *LeastBusy) AgentDown(_ time.Duration, agent wire.Incarnation) {
+	for i, a := range s.agents {
+		if a.info.Agent == agent {
+			s.agents = append(s.agents[:i], s.agents[i+1:]...)
+			return
+		}
+	}
+}
+
+// Observe implements Scheduler.
+func (s *LeastBusy) Observe(_ time.Duration, agent wire.Incarnation, load wire.Load) {
+	if a := s.find(agent); a != nil {
+		a.info.Load = load
+		a.others = max(0, load.Running+load.Queued-a.placed)
+	}
+}
+
+// Admit implements Scheduler.
+func (s *LeastBusy) Admit(_ time.Duration, job *Job) Verdict {
+	if _, ok := s.classes[job.Class]; !ok {
+		return Verdict{Refusal: RefusedUnknownClass}
+	}
+	return Verdict{}
+}
+
+// Enqueue implements Scheduler.
+func (s *LeastBusy) Enqueue(_ time.Duration, task *Task) { s.waiting = append(s.waiting, task) }
+
+// Remove implements Scheduler.
+func (s *LeastBusy) Remove(_ time.Duration, task *Task) {
+	for i, t := range s.waiting {
+		if t == task {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Next implements Scheduler.
+func (s *LeastBusy) Next(now time.Duration) (Placement, bool) {
+	if len(s.waiting) == 0 {
+		return Placement{}, false
+	}
+	best := s.mostFree()
+	if best == nil {
+		return Placement{}, false
+	}
+	t := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	best.placed++
+	return Placement{
+		Task:    t,
+		Agent:   best.info.Agent,
+		Slack:   t.Job.Deadline - now,
+		MaxWait: fifoMaxWait,
+	}, true
+}
+
+func (s *LeastBusy) mostFree() *leastBusyAgent {
+	var best *leastBusyAgent
+	bestFree := 0
+	for _, a := range s.agents {
+		if a.info.Load.Draining || a.info.Load.Down {
+			continue
+		}
+		free := a.info.Slots - a.placed - a.others
+		if free > bestFree {
+			best, bestFree = a, free
+		}
+	}
+	return best
+}
+
+// Done implements Scheduler.
+func (s *LeastBusy) Done(_ time.Duration, agent wire.Incarnation, _ *Task, _ *wire.Result) {
+	if a := s.find(agent); a != nil && a.placed > 0 {
+		a.placed--
+	}
+}
+
+// Retry implements Scheduler.
+func (s *LeastBusy) Retry(_ time.Duration, task *Task, _ wire.Reason) (time.Duration, bool) {
+	return fifoRetryDelay, task.Attempts < fifoMaxAttempts
+}
+
+// JobDone implements Scheduler.
+func (s *LeastBusy) JobDone(time.Duration, *Job, bool) {}
+
+func (s *LeastBusy) find(agent wire.Incarnation) *leastBusyAgent {
+	for _, a := range s.agents {
+		if a.info.Agent == agent {
+			return a
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/timeline/timeline.go
@@ -0,0 +1,100 @@
+// Package timeline orders events of many processes.
+//
+// Each process stamps its events with a hybrid logical clock (Kulkarni et al.,
+// "Logical Physical Clocks", 2014): the stamp follows the wall clock but never
+// runs behind a stamp received from a peer. If one event happened before
+// another, its stamp is lower, however far the wall clocks are apart.
+package timeline
+
+import "sync"
+
+// Stamp is a hybrid logical time: wall-clock microseconds since 1970 in the
+// upper 48 bits of 64, a logical counter in the lower 16.
+type Stamp uint64
+
+const logicalBits = 16
+
+// Micros returns the wall-clock part in microseconds since 1970.
+func (s Stamp) Micros() int64 { return int64(s >> logicalBits) }
+
+// Logical returns the counter that orders stamps of one microsecond.
+func (s Stamp) Logical() uint16 { return uint16(s) }
+
+// Clock issues stamps. It is safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp above every stamp issued or observed so far. The
+// argument is the wall clock in microseconds since 1970.
+func (c *Clock) Now(wallMicros int64) Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last+1, Stamp(wallMicros)<<logicalBits)
+	return c.last
+}
+
+// Observe records a stamp received from a peer, so that later stamps exceed it.
+func (c *Clock) Observe(s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last, s)
+}
+
+// Event is one entry of a time line.
+type Event struct {
+	Stamp       Stamp  `json:"stamp"`
+	Process     string `json:"process"`
+	Incarnation uint64 `json:"incarnation"`
+	Code        int    `json:"code"`
+	Name        string `json:"name"`
+	Submission  string `json:"submission,omitempty"` // 32 hexadecimal digits
+	Task        int    `json:"task"`                 // -1 if the event concerns no task
+	Peer        string `json:"peer,omitempty"`
+	Detail      string `json:"detail,omitempty"`
+}
+
+// Ring keeps the latest events of one process. It is safe for concurrent use.
+// When it is full, the oldest event is overwritten.
+type Ring struct {
+	mu     sync.Mutex
+	events []Event
+	next   int
+	full   bool
+}
+
+// NewRing returns a ring for capacity events.
+func NewRing(capacity int) *Ring { return &Ring{events: make([]Event, capacity)} }
+
+// Add records one event.
+func (r *Ring) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events[r.next] = e
+	r.next++
+	if r.next == len(r.events) {
+		r.next = 0
+		r.full = true
+	}
+}
+
+// Events returns the recorded events for which keep is true, oldest first.
+func (r *Ring) Events(keep func(*Event) bool) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	if r.full {
+		out = appendKept(out, r.events[r.next:], keep)
+	}
+	return appendKept(out, r.events[:r.next], keep)
+}
+
+func appendKept(out, events []Event, keep func(*Event) bool) []Event {
+	for i := range events {
+		if keep(&events[i]) {
+			out = append(out, events[i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/wire/wire.go
@@ -0,0 +1,262 @@
+// Package wire defines the messages that an entry and an agent exchange, and
+// the identities and outcomes that both sides share.
+//
+// The package holds types only. Encoding and transport are in internal/link.
+// Every duration on the wire is relative ("time left"), in microseconds, so no
+// two clocks are ever compared.
+package wire
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// ProtocolVersion is the version of the peer protocol that this code speaks.
+const ProtocolVersion = 1
+
+// Limits that both ends enforce on decoded messages.
+const (
+	// MaxTasksPerJob is the largest number of tasks in one job.
+	MaxTasksPerJob = 570
+	// MaxFrameBytes is the largest encoded frame, header excluded.
+	MaxFrameBytes = 4 << 20
+	// MaxKnownEntries bounds the entry list carried in a hello.
+	MaxKnownEntries = 64
+)
+
+// Incarnation identifies one run of one process. It is never zero and never
+// reused: a restarted process has a new incarnation.
+type Incarnation uint64
+
+// Seq numbers the attempts of one entry incarnation, strictly increasing.
+type Seq uint64
+
+// Epoch numbers the connections that an agent opened to one entry address,
+// strictly increasing per agent incarnation.
+type Epoch uint64
+
+// SubmissionID identifies one submission of one job.
+type SubmissionID [16]byte
+
+// String returns the identifier as 32 hexadecimal digits.
+func (s SubmissionID) String() string { return hex.EncodeToString(s[:]) }
+
+// ParseSubmissionID parses the form returned by String.
+func ParseSubmissionID(text string) (SubmissionID, error) {
+	var id SubmissionID
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(id) {
+		return id, fmt.Errorf("submission id %q: want %d hexadecimal digits", text, 2*len(id))
+	}
+	copy(id[:], b)
+	return id, nil
+}
+
+// Micros is a duration in microseconds, as carried on the wire.
+type Micros int64
+
+// Duration converts m to a time.Duration.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// MicrosOf converts a time.Duration, rounding towards zero.
+func MicrosOf(d time.Duration) Micros { return Micros(d / time.Microsecond) }
+
+// Outcome is how one attempt of a task ended.
+type Outcome uint8
+
+// Outcomes of an attempt.
+const (
+	// Succeeded: the upstream ran the task and returned its result.
+	Succeeded Outcome = iota + 1
+	// Failed: the upstream ran the task and reported an error.
+	Failed
+	// NotRun: the task was not started by this attempt and never will be.
+	NotRun
+	// Unknown: the task was or may have been started; no result is known.
+	Unknown
+)
+
+// String returns the outcome's name as used in logs and in caller replies.
+func (o Outcome) String() string {
+	switch o {
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case NotRun:
+		return "not_run"
+	case Unknown:
+		return "unknown"
+	}
+	return fmt.Sprintf("outcome(%d)", uint8(o))
+}
+
+// Reason refines an outcome.
+type Reason uint8
+
+// Reasons for the outcomes NotRun, Failed and Unknown.
+const (
+	ReasonNone Reason = iota
+	// ReasonBusy: the expected wait at the agent exceeded the start's MaxWait.
+	ReasonBusy
+	// ReasonDraining: the agent is leaving.
+	ReasonDraining
+	// ReasonExpired: the deadline passed before the start.
+	ReasonExpired
+	// ReasonCancelled: a cancel arrived before the start.
+	ReasonCancelled
+	// ReasonUpstreamDown: the upstream refused the connection.
+	ReasonUpstreamDown
+	// ReasonSuspect: the agent limits starts because its upstream keeps failing.
+	ReasonSuspect
+	// ReasonNotReceived: a query named an attempt that the agent never received.
+	ReasonNotReceived
+	// ReasonStaleSeq: the attempt's number is below the floor or was refused before.
+	ReasonStaleSeq
+	// ReasonUpstreamError: the upstream answered with an error status.
+	ReasonUpstreamError
+	// ReasonRunLimit: the run was stopped at the task's deadline.
+	ReasonRunLimit
+	// ReasonConnectionLost: the connection to the upstream broke after the request was sent.
+	ReasonConnectionLost
+	// ReasonAgentLost: the agent's incarnation is gone or unreachable.
+	ReasonAgentLost
+	// ReasonStopped: the run was stopped by a cancel.
+	ReasonStopped
+)
+
+var reasonNames = [...]string{
+	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
+	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
+	"agent_lost", "stopped",
+}
+
+// String returns the reason's machine-readable name.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return fmt.Sprintf("reason(%d)", uint8(r))
+}
+
+// Capacity is what one worker offers or one task needs. Zero means "not stated".
+type Capacity struct {
+	_            struct{} `cbor:",toarray"`
+	MilliCores   int64    // thousandths of a processor core
+	MemoryMB     int64    // MiB
+	Accelerators int64    // whole devices
+}
+
+// Fits reports whether need can be met by a worker that offers c.
+// A dimension that the worker does not state is not checked.
+func (c Capacity) Fits(need Capacity) bool {
+	return fits(c.MilliCores, need.MilliCores) &&
+		fits(c.MemoryMB, need.MemoryMB) &&
+		(need.Accelerators <= c.Accelerators)
+}
+
+func fits(offer, need int64) bool { return offer == 0 || need <= offer }
+
+// EntryAddr is how peers reach an entry.
+type EntryAddr struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation Incarnation
+	Peer        string // IP:port of the peer listener
+	Zone        string
+}
+
+// AgentHello opens a connection. The agent sends it first.
+type AgentHello struct {
+	_             struct{} `cbor:",toarray"`
+	Protocol      uint32
+	Agent         Incarnation
+	Epoch         Epoch
+	Name          string
+	Zone          string
+	Rack          string
+	Slots         int
+	Capacity      Capacity
+	ConfigVersion int64
+	Entries       []EntryAddr
+}
+
+// EntryHello answers an AgentHello.
+type EntryHello struct {
+	_             struct{} `cbor:",toarray"`
+	Protocol      uint32
+	Entry         Incarnation
+	Epoch         Epoch // the agent's epoch, echoed
+	Name          string
+	Zone          string
+	ConfigVersion int64
+	Entries       []EntryAddr
+}
+
+// Start asks the agent to start one attempt of one task.
+type Start struct {
+	_          struct{} `cbor:",toarray"`
+	Seq        Seq
+	Submission SubmissionID
+	Index      int    // position of the task in its job, from 0
+	Class      string // class name, for run-time statistics and the upstream's log
+	Slack      Micros // time left until the class target; lower is more urgent
+	MaxWait    Micros // refuse as busy if the expected queueing delay exceeds this
+	Deadline   Micros // time left until the caller's deadline
+	Payload    []byte
+}
+
+// Load is an agent's own state, sent on every frame.
+type Load struct {
+	_            struct{} `cbor:",toarray"`
+	Running      int
+	Queued       int
+	Slots        int
+	Limit        int    // current concurrency limit, at most Slots
+	ExpectedWait Micros // expected queueing delay of a start that arrived now
+	Successes    uint64 // runs that succeeded since the agent started
+	Failures     uint64 // runs that failed since the agent started
+	Draining     bool
+	Down         bool // the upstream refuses connections
+}
+
+// Result reports the final outcome of one attempt.
+type Result struct {
+	_       struct{} `cbor:",toarray"`
+	Seq     Seq
+	Outcome Outcome
+	Reason  Reason
+	Wait    Micros // time in the agent's queue
+	Run     Micros // time at the upstream
+	Status  int    // HTTP status of the upstream, 0 if none
+	Body    []byte
+}
+
+// ConfigState carries a whole configuration to a peer with an older version.
+type ConfigState struct {
+	_       struct{} `cbor:",toarray"`
+	Version int64
+	State   []byte
+}
+
+// ToAgent is one frame from an entry to an agent. Every list may be empty; an
+// entirely empty frame is a heartbeat.
+type ToAgent struct {
+	_       struct{} `cbor:",toarray"`
+	Starts  []Start
+	Cancels []Seq
+	Queries []Seq
+	Floor   Seq // every attempt below it is settled at the entry
+	Config  *ConfigState
+	Entries []EntryAddr
+	Stamp   uint64 // sender's hybrid logical time, filled in by the shell
+}
+
+// ToEntry is one frame from an agent to an entry.
+type ToEntry struct {
+	_       struct{} `cbor:",toarray"`
+	Results []Result
+	Load    Load
+	Config  *ConfigState
+	Stamp   uint64 // sender's hybrid logical time, filled in by the shell
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,139 @@
+// Package dev runs a whole system in one process on loopback: entries, agents
+// and sample upstreams, joined by real sockets.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/internal/agentd"
+	"github.com/limpettrail/limpettrail/internal/entryd"
+	"github.com/limpettrail/limpettrail/internal/standin/upstream"
+)
+
+// Options size the system. Zero values take today's figures: 3 entries, 11
+// agents of 8 slots, 3 workers a rack, 3 availability zones.
+type Options struct {
+	Entries int
+	Agents  int
+	Slots   int
+	// NewScheduler makes the scheduler of each entry.
+	NewScheduler func(entry int) policy.Scheduler
+	Settings     policy.Settings
+	// Upstream returns the behaviour of each upstream; nil means the default.
+	Upstream func(agent int) upstream.Options
+}
+
+const (
+	defaultEntries = 3
+	defaultAgents  = 11
+	defaultSlots   = 8
+	rackSize       = 3
+	zones          = 3
+	loopback       = "127.0.0.1:0"
+)
+
+// System is a running system.
+type System struct {
+	Entries   []*entryd.Entry
+	Agents    []*agentd.Agent
+	Upstreams []*upstream.Server
+}
+
+// Start brings up the system. The caller stops it with Stop.
+func Start(opts Options) (*System, error) {
+	opts = withDefaults(opts)
+	s := &System{}
+	if err := s.startEntries(opts); err != nil {
+		return nil, errors.Join(err, s.Stop(context.Background()))
+	}
+	if err := s.startAgents(opts); err != nil {
+		return nil, errors.Join(err, s.Stop(context.Background()))
+	}
+	return s, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.Entries == 0 {
+		o.Entries = defaultEntries
+	}
+	if o.Agents == 0 {
+		o.Agents = defaultAgents
+	}
+	if o.Slots == 0 {
+		o.Slots = defaultSlots
+	}
+	if o.NewScheduler == nil {
+		o.NewScheduler = func(int) policy.Scheduler { return policy.NewLeastBusy() }
+	}
+	if len(o.Settings.Classes) == 0 {
+		o.Settings.Classes = SampleClasses()
+	}
+	if o.Upstream == nil {
+		o.Upstream = func(int) upstream.Options { return upstream.Options{} }
+	}
+	return o
+}
+
+// SampleClasses returns the classes that a development system starts with.
+func SampleClasses() []policy.Class {
+	return []policy.Class{
+		{Name: "quote", Within: 800 * time.Millisecond, Success: 0.99},
+		{Name: "render", Within: 5 * time.Second, Success: 0.95},
+	}
+}
+
+func (s *System) startEntries(opts Options) error {
+	for i := range opts.Entries {
+		e, err := entryd.Start(entryd.Options{
+			Name: fmt.Sprintf("entry-%d", i), Zone: zone(i),
+			Listen: loopback, PeerListen: loopback,
+			Scheduler: opts.NewScheduler(i), Settings: opts.Settings,
+		})
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return nil
+}
+
+func (s *System) startAgents(opts Options) error {
+	var peers []string
+	for _, e := range s.Entries {
+		peers = append(peers, e.PeerAddr())
+	}
+	for i := range opts.Agents {
+		up, err := upstream.Start(loopback, opts.Upstream(i))
+		if err != nil {
+			return err
+		}
+		s.Upstreams = append(s.Upstreams, up)
+		s.Agents = append(s.Agents, agentd.Start(agentd.Options{
+			Name: fmt.Sprintf("worker-%02d", i), Zone: zone(i),
+			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
+			Upstream: "http://" + up.Addr() + "/", Entries: peers,
+		}))
+	}
+	return nil
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
+
+// Stop shuts everything down gracefully, entries first.
+func (s *System) Stop(ctx context.Context) error {
+	var errs []error
+	for _, e := range s.Entries {
+		errs = append(errs, e.Stop(ctx))
+	}
+	for _, a := range s.Agents {
+		errs = append(errs, a.Stop(ctx))
+	}
+	for _, u := range s.Upstreams {
+		errs = append(errs, u.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/eventlog/catalog_entry.go
@@ -0,0 +1,18 @@
+package eventlog
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the entry.
+var (
+	EntryStarted   = define(1000, "entry_started", zapcore.InfoLevel, false)
+	EntryStopped   = define(1001, "entry_stopped", zapcore.InfoLevel, false)
+	EntryDraining  = define(1002, "entry_draining", zapcore.InfoLevel, false)
+	AgentLinkUp    = define(1010, "agent_link_up", zapcore.InfoLevel, false)
+	AgentLinkDown  = define(1011, "agent_link_down", zapcore.WarnLevel, false)
+	PeerRejected   = define(1012, "peer_rejected", zapcore.WarnLevel, false)
+	JobAccepted    = define(1100, "job_accepted", zapcore.DebugLevel, true)
+	JobAnswered    = define(1101, "job_answered", zapcore.DebugLevel, true)
+	TaskPlaced     = define(1110, "task_placed", zapcore.DebugLevel, true)
+	TaskResult     = define(1111, "task_result", zapcore.DebugLevel, true)
+	AttemptQueried = define(1112, "attempt_queried", zapcore.DebugLevel, true)
+)
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,160 @@
+// Package eventlog writes numbered events to the structured log and to the
+// process's time line.
+//
+// Every event that a process can write is defined once, in a catalog_*.go file
+// of this package, and described in docs/events.md; a test compares the two.
+package eventlog
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/limpettrail/limpettrail/core/timeline"
+)
+
+// Code is the number of an event. Ranges: 1000 entry, 2000 agent, 3000
+// platform log, 4000 operator commands, 5000 stand-ins and tools.
+type Code int
+
+// Def defines one event.
+type Def struct {
+	Code  Code
+	Name  string // snake_case, stable
+	Level zapcore.Level
+	// TimelineOnly keeps the event out of the log: it is recorded per task.
+	TimelineOnly bool
+}
+
+var catalog = map[Code]Def{}
+
+// define registers an event. Defining a code twice breaks an invariant.
+func define(code Code, name string, level zapcore.Level, timelineOnly bool) Code {
+	if _, dup := catalog[code]; dup {
+		panic("eventlog: code defined twice: " + strconv.Itoa(int(code)))
+	}
+	catalog[code] = Def{Code: code, Name: name, Level: level, TimelineOnly: timelineOnly}
+	return code
+}
+
+// Catalog returns every defined event, by code.
+func Catalog() []Def {
+	out := make([]Def, 0, len(catalog))
+	for _, d := range catalog {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b Def) int { return cmp.Compare(a.Code, b.Code) })
+	return out
+}
+
+// Fields are the typed fields of an event. Zero fields are left out.
+type Fields struct {
+	Submission string
+	Task       int // index plus 1, so that the zero value means "no task"
+	Peer       string
+	Detail     string
+	Count      int64
+	Duration   time.Duration
+	Err        error
+}
+
+// timelineCapacity bounds the memory of the time line to a few megabytes.
+const timelineCapacity = 16384
+
+// Log writes events of one process. A nil *Log discards them.
+type Log struct {
+	zap         *zap.Logger
+	clock       *timeline.Clock
+	ring        *timeline.Ring
+	process     string
+	incarnation uint64
+}
+
+// New returns a log for one process. The zap logger may be zap.NewNop().
+func New(z *zap.Logger, process string, incarnation uint64) *Log {
+	return &Log{
+		zap:         z.With(zap.String("process", process), zap.String("incarnation", strconv.FormatUint(incarnation, 16))),
+		clock:       new(timeline.Clock),
+		ring:        timeline.NewRing(timelineCapacity),
+		process:     process,
+		incarnation: incarnation,
+	}
+}
+
+// Emit writes one event.
+func (l *Log) Emit(code Code, f Fields) {
+	if l == nil {
+		return
+	}
+	def := catalog[code]
+	l.ring.Add(timeline.Event{
+		Stamp:       l.Stamp(),
+		Process:     l.process,
+		Incarnation: l.incarnation,
+		Code:        int(code),
+		Name:        def.Name,
+		Submission:  f.Submission,
+		Task:        f.Task - 1,
+		Peer:        f.Peer,
+		Detail:      f.Detail,
+	})
+	if def.TimelineOnly {
+		return
+	}
+	if entry := l.zap.Check(def.Level, def.Name); entry != nil {
+		entry.Write(zapFields(code, f)...)
+	}
+}
+
+func zapFields(code Code, f Fields) []zap.Field {
+	out := []zap.Field{zap.Int("event", int(code))}
+	if f.Submission != "" {
+		out = append(out, zap.String("submission", f.Submission))
+	}
+	if f.Task > 0 {
+		out = append(out, zap.Int("task", f.Task-1))
+	}
+	if f.Peer != "" {
+		out = append(out, zap.String("peer", f.Peer))
+	}
+	if f.Detail != "" {
+		out = append(out, zap.String("detail", f.Detail))
+	}
+	if f.Count != 0 {
+		out = append(out, zap.Int64("count", f.Count))
+	}
+	if f.Duration != 0 {
+		out = append(out, zap.Duration("duration", f.Duration))
+	}
+	if f.Err != nil {
+		out = append(out, zap.Error(f.Err))
+	}
+	return out
+}
+
+// Stamp returns the stamp to put on an outgoing frame.
+func (l *Log) Stamp() timeline.Stamp {
+	if l == nil {
+		return 0
+	}
+	return l.clock.Now(time.Now().UnixMicro())
+}
+
+// Observe records the stamp of a received frame.
+func (l *Log) Observe(s timeline.Stamp) {
+	if l != nil {
+		l.clock.Observe(s)
+	}
+}
+
+// Timeline returns the process's recent events for which keep is true.
+func (l *Log) Timeline(keep func(*timeline.Event) bool) []timeline.Event {
+	if l == nil {
+		return nil
+	}
+	return l.ring.Events(keep)
+}
--- /dev/null
+++ b/internal/standin/upstream/upstream.go
@@ -0,0 +1,123 @@
+// Package upstream is a stand-in for a real upstream: an HTTP server that
+// sleeps for as long as the task's payload asks and returns a digest of the
+// payload.
+package upstream
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Headers that identify the task at the upstream.
+const (
+	HeaderSubmission = "Limpettrail-Submission"
+	HeaderTask       = "Limpettrail-Task"
+	HeaderClass      = "Limpettrail-Class"
+)
+
+const maxPayloadBytes = 1 << 20
+
+// Task is the payload that the stand-in understands.
+type Task struct {
+	SleepMicros int64  `json:"sleep_us"`
+	Fail        bool   `json:"fail,omitempty"`
+	Text        string `json:"text,omitempty"`
+}
+
+// Reply is the stand-in's result.
+type Reply struct {
+	Digest string `json:"digest"` // SHA-256 of the payload, in hexadecimal
+}
+
+// Options change how the stand-in behaves.
+type Options struct {
+	// SlowFactor multiplies every sleep; 0 means 1.
+	SlowFactor float64
+	// FailAll makes every task fail at once.
+	FailAll bool
+	// OnStart is called for each task that starts.
+	OnStart func(submission, task string)
+}
+
+// Server is a running stand-in.
+type Server struct {
+	opts   Options
+	http   *http.Server
+	addr   string
+	starts atomic.Int64
+}
+
+// Start listens on addr ("127.0.0.1:0" picks a port) and serves.
+func Start(addr string, opts Options) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{opts: opts, addr: l.Addr().String()}
+	s.http = &http.Server{Handler: s}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// Addr returns the listening address.
+func (s *Server) Addr() string { return s.addr }
+
+// Starts returns the number of tasks that started.
+func (s *Server) Starts() int64 { return s.starts.Load() }
+
+// Close stops the server at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+// ServeHTTP runs one task.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayloadBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.starts.Add(1)
+	if s.opts.OnStart != nil {
+		s.opts.OnStart(r.Header.Get(HeaderSubmission), r.Header.Get(HeaderTask))
+	}
+	var t Task
+	if err := json.Unmarshal(body, &t); err != nil {
+		http.Error(w, "payload: "+err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	if t.Fail || s.opts.FailAll {
+		http.Error(w, "task failed as asked", http.StatusInternalServerError)
+		return
+	}
+	if !s.sleep(r, t) {
+		return
+	}
+	sum := sha256.Sum256(body)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(Reply{Digest: hex.EncodeToString(sum[:])})
+}
+
+// sleep reports false if the request was abandoned.
+func (s *Server) sleep(r *http.Request, t Task) bool {
+	factor := s.opts.SlowFactor
+	if factor == 0 {
+		factor = 1
+	}
+	d := time.Duration(float64(t.SleepMicros)*factor) * time.Microsecond
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
