--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -9,16 +9,20 @@
 import "sync"
 
 // Stamp is a hybrid logical time: wall-clock microseconds since 1970 in the
-// upper 48 bits of 64, a logical counter in the lower 16.
+// upper 52 bits (enough until the year 2112), a logical counter in the lower 12.
+// A counter that overflows carries into the microseconds, which keeps the order.
 type Stamp uint64
 
-const logicalBits = 16
+const (
+	logicalBits = 12
+	logicalMask = 1<<logicalBits - 1
+)
 
 // Micros returns the wall-clock part in microseconds since 1970.
 func (s Stamp) Micros() int64 { return int64(s >> logicalBits) }
 
 // Logical returns the counter that orders stamps of one microsecond.
-func (s Stamp) Logical() uint16 { return uint16(s) }
+func (s Stamp) Logical() uint16 { return uint16(s & logicalMask) }
 
 // Clock issues stamps. It is safe for concurrent use.
 type Clock struct {
--- /dev/null
+++ b/internal/timelineview/svg.go
@@ -0,0 +1,88 @@
+package timelineview
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"strings"
+
+	"github.com/limpettrail/limpettrail/core/timeline"
+)
+
+// Geometry of the picture, in pixels.
+const (
+	laneWidth  = 230
+	rowHeight  = 18
+	timeWidth  = 90
+	headHeight = 34
+	margin     = 10
+	dotRadius  = 4
+)
+
+var laneColours = []string{"#2f6fb0", "#b0562f", "#3c8f4f", "#7a4fb0", "#a08a1e", "#b02f63"}
+
+// SVG writes a picture with one lane for each process, one row for each step in
+// the merged order, and the time since the first step on the left.
+func SVG(w io.Writer, steps []timeline.Step) error {
+	lanes := laneOrder(steps)
+	var b strings.Builder
+	width := timeWidth + laneWidth*len(lanes) + 2*margin
+	height := headHeight + rowHeight*len(steps) + 2*margin
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`, width, height)
+	b.WriteString(`<rect width="100%" height="100%" fill="white"/>`)
+	for i, name := range lanes {
+		drawLane(&b, i, name, height)
+	}
+	for row, s := range steps {
+		drawStep(&b, row, steps, s, lanes)
+	}
+	b.WriteString("</svg>\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// laneOrder lists the processes in order of their first step.
+func laneOrder(steps []timeline.Step) []string {
+	var lanes []string
+	seen := make(map[string]bool)
+	for _, s := range steps {
+		if !seen[s.Process] {
+			seen[s.Process] = true
+			lanes = append(lanes, s.Process)
+		}
+	}
+	return lanes
+}
+
+func laneX(lane int) int { return margin + timeWidth + lane*laneWidth + dotRadius }
+
+func drawLane(b *strings.Builder, lane int, name string, height int) {
+	x := laneX(lane)
+	colour := laneColours[lane%len(laneColours)]
+	fmt.Fprintf(b, `<text x="%d" y="%d" font-weight="bold" fill="%s">%s</text>`, x, margin+12, colour, html.EscapeString(name))
+	fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="%s" stroke-opacity="0.3"/>`, x, headHeight, x, height-margin, colour)
+}
+
+func drawStep(b *strings.Builder, row int, steps []timeline.Step, s timeline.Step, lanes []string) {
+	lane := 0
+	for i, name := range lanes {
+		if name == s.Process {
+			lane = i
+		}
+	}
+	x, y := laneX(lane), headHeight+rowHeight*row+rowHeight/2
+	fmt.Fprintf(b, `<text x="%d" y="%d" fill="#666">+%s</text>`, margin, y+4, since(steps, s))
+	fmt.Fprintf(b, `<circle cx="%d" cy="%d" r="%d" fill="%s"/>`, x, y, dotRadius, laneColours[lane%len(laneColours)])
+	fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`, x+2*dotRadius, y+4, html.EscapeString(label(s)))
+}
+
+func label(s timeline.Step) string {
+	text := s.Name
+	if s.Task >= 0 {
+		text += fmt.Sprintf(" #%d", s.Task)
+	}
+	if s.Detail != "" {
+		text += " " + s.Detail
+	}
+	return text
+}
--- /dev/null
+++ b/internal/timelineview/view.go
@@ -0,0 +1,106 @@
+// Package timelineview fetches the time lines of processes and renders the
+// merged one as a table, as JSON or as a self-contained SVG picture.
+package timelineview
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/timeline"
+)
+
+const (
+	fetchTimeout = 5 * time.Second
+	maxReply     = 64 << 20
+)
+
+// Query selects events.
+type Query struct {
+	Submission string
+	Peer       string
+}
+
+func (q Query) keeps(e *timeline.Event) bool {
+	return (q.Submission == "" || e.Submission == q.Submission) && (q.Peer == "" || e.Peer == q.Peer)
+}
+
+// Read returns the events of one source: an operators' address (IP:port) or
+// the name of a file in which the reply of /timeline was saved.
+func Read(ctx context.Context, client *http.Client, source string, q Query) ([]timeline.Event, error) {
+	if f, err := os.Open(source); err == nil {
+		defer f.Close()
+		return decode(f, q)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	base := source
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	values := url.Values{"submission": {q.Submission}, "peer": {q.Peer}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/timeline?"+values.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %s", source, resp.Status)
+	}
+	return decode(resp.Body, q)
+}
+
+func decode(r io.Reader, q Query) ([]timeline.Event, error) {
+	var all []timeline.Event
+	if err := json.NewDecoder(io.LimitReader(r, maxReply)).Decode(&all); err != nil {
+		return nil, err
+	}
+	kept := all[:0]
+	for i := range all {
+		if q.keeps(&all[i]) {
+			kept = append(kept, all[i])
+		}
+	}
+	return kept, nil
+}
+
+// Table writes the steps as aligned columns: time since the first step, gap,
+// process, event, task, peer, detail.
+func Table(w io.Writer, steps []timeline.Step) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "AT\tGAP\tPROCESS\tEVENT\tTASK\tPEER\tDETAIL")
+	for _, s := range steps {
+		fmt.Fprintf(t, "%s\t+%s\t%s\t%d %s\t%s\t%s\t%s\n",
+			since(steps, s), s.Gap, s.Process, s.Code, s.Name, task(s), s.Peer, s.Detail)
+	}
+	return t.Flush()
+}
+
+func since(steps []timeline.Step, s timeline.Step) time.Duration {
+	return time.Duration(s.Stamp.Micros()-steps[0].Stamp.Micros()) * time.Microsecond
+}
+
+func task(s timeline.Step) string {
+	if s.Task < 0 {
+		return "-"
+	}
+	return fmt.Sprint(s.Task)
+}
+
+// JSON writes the steps as one indented array.
+func JSON(w io.Writer, steps []timeline.Step) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(steps)
+}
