--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,37 +1,46 @@
-// Package cli is the command line of the limpettrail binary.
+// Package cli is the command line of the limpettrail binary. Each sub-command
+// has a file of its own.
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/alexflint/go-arg"
-
-	"github.com/limpettrail/limpettrail/internal/dev"
 )
 
 // Exit codes of the binary.
 const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	ExitOK      = 0 // done
+	ExitFailed  = 1 // the command ran and failed, or a check found faults
+	ExitUsage   = 2 // the command line is wrong
+	ExitUnknown = 3 // the outcome is not known; ask again as the message says
 )
 
-const stopTimeout = 10 * time.Second
-
 type args struct {
-	Dev *devArgs `arg:"subcommand:dev" help:"run entries, agents, sample upstreams on loopback"`
+	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serves callers, places tasks"`
+	Agent    *agentArgs    `arg:"subcommand:agent" help:"run an agent beside one upstream"`
+	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole system on loopback"`
+	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge the time lines of processes"`
+	Check    *checkArgs    `arg:"subcommand:check" help:"check a settings file"`
+	Version  *versionArgs  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description heads the help text.
+func (args) Description() string {
+	return "limpettrail dispatches sub-second tasks from callers to upstreams."
 }
 
-type devArgs struct {
-	Entries int `default:"3" help:"number of entries"`
-	Agents  int `default:"11" help:"number of agents"`
+// Epilogue ends the help text.
+func (args) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 outcome not known.\n" +
+		"Start with: limpettrail dev"
+}
+
+// command is one sub-command; run returns the exit code.
+type command interface {
+	run(stdout, stderr io.Writer) int
 }
 
 // Main runs the command line and returns the exit code.
@@ -42,39 +51,20 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	switch err := p.Parse(argv); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(stdout)
+	err = p.Parse(argv)
+	if errors.Is(err, arg.ErrHelp) {
+		p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
 		return ExitOK
-	case err != nil:
-		p.WriteUsage(stderr)
+	}
+	if err != nil {
+		p.WriteUsageForSubcommand(stderr, p.SubcommandNames()...)
 		fmt.Fprintln(stderr, "error:", err)
 		return ExitUsage
 	}
-	if a.Dev == nil {
+	c, ok := p.Subcommand().(command)
+	if !ok {
 		p.WriteHelp(stderr)
 		return ExitUsage
 	}
-	return runDev(a.Dev, stdout, stderr)
-}
-
-func runDev(a *devArgs, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	s, err := dev.Start(dev.Options{Entries: a.Entries, Agents: a.Agents})
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitFailed
-	}
-	addr := s.Entries[0].Addr()
-	fmt.Fprintf(stdout, "callers: http://%s\n", addr)
-	fmt.Fprintf(stdout, "try: curl -s http://%s/v1/jobs -d '{\"class\":\"quote\",\"tasks\":[{\"sleep_us\":50000},{\"sleep_us\":80000}]}'\n", addr)
-	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if err := s.Stop(stopCtx); err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitFailed
-	}
-	return ExitOK
+	return c.run(stdout, stderr)
 }
--- /dev/null
+++ b/internal/cli/process.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// process is a running entry or agent.
+type process interface {
+	// Stop drains and returns when nothing is left to do or ctx ends.
+	Stop(ctx context.Context) error
+	// Kill ends the process's work at once.
+	Kill()
+}
+
+// serve runs p until it has stopped. The first SIGTERM or SIGINT begins the
+// graceful shutdown, a second one ends the process at once, SIGHUP reloads.
+func serve(p process, drain time.Duration, reload func() error, stderr io.Writer) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		if err := reload(); err != nil {
+			fmt.Fprintln(stderr, "reload failed, earlier files stay in use:", err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.Stop(ctx) }()
+	for {
+		select {
+		case err := <-stopped:
+			if err != nil {
+				fmt.Fprintln(stderr, "graceful shutdown incomplete:", err)
+				return ExitFailed
+			}
+			return ExitOK
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				p.Kill()
+				return ExitFailed
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"context"
+
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/limpettrail/limpettrail/core/timeline"
+	"github.com/limpettrail/limpettrail/internal/timelineview"
+)
+
+type timelineArgs struct {
+	Job    string   `help:"submission whose events are shown"`
+	Peer   string   `help:"peer (an agent's or entry's name) whose events are shown"`
+	Format string   `default:"table" help:"table, json or svg"`
+	Source []string `arg:"positional,required" help:"operators' addresses (IP:port, or https://IP:port) or files saved from /timeline"`
+	tlsArgs
+}
+
+// tlsArgs are the flags with which an operator's command proves who it is.
+type tlsArgs struct {
+	Cert string `arg:"--cert" help:"operator's certificate (PEM)"`
+	Key  string `arg:"--key" help:"key of the operator's certificate (PEM)"`
+	CA   string `arg:"--ca" help:"authorities of the servers' certificates (PEM)"`
+}
+
+func (timelineArgs) Epilogue() string {
+	return "Example: limpettrail timeline --job 4f...e1 127.0.0.1:9100 127.0.0.1:9200"
+}
+
+func (a *timelineArgs) run(stdout, stderr io.Writer) int {
+	client, err := a.httpClient()
+	if err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitFailed
+	}
+	steps, unreachable := a.read(client, stderr)
+	if err := a.render(stdout, steps); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitUsage
+	}
+	if unreachable == len(a.Source) {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// read merges what can be reached; a dead process must not hide the others.
+func (a *timelineArgs) read(client *http.Client, stderr io.Writer) ([]timeline.Step, int) {
+	var lists [][]timeline.Event
+	unreachable := 0
+	query := timelineview.Query{Submission: a.Job, Peer: a.Peer}
+	for _, source := range a.Source {
+		events, err := timelineview.Read(context.Background(), client, source, query)
+		if err != nil {
+			fmt.Fprintf(stderr, "warning: %s left out: %v\n", source, err)
+			unreachable++
+			continue
+		}
+		lists = append(lists, events)
+	}
+	return timeline.Merge(lists...), unreachable
+}
+
+func (a *timelineArgs) render(w io.Writer, steps []timeline.Step) error {
+	switch a.Format {
+	case "table":
+		return timelineview.Table(w, steps)
+	case "json":
+		return timelineview.JSON(w, steps)
+	case "svg":
+		return timelineview.SVG(w, steps)
+	}
+	return fmt.Errorf("--format %q: want table, json or svg", a.Format)
+}
