--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -15,8 +15,8 @@
 	File string   `arg:"positional,required" help:"settings file"`
 }
 
-// Epilogue shows an example.
-func (agentArgs) Epilogue() string { return "Example: limpettrail agent deploy/agent.toml" }
+// example is shown in the help.
+func (*agentArgs) example() string { return "limpettrail agent deploy/agent.toml" }
 
 const bytesPerMB = 1 << 20
 
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -15,9 +15,9 @@
 	Keys bool     `arg:"--keys" help:"list every key with its default and what is allowed"`
 }
 
-// Epilogue shows an example.
-func (checkArgs) Epilogue() string {
-	return "Example: limpettrail check --role entry deploy/entry.toml"
+// example is shown in the help.
+func (*checkArgs) example() string {
+	return "limpettrail check --role entry deploy/entry.toml"
 }
 
 func (a *checkArgs) run(stdout, stderr io.Writer) int {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,7 +32,7 @@
 	return "limpettrail dispatches sub-second tasks from callers to upstreams."
 }
 
-// Epilogue ends the help text.
+// Epilogue ends the help text of the program and of each sub-command.
 func (args) Epilogue() string {
 	return "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 outcome not known.\n" +
 		"Start with: limpettrail dev"
@@ -53,7 +53,7 @@
 	}
 	err = p.Parse(argv)
 	if errors.Is(err, arg.ErrHelp) {
-		p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
+		writeHelp(p, stdout)
 		return ExitOK
 	}
 	if err != nil {
@@ -68,3 +68,11 @@
 	}
 	return c.run(stdout, stderr)
 }
+
+// writeHelp writes the help of the sub-command that was named, with its example.
+func writeHelp(p *arg.Parser, w io.Writer) {
+	p.WriteHelpForSubcommand(w, p.SubcommandNames()...)
+	if c, ok := p.Subcommand().(interface{ example() string }); ok {
+		fmt.Fprintf(w, "\nExample: %s\n", c.example())
+	}
+}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -15,8 +15,8 @@
 	File string   `arg:"positional,required" help:"settings file"`
 }
 
-// Epilogue shows an example.
-func (entryArgs) Epilogue() string { return "Example: limpettrail entry deploy/entry.toml" }
+// example is shown in the help.
+func (*entryArgs) example() string { return "limpettrail entry deploy/entry.toml" }
 
 func (a *entryArgs) run(stdout, stderr io.Writer) int {
 	v, err := settings.Load(settings.RoleEntry, a.File, os.Environ(), a.Set)
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -26,8 +26,8 @@
 	CA   string `arg:"--ca" help:"authorities of the servers' certificates (PEM)"`
 }
 
-func (timelineArgs) Epilogue() string {
-	return "Example: limpettrail timeline --job 4f...e1 127.0.0.1:9100 127.0.0.1:9200"
+func (*timelineArgs) example() string {
+	return "limpettrail timeline --job 4f...e1 127.0.0.1:9100 127.0.0.1:9200"
 }
 
 func (a *timelineArgs) run(stdout, stderr io.Writer) int {
