--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -8,10 +8,12 @@
 // Invariants:
 //   - An attempt (entry incarnation, seq) yields at most one Run action.
 //   - After the machine reported NotRun for an attempt, that attempt never
-//     yields a Run action.
+//     yields a Run action. The only NotRun that follows a Run action is the
+//     one that the caller delivered with Finished.
 //   - A start is accepted only on the current epoch of its link and only with a
 //     seq above every seq seen from that entry, so a delayed or repeated start
 //     is refused without remembering each refused seq.
+//   - Epochs of one entry only increase, also across LinkDown.
 package agent
 
 import (
@@ -29,6 +31,9 @@
 	QueueCapacity int
 	// Window bounds the unsettled attempts of one entry. Default 4096.
 	Window int
+	// MaxRetainedBytes bounds the results kept until their entries settle them.
+	// Above it starts are refused as busy. Default 16 MiB.
+	MaxRetainedBytes int
 	// HeartbeatInterval is the longest silence on a healthy link. Default 500 ms.
 	HeartbeatInterval time.Duration
 	// LinkLease is how long queued tasks outlive their entry's link. Default 5 s.
@@ -36,40 +41,44 @@
 	// PeerRetention is how long results are kept for an entry whose link is
 	// down; later queries about them are answered Unknown. Default 10 min.
 	PeerRetention time.Duration
+	// DrainLinger is how long a draining agent refuses starts before it leaves
+	// a connected entry. Default 2 s.
+	DrainLinger time.Duration
+	// DeliveryBound is how long a draining agent waits, after its last run, for
+	// entries to settle its results. Default 5 s.
+	DeliveryBound time.Duration
 }
 
 // Defaults of Options.
 const (
 	DefaultWindow            = 4096
+	DefaultMaxRetainedBytes  = 16 << 20
 	DefaultHeartbeatInterval = 500 * time.Millisecond
 	DefaultLinkLease         = 5 * time.Second
 	DefaultPeerRetention     = 10 * time.Minute
-	initialMeanRun           = 200 * time.Millisecond
-	meanRunWeight            = 0.1 // weight of the newest sample in the moving average
+	DefaultDrainLinger       = 2 * time.Second
+	DefaultDeliveryBound     = 5 * time.Second
 )
 
 func (o Options) withDefaults() Options {
-	if o.Slots <= 0 {
-		o.Slots = 1
-	}
-	if o.QueueCapacity <= 0 {
-		o.QueueCapacity = 2 * o.Slots
-	}
-	if o.Window <= 0 {
-		o.Window = DefaultWindow
-	}
-	if o.HeartbeatInterval <= 0 {
-		o.HeartbeatInterval = DefaultHeartbeatInterval
-	}
-	if o.LinkLease <= 0 {
-		o.LinkLease = DefaultLinkLease
-	}
-	if o.PeerRetention <= 0 {
-		o.PeerRetention = DefaultPeerRetention
-	}
+	orDefault(&o.Slots, 1)
+	orDefault(&o.QueueCapacity, 2*o.Slots)
+	orDefault(&o.Window, DefaultWindow)
+	orDefault(&o.MaxRetainedBytes, DefaultMaxRetainedBytes)
+	orDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
+	orDefault(&o.LinkLease, DefaultLinkLease)
+	orDefault(&o.PeerRetention, DefaultPeerRetention)
+	orDefault(&o.DrainLinger, DefaultDrainLinger)
+	orDefault(&o.DeliveryBound, DefaultDeliveryBound)
 	return o
 }
 
+func orDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
 // AttemptID identifies one attempt at this agent.
 type AttemptID struct {
 	Entry wire.Incarnation
@@ -78,36 +87,56 @@
 
 // Machine is the agent's state machine. It is not safe for concurrent use.
 type Machine struct {
-	opts      Options
-	peers     map[wire.Incarnation]*peer
-	peerList  []*peer // in order of first contact, so that iteration is deterministic
-	queue     runQueue
-	running   int
-	limit     int
-	meanRun   time.Duration
-	successes uint64
-	failures  uint64
-	draining  bool
-	drained   bool
-	down      bool
-	order     uint64 // arrival counter, breaks ties in the queue
-	actions   []Action
+	opts     Options
+	peers    map[wire.Incarnation]*peer
+	peerList []*peer // in order of first contact, so that iteration is deterministic
+	forgot   bool    // some peer was removed from the table
+	retained int     // bytes of results that are not settled
+	queue    runQueue
+	active   []*attempt // running
+	order    uint64     // arrival counter, breaks ties in the queue
+	config   *wire.ConfigState
+
+	limiter      limiter
+	classes      map[string]*classStats
+	otherClasses classStats
+	successes    uint64
+	failures     uint64
+
+	streak     failureStreak
+	holdUntil  time.Duration // nothing is started before
+	refusedFor time.Duration // backoff after refusals by the upstream
+	suspectFor time.Duration // backoff between trial runs
+
+	down     bool
+	probing  bool
+	probeAt  time.Duration
+	probeFor time.Duration
+
+	draining bool
+	drained  bool
+	drainAt  time.Duration
+	idleAt   time.Duration // when a draining agent last had a run
+
+	actions []Action
 }
 
 // New returns a machine with no links and every slot free.
 func New(opts Options) *Machine {
 	opts = opts.withDefaults()
 	return &Machine{
-		opts:    opts,
-		peers:   make(map[wire.Incarnation]*peer),
-		limit:   opts.Slots,
-		meanRun: initialMeanRun,
+		opts:         opts,
+		peers:        make(map[wire.Incarnation]*peer),
+		limiter:      newLimiter(opts.Slots),
+		classes:      make(map[string]*classStats),
+		otherClasses: classStats{mean: initialMeanRun},
 	}
 }
 
 // Step applies one event at time now, which must never decrease, and returns
 // the actions to carry out. The slice is valid until the next call.
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
+	clear(m.actions)
 	m.actions = m.actions[:0]
 	switch e := ev.(type) {
 	case LinkUp:
@@ -117,26 +146,28 @@
 	case Received:
 		m.received(now, e)
 	case Finished:
-		m.finished(now, e)
+		m.finished(now, &e)
+	case Probed:
+		m.probed(now, e)
 	case Drain:
-		m.drain()
+		m.drain(now)
 	case Tick:
 		m.tick(now)
 	}
 	m.startQueued(now)
 	m.flush(now)
-	m.reportDrained()
+	m.reportDrained(now)
 	return m.actions
 }
 
-// Load returns the state that the agent reports on every frame.
-func (m *Machine) Load() wire.Load {
+// load returns the state that the agent reports on every frame.
+func (m *Machine) load(now time.Duration) wire.Load {
 	return wire.Load{
-		Running:      m.running,
+		Running:      len(m.active),
 		Queued:       m.queue.Len(),
 		Slots:        m.opts.Slots,
-		Limit:        m.limit,
-		ExpectedWait: wire.MicrosOf(m.expectedWait(m.queue.Len())),
+		Limit:        m.allowed(),
+		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration())),
 		Successes:    m.successes,
 		Failures:     m.failures,
 		Draining:     m.draining,
@@ -144,180 +175,4 @@
 	}
 }
 
-// expectedWait estimates the queueing delay of a start with ahead tasks before it.
-func (m *Machine) expectedWait(ahead int) time.Duration {
-	if m.running+ahead < m.limit {
-		return 0
-	}
-	return m.meanRun * time.Duration(ahead+1) / time.Duration(m.limit)
-}
-
-func (m *Machine) received(now time.Duration, e Received) {
-	p := m.peers[e.Entry]
-	if p == nil || !p.up || p.epoch != e.Epoch {
-		return // frame of a replaced connection
-	}
-	p.settle(e.Frame.Floor)
-	for i := range e.Frame.Starts {
-		m.start(now, p, &e.Frame.Starts[i])
-	}
-	for _, seq := range e.Frame.Cancels {
-		m.cancel(p, seq)
-	}
-	for _, seq := range e.Frame.Queries {
-		m.query(p, seq)
-	}
-}
-
-func (m *Machine) start(now time.Duration, p *peer, s *wire.Start) {
-	if s.Seq <= p.maxSeen || s.Seq < p.floor {
-		m.refuseDuplicate(p, s.Seq)
-		return
-	}
-	p.maxSeen = s.Seq
-	due := now + s.Slack.Duration()
-	if reason := m.refusal(p, s, due); reason != wire.ReasonNone {
-		p.report(wire.Result{Seq: s.Seq, Outcome: wire.NotRun, Reason: reason})
-		return
-	}
-	m.order++
-	a := &attempt{
-		peer:     p,
-		start:    *s,
-		arrived:  now,
-		due:      due,
-		deadline: now + s.Deadline.Duration(),
-		order:    m.order,
-		state:    stateQueued,
-	}
-	p.attempts[s.Seq] = a
-	m.queue.push(a)
-}
-
-// refuseDuplicate answers a start that must not be accepted. A known attempt
-// keeps its own outcome; anything else was never accepted and never will be.
-func (m *Machine) refuseDuplicate(p *peer, seq wire.Seq) {
-	if _, known := p.attempts[seq]; known {
-		return
-	}
-	if seq < p.floor {
-		return // settled at the entry; nobody waits for an answer
-	}
-	p.report(wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: wire.ReasonStaleSeq})
-}
-
-// refusal returns why a new start cannot be accepted, or ReasonNone.
-func (m *Machine) refusal(p *peer, s *wire.Start, due time.Duration) wire.Reason {
-	switch {
-	case m.draining:
-		return wire.ReasonDraining
-	case s.Deadline <= 0:
-		return wire.ReasonExpired
-	case len(p.attempts) >= m.opts.Window:
-		return wire.ReasonBusy
-	}
-	wait := m.expectedWait(m.queue.ahead(due))
-	if wait == 0 {
-		return wire.ReasonNone
-	}
-	if m.queue.Len() >= m.opts.QueueCapacity || wait > s.MaxWait.Duration() {
-		return wire.ReasonBusy
-	}
-	return wire.ReasonNone
-}
-
-func (m *Machine) cancel(p *peer, seq wire.Seq) {
-	a := p.attempts[seq]
-	if a == nil {
-		return
-	}
-	switch a.state {
-	case stateQueued:
-		m.queue.remove(a)
-		a.finish(wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled})
-	case stateRunning:
-		m.emit(Stop{Attempt: a.id()})
-	case stateDone:
-	}
-}
-
-// query answers for an attempt that was in flight when a connection was
-// replaced. An attempt that is queued or running is answered by its result.
-func (m *Machine) query(p *peer, seq wire.Seq) {
-	a := p.attempts[seq]
-	switch {
-	case a != nil && a.state == stateDone:
-		p.report(a.result)
-	case a != nil:
-	case seq < p.floor:
-		// The record was released, so nothing truthful can be said about it.
-		p.report(wire.Result{Seq: seq, Outcome: wire.Unknown, Reason: wire.ReasonStaleSeq})
-	default:
-		if seq > p.maxSeen {
-			p.maxSeen = seq // a delayed start of this attempt is refused from now on
-		}
-		p.report(wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: wire.ReasonNotReceived})
-	}
-}
-
-func (m *Machine) startQueued(now time.Duration) {
-	for m.running < m.limit && m.queue.Len() > 0 {
-		a := m.queue.pop()
-		if now >= a.deadline {
-			a.finish(wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
-			continue
-		}
-		a.state = stateRunning
-		a.started = now
-		m.running++
-		m.emit(Run{Attempt: a.id(), Start: a.start, Timeout: a.deadline - now})
-	}
-}
-
-func (m *Machine) finished(now time.Duration, e Finished) {
-	p := m.peers[e.Attempt.Entry]
-	if p == nil {
-		return
-	}
-	if p.running[e.Attempt.Seq] {
-		delete(p.running, e.Attempt.Seq)
-		m.running--
-		m.observe(e)
-		return
-	}
-	a := p.attempts[e.Attempt.Seq]
-	if a == nil || a.state != stateRunning {
-		return
-	}
-	m.running--
-	m.observe(e)
-	a.finish(wire.Result{
-		Outcome: e.Outcome,
-		Reason:  e.Reason,
-		Wait:    wire.MicrosOf(a.started - a.arrived),
-		Run:     wire.MicrosOf(now - a.started),
-		Status:  e.Status,
-		Body:    e.Body,
-	})
-}
-
-// observe updates the counters and the mean run time from one ended run.
-func (m *Machine) observe(e Finished) {
-	switch e.Outcome {
-	case wire.Succeeded:
-		m.successes++
-		m.down = false
-	case wire.Failed, wire.Unknown:
-		if e.Reason != wire.ReasonStopped {
-			m.failures++
-		}
-		m.down = false
-	case wire.NotRun:
-		m.down = e.Reason == wire.ReasonUpstreamDown
-		return
-	}
-	delta := float64(e.Run - m.meanRun)
-	m.meanRun += time.Duration(meanRunWeight * delta)
-}
-
 func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
--- /dev/null
+++ b/core/agent/agent_test.go
@@ -0,0 +1,288 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+const (
+	entryA = wire.Incarnation(10)
+	entryB = wire.Incarnation(11)
+)
+
+// script drives a machine and collects what it does.
+type script struct {
+	m       *Machine
+	now     time.Duration
+	nextSeq wire.Seq
+	running []*Run
+	results []wire.Result
+	frames  []*wire.ToEntry
+	stops   int
+	probes  int
+	drained bool
+}
+
+func newScript(opts Options) *script {
+	s := &script{m: New(opts), now: time.Second, nextSeq: 1}
+	s.step(LinkUp{Entry: entryA, Epoch: 1})
+	return s
+}
+
+func (s *script) step(ev Event) {
+	for _, action := range s.m.Step(s.now, ev) {
+		switch x := action.(type) {
+		case *Run:
+			s.running = append(s.running, x)
+		case *Send:
+			s.frames = append(s.frames, x.Frame)
+			s.results = append(s.results, x.Frame.Results...)
+		case Stop:
+			s.stops++
+		case Probe:
+			s.probes++
+		case Drained:
+			s.drained = true
+		}
+	}
+}
+
+func (s *script) frame(f wire.ToAgent) {
+	s.step(Received{Entry: entryA, Epoch: s.m.peers[entryA].epoch, Frame: &f})
+}
+
+// start sends one start of the submission that waits at most maxWait.
+func (s *script) start(submission byte, maxWait time.Duration) wire.Seq {
+	seq := s.nextSeq
+	s.nextSeq++
+	s.frame(wire.ToAgent{Starts: []wire.Start{{
+		Seq: seq, Submission: wire.SubmissionID{submission}, Class: "c",
+		MaxWait: wire.MicrosOf(maxWait), Deadline: 10_000_000,
+	}}})
+	return seq
+}
+
+func (s *script) end(f Finished) {
+	f.Attempt = s.running[0].Attempt
+	s.running = s.running[1:]
+	s.step(f)
+}
+
+func (s *script) endAll(f Finished) {
+	for n := len(s.running); n > 0; n-- {
+		s.end(f)
+	}
+}
+
+func (s *script) pass(d time.Duration) {
+	s.now += d
+	s.step(Tick{})
+}
+
+func (s *script) result(t *testing.T, seq wire.Seq) wire.Result {
+	t.Helper()
+	for _, r := range s.results {
+		if r.Seq == seq {
+			return r
+		}
+	}
+	t.Fatalf("attempt %d has no result", seq)
+	return wire.Result{}
+}
+
+var (
+	succeeded = Finished{Outcome: wire.Succeeded, Run: 10 * time.Millisecond}
+	failed    = Finished{Outcome: wire.Failed, Reason: wire.ReasonUpstreamError, Status: 500}
+)
+
+// Guards against an upstream that fails everything at once and swallows tasks
+// faster than three entries, which send whenever they believe a slot is free,
+// can notice. The count covers ten seconds without any ejection by entries.
+func TestUpstreamThatFailsEverythingCostsFewTasks(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// submission of the n-th task
+		submission func(n int) byte
+	}{
+		{"a submission for each task", func(n int) byte { return byte(n) }},
+		{"first eight of one submission", func(n int) byte { return byte(max(0, n-7)) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(Options{Slots: 8})
+			cost, sent := 0, 0
+			for s.now < 4*time.Second {
+				for range 3 * 8 {
+					s.start(c.submission(sent), 10*time.Second)
+					sent++
+				}
+				cost += len(s.running)
+				s.endAll(failed)
+				for len(s.running) > 0 {
+					cost++
+					s.end(failed)
+				}
+				s.pass(time.Millisecond)
+			}
+			assert.Assert(t, cost <= 10, "%d tasks failed", cost)
+		})
+	}
+}
+
+// Guards against a faulty job that gets a sound upstream treated as suspect.
+func TestOneFaultySubmissionDoesNotMakeUpstreamSuspect(t *testing.T) {
+	s := newScript(Options{Slots: 8})
+	for range 20 {
+		s.start(1, 0)
+		s.end(failed)
+	}
+	s.start(2, 0)
+	s.end(succeeded)
+	for range 8 {
+		s.start(2, 0)
+	}
+	assert.Equal(t, len(s.running), 8)
+	for _, r := range s.results {
+		assert.Assert(t, r.Reason != wire.ReasonSuspect)
+	}
+}
+
+// Guards against an upstream that stays suspect after it has recovered.
+func TestOneSuccessEndsSuspicion(t *testing.T) {
+	s := newScript(Options{Slots: 8})
+	s.start(1, 0)
+	s.start(2, 0)
+	s.endAll(failed)
+	refused := s.start(3, time.Hour)
+	assert.Equal(t, s.result(t, refused).Reason, wire.ReasonSuspect)
+	s.pass(suspectDelay)
+	s.start(4, 0)
+	refused = s.start(5, time.Hour)
+	assert.Equal(t, s.result(t, refused).Reason, wire.ReasonSuspect)
+	s.end(succeeded)
+	for range 8 {
+		s.start(6, 0)
+	}
+	assert.Equal(t, len(s.running), 8)
+}
+
+// Guards against starts that are sent to an upstream which cannot be reached,
+// and against an agent that never finds out that it is back.
+func TestUnreachableUpstreamIsReportedAndProbed(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	s.start(1, 0)
+	queued := s.start(1, time.Minute)
+	s.end(Finished{Outcome: wire.NotRun, Reason: wire.ReasonUpstreamDown})
+	assert.Equal(t, s.result(t, queued).Reason, wire.ReasonUpstreamDown)
+	assert.Assert(t, s.frames[len(s.frames)-1].Load.Down)
+	refused := s.start(1, time.Minute)
+	assert.Equal(t, s.result(t, refused).Reason, wire.ReasonUpstreamDown)
+	assert.Equal(t, s.probes, 1)
+	s.step(Probed{Reachable: false})
+	s.pass(10 * time.Millisecond)
+	assert.Equal(t, s.probes, 1)
+	s.pass(probeDelay)
+	assert.Equal(t, s.probes, 2)
+	s.step(Probed{Reachable: true})
+	assert.Assert(t, !s.frames[len(s.frames)-1].Load.Down)
+	s.start(1, 0)
+	assert.Equal(t, len(s.running), 1)
+}
+
+// Guards against a limit that ignores the upstream's own overload signals,
+// falls below one, exceeds the slots or does not recover.
+func TestLimitFollowsOverloadOfUpstream(t *testing.T) {
+	s := newScript(Options{Slots: 8})
+	busy := Finished{Outcome: wire.NotRun, Reason: wire.ReasonBusy, Status: 503}
+	for range 8 {
+		s.start(1, 0)
+	}
+	s.endAll(busy)
+	assert.Equal(t, s.m.limiter.limit(), 5) // one burst, one cut
+	for range 20 {
+		s.pass(2 * time.Second)
+		s.start(1, time.Minute)
+		s.endAll(busy)
+	}
+	assert.Equal(t, s.m.limiter.limit(), 1)
+	for range 100 {
+		s.pass(2 * time.Second)
+		s.start(1, time.Minute)
+		s.endAll(succeeded)
+	}
+	assert.Equal(t, s.m.limiter.limit(), 8)
+}
+
+// Guards against a limit that stays high while run times multiply.
+func TestLimitFollowsInflatedRunTimes(t *testing.T) {
+	s := newScript(Options{Slots: 8})
+	run := func(n int, d time.Duration) {
+		for range n {
+			s.now += d
+			s.start(1, time.Minute)
+			s.endAll(Finished{Outcome: wire.Succeeded, Run: d})
+		}
+	}
+	run(300, 10*time.Millisecond)
+	assert.Equal(t, s.m.limiter.limit(), 8)
+	run(50, 60*time.Millisecond)
+	assert.Equal(t, s.m.limiter.limit(), 4) // not below half: it is an estimate
+	run(300, 10*time.Millisecond)
+	assert.Equal(t, s.m.limiter.limit(), 8)
+}
+
+// Guards against results of absent entries that use up the memory, and against
+// a lost result that is reported as not run.
+func TestResultsOfAbsentEntryAreBounded(t *testing.T) {
+	s := newScript(Options{Slots: 4, MaxRetainedBytes: 100})
+	var seqs []wire.Seq
+	for range 4 {
+		seqs = append(seqs, s.start(1, 0))
+	}
+	s.step(LinkDown{Entry: entryA, Epoch: 1})
+	big := succeeded
+	big.Body = make([]byte, 60)
+	s.endAll(big)
+	assert.Assert(t, s.m.retained <= 100)
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.frame(wire.ToAgent{Queries: seqs})
+	assert.Equal(t, s.result(t, seqs[0]).Outcome, wire.Unknown)
+	assert.Equal(t, s.result(t, seqs[0]).Reason, wire.ReasonResultLost)
+}
+
+// Guards against a forgotten entry whose attempts are then reported as not run.
+func TestForgottenEntryGetsNoFalseNotRun(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	ran := s.start(1, 0)
+	s.step(LinkDown{Entry: entryA, Epoch: 1})
+	s.end(succeeded)
+	s.pass(DefaultPeerRetention)
+	assert.Equal(t, len(s.m.peers), 0)
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.frame(wire.ToAgent{Queries: []wire.Seq{ran}})
+	assert.Equal(t, s.result(t, ran).Outcome, wire.Unknown)
+}
+
+// Guards against a configuration that goes back to an older version, or that
+// does not reach an entry which started during an outage of the log.
+func TestNewestConfigurationReachesEntriesWithoutIt(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	s.step(LinkUp{Entry: entryB, Epoch: 2}) // has no configuration
+	s.step(LinkUp{Entry: entryA, Epoch: 3, ConfigVersion: 7})
+	s.frames = nil
+	s.frame(wire.ToAgent{Config: &wire.ConfigState{Version: 7}})
+	assert.Equal(t, len(s.frames), 1)
+	assert.Equal(t, s.frames[0].Config.Version, int64(7))
+	s.frame(wire.ToAgent{Config: &wire.ConfigState{Version: 6}})
+	assert.Equal(t, s.m.ConfigVersion(), int64(7))
+	s.frame(wire.ToAgent{Config: &wire.ConfigState{Version: 8, State: make([]byte, wire.MaxConfigBytes+1)}})
+	assert.Equal(t, s.m.ConfigVersion(), int64(7))
+	assert.Equal(t, len(s.frames), 1)
+	s.step(LinkUp{Entry: 12, Epoch: 4, ConfigVersion: 6})
+	assert.Equal(t, s.frames[1].Config.Version, int64(7))
+	s.step(LinkUp{Entry: 13, Epoch: 5, ConfigVersion: 8})
+	assert.Assert(t, s.frames[2].Config == nil)
+}
--- /dev/null
+++ b/core/agent/drain.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+func (m *Machine) drain(now time.Duration) {
+	if m.draining {
+		return
+	}
+	m.draining = true
+	m.drainAt = now
+	m.idleAt = now
+	m.handBack(wire.ReasonDraining, everyAttempt)
+	m.greetAll()
+}
+
+// reportDrained emits Drained once nothing is left to run or to be fetched.
+//
+// Runs end by their deadlines. After the last one the agent leaves within
+// DeliveryBound, earlier if every entry has settled its attempts. It stays at
+// least DrainLinger after the announcement while an entry is connected, so
+// that a start which crossed the announcement is refused and not lost.
+func (m *Machine) reportDrained(now time.Duration) {
+	if !m.draining || m.drained {
+		return
+	}
+	if len(m.active) > 0 {
+		m.idleAt = now
+		return
+	}
+	if now-m.idleAt < m.opts.DeliveryBound && m.awaited(now) {
+		return
+	}
+	m.drained = true
+	m.emit(Drained{})
+}
+
+// awaited says whether some entry may still need this agent.
+func (m *Machine) awaited(now time.Duration) bool {
+	for _, p := range m.peerList {
+		switch {
+		case p.up && (len(p.attempts) > 0 || now-m.drainAt < m.opts.DrainLinger):
+			return true
+		case !p.up && len(p.attempts) > 0 && now-p.downAt < m.opts.DrainLinger:
+			return true // the link is being redialled
+		}
+	}
+	return false
+}
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -9,11 +9,13 @@
 // Event is an input of the machine.
 type Event interface{ isEvent() }
 
-// LinkUp says that a connection to an entry is established. The caller must
-// have stopped reading every older connection to the same entry incarnation.
+// LinkUp says that a connection to an entry is established. A LinkUp whose
+// epoch is not above every earlier one of that entry is ignored.
 type LinkUp struct {
 	Entry wire.Incarnation
 	Epoch wire.Epoch
+	// ConfigVersion is the version that the entry's hello stated.
+	ConfigVersion int64
 }
 
 // LinkDown says that the connection with this epoch is closed.
@@ -33,13 +35,16 @@
 // for each Run.
 type Finished struct {
 	Attempt AttemptID
-	Outcome wire.Outcome // NotRun only if no byte of the request was sent
+	Outcome wire.Outcome // NotRun only if the task certainly did not start
 	Reason  wire.Reason
 	Run     time.Duration
-	Status  int
+	Status  int // HTTP status of the upstream, 0 if none
 	Body    []byte
 }
 
+// Probed ends a probe that a Probe action began.
+type Probed struct{ Reachable bool }
+
 // Tick lets time-driven work happen. Deliver it every 50 ms or so.
 type Tick struct{}
 
@@ -50,6 +55,7 @@
 func (LinkDown) isEvent() {}
 func (Received) isEvent() {}
 func (Finished) isEvent() {}
+func (Probed) isEvent()   {}
 func (Tick) isEvent()     {}
 func (Drain) isEvent()    {}
 
@@ -64,21 +70,29 @@
 }
 
 // Run asks the caller to send the task to the upstream, once, and to deliver
-// Finished. The run must end within Timeout.
+// Finished. The run must end within Timeout. Start must not be read after
+// Finished was delivered.
 type Run struct {
 	Attempt AttemptID
-	Start   wire.Start
+	Start   *wire.Start
 	Timeout time.Duration
 }
 
 // Stop asks the caller to abandon a run. Finished is still expected.
 type Stop struct{ Attempt AttemptID }
 
-// Drained says that no task is queued or running and every result was handed
-// to a link or its entry is gone. It is emitted once.
+// Probe asks the caller to connect to the upstream without sending anything
+// and to deliver Probed. At most one probe is in progress.
+type Probe struct{}
+
+// Drained says that no task is queued or running and that every result was
+// settled by its entry or the delivery bound passed. It is emitted once.
 type Drained struct{}
 
-func (Send) isAction()    {}
-func (Run) isAction()     {}
+// Run and Send are emitted as pointers into the records that the machine
+// allocates anyway, which keeps the hot path free of further allocations.
+func (*Send) isAction()   {}
+func (*Run) isAction()    {}
 func (Stop) isAction()    {}
+func (Probe) isAction()   {}
 func (Drained) isAction() {}
--- /dev/null
+++ b/core/agent/health.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// Delays after trouble at the upstream. Each doubles up to its maximum and is
+// reset by a success.
+const (
+	probeDelay      = 100 * time.Millisecond // between probes of an unreachable upstream
+	maxProbeDelay   = 2 * time.Second
+	refusedDelay    = 25 * time.Millisecond // after the upstream itself refused a task
+	maxRefusedDelay = time.Second
+	// suspectDelay separates the trial runs of a suspect upstream. It exceeds a
+	// heartbeat, so every entry sees the failures before the next trial.
+	suspectDelay    = time.Second
+	maxSuspectDelay = 8 * time.Second
+)
+
+// failureStreak describes the runs that failed since the last success.
+type failureStreak struct {
+	runs    int
+	first   wire.SubmissionID
+	several bool // runs of at least two submissions failed
+}
+
+func (s *failureStreak) add(id wire.SubmissionID) {
+	if s.runs == 0 {
+		s.first = id
+	}
+	s.runs++
+	s.several = s.several || id != s.first
+}
+
+// suspect says that the upstream seems to fail everything. Failures of one
+// submission are not enough: that job may fail everywhere.
+func (m *Machine) suspect() bool { return m.streak.several }
+
+// allowed is the number of tasks that may run at once now. Failures without a
+// success lower it even if they are all of one submission: otherwise an
+// upstream that fails at once would consume the queue before tasks of a second
+// submission prove it faulty.
+func (m *Machine) allowed() int {
+	limit := m.limiter.limit()
+	switch m.streak.runs {
+	case 0:
+		return limit
+	case 1:
+		return max(1, limit/2)
+	}
+	return 1
+}
+
+// doubled returns the next delay of a backoff.
+func doubled(d, first, most time.Duration) time.Duration {
+	return min(max(first, 2*d), most)
+}
+
+// observe updates counters, limit and health from one ended run.
+func (m *Machine) observe(now time.Duration, a *attempt, e *Finished) {
+	switch e.Outcome {
+	case wire.Succeeded:
+		m.ranWell(now, a, e.Run)
+	case wire.NotRun:
+		m.upstreamRefused(now, a, e)
+	default:
+		m.ranBadly(now, a, e)
+	}
+}
+
+func (m *Machine) ranWell(now time.Duration, a *attempt, run time.Duration) {
+	if m.down || m.suspect() {
+		m.greetAll()
+	}
+	m.successes++
+	m.reached()
+	m.streak = failureStreak{}
+	m.refusedFor = 0
+	m.suspectFor = 0
+	m.holdUntil = 0
+	a.class.observe(run)
+	if a.class.inflated() {
+		m.limiter.overloaded(now, a.started, float64(m.opts.Slots)/2)
+		return
+	}
+	m.limiter.grow()
+}
+
+// ranBadly counts a failed run. A run that was stopped by a cancel or by the
+// task's own deadline says nothing about the upstream's health: under overload
+// deadlines pass everywhere.
+func (m *Machine) ranBadly(now time.Duration, a *attempt, e *Finished) {
+	if e.Reason == wire.ReasonStopped {
+		return
+	}
+	m.failures++
+	if e.Reason == wire.ReasonRunLimit {
+		return
+	}
+	m.reached()
+	if overloadStatus(e.Status) {
+		m.limiter.overloaded(now, a.started, 1)
+	}
+	was := m.suspect()
+	m.streak.add(a.start.Submission)
+	if !m.suspect() {
+		return
+	}
+	if !was || len(m.active) == 0 {
+		m.suspectFor = doubled(m.suspectFor, suspectDelay, maxSuspectDelay)
+		m.holdUntil = now + m.suspectFor
+	}
+	m.handBack(wire.ReasonSuspect, everyAttempt)
+	m.greetAll()
+}
+
+// upstreamRefused handles a run that certainly did not start.
+func (m *Machine) upstreamRefused(now time.Duration, a *attempt, e *Finished) {
+	switch e.Reason {
+	case wire.ReasonUpstreamDown:
+		m.unreachable(now)
+	case wire.ReasonBusy:
+		m.limiter.overloaded(now, a.started, 1)
+		m.refusedFor = doubled(m.refusedFor, refusedDelay, maxRefusedDelay)
+		m.holdUntil = max(m.holdUntil, now+m.refusedFor)
+	}
+}
+
+// overloadStatus says whether an HTTP status signals overload.
+func overloadStatus(status int) bool { return status == 429 || status == 503 }
+
+func (m *Machine) unreachable(now time.Duration) {
+	if m.down {
+		return
+	}
+	m.down = true
+	m.probeAt = now
+	m.probeFor = 0
+	m.handBack(wire.ReasonUpstreamDown, everyAttempt)
+	m.greetAll()
+	m.probe(now)
+}
+
+// reached ends the unreachable state.
+func (m *Machine) reached() { m.down = false }
+
+// probe asks for a connection attempt to an unreachable upstream when one is due.
+func (m *Machine) probe(now time.Duration) {
+	if !m.down || m.probing || now < m.probeAt {
+		return
+	}
+	m.probing = true
+	m.probeFor = doubled(m.probeFor, probeDelay, maxProbeDelay)
+	m.emit(Probe{})
+}
+
+func (m *Machine) probed(now time.Duration, e Probed) {
+	m.probing = false
+	m.probeAt = now + m.probeFor
+	if e.Reachable && m.down {
+		m.reached()
+		m.greetAll()
+	}
+}
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -17,14 +17,16 @@
 // attempt is one accepted start. Refused starts have no attempt.
 type attempt struct {
 	peer     *peer
+	class    *classStats
 	start    wire.Start
 	arrived  time.Duration
 	started  time.Duration
 	due      time.Duration // arrival plus slack: the queue's order
 	deadline time.Duration
 	order    uint64
-	index    int // position in the queue
 	state    attemptState
+	released bool // settled by the entry while it was running
+	run      Run
 	result   wire.Result
 }
 
@@ -32,80 +34,128 @@
 	return AttemptID{Entry: a.peer.entry, Seq: a.start.Seq}
 }
 
-// finish records the outcome and reports it.
-func (a *attempt) finish(r wire.Result) {
+// finish records the outcome and reports it, unless the entry settled the
+// attempt already.
+func (m *Machine) finish(a *attempt, r wire.Result) {
 	r.Seq = a.start.Seq
 	a.state = stateDone
 	a.result = r
 	a.start.Payload = nil
-	a.peer.report(r)
+	p := a.peer
+	if a.released {
+		delete(p.attempts, r.Seq)
+		return
+	}
+	m.retained += len(r.Body)
+	p.report(r)
 }
 
 // peer is what the agent remembers of one entry incarnation. It outlives the
 // entry's links, since the entry may ask about its attempts over a new one.
 type peer struct {
 	entry    wire.Incarnation
-	epoch    wire.Epoch
+	epoch    wire.Epoch // highest epoch seen
 	up       bool
 	downAt   time.Duration
 	sentAt   time.Duration
 	floor    wire.Seq
 	maxSeen  wire.Seq // highest seq that was accepted, refused or queried
-	attempts map[wire.Seq]*attempt
-	running  map[wire.Seq]bool // runs whose record was released early
-	out      []wire.Result     // results not yet sent on the current link
-	greet    bool              // send a frame even if there is nothing to report
+	firstSeq wire.Seq // first seq that arrived in a start, 0 if none
+	// amnesic says that an earlier record of this entry may have been
+	// forgotten, so a query about an unrecorded seq below firstSeq cannot be
+	// answered NotRun.
+	amnesic       bool
+	attempts      map[wire.Seq]*attempt
+	byArrival     []*attempt // unsettled attempts, ascending seq
+	out           []wire.Result
+	frame         *outFrame // frame under construction
+	greet         bool      // send a frame even if there is nothing to report
+	configVersion int64     // newest version that the entry is known to have
+	sendConfig    bool
 }
 
-func newPeer(entry wire.Incarnation) *peer {
-	return &peer{
-		entry:    entry,
-		attempts: make(map[wire.Seq]*attempt),
-		running:  make(map[wire.Seq]bool),
-	}
+// outFrame is a frame with its action and room for one result, so that the
+// usual frame costs one allocation.
+type outFrame struct {
+	send  Send
+	frame wire.ToEntry
+	one   [1]wire.Result
 }
 
 // report queues a result for the link. With the link down the result is
 // dropped here: the entry queries every attempt in flight when it is back.
 func (p *peer) report(r wire.Result) {
-	if p.up {
-		p.out = append(p.out, r)
+	if !p.up {
+		return
 	}
+	if p.frame == nil {
+		p.frame = new(outFrame)
+		p.out = p.frame.one[:0]
+	}
+	p.out = append(p.out, r)
+}
+
+func (p *peer) discardOutput() {
+	p.out = nil
+	p.frame = nil
 }
 
-// settle releases the records below floor. A run that is still going (its
-// entry gave up on it) keeps its slot until it ends.
-func (p *peer) settle(floor wire.Seq) {
+// settle releases the records below floor. A queued attempt there is dropped:
+// its entry has ended it, so its run would have no reader. A run in progress
+// keeps its slot until it ends.
+func (m *Machine) settle(p *peer, floor wire.Seq) {
 	if floor <= p.floor {
 		return
 	}
 	p.floor = floor
-	for seq, a := range p.attempts {
-		if seq >= floor || a.state == stateQueued {
-			continue
-		}
-		if a.state == stateRunning {
-			p.running[seq] = true
-		}
-		delete(p.attempts, seq)
+	n := 0
+	for n < len(p.byArrival) && p.byArrival[n].start.Seq < floor {
+		m.release(p, p.byArrival[n])
+		p.byArrival[n] = nil
+		n++
 	}
+	p.byArrival = p.byArrival[n:]
+}
+
+func (m *Machine) release(p *peer, a *attempt) {
+	switch a.state {
+	case stateRunning:
+		a.released = true
+		return
+	case stateQueued:
+		m.queue.remove(a)
+	case stateDone:
+		m.retained -= len(a.result.Body)
+	}
+	delete(p.attempts, a.start.Seq)
 }
 
 func (m *Machine) linkUp(now time.Duration, e LinkUp) {
 	p := m.peers[e.Entry]
 	if p == nil {
-		p = newPeer(e.Entry)
-		m.peers[e.Entry] = p
-		m.peerList = append(m.peerList, p)
+		p = m.addPeer(e.Entry)
 	}
-	if p.up && e.Epoch <= p.epoch {
+	if e.Epoch <= p.epoch {
 		return
 	}
 	p.up = true
 	p.epoch = e.Epoch
 	p.sentAt = now
-	p.out = nil
+	p.discardOutput()
 	p.greet = true
+	p.configVersion = e.ConfigVersion
+	p.sendConfig = m.config != nil && e.ConfigVersion < m.config.Version
+}
+
+func (m *Machine) addPeer(entry wire.Incarnation) *peer {
+	p := &peer{
+		entry:    entry,
+		amnesic:  m.forgot,
+		attempts: make(map[wire.Seq]*attempt),
+	}
+	m.peers[entry] = p
+	m.peerList = append(m.peerList, p)
+	return p
 }
 
 func (m *Machine) linkDown(now time.Duration, e LinkDown) {
@@ -115,25 +165,24 @@
 	}
 	p.up = false
 	p.downAt = now
-	p.out = nil
+	p.discardOutput()
 }
 
 func (m *Machine) tick(now time.Duration) {
-	m.expireQueued(now)
+	m.handBack(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
+	kept := m.peerList[:0]
 	for _, p := range m.peerList {
 		m.tickPeer(now, p)
-	}
-}
-
-func (m *Machine) expireQueued(now time.Duration) {
-	for i := m.queue.Len() - 1; i >= 0; i-- {
-		a := m.queue[i]
-		if now < a.deadline {
+		if m.forgettable(now, p) {
+			delete(m.peers, p.entry)
+			m.forgot = true
 			continue
 		}
-		m.queue.remove(a)
-		a.finish(wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
+		kept = append(kept, p)
 	}
+	clear(m.peerList[len(kept):])
+	m.peerList = kept
+	m.probe(now)
 }
 
 func (m *Machine) tickPeer(now time.Duration, p *peer) {
@@ -144,35 +193,71 @@
 		return
 	}
 	if now-p.downAt >= m.opts.LinkLease {
-		m.dropQueued(p)
+		// The records stay, so a later query is answered NotRun.
+		m.handBack(wire.ReasonCancelled, func(a *attempt) bool { return a.peer == p })
 	}
 	if now-p.downAt >= m.opts.PeerRetention {
-		p.settle(p.maxSeen + 1)
+		m.settle(p, p.maxSeen+1)
 	}
 }
 
-// dropQueued gives up the queued tasks of an entry whose lease has lapsed.
-// Their records stay, so a later query is answered NotRun.
-func (m *Machine) dropQueued(p *peer) {
-	for i := m.queue.Len() - 1; i >= 0; i-- {
-		a := m.queue[i]
-		if a.peer != p {
-			continue
+// forgettable says that nothing is left of an entry whose link has been down
+// for the retention time. Without this, restarted entries would add up.
+func (m *Machine) forgettable(now time.Duration, p *peer) bool {
+	return !p.up && now-p.downAt >= m.opts.PeerRetention && len(p.attempts) == 0
+}
+
+// boundRetained keeps the memory of unfetched results within bounds: results
+// of entries without a link are given up, longest down first.
+func (m *Machine) boundRetained() {
+	for m.retained > m.opts.MaxRetainedBytes {
+		p := m.longestDown()
+		if p == nil {
+			return // new starts are refused until floors advance
+		}
+		for _, a := range p.byArrival {
+			m.loseResult(a)
 		}
-		m.queue.remove(a)
-		a.finish(wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled})
 	}
 }
 
-func (m *Machine) drain() {
-	if m.draining {
+func (m *Machine) loseResult(a *attempt) {
+	if a.state != stateDone || len(a.result.Body) == 0 {
 		return
 	}
-	m.draining = true
-	for m.queue.Len() > 0 {
-		a := m.queue.pop()
-		a.finish(wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonDraining})
+	m.retained -= len(a.result.Body)
+	a.result.Body = nil
+	a.result.Outcome = wire.Unknown
+	a.result.Reason = wire.ReasonResultLost
+}
+
+// longestDown returns the entry without a link that holds result bytes and
+// lost its link first.
+func (m *Machine) longestDown() *peer {
+	var oldest *peer
+	for _, p := range m.peerList {
+		if p.up || !p.holdsBytes() {
+			continue
+		}
+		if oldest == nil || p.downAt < oldest.downAt {
+			oldest = p
+		}
+	}
+	return oldest
+}
+
+func (p *peer) holdsBytes() bool {
+	for _, a := range p.byArrival {
+		if a.state == stateDone && len(a.result.Body) > 0 {
+			return true
+		}
 	}
+	return false
+}
+
+// greetAll sends the load to every entry at once, for changes that entries
+// must not learn late.
+func (m *Machine) greetAll() {
 	for _, p := range m.peerList {
 		p.greet = true
 	}
@@ -181,30 +266,26 @@
 // flush sends one frame to each entry that has results or a heartbeat due.
 func (m *Machine) flush(now time.Duration) {
 	for _, p := range m.peerList {
-		if !p.up || (len(p.out) == 0 && !p.greet) {
-			continue
+		if p.up && (len(p.out) > 0 || p.greet || p.sendConfig) {
+			m.flushPeer(now, p)
 		}
-		m.emit(Send{
-			Entry: p.entry,
-			Epoch: p.epoch,
-			Frame: &wire.ToEntry{Results: p.out, Load: m.Load()},
-		})
-		p.out = nil
-		p.greet = false
-		p.sentAt = now
 	}
 }
 
-// reportDrained emits Drained once nothing is left to run or to be fetched.
-func (m *Machine) reportDrained() {
-	if !m.draining || m.drained || m.running > 0 {
-		return
+func (m *Machine) flushPeer(now time.Duration, p *peer) {
+	f := p.frame
+	if f == nil {
+		f = new(outFrame)
 	}
-	for _, p := range m.peerList {
-		if p.up && len(p.attempts) > 0 {
-			return // results not yet settled by the entry
-		}
+	f.frame = wire.ToEntry{Results: p.out, Load: m.load(now)}
+	if p.sendConfig {
+		f.frame.Config = m.config
+		p.configVersion = m.config.Version
 	}
-	m.drained = true
-	m.emit(Drained{})
+	f.send = Send{Entry: p.entry, Epoch: p.epoch, Frame: &f.frame}
+	m.emit(&f.send)
+	p.discardOutput()
+	p.greet = false
+	p.sendConfig = false
+	p.sentAt = now
 }
--- a/core/agent/queue.go
+++ b/core/agent/queue.go
@@ -1,59 +1,80 @@
 package agent
 
 import (
-	"container/heap"
+	"slices"
 	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-// runQueue is a heap of queued attempts, most urgent first. It is short
-// (Options.QueueCapacity), so linear scans over it are cheap.
+// runQueue holds the queued attempts, the most urgent last. It is short
+// (Options.QueueCapacity), so inserting by copying is cheaper than a heap and
+// needs no index in each attempt.
 type runQueue []*attempt
 
 func (q runQueue) Len() int { return len(q) }
 
-func (q runQueue) Less(i, j int) bool {
-	if q[i].due != q[j].due {
-		return q[i].due < q[j].due
+// before orders attempts by due time, then by arrival.
+func before(a, b *attempt) bool {
+	if a.due != b.due {
+		return a.due < b.due
 	}
-	return q[i].order < q[j].order
+	return a.order < b.order
 }
 
-func (q runQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index = i
-	q[j].index = j
+func (q *runQueue) push(a *attempt) {
+	at := q.position(a)
+	*q = slices.Insert(*q, at, a)
 }
 
-// Push implements heap.Interface.
-func (q *runQueue) Push(x any) {
-	a := x.(*attempt)
-	a.index = len(*q)
-	*q = append(*q, a)
+// position is the index of the first attempt that is more urgent than a.
+func (q runQueue) position(a *attempt) int {
+	for i, other := range q {
+		if before(other, a) {
+			return i
+		}
+	}
+	return len(q)
 }
 
-// Pop implements heap.Interface.
-func (q *runQueue) Pop() any {
-	old := *q
-	last := len(old) - 1
-	a := old[last]
-	old[last] = nil
-	*q = old[:last]
+func (q *runQueue) pop() *attempt {
+	last := len(*q) - 1
+	a := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
 	return a
 }
 
-func (q *runQueue) push(a *attempt) { heap.Push(q, a) }
-
-func (q *runQueue) pop() *attempt { return heap.Pop(q).(*attempt) }
-
-func (q *runQueue) remove(a *attempt) { heap.Remove(q, a.index) }
+func (q *runQueue) remove(a *attempt) {
+	if i := slices.Index(*q, a); i >= 0 {
+		*q = slices.Delete(*q, i, i+1)
+	}
+}
 
-// ahead counts the queued attempts that would start before one due at due.
-func (q runQueue) ahead(due time.Duration) int {
-	n := 0
+// workAhead sums the mean run times of the attempts that would start before
+// one due at due.
+func (q runQueue) workAhead(due time.Duration) (count int, work time.Duration) {
 	for _, a := range q {
 		if a.due <= due {
-			n++
+			count++
+			work += a.class.mean
+		}
+	}
+	return count, work
+}
+
+// handBack ends every queued attempt that drop selects as not run.
+func (m *Machine) handBack(reason wire.Reason, drop func(*attempt) bool) {
+	kept := m.queue[:0]
+	for _, a := range m.queue {
+		if !drop(a) {
+			kept = append(kept, a)
+			continue
 		}
+		m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: reason})
 	}
-	return n
+	clear(m.queue[len(kept):])
+	m.queue = kept
 }
+
+func everyAttempt(*attempt) bool { return true }
--- /dev/null
+++ b/core/agent/starts.go
@@ -0,0 +1,182 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+func (m *Machine) received(now time.Duration, e Received) {
+	p := m.peers[e.Entry]
+	if p == nil || !p.up || p.epoch != e.Epoch {
+		return // frame of a replaced connection
+	}
+	m.adoptConfig(p, e.Frame.Config)
+	m.settle(p, e.Frame.Floor)
+	for i := range e.Frame.Starts {
+		m.start(now, p, &e.Frame.Starts[i])
+	}
+	for _, seq := range e.Frame.Cancels {
+		m.cancel(p, seq)
+	}
+	for _, seq := range e.Frame.Queries {
+		m.query(p, seq)
+	}
+}
+
+func (m *Machine) start(now time.Duration, p *peer, s *wire.Start) {
+	if s.Seq <= p.maxSeen || s.Seq < p.floor {
+		m.refuseDuplicate(p, s.Seq)
+		return
+	}
+	p.maxSeen = s.Seq
+	if p.firstSeq == 0 {
+		p.firstSeq = s.Seq
+	}
+	due := now + s.Slack.Duration()
+	if reason := m.refusal(now, p, s, due); reason != wire.ReasonNone {
+		p.report(wire.Result{Seq: s.Seq, Outcome: wire.NotRun, Reason: reason})
+		return
+	}
+	m.order++
+	a := &attempt{
+		peer:     p,
+		class:    m.class(s.Class),
+		start:    *s,
+		arrived:  now,
+		due:      due,
+		deadline: now + s.Deadline.Duration(),
+		order:    m.order,
+		state:    stateQueued,
+	}
+	p.attempts[s.Seq] = a
+	p.byArrival = append(p.byArrival, a)
+	m.queue.push(a)
+	m.startQueued(now) // so that the next start of the frame sees the true load
+}
+
+// refuseDuplicate answers a start that must not be accepted. A known attempt
+// keeps its own outcome; anything else was never accepted and never will be.
+func (m *Machine) refuseDuplicate(p *peer, seq wire.Seq) {
+	if _, known := p.attempts[seq]; known {
+		return
+	}
+	if seq < p.floor {
+		return // settled at the entry; nobody waits for an answer
+	}
+	if p.mayHaveForgotten(seq) {
+		p.report(wire.Result{Seq: seq, Outcome: wire.Unknown, Reason: wire.ReasonStaleSeq})
+		return
+	}
+	p.report(wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: wire.ReasonStaleSeq})
+}
+
+// mayHaveForgotten says that the seq may belong to a record that was dropped
+// with an earlier record of the same entry.
+func (p *peer) mayHaveForgotten(seq wire.Seq) bool {
+	return p.amnesic && (p.firstSeq == 0 || seq < p.firstSeq)
+}
+
+// refusal returns why a new start cannot be accepted, or ReasonNone.
+func (m *Machine) refusal(now time.Duration, p *peer, s *wire.Start, due time.Duration) wire.Reason {
+	switch {
+	case m.draining:
+		return wire.ReasonDraining
+	case s.Deadline <= 0:
+		return wire.ReasonExpired
+	case m.down:
+		return wire.ReasonUpstreamDown
+	case m.suspect() && !m.trialDue(now):
+		return wire.ReasonSuspect
+	case len(p.attempts) >= m.opts.Window:
+		return wire.ReasonBusy
+	}
+	if m.boundRetained(); m.retained > m.opts.MaxRetainedBytes {
+		return wire.ReasonBusy
+	}
+	wait := m.expectedWait(now, due)
+	if wait == 0 {
+		return wire.ReasonNone
+	}
+	if m.queue.Len() >= m.opts.QueueCapacity || wait > s.MaxWait.Duration() {
+		return wire.ReasonBusy
+	}
+	return wire.ReasonNone
+}
+
+// trialDue says that a suspect upstream may be given its next single task.
+func (m *Machine) trialDue(now time.Duration) bool {
+	return len(m.active) == 0 && m.queue.Len() == 0 && now >= m.holdUntil
+}
+
+// cancel ends a queued attempt in this step and asks for the stop of a running one.
+func (m *Machine) cancel(p *peer, seq wire.Seq) {
+	a := p.attempts[seq]
+	if a == nil {
+		return
+	}
+	switch a.state {
+	case stateQueued:
+		m.queue.remove(a)
+		m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled})
+	case stateRunning:
+		m.emit(Stop{Attempt: a.id()})
+	case stateDone:
+	}
+}
+
+// query answers for an attempt that was in flight when a connection was
+// replaced. An attempt that is queued or running is answered by its result.
+func (m *Machine) query(p *peer, seq wire.Seq) {
+	a := p.attempts[seq]
+	switch {
+	case seq < p.floor || (a == nil && p.mayHaveForgotten(seq)):
+		// The record may have been released, so nothing is known about its run.
+		p.maxSeen = max(p.maxSeen, seq)
+		p.report(wire.Result{Seq: seq, Outcome: wire.Unknown, Reason: wire.ReasonStaleSeq})
+	case a == nil:
+		p.maxSeen = max(p.maxSeen, seq) // a delayed start of this attempt is refused
+		p.report(wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: wire.ReasonNotReceived})
+	case a.state == stateDone:
+		p.report(a.result)
+	}
+}
+
+func (m *Machine) startQueued(now time.Duration) {
+	for m.queue.Len() > 0 && len(m.active) < m.allowed() && now >= m.holdUntil {
+		a := m.queue.pop()
+		if now >= a.deadline {
+			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
+			continue
+		}
+		a.state = stateRunning
+		a.started = now
+		a.run = Run{Attempt: a.id(), Start: &a.start, Timeout: a.deadline - now}
+		m.active = append(m.active, a)
+		m.emit(&a.run)
+	}
+}
+
+func (m *Machine) finished(now time.Duration, e *Finished) {
+	p := m.peers[e.Attempt.Entry]
+	if p == nil {
+		return
+	}
+	a := p.attempts[e.Attempt.Seq]
+	if a == nil || a.state != stateRunning {
+		return
+	}
+	i := slices.Index(m.active, a)
+	m.active = slices.Delete(m.active, i, i+1)
+	m.finish(a, wire.Result{
+		Outcome: e.Outcome,
+		Reason:  e.Reason,
+		Wait:    wire.MicrosOf(a.started - a.arrived),
+		Run:     wire.MicrosOf(now - a.started),
+		Status:  e.Status,
+		Body:    e.Body,
+	})
+	m.observe(now, a, e)
+	m.boundRetained()
+}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -23,6 +23,11 @@
 	MaxFrameBytes = 4 << 20
 	// MaxKnownEntries bounds the entry list carried in a hello.
 	MaxKnownEntries = 64
+	// MaxConfigBytes bounds the encoded state in a ConfigState.
+	MaxConfigBytes = 1 << 20
+	// MaxMicros bounds a duration on the wire to about a year, so that adding
+	// one to a process time cannot overflow.
+	MaxMicros Micros = 365 * 24 * 3600 * 1_000_000
 )
 
 // Incarnation identifies one run of one process. It is never zero and never
@@ -56,8 +61,10 @@
 // Micros is a duration in microseconds, as carried on the wire.
 type Micros int64
 
-// Duration converts m to a time.Duration.
-func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+// Duration converts m to a time.Duration, limited to MaxMicros either way.
+func (m Micros) Duration() time.Duration {
+	return time.Duration(max(-MaxMicros, min(m, MaxMicros))) * time.Microsecond
+}
 
 // MicrosOf converts a time.Duration, rounding towards zero.
 func MicrosOf(d time.Duration) Micros { return Micros(d / time.Microsecond) }
@@ -124,12 +131,14 @@
 	ReasonAgentLost
 	// ReasonStopped: the run was stopped by a cancel.
 	ReasonStopped
+	// ReasonResultLost: the run ended, but its result was dropped to bound memory.
+	ReasonResultLost
 )
 
 var reasonNames = [...]string{
 	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
 	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
-	"agent_lost", "stopped",
+	"agent_lost", "stopped", "result_lost",
 }
 
 // String returns the reason's machine-readable name.
