Agent shell: sent bytes decide not run, discovery, subset of entries, events; link bounds

Cause: a request on a stale idle connection was reported as unknown although nothing was sent; epochs restarted for each address, so two dials to one entry collided; several large results in one frame exceeded the frame limit and broke every link they were sent on; a frame's claimed length was allocated before it arrived. Change: written bytes are counted on the upstream connection, which is sealed before a run is reported as not run; one epoch counter for all links; entry lists, rendezvous hashing, jittered redial backoff; probes of an unreachable upstream; at most 64 upstream connections; events and stamps; graceful close of links. Frames are read in 64 KiB steps, decoded with tighter limits and checked against the limits of core/wire; result frames are split at 2 MiB. Ruled out: treating a plain 429 or 503 as not run (a gateway may send it after the task ran).

--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -286,3 +286,24 @@
 	s.step(LinkUp{Entry: 13, Epoch: 5, ConfigVersion: 8})
 	assert.Assert(t, s.frames[2].Config == nil)
 }
+
+// Guards against a frame that exceeds the size limit and breaks every link on
+// which its results are sent.
+func TestLargeResultsAreSplitOverFrames(t *testing.T) {
+	s := newScript(Options{Slots: 8})
+	var seqs []wire.Seq
+	for range 8 {
+		seqs = append(seqs, s.start(1, 0))
+	}
+	s.step(LinkDown{Entry: entryA, Epoch: 1})
+	big := succeeded
+	big.Body = make([]byte, 1<<20)
+	s.endAll(big)
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.frames = nil
+	s.frame(wire.ToAgent{Queries: seqs})
+	assert.Equal(t, len(s.frames), 4)
+	for _, f := range s.frames {
+		assert.Equal(t, len(f.Results), 2)
+	}
+}
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -114,6 +114,10 @@
 		p.byArrival[n] = nil
 		n++
 	}
+	if n == len(p.byArrival) {
+		p.byArrival = p.byArrival[:0] // keeps the storage
+		return
+	}
 	p.byArrival = p.byArrival[n:]
 }
 
@@ -262,30 +266,3 @@
 		p.greet = true
 	}
 }
-
-// flush sends one frame to each entry that has results or a heartbeat due.
-func (m *Machine) flush(now time.Duration) {
-	for _, p := range m.peerList {
-		if p.up && (len(p.out) > 0 || p.greet || p.sendConfig) {
-			m.flushPeer(now, p)
-		}
-	}
-}
-
-func (m *Machine) flushPeer(now time.Duration, p *peer) {
-	f := p.frame
-	if f == nil {
-		f = new(outFrame)
-	}
-	f.frame = wire.ToEntry{Results: p.out, Load: m.load(now)}
-	if p.sendConfig {
-		f.frame.Config = m.config
-		p.configVersion = m.config.Version
-	}
-	f.send = Send{Entry: p.entry, Epoch: p.epoch, Frame: &f.frame}
-	m.emit(&f.send)
-	p.discardOutput()
-	p.greet = false
-	p.sendConfig = false
-	p.sentAt = now
-}
--- /dev/null
+++ b/core/wire/check.go
@@ -0,0 +1,91 @@
+package wire
+
+import "fmt"
+
+// Limits of single fields.
+const (
+	// MaxNameBytes bounds names, zones, racks, classes and addresses.
+	MaxNameBytes = 256
+	// MaxSlots bounds the slots of one upstream.
+	MaxSlots = 4096
+)
+
+// Check reports whether a received hello is within the limits.
+func (h *AgentHello) Check() error {
+	if h.Slots < 0 || h.Slots > MaxSlots {
+		return fmt.Errorf("wire: agent states %d slots, allowed are 0 to %d", h.Slots, MaxSlots)
+	}
+	if err := checkNames(h.Name, h.Zone, h.Rack); err != nil {
+		return err
+	}
+	return checkEntries(h.Entries)
+}
+
+// Check reports whether a received hello is within the limits.
+func (h *EntryHello) Check() error {
+	if err := checkNames(h.Name, h.Zone); err != nil {
+		return err
+	}
+	return checkEntries(h.Entries)
+}
+
+// Check reports whether a received frame is within the limits.
+func (f *ToAgent) Check() error {
+	for i := range f.Starts {
+		s := &f.Starts[i]
+		if s.Index < 0 || s.Index >= MaxTasksPerJob {
+			return fmt.Errorf("wire: start of task %d, allowed are 0 to %d", s.Index, MaxTasksPerJob-1)
+		}
+		if err := checkNames(s.Class); err != nil {
+			return err
+		}
+	}
+	if err := f.Config.check(); err != nil {
+		return err
+	}
+	return checkEntries(f.Entries)
+}
+
+// Check reports whether a received frame is within the limits.
+func (f *ToEntry) Check() error {
+	for i := range f.Results {
+		if o := f.Results[i].Outcome; o < Succeeded || o > Unknown {
+			return fmt.Errorf("wire: result with %v", o)
+		}
+	}
+	l := &f.Load
+	for _, n := range [...]int{l.Running, l.Queued, l.Slots, l.Limit} {
+		if n < 0 || n > MaxSlots {
+			return fmt.Errorf("wire: load with a count of %d, allowed are 0 to %d", n, MaxSlots)
+		}
+	}
+	return f.Config.check()
+}
+
+func (c *ConfigState) check() error {
+	if c != nil && len(c.State) > MaxConfigBytes {
+		return fmt.Errorf("wire: configuration of %d bytes, allowed are %d", len(c.State), MaxConfigBytes)
+	}
+	return nil
+}
+
+func checkEntries(entries []EntryAddr) error {
+	if len(entries) > MaxKnownEntries {
+		return fmt.Errorf("wire: list of %d entries, allowed are %d", len(entries), MaxKnownEntries)
+	}
+	for i := range entries {
+		if err := checkNames(entries[i].Peer, entries[i].Zone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkNames(names ...string) error {
+	for _, n := range names {
+		if len(n) > MaxNameBytes {
+			return fmt.Errorf("wire: name of %d bytes, allowed are %d", len(n), MaxNameBytes)
+		}
+	}
+	return nil
+}
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
 
@@ -18,60 +21,116 @@
 	// ringEvents is the capacity of the event ring. A full ring blocks the
 	// sender, which holds back the entry through its socket.
 	ringEvents = 4096
+	// linkCloseBound is how long a stopped agent waits for its entries to read
+	// the last frames and close.
+	linkCloseBound = 500 * time.Millisecond
 )
 
+// DialFunc opens a connection, for instance one wrapped in TLS.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
 // Options configure an agent process.
 type Options struct {
-	Name     string
-	Zone     string
-	Rack     string
+	// Incarnation of this run; 0 draws one.
+	Incarnation wire.Incarnation
+	Name        string
+	Zone        string
+	Rack        string
+	// Slots is the number of tasks that the upstream runs at once, at most
+	// MaxUpstreamConns, since each running task holds a connection.
 	Slots    int
 	Capacity wire.Capacity
 	// Upstream is the URL that tasks are posted to.
 	Upstream string
-	// Entries are the peer addresses to start from.
+	// Entries are the peer addresses to start from. One may be the address of
+	// a balancer, provided that the entries list each other in their hellos.
 	Entries []string
+	// Log receives the events; nil discards them. Its incarnation should be
+	// Incarnation.
+	Log *eventlog.Log
+	// Dial connects to entries, DialUpstream to the upstream; nil means TCP.
+	Dial         DialFunc
+	DialUpstream DialFunc
+	// SilenceTimeout replaces link.SilenceTimeout, for tests.
+	SilenceTimeout time.Duration
+	// Core overrides the machine's durations, for tests. Its Incarnation and
+	// Slots are ignored.
+	Core agent.Options
+}
+
+func (o Options) withDefaults() Options {
+	if o.Incarnation == 0 {
+		o.Incarnation = wire.Incarnation(rand.Uint64() | 1)
+	}
+	o.Slots = max(1, min(o.Slots, MaxUpstreamConns))
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	if o.DialUpstream == nil {
+		o.DialUpstream = dialTCP
+	}
+	if o.SilenceTimeout <= 0 {
+		o.SilenceTimeout = link.SilenceTimeout
+	}
+	o.Core.Incarnation = o.Incarnation
+	o.Core.Slots = o.Slots
+	return o
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", addr)
 }
 
 // Agent is a running agent.
 type Agent struct {
-	opts        Options
-	incarnation wire.Incarnation
-	start       time.Time
-	events      chan any
-	runner      *runner
-	cancel      context.CancelFunc
-	drained     chan struct{}
-	wg          sync.WaitGroup
+	opts          Options
+	start         time.Time
+	events        chan any
+	runner        *runner
+	finder        *finder
+	epoch         atomic.Uint64 // last epoch used, over all links
+	configVersion atomic.Int64  // of the core's configuration
+	ctx           context.Context
+	cancel        context.CancelFunc
+	drained       chan struct{}
+	wg            sync.WaitGroup
 }
 
 // linkOpened hands a new connection to the core goroutine.
 type linkOpened struct {
-	entry  wire.Incarnation
+	hello  wire.EntryHello
 	epoch  wire.Epoch
+	peer   string
 	sender *link.Sender[*wire.ToEntry]
 }
 
+// finishLinks asks the core goroutine to close every link gracefully.
+type finishLinks struct{}
+
 // Start runs an agent until Stop or Kill.
 func Start(opts Options) *Agent {
+	opts = opts.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
-		opts:        opts,
-		incarnation: wire.Incarnation(rand.Uint64() | 1),
-		start:       time.Now(),
-		events:      make(chan any, ringEvents),
-		cancel:      cancel,
-		drained:     make(chan struct{}),
-	}
-	a.runner = newRunner(ctx, opts.Upstream, opts.Slots, a.post)
-	a.goDuty(func() { a.coreLoop(ctx) })
-	a.goDuty(func() { a.tickLoop(ctx) })
-	for _, addr := range opts.Entries {
-		a.goDuty(func() { a.dialLoop(ctx, addr) })
+		opts:    opts,
+		start:   time.Now(),
+		events:  make(chan any, ringEvents),
+		ctx:     ctx,
+		cancel:  cancel,
+		drained: make(chan struct{}),
 	}
+	a.runner = newRunner(a)
+	a.finder = newFinder(a)
+	a.emit(eventlog.AgentStarted, eventlog.Fields{Detail: opts.Name, Count: int64(opts.Slots)})
+	a.goDuty(a.coreLoop)
+	a.goDuty(a.tickLoop)
+	a.finder.refresh()
 	return a
 }
 
+// Incarnation returns the identity of this run.
+func (a *Agent) Incarnation() wire.Incarnation { return a.opts.Incarnation }
+
 func (a *Agent) goDuty(duty func()) {
 	a.wg.Add(1)
 	go func() {
@@ -80,13 +139,18 @@
 	}()
 }
 
-// Stop drains the agent: running tasks end, results are delivered. It returns
-// when that is done or ctx ends, whichever is first.
+func (a *Agent) emit(code eventlog.Code, f eventlog.Fields) { a.opts.Log.Emit(code, f) }
+
+// Stop drains the agent: queued tasks are handed back, running ones end, and
+// results are delivered within the bounds of agent.Options. It returns when
+// that is done or ctx ends, whichever is first.
 func (a *Agent) Stop(ctx context.Context) error {
-	a.post(agent.Drain{})
+	a.send(agent.Drain{})
 	var err error
 	select {
 	case <-a.drained:
+		a.send(finishLinks{})
+		a.finder.awaitClosed(linkCloseBound)
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -96,92 +160,34 @@
 
 // Kill ends the agent at once, as a crash would.
 func (a *Agent) Kill() {
+	if a.ctx.Err() == nil {
+		a.emit(eventlog.AgentStopped, eventlog.Fields{Detail: a.opts.Name})
+	}
 	a.cancel()
 	a.wg.Wait()
+	a.runner.closeIdle()
 }
 
-func (a *Agent) post(ev any) { a.events <- ev }
-
-func (a *Agent) now() time.Duration { return time.Since(a.start) }
-
-// coreLoop owns the machine and the open links.
-func (a *Agent) coreLoop(ctx context.Context) {
-	m := agent.New(agent.Options{Incarnation: a.incarnation, Slots: a.opts.Slots})
-	links := make(map[wire.Incarnation]linkOpened)
-	defer func() {
-		for _, l := range links {
-			l.sender.Close()
-		}
-	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case ev := <-a.events:
-			core := a.adopt(links, ev)
-			if core == nil {
-				continue
-			}
-			a.apply(links, m.Step(a.now(), core))
-		}
-	}
-}
-
-// adopt keeps the table of open links in step with the events.
-func (a *Agent) adopt(links map[wire.Incarnation]linkOpened, ev any) agent.Event {
-	switch e := ev.(type) {
-	case linkOpened:
-		if old, ok := links[e.entry]; ok {
-			old.sender.Close()
-		}
-		links[e.entry] = e
-		return agent.LinkUp{Entry: e.entry, Epoch: e.epoch}
-	case agent.LinkDown:
-		if l, ok := links[e.Entry]; ok && l.epoch == e.Epoch {
-			l.sender.Close()
-			delete(links, e.Entry)
-		}
-		return e
-	case agent.Event:
-		return e
-	}
-	return nil
-}
-
-func (a *Agent) apply(links map[wire.Incarnation]linkOpened, actions []agent.Action) {
-	for _, action := range actions {
-		switch x := action.(type) {
-		case agent.Send:
-			if l, ok := links[x.Entry]; ok && l.epoch == x.Epoch {
-				l.sender.Send(x.Frame)
-			}
-		case agent.Run:
-			a.runner.run(x)
-		case agent.Stop:
-			a.runner.stop(x.Attempt)
-		case agent.Drained:
-			close(a.drained)
-		}
+// send delivers an event to the core unless the agent ends first.
+func (a *Agent) send(ev any) {
+	select {
+	case a.events <- ev:
+	case <-a.ctx.Done():
 	}
 }
 
-func (a *Agent) tickLoop(ctx context.Context) {
+func (a *Agent) tickLoop() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-a.ctx.Done():
 			return
 		case <-t.C:
-			a.tryPost(agent.Tick{})
+			select {
+			case a.events <- agent.Tick{}:
+			default: // a later tick does its work
+			}
 		}
 	}
 }
-
-// tryPost drops the event if the ring is full: a later tick does its work.
-func (a *Agent) tryPost(ev any) {
-	select {
-	case a.events <- ev:
-	default:
-	}
-}
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
@@ -13,61 +13,101 @@
 )
 
 const (
-	dialTimeout    = time.Second
-	redialInterval = 200 * time.Millisecond
+	dialTimeout = time.Second
+	// Redial delays double from minRedial to maxRedial and are drawn from the
+	// upper half, so that agents do not return to an entry all at once.
+	minRedial = 100 * time.Millisecond
+	maxRedial = 5 * time.Second
+	// steadyLink is how long a link must have lasted to reset the delay.
+	steadyLink = time.Second
 )
 
-// dialLoop keeps one connection to the entry at addr.
-func (a *Agent) dialLoop(ctx context.Context, addr string) {
-	for epoch := wire.Epoch(1); ctx.Err() == nil; epoch++ {
-		a.serveLink(ctx, addr, epoch)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialInterval):
+// dialLoop keeps one connection to the entry at addr for as long as it is needed.
+func (a *Agent) dialLoop(addr string) {
+	delay := minRedial
+	for a.ctx.Err() == nil {
+		if a.finder.needed(addr) && !a.leaving() {
+			began := time.Now()
+			connected, err := a.serveLink(addr)
+			if !connected && !a.finder.dialFailed(addr, time.Now(), err) {
+				return
+			}
+			delay = min(2*delay, maxRedial)
+			if time.Since(began) >= steadyLink && connected {
+				delay = minRedial
+			}
 		}
+		a.sleep(delay/2 + rand.N(delay/2))
 	}
 }
 
-// serveLink opens one connection and reads it until it fails. When it returns
-// nothing of this connection is read any more, so the next epoch may begin.
-func (a *Agent) serveLink(ctx context.Context, addr string, epoch wire.Epoch) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+// leaving says that every result is delivered, so no link is opened any more.
+func (a *Agent) leaving() bool {
+	select {
+	case <-a.drained:
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *Agent) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-a.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// serveLink opens one connection and reads it until it fails. It reports
+// whether the handshake succeeded. Frames of a connection that was replaced in
+// the meantime carry its epoch, by which the core drops them.
+func (a *Agent) serveLink(addr string) (connected bool, err error) {
+	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
+	raw, err := a.opts.Dial(ctx, addr)
+	cancel()
 	if err != nil {
-		return err
+		return false, err
 	}
 	conn := link.NewConn(raw)
+	conn.SetWriteTimeout(a.opts.SilenceTimeout)
 	defer conn.Close()
+	defer context.AfterFunc(a.ctx, func() { conn.Close() })()
+	epoch := wire.Epoch(a.epoch.Add(1))
 	hello, err := a.handshake(conn, epoch)
 	if err != nil {
-		return err
+		return false, err
 	}
+	a.finder.connected(addr, hello.Entry, epoch)
+	defer a.finder.disconnected(hello.Entry, epoch)
 	sender := link.NewSender[*wire.ToEntry](conn)
 	defer sender.Close()
-	a.send(ctx, linkOpened{entry: hello.Entry, epoch: epoch, sender: sender})
-	defer a.send(ctx, agent.LinkDown{Entry: hello.Entry, Epoch: epoch})
+	a.send(linkOpened{hello: hello, epoch: epoch, peer: addr, sender: sender})
+	defer a.send(agent.LinkDown{Entry: hello.Entry, Epoch: epoch})
+	a.finder.learn(hello.Entries)
+	return true, a.readFrames(conn, hello.Entry, epoch)
+}
+
+func (a *Agent) readFrames(conn *link.Conn, entry wire.Incarnation, epoch wire.Epoch) error {
 	for {
 		frame := new(wire.ToAgent)
-		if err := conn.Read(frame, link.SilenceTimeout); err != nil {
+		if err := conn.Read(frame, a.opts.SilenceTimeout); err != nil {
 			return err
 		}
-		a.send(ctx, agent.Received{Entry: hello.Entry, Epoch: epoch, Frame: frame})
-	}
-}
-
-func (a *Agent) send(ctx context.Context, ev any) {
-	select {
-	case a.events <- ev:
-	case <-ctx.Done():
+		a.observe(frame.Stamp)
+		a.finder.learn(frame.Entries)
+		a.send(agent.Received{Entry: entry, Epoch: epoch, Frame: frame})
 	}
 }
 
 func (a *Agent) handshake(conn *link.Conn, epoch wire.Epoch) (wire.EntryHello, error) {
 	var reply wire.EntryHello
 	err := errors.Join(conn.WritePreface(), conn.Write(wire.AgentHello{
-		Protocol: wire.ProtocolVersion, Agent: a.incarnation, Epoch: epoch,
+		Protocol: wire.ProtocolVersion, Agent: a.opts.Incarnation, Epoch: epoch,
 		Name: a.opts.Name, Zone: a.opts.Zone, Rack: a.opts.Rack,
 		Slots: a.opts.Slots, Capacity: a.opts.Capacity,
+		ConfigVersion: a.configVersion.Load(), Entries: a.finder.entries(),
 	}), conn.Flush())
 	if err != nil {
 		return reply, err
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,20 +5,22 @@
 // that sends nothing for SilenceTimeout, or does not accept a frame within
 // WriteTimeout, is given up: the cores send a frame at least every heartbeat
 // interval, so silence means that the path or the peer is gone.
+//
+// Everything received is hostile until checked: lengths, nesting, array sizes
+// and field limits are enforced, and memory grows only with bytes that arrived.
 package link
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -35,6 +37,11 @@
 	RingFrames  = 4096
 	headerBytes = 4
 	bufferBytes = 32 << 10
+	// readStep is how much of a frame is awaited, and at most how much memory is
+	// taken beyond the bytes that arrived, at a time.
+	readStep = 64 << 10
+	// keptBuffer is the largest buffer that a connection keeps between frames.
+	keptBuffer = 256 << 10
 )
 
 // Preface opens every agent connection, so that a stray client is refused at once.
@@ -43,98 +50,126 @@
 // ErrFrameTooLarge reports a frame above wire.MaxFrameBytes.
 var ErrFrameTooLarge = errors.New("link: frame exceeds the size limit")
 
-var decoder = mustDecMode()
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 16384,
-		MaxNestedLevels:  8,
-		MaxMapPairs:      1024,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// Encode returns the frame body of v.
-func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
-
-// Decode parses one frame body into v. It rejects trailing bytes.
-func Decode(body []byte, v any) error { return decoder.Unmarshal(body, v) }
-
 // Conn is a framed connection. Read and Write may be used by one goroutine each.
 type Conn struct {
-	net net.Conn
-	r   *bufio.Reader
-	w   *bufio.Writer
-	buf []byte
+	net          net.Conn
+	r            *bufio.Reader
+	w            *bufio.Writer
+	in           []byte
+	out          bytes.Buffer
+	writeTimeout time.Duration
 }
 
 // NewConn wraps an established connection.
 func NewConn(c net.Conn) *Conn {
 	return &Conn{
-		net: c,
-		r:   bufio.NewReaderSize(c, bufferBytes),
-		w:   bufio.NewWriterSize(c, bufferBytes),
+		net:          c,
+		r:            bufio.NewReaderSize(c, bufferBytes),
+		w:            bufio.NewWriterSize(c, bufferBytes),
+		writeTimeout: WriteTimeout,
 	}
 }
 
+// SetWriteTimeout replaces WriteTimeout. Call it before the first Write.
+func (c *Conn) SetWriteTimeout(d time.Duration) { c.writeTimeout = d }
+
 // Close closes the connection; blocked calls return with an error.
 func (c *Conn) Close() error { return c.net.Close() }
 
+// CloseWrite tells the peer that no frame follows. What was flushed still
+// arrives, whereas Close may discard it if unread frames are waiting here.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.net.Close()
+}
+
 // RemoteAddr returns the peer's address.
 func (c *Conn) RemoteAddr() string { return c.net.RemoteAddr().String() }
 
-// Read waits at most timeout for the next frame and decodes it into v.
+// Read waits for the next frame and decodes it into v. It fails if nothing, or
+// less than readStep of a frame, arrives within timeout.
 func (c *Conn) Read(v any, timeout time.Duration) error {
-	if err := c.net.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return err
-	}
 	var header [headerBytes]byte
-	if _, err := io.ReadFull(c.r, header[:]); err != nil {
+	if err := c.readFull(header[:], timeout); err != nil {
 		return err
 	}
-	size := int(binary.BigEndian.Uint32(header[:]))
+	size := binary.BigEndian.Uint32(header[:])
 	if size > wire.MaxFrameBytes {
 		return ErrFrameTooLarge
 	}
-	if cap(c.buf) < size {
-		c.buf = make([]byte, size)
-	}
-	body := c.buf[:size]
-	if _, err := io.ReadFull(c.r, body); err != nil {
+	if err := c.readBody(int(size), timeout); err != nil {
 		return err
 	}
-	if err := Decode(body, v); err != nil {
+	err := Decode(c.in, v)
+	if cap(c.in) > keptBuffer {
+		c.in = nil
+	}
+	if err != nil {
 		return fmt.Errorf("link: decode frame: %w", err)
 	}
 	return nil
 }
 
+// readBody reads size bytes into c.in. The buffer grows as bytes arrive, since
+// the size is only a claim of the peer.
+func (c *Conn) readBody(size int, timeout time.Duration) error {
+	c.in = c.in[:0]
+	for len(c.in) < size {
+		have := len(c.in)
+		step := min(readStep, size-have)
+		c.in = slices.Grow(c.in, step)[:have+step]
+		if err := c.readFull(c.in[have:], timeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Conn) readFull(p []byte, timeout time.Duration) error {
+	if err := c.net.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c.r, p)
+	return err
+}
+
 // Write encodes v into the buffer; Flush sends it.
 func (c *Conn) Write(v any) error {
-	body, err := Encode(v)
-	if err != nil {
+	c.out.Reset()
+	if c.out.Cap() > keptBuffer {
+		c.out = bytes.Buffer{}
+	}
+	if err := encoder.MarshalToBuffer(v, &c.out); err != nil {
 		return err
 	}
-	if len(body) > wire.MaxFrameBytes {
+	if c.out.Len() > wire.MaxFrameBytes {
 		return ErrFrameTooLarge
 	}
-	if err := c.net.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+	if err := c.extendWrite(); err != nil {
 		return err
 	}
 	var header [headerBytes]byte
-	binary.BigEndian.PutUint32(header[:], uint32(len(body)))
+	binary.BigEndian.PutUint32(header[:], uint32(c.out.Len()))
 	if _, err := c.w.Write(header[:]); err != nil {
 		return err
 	}
-	_, err = c.w.Write(body)
+	_, err := c.w.Write(c.out.Bytes())
 	return err
 }
 
 // Flush sends what Write has buffered.
-func (c *Conn) Flush() error { return c.w.Flush() }
+func (c *Conn) Flush() error {
+	if err := c.extendWrite(); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+func (c *Conn) extendWrite() error {
+	return c.net.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+}
 
 // WritePreface sends the preface.
 func (c *Conn) WritePreface() error {
@@ -144,11 +179,8 @@
 
 // ReadPreface checks that the connection starts with the preface.
 func (c *Conn) ReadPreface() error {
-	if err := c.net.SetReadDeadline(time.Now().Add(HandshakeTimeout)); err != nil {
-		return err
-	}
 	got := make([]byte, len(Preface))
-	if _, err := io.ReadFull(c.r, got); err != nil {
+	if err := c.readFull(got, HandshakeTimeout); err != nil {
 		return err
 	}
 	if string(got) != Preface {
@@ -156,72 +188,3 @@
 	}
 	return nil
 }
-
-// Sender writes frames of one connection from a bounded ring.
-type Sender[T any] struct {
-	conn *Conn
-	ring chan T
-	done chan struct{}
-	once sync.Once
-}
-
-// NewSender starts the writing goroutine. Close ends it.
-func NewSender[T any](conn *Conn) *Sender[T] {
-	s := &Sender[T]{
-		conn: conn,
-		ring: make(chan T, RingFrames),
-		done: make(chan struct{}),
-	}
-	go s.run()
-	return s
-}
-
-// Send queues a frame. It reports false, and closes the connection, if the
-// ring is full or the connection is closed.
-func (s *Sender[T]) Send(frame T) bool {
-	select {
-	case <-s.done:
-		return false
-	case s.ring <- frame:
-		return true
-	default:
-		s.Close()
-		return false
-	}
-}
-
-// Close closes the connection and drops frames that were not written.
-func (s *Sender[T]) Close() {
-	s.once.Do(func() {
-		close(s.done)
-		s.conn.Close()
-	})
-}
-
-func (s *Sender[T]) run() {
-	defer s.Close()
-	for {
-		select {
-		case <-s.done:
-			return
-		case frame := <-s.ring:
-			if s.write(frame) != nil {
-				return
-			}
-		}
-	}
-}
-
-// write sends one frame and whatever else waits, with one flush.
-func (s *Sender[T]) write(frame T) error {
-	for {
-		if err := s.conn.Write(frame); err != nil {
-			return err
-		}
-		select {
-		case frame = <-s.ring:
-		default:
-			return s.conn.Flush()
-		}
-	}
-}
