Agent shell and link: tests of silent links, sent bytes, discovery; fuzz and benchmarks

Cause: the shell and the decoders had no tests. Conclusion: the link's bounds hold for the inputs tried.

--- /dev/null
+++ b/internal/agentd/fake_test.go
@@ -0,0 +1,298 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/link"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds the waits of tests for something that must happen.
+const patience = 30 * time.Second
+
+// fakeEntry speaks the entry's side of the peer protocol.
+type fakeEntry struct {
+	t        *testing.T
+	listener net.Listener
+	id       wire.Incarnation
+	list     func() []wire.EntryAddr
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	cond    *sync.Cond
+	sender  *link.Sender[*wire.ToAgent]
+	conn    net.Conn
+	hellos  []wire.AgentHello
+	results []wire.Result
+	load    wire.Load
+	stamp   uint64
+	links   int // open connections
+	ended   bool
+}
+
+func newFakeEntry(t *testing.T, id wire.Incarnation) *fakeEntry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &fakeEntry{t: t, listener: l, id: id}
+	e.cond = sync.NewCond(&e.mu)
+	e.wg.Add(2)
+	go e.acceptLoop()
+	go e.heartbeats()
+	t.Cleanup(e.close)
+	return e
+}
+
+func (e *fakeEntry) addr() string { return e.listener.Addr().String() }
+
+func (e *fakeEntry) close() {
+	e.listener.Close()
+	e.mu.Lock()
+	e.ended = true
+	if e.sender != nil {
+		e.sender.Close()
+	}
+	e.mu.Unlock()
+	e.wg.Wait()
+}
+
+// acceptLoop serves connections until close.
+func (e *fakeEntry) acceptLoop() {
+	defer e.wg.Done()
+	for {
+		raw, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.wg.Add(1)
+		go e.serve(raw)
+	}
+}
+
+func (e *fakeEntry) heartbeats() {
+	defer e.wg.Done()
+	for {
+		time.Sleep(50 * time.Millisecond)
+		e.mu.Lock()
+		ended := e.ended
+		e.mu.Unlock()
+		if ended {
+			return
+		}
+		e.send(wire.ToAgent{})
+	}
+}
+
+func (e *fakeEntry) serve(raw net.Conn) {
+	defer e.wg.Done()
+	conn := link.NewConn(raw)
+	defer conn.Close()
+	var hello wire.AgentHello
+	if conn.ReadPreface() != nil || conn.Read(&hello, patience) != nil {
+		return
+	}
+	reply := wire.EntryHello{Protocol: wire.ProtocolVersion, Entry: e.id, Epoch: hello.Epoch}
+	if e.list != nil {
+		reply.Entries = e.list()
+	}
+	if conn.Write(reply) != nil || conn.Flush() != nil {
+		return
+	}
+	sender := link.NewSender[*wire.ToAgent](conn)
+	defer sender.Close()
+	if !e.adopt(hello, sender, raw) {
+		return
+	}
+	for {
+		var f wire.ToEntry
+		err := conn.Read(&f, patience)
+		e.mu.Lock()
+		if err != nil {
+			e.links--
+			e.cond.Broadcast()
+			e.mu.Unlock()
+			return
+		}
+		e.results = append(e.results, f.Results...)
+		e.load = f.Load
+		e.stamp = f.Stamp
+		e.cond.Broadcast()
+		e.mu.Unlock()
+	}
+}
+
+// adopt replaces the connection as an entry does.
+func (e *fakeEntry) adopt(hello wire.AgentHello, sender *link.Sender[*wire.ToAgent], raw net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n := len(e.hellos); e.ended || (n > 0 && e.hellos[n-1].Epoch >= hello.Epoch) {
+		return false
+	}
+	if e.sender != nil {
+		e.sender.Close()
+	}
+	e.sender = sender
+	e.conn = raw
+	e.hellos = append(e.hellos, hello)
+	e.links++
+	e.cond.Broadcast()
+	return true
+}
+
+func (e *fakeEntry) send(f wire.ToAgent) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sender != nil {
+		e.sender.Send(&f)
+	}
+}
+
+func (e *fakeEntry) start(seq wire.Seq, payload string) {
+	e.send(wire.ToAgent{Starts: []wire.Start{{
+		Seq: seq, Submission: wire.SubmissionID{byte(seq)}, Class: "c",
+		MaxWait: wire.MicrosOf(patience), Deadline: wire.MicrosOf(patience), Payload: []byte(payload),
+	}}})
+}
+
+// await blocks until ready is true under the lock.
+func (e *fakeEntry) await(what string, ready func() bool) {
+	e.t.Helper()
+	timer := time.AfterFunc(patience, e.cond.Broadcast)
+	defer timer.Stop()
+	end := time.Now().Add(patience)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for !ready() {
+		if time.Now().After(end) {
+			e.t.Fatalf("entry %d waited in vain for %s", e.id, what)
+		}
+		e.cond.Wait()
+	}
+}
+
+func (e *fakeEntry) awaitLink() {
+	e.t.Helper()
+	e.await("a link", func() bool { return e.links > 0 })
+}
+
+func (e *fakeEntry) result(seq wire.Seq) wire.Result {
+	e.t.Helper()
+	var r wire.Result
+	e.await("a result", func() bool {
+		i := slices.IndexFunc(e.results, func(r wire.Result) bool { return r.Seq == seq })
+		if i >= 0 {
+			r = e.results[i]
+		}
+		return i >= 0
+	})
+	return r
+}
+
+// startAgent runs an agent that is killed at the end of the test.
+func startAgent(t *testing.T, opts Options) *Agent {
+	if opts.Slots == 0 {
+		opts.Slots = 1
+	}
+	a := Start(opts)
+	t.Cleanup(a.Kill)
+	return a
+}
+
+// relay forwards connections to targets in turn, like a balancer. Mute stops
+// the direction towards the agent on the open connections without closing them.
+type relay struct {
+	listener net.Listener
+	targets  []string
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	next     int
+	muted    []chan struct{} // one for each open connection
+	conns    []net.Conn
+}
+
+func newRelay(t *testing.T, targets ...string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{listener: l, targets: targets}
+	r.wg.Add(1)
+	go r.acceptLoop()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.mu.Lock()
+	for _, c := range r.conns {
+		c.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+func (r *relay) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.muted {
+		close(m)
+	}
+	r.muted = nil
+}
+
+func (r *relay) acceptLoop() {
+	defer r.wg.Done()
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		target := r.targets[r.next%len(r.targets)]
+		r.next++
+		server, err := new(net.Dialer).DialContext(context.Background(), "tcp", target)
+		if err != nil {
+			client.Close()
+			r.mu.Unlock()
+			continue
+		}
+		muted := make(chan struct{})
+		r.muted = append(r.muted, muted)
+		r.conns = append(r.conns, client, server)
+		r.wg.Add(2)
+		go r.pump(server, client, nil)
+		go r.pump(client, server, muted)
+		r.mu.Unlock()
+	}
+}
+
+// pump copies until a side closes; after mute it reads on and drops the bytes.
+func (r *relay) pump(to, from net.Conn, muted <-chan struct{}) {
+	defer r.wg.Done()
+	defer to.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case <-muted:
+			continue
+		default:
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/agentd/subset_test.go
@@ -0,0 +1,110 @@
+package agentd
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+const (
+	testZones     = 12
+	testPerZone   = 5
+	testAgents    = 4_400
+	entriesInRack = 3
+)
+
+func testEntries() []wire.EntryAddr {
+	var out []wire.EntryAddr
+	for i := range testZones * testPerZone {
+		out = append(out, wire.EntryAddr{
+			Incarnation: wire.Incarnation(i + 1), Peer: fmt.Sprintf("10.0.%d.1:7000", i), Zone: testZone(i),
+		})
+	}
+	return out
+}
+
+func testZone(i int) string { return fmt.Sprintf("zone-%d", i%testZones) }
+
+// Guards against entries that get far more or fewer agents than others.
+func TestLinksAreSpreadEvenly(t *testing.T) {
+	entries := testEntries()
+	links := make(map[string]int)
+	for i := range testAgents {
+		chosen := chooseEntries(fmt.Sprintf("worker-%05d", i), testZone(i), entries)
+		assert.Equal(t, len(chosen), linksInZone+linksInOtherZones)
+		seen := make(map[string]bool)
+		for _, e := range chosen {
+			assert.Assert(t, !seen[e.Peer], "an entry was chosen twice")
+			seen[e.Peer] = true
+			links[e.Peer]++
+		}
+	}
+	mean := float64(testAgents*(linksInZone+linksInOtherZones)) / float64(len(entries))
+	for peer, n := range links {
+		assert.Assert(t, float64(n) > 0.8*mean && float64(n) < 1.2*mean, "%s has %d links, the mean is %.0f", peer, n, mean)
+	}
+}
+
+// Guards against agents that no entry can reach after a rack, a zone or half
+// of the entries are lost, first with the links they have and then, once they
+// have noticed, with a full set again.
+func TestAgentsStayReachableWhenEntriesAreLost(t *testing.T) {
+	entries := testEntries()
+	for name, lost := range map[string]func(i int) bool{
+		"rack": func(i int) bool { return i/testZones < entriesInRack && i%testZones == 4 },
+		"zone": func(i int) bool { return i%testZones == 4 },
+		"half": func(i int) bool { return i%2 == 0 },
+	} {
+		left := make(map[string]bool)
+		var remaining []wire.EntryAddr
+		for i, e := range entries {
+			if !lost(i) {
+				left[e.Peer] = true
+				remaining = append(remaining, e)
+			}
+		}
+		cut := 0
+		for i := range testAgents {
+			agent := fmt.Sprintf("worker-%05d", i)
+			if !anyLeft(chooseEntries(agent, testZone(i), entries), left) {
+				cut++
+			}
+			again := chooseEntries(agent, testZone(i), remaining)
+			assert.Equal(t, len(again), linksInZone+linksInOtherZones, "%s", name)
+		}
+		t.Logf("loss of a %s: %d of %d agents without a link until they dial further entries", name, cut, testAgents)
+		if name != "half" {
+			assert.Equal(t, cut, 0, "%s", name)
+		}
+	}
+}
+
+func anyLeft(entries []wire.EntryAddr, left map[string]bool) bool {
+	for _, e := range entries {
+		if left[e.Peer] {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a change of one entry that moves the links to others.
+func TestOneLostEntryMovesOnlyItsLinks(t *testing.T) {
+	entries := testEntries()
+	gone := entries[7]
+	remaining := append(append([]wire.EntryAddr{}, entries[:7]...), entries[8:]...)
+	for i := range 1000 {
+		agent := fmt.Sprintf("worker-%05d", i)
+		before := chooseEntries(agent, testZone(i), entries)
+		after := make(map[string]bool)
+		for _, e := range chooseEntries(agent, testZone(i), remaining) {
+			after[e.Peer] = true
+		}
+		for _, e := range before {
+			assert.Assert(t, e == gone || after[e.Peer], "the link to %s moved", e.Peer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,199 @@
+package link
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"runtime"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 30 * time.Second
+
+func pipe(t testing.TB) (*Conn, net.Conn) {
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return NewConn(a), b
+}
+
+// Guards against memory that is taken because a peer claims a long frame.
+func TestClaimedLengthTakesNoMemory(t *testing.T) {
+	conn, peer := pipe(t)
+	go func() {
+		peer.Write(binary.BigEndian.AppendUint32(nil, wire.MaxFrameBytes))
+		peer.Write(make([]byte, 100))
+		peer.Close()
+	}()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	err := conn.Read(new(wire.ToAgent), patience)
+	runtime.ReadMemStats(&after)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	taken := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, taken < 8*readStep, "%d bytes were allocated", taken)
+}
+
+// Guards against input that exceeds a bound and is accepted.
+func TestHostileFramesAreRejected(t *testing.T) {
+	many := make([]wire.EntryAddr, wire.MaxKnownEntries+1)
+	for name, c := range map[string]struct {
+		body []byte
+		into any
+	}{
+		"empty":             {nil, new(wire.ToAgent)},
+		"trailing byte":     {append(encode(t, wire.ToAgent{}), 0), new(wire.ToAgent)},
+		"claimed array":     {[]byte{0x87, 0x9a, 0xff, 0xff, 0xff, 0xff}, new(wire.ToAgent)},
+		"long array":        {encode(t, wire.ToAgent{Cancels: make([]wire.Seq, maxArrayElements+1)}), new(wire.ToAgent)},
+		"claimed bytes":     {[]byte{0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, new(wire.ToEntry)},
+		"nested":            {bytes.Repeat([]byte{0x81}, 1000), new(wire.ToEntry)},
+		"indefinite length": {[]byte{0x9f, 0xff}, new(wire.ToEntry)},
+		"tag":               {append([]byte{0xc1}, encode(t, wire.ToEntry{})...), new(wire.ToEntry)},
+		"too few fields":    {[]byte{0x81, 0x01}, new(wire.EntryHello)},
+		"many entries":      {encode(t, wire.EntryHello{Entries: many}), new(wire.EntryHello)},
+		"long name":         {encode(t, wire.AgentHello{Name: string(make([]byte, wire.MaxNameBytes+1))}), new(wire.AgentHello)},
+		"negative slots":    {encode(t, wire.AgentHello{Slots: -1}), new(wire.AgentHello)},
+		"negative index":    {encode(t, wire.ToAgent{Starts: []wire.Start{{Index: -1}}}), new(wire.ToAgent)},
+		"no outcome":        {encode(t, wire.ToEntry{Results: make([]wire.Result, 1)}), new(wire.ToEntry)},
+		"negative load":     {encode(t, wire.ToEntry{Load: wire.Load{Running: -1}}), new(wire.ToEntry)},
+		"large configuration": {
+			encode(t, wire.ToAgent{Config: &wire.ConfigState{State: make([]byte, wire.MaxConfigBytes+1)}}), new(wire.ToAgent),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, Decode(c.body, c.into) != nil)
+		})
+	}
+	conn, peer := pipe(t)
+	go peer.Write(binary.BigEndian.AppendUint32(nil, wire.MaxFrameBytes+1))
+	assert.ErrorIs(t, conn.Read(new(wire.ToAgent), patience), ErrFrameTooLarge)
+}
+
+func encode(t testing.TB, v any) []byte {
+	body, err := Encode(v)
+	assert.NilError(t, err)
+	return body
+}
+
+// Guards against a peer that is waited for without end, reading or writing.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	conn, _ := pipe(t)
+	assert.ErrorIs(t, conn.Read(new(wire.ToAgent), time.Millisecond), os.ErrDeadlineExceeded)
+	conn.SetWriteTimeout(time.Millisecond)
+	assert.NilError(t, conn.Write(wire.ToEntry{}))
+	assert.ErrorIs(t, conn.Flush(), os.ErrDeadlineExceeded)
+}
+
+// Guards against frames that are lost when a connection is closed gracefully
+// while unread frames of the peer are waiting, and against large frames that
+// do not survive reading in steps.
+func TestFinishDeliversQueuedFrames(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer near.Close()
+	raw, err := listener.Accept()
+	assert.NilError(t, err)
+	far := NewConn(raw)
+	defer far.Close()
+	assert.NilError(t, far.Write(wire.ToAgent{Floor: 1}))
+	assert.NilError(t, far.Flush())
+
+	sender := NewSender[*wire.ToEntry](NewConn(near))
+	defer sender.Close()
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	for seq := range 3 {
+		sender.Send(&wire.ToEntry{Results: []wire.Result{{Seq: wire.Seq(seq), Outcome: wire.Succeeded, Body: body}}})
+	}
+	sender.Finish()
+	for seq := range 3 {
+		var f wire.ToEntry
+		assert.NilError(t, far.Read(&f, patience))
+		assert.Equal(t, f.Results[0].Seq, wire.Seq(seq))
+		assert.Assert(t, bytes.Equal(f.Results[0].Body, body))
+	}
+	assert.ErrorIs(t, far.Read(new(wire.ToEntry), patience), io.EOF)
+	assert.Assert(t, !sender.Send(&wire.ToEntry{}))
+}
+
+// fuzzDecoder checks that the decoder of one message never crashes and that
+// what it accepts is within the limits and survives a second round.
+func fuzzDecoder[T any](f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte) {
+		first := new(T)
+		if Decode(body, first) != nil {
+			return
+		}
+		again, err := Encode(first)
+		assert.NilError(t, err)
+		second := new(T)
+		assert.NilError(t, Decode(again, second))
+		assert.Assert(t, reflect.DeepEqual(first, second))
+	})
+}
+
+func FuzzToAgent(f *testing.F)    { fuzzDecoder[wire.ToAgent](f) }
+func FuzzToEntry(f *testing.F)    { fuzzDecoder[wire.ToEntry](f) }
+func FuzzAgentHello(f *testing.F) { fuzzDecoder[wire.AgentHello](f) }
+func FuzzEntryHello(f *testing.F) { fuzzDecoder[wire.EntryHello](f) }
+
+var (
+	sampleToAgent = &wire.ToAgent{
+		Starts: []wire.Start{{
+			Seq: 1 << 20, Submission: wire.SubmissionID{1}, Index: 3, Class: "quote",
+			Slack: 300_000, MaxWait: 5_000, Deadline: 900_000, Payload: make([]byte, 200),
+		}},
+		Floor: 1 << 20, Stamp: 1 << 60,
+	}
+	sampleToEntry = &wire.ToEntry{
+		Results: []wire.Result{{Seq: 1 << 20, Outcome: wire.Succeeded, Run: 100_000, Status: 200, Body: make([]byte, 200)}},
+		Load:    wire.Load{Running: 8, Queued: 2, Slots: 8, Limit: 8, ExpectedWait: 20_000, Successes: 1 << 20},
+		Stamp:   1 << 60,
+	}
+	sampleEntries    = []wire.EntryAddr{{Incarnation: 5, Peer: "10.0.0.1:7000", Zone: "a"}}
+	sampleAgentHello = &wire.AgentHello{Protocol: 1, Agent: 3, Epoch: 1, Name: "w", Zone: "a", Rack: "r", Slots: 8, Entries: sampleEntries}
+	sampleEntryHello = &wire.EntryHello{Protocol: 1, Entry: 5, Epoch: 1, Name: "e", Zone: "a", Entries: sampleEntries}
+)
+
+func benchmarkCodec[T any](b *testing.B, sample *T) {
+	body := encode(b, sample)
+	b.Run("encode", func(b *testing.B) {
+		var out bytes.Buffer
+		b.ReportAllocs()
+		for b.Loop() {
+			out.Reset()
+			if err := encoder.MarshalToBuffer(sample, &out); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(body)), "frame-bytes")
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := Decode(body, new(T)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func BenchmarkToAgent(b *testing.B)    { benchmarkCodec(b, sampleToAgent) }
+func BenchmarkToEntry(b *testing.B)    { benchmarkCodec(b, sampleToEntry) }
+func BenchmarkAgentHello(b *testing.B) { benchmarkCodec(b, sampleAgentHello) }
+func BenchmarkEntryHello(b *testing.B) { benchmarkCodec(b, sampleEntryHello) }
+func BenchmarkHeartbeat(b *testing.B) {
+	benchmarkCodec(b, &wire.ToAgent{Floor: 1 << 20, Stamp: 1 << 60})
+}
