entry: claim states, O(log n) bookkeeping, bounded frames and answers

Ruled out: a map of attempts for each link, since the floor then costs a scan of all attempts; seqs grow, so a sorted window gives floor, look-up and removal. Conclusion: a rapid state machine test with fixed seed holds the invariants against agents that refuse, lose links, restart, and repeat, delay or cross results. Configuration and entry lists are passed on to agents.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -10,7 +10,9 @@
 //     whose attempt was sent is placed again only after the agent said NotRun.
 //   - An answer is Complete only if every task of the job succeeded.
 //   - An answer is Refused only if no attempt of the job is in flight and none
-//     started.
+//     started, and no claim of it is pending.
+//   - Release is emitted only for a claim that was won and whose submission
+//     started nothing and never will.
 package entry
 
 import (
@@ -24,21 +26,34 @@
 type Options struct {
 	Incarnation wire.Incarnation
 	Scheduler   policy.Scheduler
+	// Observer is told of task-level events. It may be nil.
+	Observer Observer
 	// MaxJobs bounds the submissions in progress. Default 10,000.
 	MaxJobs int
+	// MaxTasks bounds the tasks of the submissions in progress. Default 400,000.
+	MaxTasks int
+	// MaxPayloadBytes bounds the payloads of the submissions in progress.
+	// Default 256 MiB.
+	MaxPayloadBytes int64
+	// MaxAnswerBytes bounds the sum of the results of one job. A job whose
+	// results exceed it ends as failed. Default 16 MiB.
+	MaxAnswerBytes int64
 	// HeartbeatInterval is the longest silence on a healthy link. Default 500 ms.
 	HeartbeatInterval time.Duration
 	// AgentLease is how long attempts on an agent without a link stay in doubt
 	// before they are given up as unknown. Default 10 s.
 	AgentLease time.Duration
 	// SettleBound is how long after its deadline a job waits for its attempts
-	// to report before it is answered as unknown. Default 1 s.
+	// and its claim before it is answered as unknown. Default 1 s.
 	SettleBound time.Duration
 }
 
 // Defaults of Options.
 const (
 	DefaultMaxJobs           = 10_000
+	DefaultMaxTasks          = 400_000
+	DefaultMaxPayloadBytes   = 256 << 20
+	DefaultMaxAnswerBytes    = 16 << 20
 	DefaultHeartbeatInterval = 500 * time.Millisecond
 	DefaultAgentLease        = 10 * time.Second
 	DefaultSettleBound       = time.Second
@@ -47,13 +62,16 @@
 
 // Reasons of job answers that the machine itself gives.
 const (
-	ReasonDraining    = "draining"
-	ReasonTooManyJobs = "too_many_jobs"
-	ReasonDeadline    = "deadline"
-	ReasonCancelled   = "cancelled"
-	ReasonNoRetry     = "retries_exhausted"
-	ReasonTaskFailed  = "task_failed"
-	ReasonTaskUnknown = "task_outcome_unknown"
+	ReasonDraining       = "draining"
+	ReasonTooManyJobs    = "too_many_jobs"
+	ReasonDeadline       = "deadline"
+	ReasonCancelled      = "cancelled"
+	ReasonNoTasks        = "no_tasks"
+	ReasonNoRetry        = "retries_exhausted"
+	ReasonTaskFailed     = "task_failed"
+	ReasonTaskUnknown    = "task_outcome_unknown"
+	ReasonAnswerTooLarge = "answer_too_large"
+	ReasonClaimPending   = "claim_pending"
 )
 
 // Machine is the entry's state machine. It is not safe for concurrent use.
@@ -62,10 +80,18 @@
 	sched     policy.Scheduler
 	nextSeq   wire.Seq
 	jobs      map[wire.SubmissionID]*job
+	tasks     int   // tasks of jobs
+	payload   int64 // bytes of payloads of jobs
 	agents    map[wire.Incarnation]*agentLink
 	agentList []*agentLink // in order of first contact
-	retries   []retry
+	dirty     []*agentLink // links with content for the next frame
+	retries   retryQueue
 	deadlines deadlineQueue
+	// abandoned holds the submissions that were answered while their claim was
+	// pending. A claim that is won after that is released.
+	abandoned map[wire.SubmissionID]struct{}
+	config    configState
+	entries   []wire.EntryAddr
 	draining  bool
 	drained   bool
 	actions   []Action
@@ -75,7 +101,7 @@
 // Stats counts messages by kind since the machine was created.
 type Stats struct {
 	Starts     uint64 // starts sent
-	Results    uint64 // results that were used
+	Results    uint64 // successful results that were used
 	Refused    uint64 // starts answered NotRun by an agent
 	Cancels    uint64 // cancels sent
 	Queries    uint64 // queries sent
@@ -83,26 +109,32 @@
 	Heartbeats uint64 // frames sent without content
 }
 
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxJobs, DefaultMaxJobs)
+	setDefault(&o.MaxTasks, DefaultMaxTasks)
+	setDefault(&o.MaxPayloadBytes, DefaultMaxPayloadBytes)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&o.AgentLease, DefaultAgentLease)
+	setDefault(&o.SettleBound, DefaultSettleBound)
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, byDefault T) {
+	if *v <= 0 {
+		*v = byDefault
+	}
+}
+
 // New returns a machine without links or jobs.
 func New(opts Options) *Machine {
-	if opts.MaxJobs <= 0 {
-		opts.MaxJobs = DefaultMaxJobs
-	}
-	if opts.HeartbeatInterval <= 0 {
-		opts.HeartbeatInterval = DefaultHeartbeatInterval
-	}
-	if opts.AgentLease <= 0 {
-		opts.AgentLease = DefaultAgentLease
-	}
-	if opts.SettleBound <= 0 {
-		opts.SettleBound = DefaultSettleBound
-	}
 	return &Machine{
-		opts:    opts,
-		sched:   opts.Scheduler,
-		nextSeq: 1,
-		jobs:    make(map[wire.SubmissionID]*job),
-		agents:  make(map[wire.Incarnation]*agentLink),
+		opts:      opts.withDefaults(),
+		sched:     opts.Scheduler,
+		nextSeq:   1,
+		jobs:      make(map[wire.SubmissionID]*job),
+		agents:    make(map[wire.Incarnation]*agentLink),
+		abandoned: make(map[wire.SubmissionID]struct{}),
 	}
 }
 
@@ -122,7 +154,7 @@
 	case Claimed:
 		m.claimed(now, e)
 	case CancelJob:
-		m.cancelJob(now, e.Submission, ReasonCancelled)
+		m.cancelJob(now, m.jobs[e.Submission], ReasonCancelled)
 	case LinkUp:
 		m.linkUp(now, e.Hello)
 	case LinkDown:
@@ -130,14 +162,18 @@
 	case Received:
 		m.received(now, e)
 	case Replaced:
-		m.agentGone(now, e.Agent)
+		m.agentGone(now, m.agents[e.Agent])
 	case Configured:
-		m.sched.Configure(now, e.Settings)
+		m.configured(now, e)
+	case Entries:
+		m.setEntries(e.List)
 	case Drain:
 		m.draining = true
 	case Tick:
-		m.tick(now)
+		m.tickLinks(now)
 	}
+	m.dueRetries(now)
+	m.dueDeadlines(now)
 	m.place(now)
 	m.flush(now)
 	m.reportDrained()
@@ -164,7 +200,8 @@
 	t.state = taskSent
 	t.seq = seq
 	t.agent = link
-	link.attempts[seq] = t
+	link.attempts.add(seq, t)
+	m.touch(link)
 	link.out.Starts = append(link.out.Starts, wire.Start{
 		Seq:        seq,
 		Submission: j.info.Submission,
@@ -176,20 +213,15 @@
 		Payload:    j.payloads[p.Task.Index],
 	})
 	m.stats.Starts++
-}
-
-func (m *Machine) tick(now time.Duration) {
-	m.dueRetries(now)
-	m.dueDeadlines(now)
-	for _, link := range m.agentList {
-		if !link.up && len(link.attempts) > 0 && now-link.downAt >= m.opts.AgentLease {
-			m.giveUp(now, link)
-		}
+	if m.opts.Observer != nil {
+		m.opts.Observer.Placed(j.info.Submission, p.Task.Index, link.name)
 	}
 }
 
+// reportDrained emits Drained once no job is left and no claim is pending
+// that would have to be released.
 func (m *Machine) reportDrained() {
-	if !m.draining || m.drained || len(m.jobs) > 0 {
+	if !m.draining || m.drained || len(m.jobs) > 0 || len(m.abandoned) > 0 {
 		return
 	}
 	m.drained = true
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -25,7 +25,8 @@
 	Payloads [][]byte // one for each task
 }
 
-// Claimed tells the machine how the claim of a submission ended.
+// Claimed tells the machine how the claim of a submission ended. It is
+// delivered exactly once for each Claim action.
 type Claimed struct {
 	Submission wire.SubmissionID
 	Won        bool
@@ -60,8 +61,17 @@
 // because the same worker announced a new incarnation.
 type Replaced struct{ Agent wire.Incarnation }
 
-// Configured replaces the published targets.
-type Configured struct{ Settings policy.Settings }
+// Configured replaces the published targets. A lower Version than the one in
+// force has no effect.
+type Configured struct {
+	Settings policy.Settings
+	Version  int64
+	// State is the encoded configuration for agents, empty if there is none.
+	State []byte
+}
+
+// Entries replaces the list of entries that agents are told of.
+type Entries struct{ List []wire.EntryAddr }
 
 // Tick lets time-driven work happen. Deliver it every 10 ms or so.
 type Tick struct{}
@@ -77,9 +87,18 @@
 func (Received) isEvent()   {}
 func (Replaced) isEvent()   {}
 func (Configured) isEvent() {}
+func (Entries) isEvent()    {}
 func (Tick) isEvent()       {}
 func (Drain) isEvent()      {}
 
+// Observer is told of task-level events as they happen, for a time line. It
+// must not call the machine. The agent is given by its name.
+type Observer interface {
+	Placed(s wire.SubmissionID, index int, agent string)
+	Result(s wire.SubmissionID, index int, agent string, o wire.Outcome, r wire.Reason)
+	Queried(s wire.SubmissionID, index int, agent string)
+}
+
 // Action is an output of the machine.
 type Action interface{ isAction() }
 
@@ -103,14 +122,22 @@
 	Answer     JobAnswer
 }
 
+// LearnedConfig says that an agent has a newer configuration. The caller
+// decodes it and delivers Configured.
+type LearnedConfig struct {
+	Agent wire.Incarnation
+	State wire.ConfigState
+}
+
 // Drained says that the graceful shutdown is complete. It is emitted once.
 type Drained struct{}
 
-func (Send) isAction()    {}
-func (Claim) isAction()   {}
-func (Release) isAction() {}
-func (Answer) isAction()  {}
-func (Drained) isAction() {}
+func (Send) isAction()          {}
+func (Claim) isAction()         {}
+func (Release) isAction()       {}
+func (Answer) isAction()        {}
+func (LearnedConfig) isAction() {}
+func (Drained) isAction()       {}
 
 // JobOutcome is how a submission ended.
 type JobOutcome uint8
@@ -151,7 +178,7 @@
 	RetryAfter time.Duration
 	// Results holds one body for each task, in order, for Complete only.
 	Results [][]byte
-	// Started counts the tasks that are known to have started.
+	// Started counts the tasks that are known to have started and ended.
 	Started int
 	// Unknown counts the tasks whose outcome is not known.
 	Unknown int
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -2,58 +2,40 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
-	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-type taskState uint8
+type claimState uint8
 
 const (
-	taskWaiting taskState = iota // at the scheduler or in the retry list
-	taskSent                     // an attempt is in flight
-	taskDone                     // succeeded, failed or unknown
-	taskDropped                  // never started and never will
+	claimNone    claimState = iota // not needed, or lost
+	claimPending                   // asked for; no task may start
+	claimWon                       // held by this submission
 )
 
-// task is one task of a job and its current attempt.
-type task struct {
-	job    *job
-	sched  policy.Task
-	state  taskState
-	seq    wire.Seq
-	agent  *agentLink
-	result []byte
-}
-
 // job is one submission in progress.
 type job struct {
 	info     policy.Job
 	payloads [][]byte
+	bytes    int64 // sum of payloads
 	tasks    []task
-	claimed  bool // needs a claim
-	claiming bool // waits for the claim
-	ending   bool // failed or cancelled; waits for its attempts to settle
+	claim    claimState
+	ending   bool // failed or cancelled; waits for its attempts and its claim
+	overdue  bool // its deadline passed
 	reason   string
 	open     int // tasks neither done nor dropped
-	inFlight int
 	started  int
 	unknown  int
+	answer   int64 // bytes of results so far
 	longest  time.Duration
 	total    time.Duration
+	dueAt    time.Duration
+	duePos   int // position in the deadline queue
 }
 
-type retry struct {
-	at   time.Duration
-	task *task
-}
-
-func (m *Machine) submit(now time.Duration, e Submit) {
-	if _, dup := m.jobs[e.Submission]; dup {
-		panic("entry: submission id used twice")
-	}
+func newJob(now time.Duration, e Submit) *job {
 	j := &job{
 		info: policy.Job{
 			Submission: e.Submission, Class: e.Class, Team: e.Team,
@@ -61,21 +43,34 @@
 			Arrived: now, Deadline: now + e.Deadline,
 		},
 		payloads: e.Payloads,
-		claimed:  e.Claimed,
 		open:     len(e.Payloads),
+		dueAt:    now + e.Deadline,
 	}
+	for _, p := range e.Payloads {
+		j.bytes += int64(len(p))
+	}
+	return j
+}
+
+func (m *Machine) submit(now time.Duration, e Submit) {
+	if _, dup := m.jobs[e.Submission]; dup {
+		panic("entry: submission id used twice")
+	}
+	j := newJob(now, e)
 	if answer, refused := m.refusal(now, j); refused {
 		m.emit(Answer{Submission: e.Submission, Answer: answer})
 		return
 	}
 	m.jobs[e.Submission] = j
-	heap.Push(&m.deadlines, deadline{at: j.info.Deadline, job: j})
+	m.tasks += len(j.payloads)
+	m.payload += j.bytes
+	heap.Push(&m.deadlines, j)
 	j.tasks = make([]task, len(e.Payloads))
 	for i := range j.tasks {
-		j.tasks[i] = task{job: j, sched: policy.Task{Job: &j.info, Index: i}}
+		j.tasks[i] = task{job: j, sched: policy.Task{Job: &j.info, Index: i}, retryPos: notQueued}
 	}
-	if j.claimed {
-		j.claiming = true
+	if e.Claimed {
+		j.claim = claimPending
 		m.emit(Claim{Submission: e.Submission})
 		return
 	}
@@ -84,10 +79,14 @@
 
 // refusal decides whether a new job is turned away before anything is done.
 func (m *Machine) refusal(now time.Duration, j *job) (JobAnswer, bool) {
-	if m.draining {
+	switch {
+	case len(j.payloads) == 0:
+		return JobAnswer{Outcome: Refused, Reason: ReasonNoTasks}, true
+	case j.info.Deadline <= now:
+		return JobAnswer{Outcome: Refused, Reason: ReasonDeadline}, true
+	case m.draining:
 		return JobAnswer{Outcome: Refused, Reason: ReasonDraining, RetryAfter: overloadRetryAfter}, true
-	}
-	if len(m.jobs) >= m.opts.MaxJobs {
+	case m.full(j):
 		return JobAnswer{Outcome: Refused, Reason: ReasonTooManyJobs, RetryAfter: overloadRetryAfter}, true
 	}
 	v := m.sched.Admit(now, &j.info)
@@ -97,104 +96,53 @@
 	return JobAnswer{}, false
 }
 
+// full reports whether the job would exceed a bound of the machine's memory.
+func (m *Machine) full(j *job) bool {
+	return len(m.jobs) >= m.opts.MaxJobs ||
+		m.tasks+len(j.payloads) > m.opts.MaxTasks ||
+		m.payload+j.bytes > m.opts.MaxPayloadBytes
+}
+
 func (m *Machine) enqueueAll(now time.Duration, j *job) {
 	for i := range j.tasks {
+		j.tasks[i].state = taskQueued
 		m.sched.Enqueue(now, &j.tasks[i].sched)
 	}
 }
 
+// claimed applies the outcome of a claim. Only the first outcome of a pending
+// claim has an effect: a repeated one must not release a claim in use.
 func (m *Machine) claimed(now time.Duration, e Claimed) {
-	j := m.jobs[e.Submission]
-	if j == nil || !j.claiming {
+	if _, ok := m.abandoned[e.Submission]; ok {
+		delete(m.abandoned, e.Submission)
 		if e.Won {
-			m.emit(Release{Submission: e.Submission}) // the job ended while the claim was on its way
+			m.emit(Release{Submission: e.Submission})
 		}
 		return
 	}
-	j.claiming = false
-	if e.Won {
-		m.enqueueAll(now, j)
+	j := m.jobs[e.Submission]
+	if j == nil || j.claim != claimPending {
 		return
 	}
-	j.claimed = false
-	outcome := Refused
-	if e.RunBefore {
-		outcome = Unknown
-	}
-	m.finish(now, j, JobAnswer{Outcome: outcome, Reason: e.Reason, RetryAfter: e.RetryAfter})
-}
-
-// result applies one outcome. A result for an attempt that is not open (late,
-// repeated, or of a job already answered) changes nothing.
-func (m *Machine) result(now time.Duration, link *agentLink, r *wire.Result) {
-	t := link.attempts[r.Seq]
-	if t == nil {
-		m.stats.Late++
+	if !e.Won {
+		j.claim = claimNone
+		m.claimLost(now, j, e)
 		return
 	}
-	delete(link.attempts, r.Seq)
-	m.sched.Done(now, link.agent, &t.sched, r)
-	j := t.job
-	if t.state != taskSent || t.seq != r.Seq {
-		return // the job was answered without waiting for this attempt
-	}
-	j.inFlight--
-	switch r.Outcome {
-	case wire.Succeeded:
-		m.succeeded(now, t, r)
-	case wire.NotRun:
-		m.stats.Refused++
-		m.notRun(now, t, r.Reason)
-	case wire.Failed:
-		m.taskEnded(t, r)
-		m.endJob(now, j, ReasonTaskFailed)
-	default:
-		j.unknown++
-		m.taskEnded(t, r)
-		m.endJob(now, j, ReasonTaskUnknown)
+	j.claim = claimWon
+	if !j.ending {
+		m.enqueueAll(now, j)
 	}
 	m.settle(now, j)
 }
 
-func (m *Machine) taskEnded(t *task, r *wire.Result) {
-	j := t.job
-	t.state = taskDone
-	t.agent = nil
-	j.open--
-	j.started++
-	run := r.Run.Duration()
-	j.longest = max(j.longest, run)
-	j.total += run
-}
-
-func (m *Machine) succeeded(_ time.Duration, t *task, r *wire.Result) {
-	m.stats.Results++
-	m.taskEnded(t, r)
-	t.result = r.Body
-}
-
-// notRun places the task again, unless its job is ending or the scheduler's
-// retry rule forbids it.
-func (m *Machine) notRun(now time.Duration, t *task, reason wire.Reason) {
-	t.agent = nil
-	t.sched.Attempts++
-	if t.job.ending {
-		m.drop(t)
-		return
-	}
-	delay, ok := m.sched.Retry(now, &t.sched, reason)
-	if !ok {
-		m.drop(t)
-		m.endJob(now, t.job, ReasonNoRetry)
-		return
+func (m *Machine) claimLost(now time.Duration, j *job, e Claimed) {
+	a := JobAnswer{Outcome: Refused, Reason: e.Reason, RetryAfter: e.RetryAfter}
+	if e.RunBefore {
+		a.Outcome = Unknown
+		a.RetryAfter = 0
 	}
-	t.state = taskWaiting
-	m.retries = append(m.retries, retry{at: now + delay, task: t})
-}
-
-func (m *Machine) drop(t *task) {
-	t.state = taskDropped
-	t.job.open--
+	m.finish(now, j, a)
 }
 
 // endJob begins to end a job that cannot be complete: waiting tasks are
@@ -205,45 +153,54 @@
 	}
 	j.ending = true
 	j.reason = reason
-	m.dropRetries(j)
 	for i := range j.tasks {
 		t := &j.tasks[i]
+		t.result = nil
 		switch t.state {
-		case taskWaiting:
+		case taskHeld:
+			m.drop(t)
+		case taskBackoff:
+			heap.Remove(&m.retries, t.retryPos)
+			m.drop(t)
+		case taskQueued:
 			m.sched.Remove(now, &t.sched)
 			m.drop(t)
 		case taskSent:
-			if t.agent.up {
-				t.agent.out.Cancels = append(t.agent.out.Cancels, t.seq)
-				m.stats.Cancels++
-			}
+			m.cancelAttempt(t.agent, t.seq)
+		case taskDone, taskDropped:
 		}
 	}
 }
 
-// settle answers a job once nothing of it is open.
+// settle answers a job once nothing of it is open and its claim is decided.
 func (m *Machine) settle(now time.Duration, j *job) {
-	if j.open > 0 {
-		return
+	switch {
+	case j.open > 0 || j.claim == claimPending:
+	case j.ending:
+		m.finish(now, j, incomplete(j))
+	default:
+		m.finish(now, j, complete(j))
 	}
-	if !j.ending {
-		m.complete(now, j)
-		return
+}
+
+// incomplete gives the answer of a settled job that did not succeed.
+func incomplete(j *job) JobAnswer {
+	a := JobAnswer{
+		Outcome: Refused, Reason: j.reason, Started: j.started, Unknown: j.unknown,
+		LongestRun: j.longest, TotalRun: j.total,
 	}
-	a := JobAnswer{Reason: j.reason, Started: j.started, Unknown: j.unknown}
 	switch {
 	case j.unknown > 0:
 		a.Outcome = Unknown
 	case j.started > 0:
 		a.Outcome = Failed
 	default:
-		a.Outcome = Refused
 		a.RetryAfter = overloadRetryAfter
 	}
-	m.finish(now, j, a)
+	return a
 }
 
-func (m *Machine) complete(now time.Duration, j *job) {
+func complete(j *job) JobAnswer {
 	a := JobAnswer{
 		Outcome: Complete, Started: j.started,
 		LongestRun: j.longest, TotalRun: j.total,
@@ -252,20 +209,22 @@
 	for i := range j.tasks {
 		a.Results[i] = j.tasks[i].result
 	}
-	m.finish(now, j, a)
+	return a
 }
 
 func (m *Machine) finish(now time.Duration, j *job, a JobAnswer) {
 	delete(m.jobs, j.info.Submission)
+	heap.Remove(&m.deadlines, j.duePos)
+	m.tasks -= len(j.payloads)
+	m.payload -= j.bytes
 	m.sched.JobDone(now, &j.info, a.Outcome == Complete)
-	if j.claimed && a.Outcome == Refused {
+	if j.claim == claimWon && a.Outcome == Refused {
 		m.emit(Release{Submission: j.info.Submission})
 	}
 	m.emit(Answer{Submission: j.info.Submission, Answer: a})
 }
 
-func (m *Machine) cancelJob(now time.Duration, id wire.SubmissionID, reason string) {
-	j := m.jobs[id]
+func (m *Machine) cancelJob(now time.Duration, j *job, reason string) {
 	if j == nil {
 		return
 	}
@@ -273,41 +232,9 @@
 	m.settle(now, j)
 }
 
-func (m *Machine) dueRetries(now time.Duration) {
-	kept := m.retries[:0]
-	for _, r := range m.retries {
-		if r.at > now {
-			kept = append(kept, r)
-			continue
-		}
-		m.sched.Enqueue(now, &r.task.sched)
-	}
-	m.retries = kept
-}
-
-func (m *Machine) dropRetries(j *job) {
-	m.retries = slices.DeleteFunc(m.retries, func(r retry) bool { return r.task.job == j })
-}
-
-// dueDeadlines ends jobs whose deadline passed, and answers those whose
-// attempts did not settle within SettleBound after it.
-func (m *Machine) dueDeadlines(now time.Duration) {
-	for m.deadlines.Len() > 0 && m.deadlines[0].at <= now {
-		d := heap.Pop(&m.deadlines).(deadline)
-		if m.jobs[d.job.info.Submission] != d.job {
-			continue
-		}
-		if d.final {
-			m.abandon(now, d.job)
-			continue
-		}
-		heap.Push(&m.deadlines, deadline{at: d.at + m.opts.SettleBound, job: d.job, final: true})
-		m.cancelJob(now, d.job.info.Submission, ReasonDeadline)
-	}
-}
-
-// abandon answers a job whose attempts are still in doubt. The attempts stay
-// in the link's table so that late results are recognised.
+// abandon answers a job whose attempts or claim are still in doubt. The
+// attempts stay in the link's window so that late results are recognised and
+// the agent's floor does not pass them.
 func (m *Machine) abandon(now time.Duration, j *job) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -317,30 +244,10 @@
 			j.open--
 		}
 	}
+	if j.claim == claimPending {
+		m.abandoned[j.info.Submission] = struct{}{}
+		m.finish(now, j, JobAnswer{Outcome: Unknown, Reason: ReasonClaimPending})
+		return
+	}
 	m.settle(now, j)
 }
-
-type deadline struct {
-	at    time.Duration
-	job   *job
-	final bool
-}
-
-type deadlineQueue []deadline
-
-func (q deadlineQueue) Len() int           { return len(q) }
-func (q deadlineQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q deadlineQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *deadlineQueue) Push(x any) { *q = append(*q, x.(deadline)) }
-
-// Pop implements heap.Interface.
-func (q *deadlineQueue) Pop() any {
-	old := *q
-	d := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return d
-}
-
-func sortSeqs(s []wire.Seq) { slices.Sort(s) }
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
@@ -16,16 +17,16 @@
 	up       bool
 	downAt   time.Duration
 	sentAt   time.Duration
-	attempts map[wire.Seq]*task // sent and not settled
-	out      wire.ToAgent       // content of the next frame
-	greet    bool               // send a frame even without content
+	config   int64  // version that the agent has or was sent
+	attempts window // sent and not settled
+	out      wire.ToAgent
+	dirty    bool // out has content
 }
 
 func (m *Machine) linkUp(now time.Duration, h wire.AgentHello) {
-	m.replaceOlder(now, h)
 	link := m.agents[h.Agent]
 	if link == nil {
-		link = &agentLink{agent: h.Agent, name: h.Name, attempts: make(map[wire.Seq]*task)}
+		link = &agentLink{agent: h.Agent, name: h.Name}
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
@@ -35,8 +36,14 @@
 	link.up = true
 	link.epoch = h.Epoch
 	link.sentAt = now
-	link.out = wire.ToAgent{}
+	link.config = h.ConfigVersion
+	m.replaceOlder(now, link)
 	m.queryInFlight(link)
+	m.offerConfig(link)
+	if len(m.entries) > 0 {
+		link.out.Entries = m.entries
+		m.touch(link)
+	}
 	m.sched.AgentUp(now, policy.AgentInfo{
 		Agent: h.Agent, Name: h.Name, Zone: h.Zone, Rack: h.Rack,
 		Slots: h.Slots, Capacity: h.Capacity,
@@ -44,27 +51,49 @@
 	})
 }
 
-// replaceOlder gives up the earlier incarnations that had the same name: a
-// worker has one agent, so a new incarnation proves that the old one is gone.
-func (m *Machine) replaceOlder(now time.Duration, h wire.AgentHello) {
-	if h.Name == "" {
+// replaceOlder gives up the other incarnations of the same name whose link is
+// down: a worker has one agent, so a new incarnation proves the old one gone.
+func (m *Machine) replaceOlder(now time.Duration, newer *agentLink) {
+	if newer.name == "" {
 		return
 	}
+	var older []*agentLink
 	for _, link := range m.agentList {
-		if link.name == h.Name && link.agent != h.Agent && !link.up {
-			m.agentGone(now, link.agent)
-			return
+		if link.name == newer.name && link != newer && !link.up {
+			older = append(older, link)
 		}
 	}
+	for _, link := range older {
+		m.agentGone(now, link)
+	}
 }
 
 // queryInFlight asks after every attempt that the lost connection left open.
+// An attempt whose job is ending is cancelled as well, since the cancel may
+// have been lost: otherwise the agent would start a task that nobody awaits.
 func (m *Machine) queryInFlight(link *agentLink) {
-	for seq := range link.attempts {
+	link.attempts.each(func(seq wire.Seq, t *task) {
+		if t.job.ending || t.state != taskSent {
+			m.cancelAttempt(link, seq)
+		}
 		link.out.Queries = append(link.out.Queries, seq)
+		m.stats.Queries++
+		if m.opts.Observer != nil {
+			m.opts.Observer.Queried(t.job.info.Submission, t.sched.Index, link.name)
+		}
+	})
+	m.touch(link)
+}
+
+// cancelAttempt tells the agent that nobody waits for the attempt. Without a
+// link the cancel is sent when the attempt is queried.
+func (m *Machine) cancelAttempt(link *agentLink, seq wire.Seq) {
+	if !link.up {
+		return
 	}
-	sortSeqs(link.out.Queries)
-	m.stats.Queries += uint64(len(link.out.Queries))
+	link.out.Cancels = append(link.out.Cancels, seq)
+	m.stats.Cancels++
+	m.touch(link)
 }
 
 func (m *Machine) linkDown(now time.Duration, e LinkDown) {
@@ -72,39 +101,45 @@
 	if link == nil || !link.up || link.epoch != e.Epoch {
 		return
 	}
+	m.markDown(now, link)
+	if m.hasNewer(link) {
+		m.agentGone(now, link)
+	}
+}
+
+// hasNewer reports whether another incarnation of the same name is connected.
+func (m *Machine) hasNewer(link *agentLink) bool {
+	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
+		return l != link && l.up && l.name == link.name
+	})
+}
+
+func (m *Machine) markDown(now time.Duration, link *agentLink) {
 	link.up = false
 	link.downAt = now
 	link.out = wire.ToAgent{}
-	m.sched.AgentDown(now, e.Agent)
+	m.sched.AgentDown(now, link.agent)
 }
 
 // agentGone forgets an agent incarnation; its attempts become unknown.
-func (m *Machine) agentGone(now time.Duration, agent wire.Incarnation) {
-	link := m.agents[agent]
+func (m *Machine) agentGone(now time.Duration, link *agentLink) {
 	if link == nil {
 		return
 	}
 	if link.up {
-		link.up = false
-		m.sched.AgentDown(now, agent)
+		m.markDown(now, link)
 	}
 	m.giveUp(now, link)
-	delete(m.agents, agent)
-	for i, l := range m.agentList {
-		if l == link {
-			m.agentList = append(m.agentList[:i], m.agentList[i+1:]...)
-			return
-		}
+	delete(m.agents, link.agent)
+	if i := slices.Index(m.agentList, link); i >= 0 {
+		m.agentList = slices.Delete(m.agentList, i, i+1)
 	}
 }
 
 // giveUp ends every attempt in doubt on the link as unknown.
 func (m *Machine) giveUp(now time.Duration, link *agentLink) {
-	seqs := make([]wire.Seq, 0, len(link.attempts))
-	for seq := range link.attempts {
-		seqs = append(seqs, seq)
-	}
-	sortSeqs(seqs)
+	var seqs []wire.Seq
+	link.attempts.each(func(seq wire.Seq, _ *task) { seqs = append(seqs, seq) })
 	for _, seq := range seqs {
 		m.result(now, link, &wire.Result{Seq: seq, Outcome: wire.Unknown, Reason: wire.ReasonAgentLost})
 	}
@@ -113,43 +148,29 @@
 func (m *Machine) received(now time.Duration, e Received) {
 	link := m.agents[e.Agent]
 	if link == nil || !link.up || link.epoch != e.Epoch {
-		return
+		return // a frame of a replaced connection
 	}
 	for i := range e.Frame.Results {
 		m.result(now, link, &e.Frame.Results[i])
 	}
 	m.sched.Observe(now, e.Agent, e.Frame.Load)
+	if e.Frame.Config != nil {
+		m.learnConfig(link, e.Frame.Config)
+	}
 }
 
-// flush sends one frame to each agent with content or a heartbeat due.
-func (m *Machine) flush(now time.Duration) {
+// tickLinks sends heartbeats and forgets agents whose lease lapsed.
+func (m *Machine) tickLinks(now time.Duration) {
+	var lapsed []*agentLink
 	for _, link := range m.agentList {
-		if !link.up {
-			continue
-		}
-		f := &link.out
-		empty := len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 &&
-			f.Config == nil && len(f.Entries) == 0
-		if empty && !link.greet && now-link.sentAt < m.opts.HeartbeatInterval {
-			continue
-		}
-		if empty {
-			m.stats.Heartbeats++
+		switch {
+		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
+			m.touch(link)
+		case !link.up && now-link.downAt >= m.opts.AgentLease:
+			lapsed = append(lapsed, link)
 		}
-		frame := link.out
-		frame.Floor = m.floor(link)
-		link.out = wire.ToAgent{}
-		link.greet = false
-		link.sentAt = now
-		m.emit(Send{Agent: link.agent, Epoch: link.epoch, Frame: &frame})
 	}
-}
-
-// floor returns the lowest seq that is still open at the agent.
-func (m *Machine) floor(link *agentLink) wire.Seq {
-	low := m.nextSeq
-	for seq := range link.attempts {
-		low = min(low, seq)
+	for _, link := range lapsed {
+		m.agentGone(now, link)
 	}
-	return low
 }
--- /dev/null
+++ b/core/entry/model_test.go
@@ -0,0 +1,142 @@
+package entry_test
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// strictScheduler places tasks on any connected agent and fails the test if
+// the machine breaks the Scheduler contract.
+type strictScheduler struct {
+	t       *rapid.T
+	queue   []*policy.Task
+	queued  map[*policy.Task]bool
+	placed  map[*policy.Task]int
+	agents  []wire.Incarnation
+	blocked bool // Next places nothing, so that tasks stay queued
+}
+
+func (s *strictScheduler) Configure(time.Duration, policy.Settings) {}
+
+func (s *strictScheduler) AgentUp(_ time.Duration, info policy.AgentInfo) {
+	s.AgentDown(0, info.Agent)
+	s.agents = append(s.agents, info.Agent)
+}
+
+func (s *strictScheduler) AgentDown(_ time.Duration, agent wire.Incarnation) {
+	for i, a := range s.agents {
+		if a == agent {
+			s.agents = append(s.agents[:i], s.agents[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *strictScheduler) Observe(time.Duration, wire.Incarnation, wire.Load) {}
+
+func (s *strictScheduler) Admit(time.Duration, *policy.Job) policy.Verdict { return policy.Verdict{} }
+
+func (s *strictScheduler) Enqueue(_ time.Duration, t *policy.Task) {
+	if s.queued[t] || s.placed[t] > 0 {
+		s.t.Fatalf("enqueued a task that is queued or placed")
+	}
+	s.queued[t] = true
+	s.queue = append(s.queue, t)
+}
+
+func (s *strictScheduler) Remove(_ time.Duration, t *policy.Task) {
+	if !s.queued[t] {
+		s.t.Fatalf("removed a task that is not queued")
+	}
+	delete(s.queued, t)
+}
+
+func (s *strictScheduler) Next(time.Duration) (policy.Placement, bool) {
+	for len(s.queue) > 0 && !s.blocked && len(s.agents) > 0 {
+		t := s.queue[0]
+		s.queue = s.queue[1:]
+		if !s.queued[t] {
+			continue
+		}
+		delete(s.queued, t)
+		s.placed[t]++
+		agent := s.agents[(t.Index+t.Attempts)%len(s.agents)]
+		return policy.Placement{Task: t, Agent: agent, MaxWait: time.Second}, true
+	}
+	return policy.Placement{}, false
+}
+
+func (s *strictScheduler) Done(_ time.Duration, _ wire.Incarnation, t *policy.Task, _ *wire.Result) {
+	if s.placed[t] != 1 {
+		s.t.Fatalf("done for a task that is placed %d times", s.placed[t])
+	}
+	delete(s.placed, t)
+}
+
+func (s *strictScheduler) Retry(_ time.Duration, t *policy.Task, _ wire.Reason) (time.Duration, bool) {
+	return time.Duration(t.Attempts) * 5 * time.Millisecond, t.Attempts < 4
+}
+
+func (s *strictScheduler) JobDone(time.Duration, *policy.Job, bool) {}
+
+type taskID struct {
+	sub   wire.SubmissionID
+	index int
+}
+
+type attemptState int
+
+const (
+	inTransit attemptState = iota // sent by the entry, not yet at the agent
+	queued
+	running
+	ended
+)
+
+// modelAttempt is one start as the model of an agent sees it.
+type modelAttempt struct {
+	task   taskID
+	seq    wire.Seq
+	state  attemptState
+	result wire.Result
+}
+
+// modelAgent is one agent incarnation with the guarantees of core/agent.
+type modelAgent struct {
+	name     string
+	inc      wire.Incarnation
+	epoch    wire.Epoch
+	up       bool
+	dead     bool
+	attempts map[wire.Seq]*modelAttempt
+	refused  map[wire.Seq]bool
+	inbox    []*wire.ToAgent
+}
+
+func (a *modelAgent) in(state attemptState) []*modelAttempt {
+	var out []*modelAttempt
+	for seq := wire.Seq(1); len(a.attempts) > 0 && seq < 4000; seq++ {
+		if t := a.attempts[seq]; t != nil && t.state == state {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func bodyOf(id taskID) string { return fmt.Sprintf("%s/%d", id.sub, id.index) }
+
+// modelJob is what the model expects of one submission.
+type modelJob struct {
+	tasks    int
+	deadline time.Duration
+	claimed  bool
+	won      bool
+	released bool
+	answer   *entry.JobAnswer
+}
--- /dev/null
+++ b/core/entry/tasks.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+type taskState uint8
+
+const (
+	taskHeld    taskState = iota // not yet at the scheduler: the claim is pending
+	taskQueued                   // at the scheduler
+	taskBackoff                  // in the retry queue
+	taskSent                     // an attempt is in flight
+	taskDone                     // succeeded, failed or unknown
+	taskDropped                  // never started and never will
+)
+
+// task is one task of a job and its current attempt.
+type task struct {
+	job      *job
+	sched    policy.Task
+	state    taskState
+	seq      wire.Seq
+	agent    *agentLink
+	retryAt  time.Duration
+	retryPos int // position in the retry queue
+	result   []byte
+}
+
+// result applies one outcome. A result for an attempt that is not open (late,
+// repeated, crossed, or of a job already answered) changes no answer.
+func (m *Machine) result(now time.Duration, link *agentLink, r *wire.Result) {
+	t := link.attempts.take(r.Seq)
+	if t == nil {
+		m.stats.Late++
+		return
+	}
+	m.observeResult(t, link, r)
+	m.sched.Done(now, link.agent, &t.sched, r)
+	if t.state != taskSent || t.seq != r.Seq {
+		m.stats.Late++
+		return // the job was answered without waiting for this attempt
+	}
+	t.agent = nil
+	switch r.Outcome {
+	case wire.Succeeded:
+		m.succeeded(now, t, r)
+	case wire.NotRun:
+		m.notRun(now, t, r.Reason)
+	case wire.Failed:
+		t.ran(r)
+		m.endJob(now, t.job, ReasonTaskFailed)
+	default:
+		t.state = taskDone
+		t.job.open--
+		t.job.unknown++
+		m.endJob(now, t.job, ReasonTaskUnknown)
+	}
+	m.settle(now, t.job)
+}
+
+func (m *Machine) observeResult(t *task, link *agentLink, r *wire.Result) {
+	if m.opts.Observer != nil {
+		m.opts.Observer.Result(t.job.info.Submission, t.sched.Index, link.name, r.Outcome, r.Reason)
+	}
+}
+
+// ran records a task that is known to have started and ended.
+func (t *task) ran(r *wire.Result) {
+	j := t.job
+	t.state = taskDone
+	j.open--
+	j.started++
+	run := r.Run.Duration()
+	j.longest = max(j.longest, run)
+	j.total += run
+}
+
+func (m *Machine) succeeded(now time.Duration, t *task, r *wire.Result) {
+	m.stats.Results++
+	t.ran(r)
+	j := t.job
+	if j.ending {
+		return
+	}
+	t.result = r.Body
+	j.answer += int64(len(r.Body))
+	if j.answer > m.opts.MaxAnswerBytes {
+		m.endJob(now, j, ReasonAnswerTooLarge)
+	}
+}
+
+// notRun places the task again, unless its job is ending or the scheduler's
+// retry rule forbids it.
+func (m *Machine) notRun(now time.Duration, t *task, reason wire.Reason) {
+	m.stats.Refused++
+	t.sched.Attempts++
+	if t.job.ending {
+		m.drop(t)
+		return
+	}
+	delay, ok := m.sched.Retry(now, &t.sched, reason)
+	if !ok {
+		m.drop(t)
+		m.endJob(now, t.job, ReasonNoRetry)
+		return
+	}
+	t.state = taskBackoff
+	t.retryAt = now + delay
+	heap.Push(&m.retries, t)
+}
+
+func (m *Machine) drop(t *task) {
+	t.state = taskDropped
+	t.job.open--
+}
