--- /dev/null
+++ b/internal/entryd/core.go
@@ -0,0 +1,203 @@
+package entryd
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/timeline"
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/claimapi"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/link"
+)
+
+// linkOpened hands a new connection to the core goroutine.
+type linkOpened struct {
+	hello  wire.AgentHello
+	sender *link.Sender[*wire.ToAgent]
+}
+
+// statusQuery asks the core goroutine for its counters.
+type statusQuery struct{ reply chan<- coreStatus }
+
+// coreStatus is what the core goroutine reports of itself.
+type coreStatus struct {
+	Jobs   int         `json:"jobs"`
+	Stats  entry.Stats `json:"stats"`
+	Agents []string    `json:"agents"`
+}
+
+// core is what the core goroutine owns.
+type core struct {
+	e       *Entry
+	machine *entry.Machine
+	links   map[wire.Incarnation]linkOpened
+}
+
+func (e *Entry) coreLoop() {
+	opts := entry.Options{Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler}
+	if e.log != nil {
+		opts.Observer = observer{e.log}
+	}
+	c := &core{e: e, machine: entry.New(opts), links: make(map[wire.Incarnation]linkOpened)}
+	defer func() {
+		for _, l := range c.links {
+			l.sender.Close()
+		}
+	}()
+	c.step(entry.Configured{Settings: e.opts.Settings})
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case ev := <-e.events:
+			c.handle(ev)
+		}
+	}
+}
+
+func (c *core) step(ev entry.Event) {
+	for _, action := range c.machine.Step(c.e.now(), ev) {
+		c.apply(action)
+	}
+}
+
+// handle keeps the table of links in step with the events and passes them on.
+func (c *core) handle(ev any) {
+	switch x := ev.(type) {
+	case linkOpened:
+		c.opened(x)
+	case entry.LinkDown:
+		if l, ok := c.links[x.Agent]; ok && l.hello.Epoch == x.Epoch {
+			l.sender.Close()
+			delete(c.links, x.Agent)
+			c.e.links.Store(int64(len(c.links)))
+			c.e.log.Emit(eventlog.AgentLinkDown, eventlog.Fields{Peer: l.hello.Name})
+		}
+		c.step(x)
+	case entry.Received:
+		c.e.log.Observe(timeline.Stamp(x.Frame.Stamp))
+		c.step(x)
+	case statusQuery:
+		x.reply <- c.status()
+	case entry.Event:
+		c.step(x)
+	}
+}
+
+func (c *core) opened(x linkOpened) {
+	if old, ok := c.links[x.hello.Agent]; ok {
+		if old.hello.Epoch >= x.hello.Epoch {
+			x.sender.Close()
+			return
+		}
+		old.sender.Close()
+	}
+	c.links[x.hello.Agent] = x
+	c.e.links.Store(int64(len(c.links)))
+	c.e.log.Emit(eventlog.AgentLinkUp, eventlog.Fields{Peer: x.hello.Name})
+	c.step(entry.LinkUp{Hello: x.hello})
+}
+
+func (c *core) apply(action entry.Action) {
+	switch x := action.(type) {
+	case entry.Send:
+		if l, ok := c.links[x.Agent]; ok && l.hello.Epoch == x.Epoch {
+			x.Frame.Stamp = uint64(c.e.log.Stamp())
+			l.sender.Send(x.Frame)
+		}
+	case entry.Answer:
+		c.e.emitAnswer(x)
+		c.e.table.resolve(x.Submission, x.Answer)
+	case entry.Claim:
+		c.e.claim(x.Submission)
+	case entry.Release:
+		c.e.release(x.Submission)
+	case entry.LearnedConfig:
+		if c.e.opts.LearnedConfig != nil {
+			c.e.opts.LearnedConfig(x.State)
+		}
+	case entry.Drained:
+		close(c.e.drained)
+	}
+}
+
+func (c *core) status() coreStatus {
+	s := coreStatus{Jobs: c.machine.Jobs(), Stats: c.machine.Stats()}
+	for _, l := range c.links {
+		s.Agents = append(s.Agents, l.hello.Name)
+	}
+	return s
+}
+
+func (e *Entry) tickLoop() {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-t.C:
+			select {
+			case e.events <- entry.Tick{}:
+			default: // a later tick does its work
+			}
+		}
+	}
+}
+
+func (e *Entry) emitAnswer(x entry.Answer) {
+	if e.log == nil {
+		return
+	}
+	detail := x.Answer.Outcome.String()
+	if x.Answer.Reason != "" {
+		detail += " " + x.Answer.Reason
+	}
+	e.log.Emit(eventlog.JobAnswered, eventlog.Fields{Submission: x.Submission.String(), Detail: detail})
+}
+
+// observer writes the machine's task-level events to the time line.
+type observer struct{ log *eventlog.Log }
+
+// Placed implements entry.Observer.
+func (o observer) Placed(s wire.SubmissionID, index int, agent string) {
+	o.log.Emit(eventlog.TaskPlaced, eventlog.Fields{Submission: s.String(), Task: index + 1, Peer: agent})
+}
+
+// Result implements entry.Observer.
+func (o observer) Result(s wire.SubmissionID, index int, agent string, out wire.Outcome, r wire.Reason) {
+	detail := out.String()
+	if r != wire.ReasonNone {
+		detail += " " + r.String()
+	}
+	o.log.Emit(eventlog.TaskResult, eventlog.Fields{
+		Submission: s.String(), Task: index + 1, Peer: agent, Detail: detail,
+	})
+}
+
+// Queried implements entry.Observer.
+func (o observer) Queried(s wire.SubmissionID, index int, agent string) {
+	o.log.Emit(eventlog.AttemptQueried, eventlog.Fields{Submission: s.String(), Task: index + 1, Peer: agent})
+}
+
+var _ entry.Observer = observer{}
+
+// claim asks for the claim of a submission. The outcome is handled on a
+// goroutine of its own, since it may wait for the answer of another entry and
+// since the core goroutine must not wait for its own ring.
+func (e *Entry) claim(id wire.SubmissionID) {
+	rec := e.table.get(id)
+	if rec == nil {
+		return
+	}
+	e.opts.Claims.Claim(rec.claimRequest(), func(res claimapi.ClaimResult) {
+		e.duties.run(func() { e.claimEnded(rec, res) })
+	})
+}
+
+func (e *Entry) release(id wire.SubmissionID) {
+	if req, ok := e.table.claimRequest(id); ok {
+		e.opts.Claims.Release(req)
+	}
+}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -1,19 +1,24 @@
 // Package entryd is the shell of the entry: the callers' HTTP server, the
-// agents' connections and the timer, round the machine in core/entry.
+// agents' connections, the calls between entries and the timer, round the
+// machine in core/entry.
 package entryd
 
 import (
 	"context"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
-	"github.com/limpettrail/limpettrail/internal/link"
+	"github.com/limpettrail/limpettrail/internal/claimapi"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
 const (
@@ -22,84 +27,249 @@
 	// sender: a caller's request or an agent's socket.
 	ringEvents        = 8192
 	readHeaderTimeout = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	writeTimeout      = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	refusalRetryAfter = time.Second
+	recordOverhead    = 512 // bytes of a kept answer beside its results
+	maxKeptAnswers    = 100_000
 )
 
-// Options configure an entry process.
+// Defaults of Options.
+const (
+	DefaultMaxRequests     = 4096
+	DefaultMaxConnections  = 8192
+	DefaultMaxPending      = 256 << 20
+	DefaultAnswerRetention = 15 * time.Minute
+	DefaultAnswerBytes     = 64 << 20
+)
+
+// Options configure an entry process. Zero values take the defaults.
 type Options struct {
 	Name string
 	Zone string
-	// Listen is the callers' address, PeerListen the agents'.
-	Listen     string
-	PeerListen string
-	Scheduler  policy.Scheduler
-	Settings   policy.Settings
+	// Listen is the callers' address, PeerListen that of agents and other
+	// entries, OperatorListen that of operators; empty means no such listener.
+	Listen         string
+	PeerListen     string
+	OperatorListen string
+	Scheduler      policy.Scheduler
+	// Settings are the targets in force until Configure is called.
+	Settings policy.Settings
+	// Claims obtains claims for requests that are not idempotent. With nil they
+	// are refused as not run.
+	Claims claimapi.Claims
+	// LearnedConfig is called with a newer configuration that an agent has. It
+	// must not block.
+	LearnedConfig func(wire.ConfigState)
+	// ListenFunc opens the listeners. Default net.Listen on TCP.
+	ListenFunc func(addr string) (net.Listener, error)
+	// DialFunc connects to the peer listener of another entry. Default TCP.
+	DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+	// Log receives the process's events. It may be nil.
+	Log *eventlog.Log
+	// Incarnation of this process; 0 draws one at random.
+	Incarnation wire.Incarnation
+	// MaxRequests bounds the caller requests in progress, MaxConnections the
+	// callers' connections, MaxPendingBytes the bodies of requests in progress.
+	MaxRequests     int
+	MaxConnections  int
+	MaxPendingBytes int64
+	// AnswerRetention and MaxAnswerBytes bound the kept answers of jobs with a key.
+	AnswerRetention time.Duration
+	MaxAnswerBytes  int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.ListenFunc == nil {
+		o.ListenFunc = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	if o.DialFunc == nil {
+		o.DialFunc = func(ctx context.Context, addr string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr)
+		}
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = wire.Incarnation(rand.Uint64() | 1)
+	}
+	setDefault(&o.MaxRequests, DefaultMaxRequests)
+	setDefault(&o.MaxConnections, DefaultMaxConnections)
+	setDefault(&o.MaxPendingBytes, DefaultMaxPending)
+	setDefault(&o.AnswerRetention, DefaultAnswerRetention)
+	setDefault(&o.MaxAnswerBytes, DefaultAnswerBytes)
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, byDefault T) {
+	if *v <= 0 {
+		*v = byDefault
+	}
 }
 
 // Entry is a running entry.
 type Entry struct {
-	opts        Options
-	incarnation wire.Incarnation
-	start       time.Time
-	events      chan any
-	callers     net.Listener
-	peers       net.Listener
-	http        *http.Server
-	cancel      context.CancelFunc
-	ctx         context.Context
-	drained     chan struct{}
-	wg          sync.WaitGroup
+	opts      Options
+	start     time.Time
+	events    chan any
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener // nil if there is none
+	servers   []*http.Server
+	table     *jobTable
+	log       *eventlog.Log
+	requests  atomic.Int64 // caller requests in progress
+	pending   atomic.Int64 // bytes reserved for their bodies
+	rpcConns  atomic.Int64
+	links     atomic.Int64
+	agents    atomic.Int64 // connections on the peer listener
+	draining  atomic.Bool
+	config    atomic.Pointer[entry.Configured]
+	known     atomic.Pointer[[]wire.EntryAddr]
+	ctx       context.Context
+	cancel    context.CancelFunc
+	drained   chan struct{}
+	duties    duties
 }
 
-// linkOpened hands a new connection to the core goroutine.
-type linkOpened struct {
-	hello  wire.AgentHello
-	sender *link.Sender[*wire.ToAgent]
+// duties counts the goroutines of the process. None starts after stop.
+type duties struct {
+	mu      sync.Mutex
+	stopped bool
+	wg      sync.WaitGroup
+}
+
+func (d *duties) run(duty func()) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return false
+	}
+	d.wg.Go(duty)
+	return true
 }
 
-// submission is a Submit event with the place where its answer is awaited.
-type submission struct {
-	submit entry.Submit
-	answer chan<- entry.JobAnswer
+func (d *duties) stop() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	d.wg.Wait()
 }
 
 // Start listens and serves until Stop or Kill.
 func Start(opts Options) (*Entry, error) {
-	callers, err := net.Listen("tcp", opts.Listen)
-	if err != nil {
-		return nil, err
+	opts = opts.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		opts: opts, start: time.Now(), log: opts.Log,
+		events: make(chan any, ringEvents),
+		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
+		ctx:    ctx, cancel: cancel, drained: make(chan struct{}),
 	}
-	peers, err := net.Listen("tcp", opts.PeerListen)
-	if err != nil {
-		callers.Close()
+	e.known.Store(new([]wire.EntryAddr))
+	e.config.Store(&entry.Configured{Settings: opts.Settings})
+	if err := e.listen(); err != nil {
+		e.closeListeners()
+		cancel()
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{
-		opts: opts, incarnation: wire.Incarnation(rand.Uint64() | 1), start: time.Now(),
-		events: make(chan any, ringEvents), callers: callers, peers: peers,
-		ctx: ctx, cancel: cancel, drained: make(chan struct{}),
-	}
-	e.http = &http.Server{Handler: e.handler(), ReadHeaderTimeout: readHeaderTimeout}
-	e.goDuty(e.coreLoop)
-	e.goDuty(e.tickLoop)
-	e.goDuty(e.acceptLoop)
-	e.goDuty(func() { e.http.Serve(callers) })
+	e.serve()
+	e.log.Emit(eventlog.EntryStarted, eventlog.Fields{Detail: e.Addr(), Peer: e.PeerAddr()})
 	return e, nil
 }
 
+func (e *Entry) listen() (err error) {
+	if e.callers, err = e.opts.ListenFunc(e.opts.Listen); err != nil {
+		return err
+	}
+	if e.peers, err = e.opts.ListenFunc(e.opts.PeerListen); err != nil {
+		return err
+	}
+	if e.opts.OperatorListen != "" {
+		e.operators, err = e.opts.ListenFunc(e.opts.OperatorListen)
+	}
+	return err
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callers, e.peers, e.operators} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+func (e *Entry) serve() {
+	e.duties.run(e.coreLoop)
+	e.duties.run(e.tickLoop)
+	e.duties.run(e.acceptLoop)
+	e.serveHTTP(limitConnections(e.callers, e.opts.MaxConnections), e.callerHandler())
+	if e.operators != nil {
+		e.serveHTTP(limitConnections(e.operators, maxOperatorConnections), e.operatorHandler())
+	}
+}
+
+func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+	}
+	e.servers = append(e.servers, s)
+	e.duties.run(func() { s.Serve(l) })
+}
+
 // Addr returns the callers' address.
 func (e *Entry) Addr() string { return e.callers.Addr().String() }
 
-// PeerAddr returns the agents' address.
+// PeerAddr returns the address for agents and other entries.
 func (e *Entry) PeerAddr() string { return e.peers.Addr().String() }
 
-// Stop refuses new jobs, answers those in progress and then ends.
+// OperatorAddr returns the operators' address, empty if there is none.
+func (e *Entry) OperatorAddr() string {
+	if e.operators == nil {
+		return ""
+	}
+	return e.operators.Addr().String()
+}
+
+// Incarnation returns the identity of this run of the process.
+func (e *Entry) Incarnation() wire.Incarnation { return e.opts.Incarnation }
+
+// Configure puts a configuration in force here and at the agents. A lower
+// version than the one in force has no effect.
+func (e *Entry) Configure(settings policy.Settings, version int64, state []byte) {
+	next := &entry.Configured{Settings: settings, Version: version, State: state}
+	for {
+		old := e.config.Load()
+		if version < old.Version {
+			return
+		}
+		if e.config.CompareAndSwap(old, next) {
+			e.send(*next)
+			return
+		}
+	}
+}
+
+// SetEntries replaces the list of entries that agents are told of and that are
+// asked for jobs which this entry does not know.
+func (e *Entry) SetEntries(list []wire.EntryAddr) {
+	e.known.Store(&list)
+	e.send(entry.Entries{List: list})
+}
+
+// Stop refuses new jobs, answers those in progress and then ends. If ctx ends
+// first, the jobs that are left are not answered.
 func (e *Entry) Stop(ctx context.Context) error {
+	if !e.draining.Swap(true) {
+		e.log.Emit(eventlog.EntryDraining, eventlog.Fields{})
+	}
 	e.send(entry.Drain{})
 	var err error
 	select {
 	case <-e.drained:
-		err = e.http.Shutdown(ctx)
+		err = e.servers[0].Shutdown(ctx)
+	case <-e.ctx.Done():
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -109,118 +279,26 @@
 
 // Kill ends the entry at once, as a crash would.
 func (e *Entry) Kill() {
+	if e.ctx.Err() == nil {
+		e.log.Emit(eventlog.EntryStopped, eventlog.Fields{})
+	}
 	e.cancel()
-	e.http.Close()
-	e.peers.Close()
-	e.wg.Wait()
-}
-
-func (e *Entry) goDuty(duty func()) {
-	e.wg.Add(1)
-	go func() {
-		defer e.wg.Done()
-		duty()
-	}()
+	for _, s := range e.servers {
+		s.Close()
+	}
+	e.closeListeners()
+	e.duties.stop()
 }
 
 func (e *Entry) now() time.Duration { return time.Since(e.start) }
 
-func (e *Entry) send(ev any) {
+// send hands an event to the core goroutine. It reports false if the process
+// ended first.
+func (e *Entry) send(ev any) bool {
 	select {
 	case e.events <- ev:
+		return true
 	case <-e.ctx.Done():
-	}
-}
-
-// core is what the core goroutine owns.
-type core struct {
-	machine *entry.Machine
-	links   map[wire.Incarnation]linkOpened
-	answers map[wire.SubmissionID]chan<- entry.JobAnswer
-}
-
-func (e *Entry) coreLoop() {
-	c := &core{
-		machine: entry.New(entry.Options{Incarnation: e.incarnation, Scheduler: e.opts.Scheduler}),
-		links:   make(map[wire.Incarnation]linkOpened),
-		answers: make(map[wire.SubmissionID]chan<- entry.JobAnswer),
-	}
-	defer func() {
-		for _, l := range c.links {
-			l.sender.Close()
-		}
-	}()
-	e.apply(c, c.machine.Step(e.now(), entry.Configured{Settings: e.opts.Settings}))
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case ev := <-e.events:
-			if event := c.adopt(ev); event != nil {
-				e.apply(c, c.machine.Step(e.now(), event))
-			}
-		}
-	}
-}
-
-// adopt keeps the tables of links and waiting callers in step with the events.
-func (c *core) adopt(ev any) entry.Event {
-	switch x := ev.(type) {
-	case linkOpened:
-		if old, ok := c.links[x.hello.Agent]; ok {
-			if old.hello.Epoch >= x.hello.Epoch {
-				x.sender.Close()
-				return nil
-			}
-			old.sender.Close()
-		}
-		c.links[x.hello.Agent] = x
-		return entry.LinkUp{Hello: x.hello}
-	case entry.LinkDown:
-		if l, ok := c.links[x.Agent]; ok && l.hello.Epoch == x.Epoch {
-			l.sender.Close()
-			delete(c.links, x.Agent)
-		}
-		return x
-	case submission:
-		c.answers[x.submit.Submission] = x.answer
-		return x.submit
-	case entry.Event:
-		return x
-	}
-	return nil
-}
-
-func (e *Entry) apply(c *core, actions []entry.Action) {
-	for _, action := range actions {
-		switch x := action.(type) {
-		case entry.Send:
-			if l, ok := c.links[x.Agent]; ok && l.hello.Epoch == x.Epoch {
-				l.sender.Send(x.Frame)
-			}
-		case entry.Answer:
-			if waiting, ok := c.answers[x.Submission]; ok {
-				waiting <- x.Answer // capacity 1, one answer for each submission
-				delete(c.answers, x.Submission)
-			}
-		case entry.Drained:
-			close(e.drained)
-		}
-	}
-}
-
-func (e *Entry) tickLoop() {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case <-t.C:
-			select {
-			case e.events <- entry.Tick{}:
-			default: // a later tick does its work
-			}
-		}
+		return false
 	}
 }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -2,125 +2,235 @@
 
 import (
 	"crypto/rand"
-	"encoding/json"
-	"fmt"
+	"errors"
+	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/claimapi"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
+// Reasons of replies that the shell gives.
 const (
-	maxBodyBytes    = 8 << 20
-	defaultDeadline = 30 * time.Second
-	maxDeadline     = 10 * time.Minute
+	ReasonTooManyRequests = "too_many_requests"
+	ReasonLogUnavailable  = "log_unavailable"
+	ReasonNoSuchJob       = "no_such_job"
+	ReasonCancelling      = "cancelling"
+	ReasonRunning         = "running"
+	ReasonDuplicate       = "duplicate"
+	ReasonAnswerExpired   = "answer_expired"
+	ReasonOwnerGone       = "owner_gone"
+	ReasonOwnerSilent     = "owner_unreachable"
 )
 
-// JobRequest is the body of POST /v1/jobs.
-type JobRequest struct {
-	Class      string            `json:"class"`
-	Team       string            `json:"team,omitempty"`
-	DeadlineMS int64             `json:"deadline_ms,omitempty"`
-	Tasks      []json.RawMessage `json:"tasks"`
+func (e *Entry) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", e.bounded(e.submitJob))
+	mux.HandleFunc("GET /v1/jobs/{job}", e.bounded(e.getJob))
+	mux.HandleFunc("DELETE /v1/jobs/{job}", e.bounded(e.deleteJob))
+	mux.HandleFunc("/v1/jobs", badMethod)
+	mux.HandleFunc("/v1/jobs/{job}", badMethod)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeRequestError(w, &RequestError{Status: http.StatusNotFound, Reason: ReasonNotFound, Detail: "no such path"})
+	})
+	return mux
 }
 
-// JobReply is the body of every reply to a submission.
-type JobReply struct {
-	Submission string            `json:"submission,omitempty"`
-	Outcome    string            `json:"outcome"`
-	Reason     string            `json:"reason,omitempty"`
-	Detail     string            `json:"detail,omitempty"`
-	Results    []json.RawMessage `json:"results,omitempty"`
-	Started    int               `json:"started"`
-	Unknown    int               `json:"unknown"`
-	LongestUS  int64             `json:"longest_run_us"`
-	TotalUS    int64             `json:"total_run_us"`
+func badMethod(w http.ResponseWriter, r *http.Request) {
+	writeRequestError(w, &RequestError{
+		Status: http.StatusMethodNotAllowed, Reason: ReasonBadMethod,
+		Detail: "use POST /v1/jobs, GET or DELETE /v1/jobs/{job}",
+	})
 }
 
-func (e *Entry) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/jobs", e.submitJob)
-	return mux
+// bounded refuses requests beyond MaxRequests as not run.
+func (e *Entry) bounded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		defer e.requests.Add(-1)
+		if e.requests.Add(1) > int64(e.opts.MaxRequests) {
+			writeRefusal(w, ReasonTooManyRequests)
+			return
+		}
+		next(w, r)
+	}
 }
 
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
-	submit, err := parseJob(w, r)
-	if err != nil {
-		reply(w, http.StatusBadRequest, JobReply{
-			Outcome: entry.Refused.String(), Reason: "bad_request", Detail: err.Error(),
-		})
+	size := r.ContentLength
+	if size < 0 {
+		size = MaxBodyBytes // chunked: assume the largest
+	}
+	size = min(size, MaxBodyBytes+1)
+	defer e.pending.Add(-size)
+	if e.pending.Add(size) > e.opts.MaxPendingBytes {
+		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
-	rand.Read(submit.Submission[:])
-	answer := make(chan entry.JobAnswer, 1)
-	e.send(submission{submit: submit, answer: answer})
-	select {
-	case a := <-answer:
-		writeAnswer(w, submit.Submission, a)
-	case <-r.Context().Done():
-		e.send(entry.CancelJob{Submission: submit.Submission})
-	case <-e.ctx.Done():
+	body, reqErr := readBody(w, r)
+	if reqErr != nil {
+		writeRequestError(w, reqErr)
+		return
+	}
+	req, reqErr := DecodeJob(body)
+	if reqErr != nil {
+		writeRequestError(w, reqErr)
+		return
+	}
+	if !req.Idempotent && e.opts.Claims == nil {
+		writeRefusal(w, ReasonLogUnavailable)
+		return
 	}
+	e.accept(w, r, req)
 }
 
-func parseJob(w http.ResponseWriter, r *http.Request) (entry.Submit, error) {
-	var req JobRequest
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&req); err != nil {
-		return entry.Submit{}, err
+// readBody reads the whole body within bodyTimeout. The read deadline is
+// lifted afterwards: an expired one would cancel the request's context while
+// the job runs.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *RequestError) {
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &RequestError{
+			Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge, Detail: err.Error(),
+		}
+	case err != nil:
+		return nil, &RequestError{Status: http.StatusRequestTimeout, Reason: ReasonBodyUnread, Detail: err.Error()}
+	}
+	rc.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// accept submits the job, or joins the one that the same key names, and waits.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request, req *JobRequest) {
+	fresh := newRecord(req)
+	rec := e.table.join(fresh)
+	if rec == nil {
+		writeRequestError(w, &RequestError{
+			Status: http.StatusConflict, Reason: ReasonKeyReused,
+			Detail: "the key was used for a request with different content",
+		})
+		return
 	}
-	if len(req.Tasks) == 0 || len(req.Tasks) > wire.MaxTasksPerJob {
-		return entry.Submit{}, fmt.Errorf("tasks: got %d, want 1 to %d", len(req.Tasks), wire.MaxTasksPerJob)
+	if rec == fresh {
+		if e.log != nil {
+			e.log.Emit(eventlog.JobAccepted, eventlog.Fields{
+				Submission: rec.id.String(), Detail: req.Class, Count: int64(len(req.Tasks)),
+			})
+		}
+		e.send(req.submit(rec.id))
 	}
-	deadline := time.Duration(req.DeadlineMS) * time.Millisecond
-	if deadline == 0 {
-		deadline = defaultDeadline
+	e.await(w, r, rec, fresh.deadline)
+}
+
+func newRecord(req *JobRequest) *record {
+	rec := &record{
+		key:        requestKey{team: req.Team, key: req.Key},
+		idempotent: req.Idempotent,
+		deadline:   time.Now().Add(req.Deadline),
+		done:       make(chan struct{}),
+	}
+	if req.Key != "" {
+		rec.fingerprint = req.fingerprint()
 	}
-	if deadline < 0 || deadline > maxDeadline {
-		return entry.Submit{}, fmt.Errorf("deadline_ms: got %d, want 1 to %d", req.DeadlineMS, maxDeadline.Milliseconds())
+	rand.Read(rec.id[:])
+	return rec
+}
+
+func (r *record) claimRequest() claimapi.ClaimRequest {
+	return claimapi.ClaimRequest{Team: r.key.team, Key: r.key.key, Submission: r.id}
+}
+
+// claimRequest returns the request of a submission that is in the table.
+func (t *jobTable) claimRequest(id wire.SubmissionID) (claimapi.ClaimRequest, bool) {
+	if r := t.get(id); r != nil {
+		return r.claimRequest(), true
 	}
-	submit := entry.Submit{Class: req.Class, Team: req.Team, Deadline: deadline}
-	for _, t := range req.Tasks {
-		submit.Payloads = append(submit.Payloads, t)
+	return claimapi.ClaimRequest{}, false
+}
+
+// await answers the caller. The machine answers the job by its deadline plus
+// SettleBound; a caller that joined it may have an earlier deadline. If the
+// process ends first the connection is broken: a reply without an answer would
+// be an untrue success.
+func (e *Entry) await(w http.ResponseWriter, r *http.Request, rec *record, deadline time.Time) {
+	patience := time.NewTimer(time.Until(deadline) + 2*entry.DefaultSettleBound)
+	defer patience.Stop()
+	select {
+	case <-rec.done:
+		e.table.leave(rec)
+		writeAnswer(w, rec.id, &rec.answer)
+	case <-patience.C:
+		e.table.leave(rec)
+		writeAnswer(w, rec.id, &entry.JobAnswer{Outcome: entry.Unknown, Reason: entry.ReasonDeadline})
+	case <-r.Context().Done():
+		if e.table.leave(rec) {
+			e.send(entry.CancelJob{Submission: rec.id})
+		}
+		panic(http.ErrAbortHandler)
+	case <-e.ctx.Done():
+		panic(http.ErrAbortHandler)
 	}
-	return submit, nil
 }
 
-func writeAnswer(w http.ResponseWriter, id wire.SubmissionID, a entry.JobAnswer) {
-	body := JobReply{
-		Submission: id.String(), Outcome: a.Outcome.String(), Reason: a.Reason,
-		Started: a.Started, Unknown: a.Unknown,
-		LongestUS: a.LongestRun.Microseconds(), TotalUS: a.TotalRun.Microseconds(),
+// getJob returns the state of a job or its kept answer.
+func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
+	name, team := r.PathValue("job"), r.URL.Query().Get("team")
+	if rec := e.table.find(name, team); rec != nil {
+		writeRecord(w, rec)
+		return
 	}
-	for _, result := range a.Results {
-		body.Results = append(body.Results, result)
+	if s := e.askPeers(r.Context(), name, team); s != nil && s.Done {
+		writeAnswer(w, s.Submission, &s.Answer)
+		return
+	} else if s != nil {
+		writePending(w, s.Submission, ReasonRunning)
+		return
 	}
-	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
+	writeNoSuchJob(w)
+}
+
+// deleteJob cancels a job in progress. The answer of one that ended stands.
+func (e *Entry) deleteJob(w http.ResponseWriter, r *http.Request) {
+	name, team := r.PathValue("job"), r.URL.Query().Get("team")
+	rec := e.table.find(name, team)
+	switch {
+	case rec == nil && e.cancelAtPeers(r.Context(), name, team):
+		writePending(w, wire.SubmissionID{}, ReasonCancelling)
+	case rec == nil:
+		writeNoSuchJob(w)
+	case rec.finished():
+		writeAnswer(w, rec.id, &rec.answer)
+	default:
+		e.send(entry.CancelJob{Submission: rec.id})
+		writePending(w, rec.id, ReasonCancelling)
 	}
-	reply(w, status(a), body)
 }
 
-func status(a entry.JobAnswer) int {
-	switch a.Outcome {
-	case entry.Complete:
-		return http.StatusOK
-	case entry.Failed:
-		return http.StatusBadGateway
-	case entry.Unknown:
-		return http.StatusGatewayTimeout
+func writeRecord(w http.ResponseWriter, rec *record) {
+	if rec.finished() {
+		writeAnswer(w, rec.id, &rec.answer)
+		return
 	}
-	if a.RetryAfter > 0 {
-		return http.StatusServiceUnavailable
+	writePending(w, rec.id, ReasonRunning)
+}
+
+func writePending(w http.ResponseWriter, id wire.SubmissionID, reason string) {
+	body := JobReply{Outcome: OutcomePending, Reason: reason}
+	if id != (wire.SubmissionID{}) {
+		body.Submission = id.String()
 	}
-	return http.StatusUnprocessableEntity
+	writeReply(w, http.StatusAccepted, body)
 }
 
-func reply(w http.ResponseWriter, code int, body JobReply) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	json.NewEncoder(w).Encode(body)
+func writeNoSuchJob(w http.ResponseWriter) {
+	writeReply(w, http.StatusNotFound, JobReply{
+		Outcome: entry.Unknown.String(), Reason: ReasonNoSuchJob,
+		Detail: "no entry that was reached knows the job or keeps its answer",
+	})
 }
--- /dev/null
+++ b/internal/entryd/operator.go
@@ -0,0 +1,183 @@
+package entryd
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/timeline"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// maxOperatorConnections bounds the connections of the operators' listener.
+const maxOperatorConnections = 64
+
+// Status is the body of GET /status.
+type Status struct {
+	Name          string `json:"name"`
+	Zone          string `json:"zone"`
+	Incarnation   string `json:"incarnation"` // hexadecimal
+	UptimeMS      int64  `json:"uptime_ms"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion int64  `json:"config_version"`
+	Links         int64  `json:"agent_links"`
+	Requests      int64  `json:"requests"`
+	PendingBytes  int64  `json:"pending_bytes"`
+	Records       int    `json:"records"`
+	AnswerBytes   int64  `json:"answer_bytes"`
+	coreStatus
+}
+
+func (e *Entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", e.healthz)
+	mux.HandleFunc("GET /readyz", e.readyz)
+	mux.HandleFunc("GET /status", e.status)
+	mux.HandleFunc("GET /timeline", e.timeline)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// coreAnswers asks the core goroutine for its counters, within a second.
+func (e *Entry) coreAnswers() (coreStatus, bool) {
+	reply := make(chan coreStatus, 1)
+	timeout := time.NewTimer(time.Second)
+	defer timeout.Stop()
+	select {
+	case e.events <- statusQuery{reply: reply}:
+	case <-timeout.C:
+		return coreStatus{}, false
+	case <-e.ctx.Done():
+		return coreStatus{}, false
+	}
+	select {
+	case s := <-reply:
+		return s, true
+	case <-timeout.C:
+		return coreStatus{}, false
+	case <-e.ctx.Done():
+		return coreStatus{}, false
+	}
+}
+
+// healthz reports whether the core goroutine answers.
+func (e *Entry) healthz(w http.ResponseWriter, _ *http.Request) {
+	if _, ok := e.coreAnswers(); !ok {
+		writeJSON(w, http.StatusServiceUnavailable, map[string]bool{"healthy": false})
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]bool{"healthy": true})
+}
+
+// readiness says why the entry should or should not get requests.
+type readiness struct {
+	Ready    bool `json:"ready"`
+	Config   bool `json:"config"`
+	Agents   bool `json:"agents"`
+	Draining bool `json:"draining"`
+}
+
+func (e *Entry) readiness() readiness {
+	c := e.config.Load()
+	r := readiness{
+		Config:   c.Version > 0 || len(c.Settings.Classes) > 0,
+		Agents:   e.links.Load() > 0,
+		Draining: e.draining.Load(),
+	}
+	r.Ready = r.Config && r.Agents && !r.Draining
+	return r
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	r := e.readiness()
+	if !r.Ready {
+		writeJSON(w, http.StatusServiceUnavailable, r)
+		return
+	}
+	writeJSON(w, http.StatusOK, r)
+}
+
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	s := Status{
+		Name: e.opts.Name, Zone: e.opts.Zone, Incarnation: hex(e.Incarnation()),
+		UptimeMS: e.now().Milliseconds(), Ready: e.readiness().Ready, Draining: e.draining.Load(),
+		ConfigVersion: e.config.Load().Version, Links: e.links.Load(),
+		Requests: e.requests.Load(), PendingBytes: e.pending.Load(),
+	}
+	s.Records, s.AnswerBytes = e.table.size()
+	s.coreStatus, _ = e.coreAnswers()
+	writeJSON(w, http.StatusOK, s)
+}
+
+// timeline returns the recent events, of one submission if it is named.
+func (e *Entry) timeline(w http.ResponseWriter, r *http.Request) {
+	want := r.URL.Query().Get("submission")
+	writeJSON(w, http.StatusOK, e.log.Timeline(func(ev *timeline.Event) bool {
+		return want == "" || ev.Submission == want
+	}))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte(`{}`)
+	}
+	writeBody(w, status, append(body, 0x0a))
+}
+
+// limitedListener accepts at most a fixed number of connections at a time.
+type limitedListener struct {
+	net.Listener
+	slots chan struct{}
+	once  sync.Once
+	done  chan struct{}
+}
+
+func limitConnections(l net.Listener, limit int) net.Listener {
+	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
+}
+
+// Accept waits for a free slot before it accepts a connection.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &countedConn{Conn: c, release: func() { <-l.slots }}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+// countedConn frees its slot when it is closed.
+type countedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
+
+func hex(i wire.Incarnation) string { return strconv.FormatUint(uint64(i), 16) }
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -1,32 +1,89 @@
 package entryd
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/rpc"
+	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
 
+const (
+	// maxPeerConnections bounds the connections of the peer listener.
+	maxPeerConnections = 16384
+	acceptPause        = 10 * time.Millisecond
+)
+
+var errWrongPreface = errors.New("entryd: wrong preface")
+
 func (e *Entry) acceptLoop() {
+	server := e.newRPCServer()
 	for {
 		raw, err := e.peers.Accept()
+		if e.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				raw.Close()
+			}
+			return
+		}
 		if err != nil {
-			return // the listener is closed by Kill
+			sleep(e.ctx, acceptPause) // for instance out of file descriptors
+			continue
+		}
+		if e.agents.Load() >= maxPeerConnections || !e.duties.run(func() { e.servePeer(server, raw) }) {
+			raw.Close()
 		}
-		e.goDuty(func() { e.serveAgent(raw) })
 	}
 }
 
-// serveAgent reads one agent connection until it fails or falls silent.
-func (e *Entry) serveAgent(raw net.Conn) {
+// servePeer tells agent links and calls of other entries apart by the first
+// eight bytes.
+func (e *Entry) servePeer(server *rpc.Server, raw net.Conn) {
+	defer raw.Close()
+	e.agents.Add(1)
+	defer e.agents.Add(-1)
+	stop := context.AfterFunc(e.ctx, func() { raw.Close() })
+	defer stop()
+	err := e.dispatch(server, raw)
+	if err != nil && err != io.EOF && e.ctx.Err() == nil { // EOF: a probe of the port
+		e.log.Emit(eventlog.PeerRejected, eventlog.Fields{Peer: raw.RemoteAddr().String(), Err: err})
+	}
+}
+
+func (e *Entry) dispatch(server *rpc.Server, raw net.Conn) error {
+	raw.SetDeadline(time.Now().Add(link.HandshakeTimeout))
+	preface := make([]byte, len(link.Preface))
+	if _, err := io.ReadFull(raw, preface); err != nil {
+		return err
+	}
+	raw.SetDeadline(time.Time{})
+	switch string(preface) {
+	case RPCPreface:
+		e.serveRPC(server, raw)
+		return nil
+	case link.Preface:
+		replayed := io.MultiReader(bytes.NewReader(preface), raw)
+		return e.serveAgent(&limitedConn{Conn: raw, r: replayed})
+	}
+	return errWrongPreface
+}
+
+// serveAgent reads one agent connection until it fails or falls silent. It
+// returns an error only if the handshake failed.
+func (e *Entry) serveAgent(raw net.Conn) error {
 	conn := link.NewConn(raw)
 	defer conn.Close()
 	hello, err := e.handshake(conn)
 	if err != nil {
-		return
+		return err
 	}
 	sender := link.NewSender[*wire.ToAgent](conn)
 	defer sender.Close()
@@ -35,7 +92,7 @@
 	for {
 		frame := new(wire.ToEntry)
 		if err := conn.Read(frame, link.SilenceTimeout); err != nil {
-			return
+			return nil
 		}
 		e.send(entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame})
 	}
@@ -50,10 +107,13 @@
 		return hello, err
 	}
 	if hello.Protocol != wire.ProtocolVersion || hello.Agent == 0 || hello.Slots <= 0 {
-		return hello, fmt.Errorf("entryd: unusable hello from %s", conn.RemoteAddr())
+		return hello, fmt.Errorf("entryd: unusable hello: protocol %d, agent %d, slots %d",
+			hello.Protocol, hello.Agent, hello.Slots)
 	}
+	known := *e.known.Load()
 	return hello, errors.Join(conn.Write(wire.EntryHello{
-		Protocol: wire.ProtocolVersion, Entry: e.incarnation, Epoch: hello.Epoch,
-		Name: e.opts.Name, Zone: e.opts.Zone,
+		Protocol: wire.ProtocolVersion, Entry: e.Incarnation(), Epoch: hello.Epoch,
+		Name: e.opts.Name, Zone: e.opts.Zone, ConfigVersion: e.config.Load().Version,
+		Entries: known[:min(len(known), wire.MaxKnownEntries)],
 	}), conn.Flush())
 }
--- /dev/null
+++ b/internal/entryd/reply.go
@@ -0,0 +1,147 @@
+package entryd
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// OutcomePending is the outcome of a job that is still in progress.
+const OutcomePending = "pending"
+
+// JobReply is the body of every reply to a caller.
+type JobReply struct {
+	Submission string `json:"submission,omitempty"`
+	// Outcome is complete, failed, refused, unknown or pending.
+	Outcome string `json:"outcome"`
+	// Reason is a machine-readable word, empty for complete.
+	Reason string `json:"reason,omitempty"`
+	// Detail is for people.
+	Detail string `json:"detail,omitempty"`
+	// Started counts the tasks known to have run, Unknown those in doubt.
+	Started int `json:"started"`
+	Unknown int `json:"unknown"`
+	// LongestUS and TotalUS are observed run times in microseconds.
+	LongestUS int64 `json:"longest_run_us"`
+	TotalUS   int64 `json:"total_run_us"`
+	// Results holds one result for each task, in order, for complete only. A
+	// result that is JSON stands as it is; any other is the object
+	// {"base64": "..."} and its index is listed in Wrapped.
+	Results []json.RawMessage `json:"results,omitempty"`
+	Wrapped []int             `json:"wrapped,omitempty"`
+}
+
+// wrapper carries a result that is not JSON.
+type wrapper struct {
+	Base64 []byte `json:"base64"`
+}
+
+// encodeAnswer returns the body of the reply. Results that are JSON are copied
+// byte for byte.
+func encodeAnswer(id wire.SubmissionID, a *entry.JobAnswer) ([]byte, error) {
+	head := JobReply{
+		Submission: id.String(), Outcome: a.Outcome.String(), Reason: a.Reason,
+		Started: a.Started, Unknown: a.Unknown,
+		LongestUS: a.LongestRun.Microseconds(), TotalUS: a.TotalRun.Microseconds(),
+	}
+	results, wrapped, err := encodeResults(a.Results)
+	if err != nil {
+		return nil, err
+	}
+	head.Wrapped = wrapped
+	body, err := json.Marshal(head)
+	if err != nil || a.Outcome != entry.Complete {
+		return body, err
+	}
+	body = append(body[:len(body)-1], `,"results":[`...)
+	for i, r := range results {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = append(body, r...)
+	}
+	return append(body, "]}"...), nil
+}
+
+func encodeResults(results [][]byte) (out [][]byte, wrapped []int, err error) {
+	out = make([][]byte, len(results))
+	for i, r := range results {
+		out[i] = r
+		if json.Valid(r) {
+			continue
+		}
+		wrapped = append(wrapped, i)
+		if out[i], err = json.Marshal(wrapper{Base64: append([]byte{}, r...)}); err != nil {
+			return nil, nil, err
+		}
+	}
+	return out, wrapped, nil
+}
+
+// statusOf maps an answer to its HTTP status.
+func statusOf(a *entry.JobAnswer) int {
+	switch {
+	case a.Outcome == entry.Complete:
+		return http.StatusOK
+	case a.Outcome == entry.Failed:
+		return http.StatusBadGateway
+	case a.Outcome == entry.Unknown:
+		return http.StatusGatewayTimeout
+	case a.RetryAfter <= 0:
+		return http.StatusUnprocessableEntity
+	case a.Reason == policy.RefusedQuota.String():
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeAnswer(w http.ResponseWriter, id wire.SubmissionID, a *entry.JobAnswer) {
+	body, err := encodeAnswer(id, a)
+	if err != nil {
+		writeReply(w, http.StatusInternalServerError, JobReply{
+			Submission: id.String(), Outcome: entry.Unknown.String(), Reason: "encoding", Detail: err.Error(),
+		})
+		return
+	}
+	setRetryAfter(w, a.RetryAfter)
+	writeBody(w, statusOf(a), body)
+}
+
+// setRetryAfter states when a retry is safe and may succeed, in whole seconds
+// rounded up.
+func setRetryAfter(w http.ResponseWriter, d time.Duration) {
+	if d > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+	}
+}
+
+func writeReply(w http.ResponseWriter, status int, body JobReply) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		status, b = http.StatusInternalServerError, []byte(`{"outcome":"unknown","reason":"encoding"}`)
+	}
+	writeBody(w, status, b)
+}
+
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+func writeRequestError(w http.ResponseWriter, e *RequestError) {
+	writeReply(w, e.Status, JobReply{Outcome: entry.Refused.String(), Reason: e.Reason, Detail: e.Detail})
+}
+
+// writeRefusal refuses a request as not run; a retry is safe.
+func writeRefusal(w http.ResponseWriter, reason string) {
+	setRetryAfter(w, refusalRetryAfter)
+	writeReply(w, http.StatusServiceUnavailable, JobReply{Outcome: entry.Refused.String(), Reason: reason})
+}
--- /dev/null
+++ b/internal/entryd/request.go
@@ -0,0 +1,262 @@
+package entryd
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// Bounds of a request.
+const (
+	MaxBodyBytes    = 8 << 20
+	MaxPayloadBytes = 1 << 20 // of one task
+	MaxNameBytes    = 100     // of a class or team
+	MaxKeyBytes     = 200
+	DefaultDeadline = 30 * time.Second
+	MaxDeadline     = 10 * time.Minute
+	maxMillis       = int64(1) << 53
+)
+
+// Reasons of requests that can never be accepted as they are.
+const (
+	ReasonBadJSON        = "bad_json"
+	ReasonUnknownField   = "unknown_field"
+	ReasonDuplicateField = "duplicate_field"
+	ReasonTrailingData   = "trailing_data"
+	ReasonBadClass       = "bad_class"
+	ReasonBadTeam        = "bad_team"
+	ReasonBadKey         = "bad_key"
+	ReasonBadDeadline    = "bad_deadline"
+	ReasonBadNeeds       = "bad_needs"
+	ReasonBadTasks       = "bad_tasks"
+	ReasonBodyTooLarge   = "body_too_large"
+	ReasonBodyUnread     = "body_not_received"
+	ReasonKeyReused      = "key_reused"
+	ReasonNotFound       = "not_found"
+	ReasonBadMethod      = "method_not_allowed"
+)
+
+// RequestError says why a request is refused before anything is done with it.
+type RequestError struct {
+	Status int // HTTP status, 4xx
+	Reason string
+	Detail string
+}
+
+// Error implements error.
+func (e *RequestError) Error() string { return e.Reason + ": " + e.Detail }
+
+func bad(reason, format string, args ...any) *RequestError {
+	return &RequestError{Status: http.StatusBadRequest, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Needs are the declared needs of the largest task of a job.
+type Needs struct {
+	MilliCores   int64 // thousandths of a processor core
+	MemoryMB     int64 // MiB
+	Accelerators int64 // whole devices
+	RunMS        int64 // run time in milliseconds
+}
+
+// JobRequest is the body of POST /v1/jobs.
+type JobRequest struct {
+	Class      string
+	Team       string
+	Key        string
+	Idempotent bool
+	Deadline   time.Duration
+	Needs      Needs
+	Tasks      []json.RawMessage
+}
+
+// DecodeJob parses and checks the body of POST /v1/jobs. Names are matched
+// exactly, and a repeated or unknown name is refused at every level that this
+// program interprets; task payloads are passed on as they are.
+func DecodeJob(body []byte) (*JobRequest, *RequestError) {
+	req := &JobRequest{Idempotent: true, Deadline: DefaultDeadline}
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := decodeObject(d, "", req.field); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, bad(ReasonTrailingData, "data after the job object")
+	}
+	if err := req.check(); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// decodeObject reads one JSON object and calls field for each of its members.
+func decodeObject(d *json.Decoder, prefix string, field func(*json.Decoder, string) error) *RequestError {
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return bad(ReasonBadJSON, "%s: want an object", orBody(prefix))
+	}
+	seen := make(map[string]bool, 8)
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return bad(ReasonBadJSON, "%s: %v", orBody(prefix), err)
+		}
+		name := t.(string)
+		if seen[name] {
+			return bad(ReasonDuplicateField, "%s%s", prefix, name)
+		}
+		seen[name] = true
+		if err := asRequestError(field(d, name), prefix+name); err != nil {
+			return err
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return bad(ReasonBadJSON, "%s: %v", orBody(prefix), err)
+	}
+	return nil
+}
+
+func orBody(prefix string) string {
+	if prefix == "" {
+		return "body"
+	}
+	return strings.TrimSuffix(prefix, ".")
+}
+
+var errUnknownField = errors.New("unknown field")
+
+func asRequestError(err error, name string) *RequestError {
+	var re *RequestError
+	var te *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &re):
+		return re
+	case errors.Is(err, errUnknownField):
+		return bad(ReasonUnknownField, "%s", name)
+	case errors.As(err, &te):
+		return bad(ReasonBadJSON, "%s: got a JSON %s", name, te.Value)
+	}
+	return bad(ReasonBadJSON, "%s: %v", name, err)
+}
+
+func (r *JobRequest) field(d *json.Decoder, name string) error {
+	switch name {
+	case "class":
+		return d.Decode(&r.Class)
+	case "team":
+		return d.Decode(&r.Team)
+	case "key":
+		return d.Decode(&r.Key)
+	case "idempotent":
+		return d.Decode(&r.Idempotent)
+	case "deadline_ms":
+		var ms int64
+		err := d.Decode(&ms)
+		if err == nil && (ms <= 0 || ms > MaxDeadline.Milliseconds()) {
+			return bad(ReasonBadDeadline, "deadline_ms: got %d, want 1 to %d", ms, MaxDeadline.Milliseconds())
+		}
+		r.Deadline = time.Duration(ms) * time.Millisecond
+		return err
+	case "needs":
+		if err := decodeObject(d, "needs.", r.Needs.field); err != nil {
+			return err
+		}
+		return nil
+	case "tasks":
+		return d.Decode(&r.Tasks)
+	}
+	return errUnknownField
+}
+
+func (n *Needs) field(d *json.Decoder, name string) error {
+	fields := map[string]*int64{
+		"millicores": &n.MilliCores, "memory_mb": &n.MemoryMB,
+		"accelerators": &n.Accelerators, "run_ms": &n.RunMS,
+	}
+	v, ok := fields[name]
+	if !ok {
+		return errUnknownField
+	}
+	err := d.Decode(v)
+	if err == nil && (*v < 0 || *v > maxMillis) {
+		return bad(ReasonBadNeeds, "needs.%s: got %d, want 0 or more", name, *v)
+	}
+	return err
+}
+
+func (r *JobRequest) check() *RequestError {
+	switch {
+	case r.Class == "" || len(r.Class) > MaxNameBytes:
+		return bad(ReasonBadClass, "class: want 1 to %d bytes", MaxNameBytes)
+	case len(r.Team) > MaxNameBytes:
+		return bad(ReasonBadTeam, "team: want at most %d bytes", MaxNameBytes)
+	case len(r.Tasks) == 0 || len(r.Tasks) > wire.MaxTasksPerJob:
+		return bad(ReasonBadTasks, "tasks: got %d, want 1 to %d", len(r.Tasks), wire.MaxTasksPerJob)
+	case r.Needs.RunMS > MaxDeadline.Milliseconds():
+		return bad(ReasonBadNeeds, "needs.run_ms: got %d, want at most %d", r.Needs.RunMS, MaxDeadline.Milliseconds())
+	case !validKey(r.Key):
+		return bad(ReasonBadKey, "key: want at most %d of A-Z a-z 0-9 . _ ~ : -", MaxKeyBytes)
+	case !r.Idempotent && !datedKey(r.Key):
+		return bad(ReasonBadKey, "key: a request that is not idempotent needs <unix milliseconds>-<unique text>")
+	}
+	for i, t := range r.Tasks {
+		if len(t) > MaxPayloadBytes {
+			return bad(ReasonBadTasks, "tasks[%d]: got %d bytes, want at most %d", i, len(t), MaxPayloadBytes)
+		}
+	}
+	return nil
+}
+
+// validKey accepts the empty key and keys that need no escaping in a path.
+func validKey(key string) bool {
+	for _, c := range []byte(key) {
+		alnum := c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
+		if !alnum && !strings.ContainsRune("._~:-", rune(c)) {
+			return false
+		}
+	}
+	return len(key) <= MaxKeyBytes
+}
+
+func datedKey(key string) bool {
+	millis, unique, ok := strings.Cut(key, "-")
+	n, err := strconv.ParseUint(millis, 10, 53)
+	return ok && unique != "" && err == nil && n > 0
+}
+
+// fingerprint tells requests with the same key but different content apart.
+func (r *JobRequest) fingerprint() uint64 {
+	h := xxhash.New()
+	fmt.Fprintf(h, "%q %t %d", r.Class, r.Idempotent, len(r.Tasks))
+	for _, t := range r.Tasks {
+		fmt.Fprintf(h, " %d ", len(t))
+		h.Write(t)
+	}
+	return h.Sum64()
+}
+
+func (r *JobRequest) submit(id wire.SubmissionID) entry.Submit {
+	s := entry.Submit{
+		Submission: id, Class: r.Class, Team: r.Team,
+		Deadline: r.Deadline, Claimed: !r.Idempotent,
+		Need: wire.Capacity{
+			MilliCores: r.Needs.MilliCores, MemoryMB: r.Needs.MemoryMB, Accelerators: r.Needs.Accelerators,
+		},
+		Declared: time.Duration(r.Needs.RunMS) * time.Millisecond,
+		Payloads: make([][]byte, len(r.Tasks)),
+	}
+	for i, t := range r.Tasks {
+		s.Payloads[i] = t
+	}
+	return s
+}
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -12,6 +12,7 @@
 	PeerRejected   = define(1012, "peer_rejected", zapcore.WarnLevel, false)
 	JobAccepted    = define(1100, "job_accepted", zapcore.DebugLevel, true)
 	JobAnswered    = define(1101, "job_answered", zapcore.DebugLevel, true)
+	ClaimForwarded = define(1102, "claim_forwarded", zapcore.DebugLevel, true)
 	TaskPlaced     = define(1110, "task_placed", zapcore.DebugLevel, true)
 	TaskResult     = define(1111, "task_result", zapcore.DebugLevel, true)
 	AttemptQueried = define(1112, "attempt_queried", zapcore.DebugLevel, true)
