client: Go client for callers with the resubmission rule

Cause: callers need keys, resubmission and typed outcomes in one place. Ruled out: retrying an unknown outcome of an idempotent job, and leaving replayed requests to net/http (GetBody is cleared), since both would evade the retry budget; reporting a later refusal as not run after an earlier submission broke, since that one may have run: it is reported as unknown.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,253 @@
+// Package client submits jobs to limpettrail and resubmits them when that is
+// safe.
+//
+// A job is sent again, with the same key, if it was refused as not run and the
+// refusal names a time for a retry, or if the connection broke before a reply
+// arrived: an idempotent job may run again, and one that is not idempotent is
+// recognised by its key. A job that failed or whose outcome is unknown is never
+// sent again.
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Options configure a Client. Zero values take the defaults.
+type Options struct {
+	// Entries are the base URLs of the entries or of their balancer, for
+	// instance "http://10.0.0.1:7100". At least one is needed.
+	Entries []string
+	// Team is sent with every job.
+	Team string
+	// HTTP makes the requests. Its Timeout should be 0, since ctx bounds a job.
+	HTTP *http.Client
+	// MaxAttempts bounds the submissions of one job. Default 5.
+	MaxAttempts int
+	// BackoffMin and BackoffMax bound the pause before a resubmission, which
+	// doubles each time. Defaults 50 ms and 2 s.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// RetryShare bounds resubmissions to a share of the submitted jobs, beside
+	// a floor of RetryFloor. Defaults 0.1 and 10.
+	RetryShare float64
+	RetryFloor float64
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxAttempts = 5
+	DefaultBackoffMin  = 50 * time.Millisecond
+	DefaultBackoffMax  = 2 * time.Second
+	DefaultRetryShare  = 0.1
+	DefaultRetryFloor  = 10
+	cancelTimeout      = 500 * time.Millisecond
+	settleGrace        = 3 * time.Second // an entry answers within this after the deadline
+	keyRandomBytes     = 12
+)
+
+// Needs are the declared needs of the largest task of a job. Zero means not stated.
+type Needs struct {
+	MilliCores   int64 `json:"millicores,omitempty"`
+	MemoryMB     int64 `json:"memory_mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+	RunMS        int64 `json:"run_ms,omitempty"`
+}
+
+// Job is one parallel job.
+type Job struct {
+	Class string
+	// Key names the job; empty draws a new one. A job that is not idempotent
+	// and may have been submitted before must have the same key again.
+	Key string
+	// RunOnce marks a job that is not idempotent: it runs at most once.
+	RunOnce bool
+	// Deadline is the time for the answer, resubmissions included. Zero means
+	// the deadline of the context, or else the entry's default.
+	Deadline time.Duration
+	Needs    Needs
+	// Tasks holds the JSON payload of each task, 1 to 570.
+	Tasks []json.RawMessage
+}
+
+// Answer is the complete answer to a job.
+type Answer struct {
+	Submission string
+	Key        string
+	// Results holds the result of each task, in order.
+	Results [][]byte
+	// Attempts counts the submissions.
+	Attempts int
+	// LongestRun and TotalRun are the observed run times of the tasks.
+	LongestRun time.Duration
+	TotalRun   time.Duration
+}
+
+// Client submits jobs. It is safe for concurrent use.
+type Client struct {
+	opts   Options
+	mu     sync.Mutex
+	tokens float64 // resubmissions that may be made now
+}
+
+// New returns a client.
+func New(opts Options) (*Client, error) {
+	if len(opts.Entries) == 0 {
+		return nil, errors.New("client: no entry address")
+	}
+	for _, e := range opts.Entries {
+		if u, err := url.Parse(e); err != nil || u.Scheme == "" || u.Host == "" {
+			return nil, fmt.Errorf("client: entry %q: want a URL such as http://10.0.0.1:7100", e)
+		}
+	}
+	if opts.HTTP == nil {
+		opts.HTTP = http.DefaultClient
+	}
+	setDefault(&opts.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&opts.BackoffMin, DefaultBackoffMin)
+	setDefault(&opts.BackoffMax, DefaultBackoffMax)
+	setDefault(&opts.RetryShare, DefaultRetryShare)
+	setDefault(&opts.RetryFloor, DefaultRetryFloor)
+	return &Client{opts: opts, tokens: opts.RetryFloor}, nil
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, byDefault T) {
+	if *v <= 0 {
+		*v = byDefault
+	}
+}
+
+// NewKey returns a key of the form `<unix milliseconds>-<unique text>`.
+func NewKey(now time.Time) string {
+	var b [keyRandomBytes]byte
+	rand.Read(b[:])
+	return strconv.FormatInt(now.UnixMilli(), 10) + "-" + hex.EncodeToString(b[:])
+}
+
+// Submit sends the job and waits for its answer. An error that is not from the
+// arguments is an *Error, which says whether the job ran.
+func (c *Client) Submit(ctx context.Context, job Job) (*Answer, error) {
+	if job.Key == "" {
+		job.Key = NewKey(time.Now())
+	}
+	if job.Deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, job.Deadline+settleGrace)
+		defer cancel()
+	}
+	began := time.Now()
+	c.earn()
+	entry := mathrand.IntN(len(c.opts.Entries))
+	doubt := false // an earlier submission may have run
+	for attempt := 1; ; attempt++ {
+		body, err := c.encode(ctx, &job, began)
+		if err != nil {
+			return nil, err
+		}
+		base := c.opts.Entries[entry%len(c.opts.Entries)]
+		answer, failure := c.post(ctx, base, body, len(job.Tasks))
+		if failure == nil {
+			answer.Key, answer.Attempts = job.Key, attempt
+			return answer, nil
+		}
+		failure.Key, failure.Attempts = job.Key, attempt
+		doubt = doubt || (failure.Outcome == Broken && !failure.unsent)
+		if ctx.Err() != nil {
+			c.abandon(ctx, base, &job)
+			return nil, failure.final(doubt)
+		}
+		if !failure.retryable() || attempt >= c.opts.MaxAttempts || !c.pause(ctx, attempt, failure, &job, began) {
+			return nil, failure.final(doubt)
+		}
+		entry++
+	}
+}
+
+// earn credits the retry budget for one submitted job.
+func (c *Client) earn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens = min(c.tokens+c.opts.RetryShare, c.opts.RetryFloor)
+}
+
+func (c *Client) spend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// pause waits before a resubmission. It reports false if there is no time or
+// no budget for one.
+func (c *Client) pause(ctx context.Context, attempt int, e *Error, job *Job, began time.Time) bool {
+	backoff := min(c.opts.BackoffMin<<(attempt-1), c.opts.BackoffMax)
+	// Half of the pause is random, so that callers of a failed entry spread out.
+	wait := backoff/2 + time.Duration(mathrand.Int64N(int64(backoff/2)+1))
+	if e.RetryAfter > 0 {
+		wait += min(e.RetryAfter, c.opts.BackoffMax)
+	}
+	if left, bounded := timeLeft(ctx, job, began); bounded && wait >= left {
+		return false
+	}
+	if !c.spend() {
+		return false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// timeLeft returns the time until the earlier of the job's and ctx's deadline.
+func timeLeft(ctx context.Context, job *Job, began time.Time) (left time.Duration, bounded bool) {
+	if job.Deadline > 0 {
+		left, bounded = job.Deadline-time.Since(began), true
+	}
+	if at, ok := ctx.Deadline(); ok && (!bounded || time.Until(at) < left) {
+		left, bounded = time.Until(at), true
+	}
+	return left, bounded
+}
+
+// abandon cancels a job whose caller gave up, since a job with a key runs on
+// when its connection closes.
+func (c *Client) abandon(ctx context.Context, base string, job *Job) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		return // the job's own deadline ends it
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	c.Cancel(ctx, base, job.Key)
+}
+
+// Cancel asks the entry at base to cancel the job with the key. The job's
+// answer still says whether it ran.
+func (c *Client) Cancel(ctx context.Context, base, key string) error {
+	target := base + "/v1/jobs/" + url.PathEscape(key) + "?team=" + url.QueryEscape(c.opts.Team)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- /dev/null
+++ b/client/post.go
@@ -0,0 +1,215 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxReplyBytes bounds the reply: an answer holds at most 16 MiB of results,
+// which grow by a third if they are not JSON.
+const maxReplyBytes = 32 << 20
+
+// maxDeadline is the longest deadline that an entry accepts.
+const maxDeadline = 10 * time.Minute
+
+// ReasonUnreachable is the reason of a job that could not be sent to any entry.
+const ReasonUnreachable = "unreachable"
+
+// Outcome is how a job ended that is not complete.
+type Outcome string
+
+// Values of Outcome.
+const (
+	// Failed: at least one task ran; no result is returned.
+	Failed Outcome = "failed"
+	// Refused: no task ran and none will.
+	Refused Outcome = "refused"
+	// Unknown: at least one task may have run.
+	Unknown Outcome = "unknown"
+	// Broken: no reply arrived, so the job may be running or have run.
+	Broken Outcome = "broken"
+)
+
+// Error says how a job ended that is not complete.
+type Error struct {
+	Outcome Outcome
+	// Reason is the entry's machine-readable reason, Detail is for people.
+	Reason string
+	Detail string
+	// Status is the HTTP status, 0 if no reply arrived.
+	Status int
+	// RetryAfter is set on Refused if a retry is safe and may succeed.
+	RetryAfter time.Duration
+	// Started counts the tasks known to have run, InDoubt those that may have.
+	Started int
+	InDoubt int
+	// Key is the job's key: with it the job may be submitted again.
+	Key      string
+	Attempts int
+	// Err is the transport's error for Broken.
+	Err error
+
+	unsent bool // no byte of the request was sent
+}
+
+// final gives the outcome over all submissions of the job. A refusal says
+// nothing about an earlier submission whose connection broke; and a job that
+// was never sent did not run.
+func (e *Error) final(doubt bool) *Error {
+	switch {
+	case doubt && e.Outcome == Refused:
+		e.Outcome = Unknown
+	case !doubt && e.Outcome == Broken:
+		e.Outcome, e.Reason = Refused, ReasonUnreachable
+	}
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := "limpettrail: job " + e.Key + " " + string(e.Outcome)
+	if e.Reason != "" {
+		text += ": " + e.Reason
+	}
+	if e.Detail != "" {
+		text += ": " + e.Detail
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the transport's error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// retryable says whether the same job with the same key may be sent again.
+func (e *Error) retryable() bool {
+	return e.Outcome == Broken || (e.Outcome == Refused && e.RetryAfter > 0)
+}
+
+type request struct {
+	Class      string            `json:"class"`
+	Team       string            `json:"team,omitempty"`
+	Key        string            `json:"key"`
+	Idempotent bool              `json:"idempotent"`
+	DeadlineMS int64             `json:"deadline_ms,omitempty"`
+	Needs      *Needs            `json:"needs,omitempty"`
+	Tasks      []json.RawMessage `json:"tasks"`
+}
+
+func (c *Client) encode(ctx context.Context, job *Job, began time.Time) ([]byte, error) {
+	r := request{
+		Class: job.Class, Team: c.opts.Team, Key: job.Key, Idempotent: !job.RunOnce, Tasks: job.Tasks,
+	}
+	if job.Needs != (Needs{}) {
+		r.Needs = &job.Needs
+	}
+	if left, bounded := timeLeft(ctx, job, began); bounded {
+		r.DeadlineMS = max(1, min(left, maxDeadline).Milliseconds())
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("client: encode job: %w", err)
+	}
+	return body, nil
+}
+
+type response struct {
+	Submission string            `json:"submission"`
+	Outcome    string            `json:"outcome"`
+	Reason     string            `json:"reason"`
+	Detail     string            `json:"detail"`
+	Started    int               `json:"started"`
+	Unknown    int               `json:"unknown"`
+	LongestUS  int64             `json:"longest_run_us"`
+	TotalUS    int64             `json:"total_run_us"`
+	Results    []json.RawMessage `json:"results"`
+	Wrapped    []int             `json:"wrapped"`
+}
+
+// post makes one submission.
+func (c *Client) post(ctx context.Context, base string, body []byte, tasks int) (*Answer, *Error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Outcome: Refused, Reason: "bad_request", Err: err}
+	}
+	req.GetBody = nil // the transport must not send it again outside the retry budget
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		var op *net.OpError
+		return nil, &Error{Outcome: Broken, Err: err, unsent: errors.As(err, &op) && op.Op == "dial"}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, &Error{Outcome: Broken, Status: resp.StatusCode, Err: err}
+	}
+	return decode(resp, raw, tasks)
+}
+
+// decode interprets a reply. One that is not an entry's, for instance the
+// error page of a balancer, says nothing about the job.
+func decode(resp *http.Response, raw []byte, tasks int) (*Answer, *Error) {
+	var r response
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, &Error{Outcome: Broken, Status: resp.StatusCode, Err: fmt.Errorf("reply is not an entry's: %w", err)}
+	}
+	switch Outcome(r.Outcome) {
+	case "complete":
+		if len(r.Results) != tasks {
+			return nil, badReply(resp, &r)
+		}
+		return complete(resp, &r)
+	case Failed, Refused, Unknown:
+		return nil, &Error{
+			Outcome: Outcome(r.Outcome), Reason: r.Reason, Detail: r.Detail, Status: resp.StatusCode,
+			RetryAfter: retryAfter(resp), Started: r.Started, InDoubt: r.Unknown,
+		}
+	}
+	return nil, &Error{Outcome: Broken, Status: resp.StatusCode, Detail: "reply is not an entry's"}
+}
+
+func complete(resp *http.Response, r *response) (*Answer, *Error) {
+	a := &Answer{
+		Submission: r.Submission,
+		Results:    make([][]byte, len(r.Results)),
+		LongestRun: time.Duration(r.LongestUS) * time.Microsecond,
+		TotalRun:   time.Duration(r.TotalUS) * time.Microsecond,
+	}
+	for i, result := range r.Results {
+		a.Results[i] = result
+	}
+	for _, i := range r.Wrapped {
+		var w struct {
+			Base64 []byte `json:"base64"`
+		}
+		if i < 0 || i >= len(a.Results) || json.Unmarshal(a.Results[i], &w) != nil {
+			return nil, badReply(resp, r)
+		}
+		a.Results[i] = w.Base64
+	}
+	return a, nil
+}
+
+// badReply reports an answer that is not whole: the job ran, its results are lost.
+func badReply(resp *http.Response, r *response) *Error {
+	return &Error{Outcome: Unknown, Status: resp.StatusCode, Reason: "bad_reply", Started: r.Started}
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
