Platform log: interface, HTTP client, stand-in; claim and config machines

The machines do no I/O; the client resolves lost replies by id before it sends again. Not tested yet.

--- /dev/null
+++ b/core/claims/apply.go
@@ -0,0 +1,89 @@
+package claims
+
+import "time"
+
+// Apply applies the record at the given offset and returns one verdict for
+// each of its claims, then of its releases. The slice is valid until the next
+// call. A record below Next is a replay and has no verdicts. An offset above
+// Next means that the records between were missed.
+//
+// A body that this version cannot decode may hold claims in a newer format.
+// It counts as a missed record, so that no key it may have claimed is started.
+func (t *Table) Apply(offset int64, at time.Duration, body []byte) []Verdict {
+	t.out = t.out[:0]
+	if offset < t.next {
+		return nil
+	}
+	if offset > t.next {
+		t.Skip(offset, at)
+	}
+	t.Advance(at)
+	r, err := Decode(body)
+	if err != nil {
+		t.undecoded++
+		t.Skip(offset+1, at)
+		return nil
+	}
+	t.next = offset + 1
+	t.applyClaims(at, r)
+	t.applyReleases(r)
+	return t.out
+}
+
+func (t *Table) applyClaims(at time.Duration, r *Record) {
+	if len(r.Claims) == 0 {
+		return
+	}
+	number := t.first + uint32(len(t.batches))
+	t.batches = append(t.batches, batch{time: at, entry: r.Entry})
+	b := &t.batches[len(t.batches)-1]
+	b.peer = t.sharePeer(r)
+	for i := range r.Claims {
+		v := t.judge(at, r, &r.Claims[i])
+		if v.Outcome == Won || v.Outcome == Unjudged {
+			t.live[v.Hash] = held{submission: v.Submission, batch: number}
+			b.hashes = append(b.hashes, v.Hash)
+		}
+		t.out = append(t.out, v)
+	}
+	if len(b.hashes) == 0 {
+		t.forgetPeer(b.entry)
+		t.batches = t.batches[:len(t.batches)-1]
+	}
+}
+
+func (t *Table) judge(at time.Duration, r *Record, c *Claim) Verdict {
+	v := Verdict{Hash: c.Hash, Entry: r.Entry, Submission: c.Submission}
+	created := time.Duration(c.CreatedMillis) * time.Millisecond
+	if owner, ok := t.Lookup(c.Hash); ok {
+		v.Outcome, v.Owner = Lost, owner
+		if owner.Entry == r.Entry && owner.Submission == c.Submission {
+			v.Outcome = Held
+		}
+		return v
+	}
+	switch {
+	case created < at-t.opts.Window:
+		v.Outcome = TooOld
+	case created > at+t.opts.Skew:
+		v.Outcome = TooNew
+	case !t.Judgeable(created):
+		v.Outcome = Unjudged
+	default:
+		v.Outcome = Won
+	}
+	return v
+}
+
+func (t *Table) applyReleases(r *Record) {
+	for i := range r.Releases {
+		rel := &r.Releases[i]
+		v := Verdict{Hash: rel.Hash, Entry: r.Entry, Submission: rel.Submission, Outcome: NotHeld}
+		owner, ok := t.Lookup(rel.Hash)
+		if ok && owner.Entry == r.Entry && owner.Submission == rel.Submission {
+			delete(t.live, rel.Hash)
+			v.Outcome = Released
+		}
+		t.out = append(t.out, v)
+	}
+}
--- /dev/null
+++ b/internal/standin/logserver/http.go
@@ -0,0 +1,274 @@
+package logserver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/limpettrail/limpettrail/platformlog"
+)
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", s.handleAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", s.handleRead)
+	return mux
+}
+
+// appendFault is what happens to one append.
+type appendFault struct {
+	Faults
+	loseRequest, loseReply, late bool
+}
+
+// drawAppendFault consumes one of the counted faults.
+func (s *Server) drawAppendFault() appendFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := appendFault{Faults: s.faults}
+	switch {
+	case s.faults.Outage || s.faults.Silent:
+	case s.faults.LoseRequests > 0:
+		s.faults.LoseRequests--
+		f.loseRequest = true
+	case s.faults.LateAppends > 0:
+		s.faults.LateAppends--
+		f.late = true
+	case s.faults.LoseReplies > 0:
+		s.faults.LoseReplies--
+		f.loseReply = true
+	}
+	return f
+}
+
+func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request) {
+	id, err := platformlog.ParseRecordID(r.URL.Query().Get("id"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformlog.MaxRecordBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	f := s.drawAppendFault()
+	if s.refused(w, r, f.Faults) {
+		return
+	}
+	if f.loseRequest {
+		panic(http.ErrAbortHandler)
+	}
+	if wait, ok := s.takeToken(); !ok {
+		w.Header().Set(platformlog.HeaderRetryAfterMillis, strconv.FormatInt(wait.Milliseconds()+1, 10))
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	name := r.PathValue("stream")
+	if f.late {
+		s.appendLater(name, id, body, time.Duration(f.LateByMillis)*time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
+	s.pause(r, s.opts.AppendDelay+time.Duration(f.AppendDelayMillis)*time.Millisecond)
+	pos := s.append(name, id, body)
+	if f.loseReply {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, platformlog.AppendReply{Offset: pos.Offset, TimeMicros: pos.Time.Microseconds()})
+}
+
+func (s *Server) appendLater(name string, id platformlog.RecordID, body []byte, after time.Duration) {
+	s.wg.Go(func() {
+		t := time.NewTimer(after)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			s.append(name, id, body)
+		case <-s.stop:
+		}
+	})
+}
+
+func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.counts.Reads++
+	s.mu.Unlock()
+	if s.refused(w, r, f) {
+		return
+	}
+	q := r.URL.Query()
+	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	limit, _ := strconv.Atoi(q.Get("max"))
+	waitMillis, _ := strconv.Atoi(q.Get("wait_ms"))
+	if !s.pause(r, time.Duration(f.ReadDelayMillis)*time.Millisecond) {
+		return
+	}
+	wait := min(time.Duration(waitMillis)*time.Millisecond, platformlog.MaxWait)
+	s.waitFor(r, r.PathValue("stream"), from, wait)
+	s.mu.Lock()
+	f = s.faults
+	s.mu.Unlock()
+	if s.refused(w, r, f) { // the fault began during the long poll
+		return
+	}
+	reply, gone := s.read(r.PathValue("stream"), from, limit)
+	status := http.StatusOK
+	if gone {
+		status = http.StatusGone
+	}
+	writeJSON(w, status, reply)
+}
+
+// refused applies an outage.
+func (s *Server) refused(w http.ResponseWriter, r *http.Request, f Faults) bool {
+	switch {
+	case f.Silent:
+		select {
+		case <-r.Context().Done():
+		case <-s.stop:
+		}
+		panic(http.ErrAbortHandler)
+	case f.Outage:
+		http.Error(w, "log unavailable", http.StatusServiceUnavailable)
+		return true
+	}
+	return false
+}
+
+// pause waits; it returns false if the request was abandoned.
+func (s *Server) pause(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+	case <-s.stop:
+	}
+	return false
+}
+
+// waitFor returns when the stream has a record at or after from, or after wait.
+func (s *Server) waitFor(r *http.Request, name string, from int64, wait time.Duration) {
+	s.mu.Lock()
+	st := s.stream(name)
+	ready := len(st.records) > 0
+	if from != platformlog.FromOldest {
+		ready = from < st.next()
+	}
+	changed := st.changed
+	s.mu.Unlock()
+	if ready || wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-r.Context().Done():
+	case <-s.stop:
+	}
+}
+
+// read returns a bounded batch; gone says that from is below the oldest offset.
+func (s *Server) read(name string, from int64, limit int) (platformlog.ReadReply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	st := s.stream(name)
+	reply := platformlog.ReadReply{Oldest: st.base, Next: st.next(), NowMicros: s.now().Microseconds()}
+	if from == platformlog.FromOldest {
+		from = st.base
+	}
+	if from < st.base {
+		return reply, true
+	}
+	if limit <= 0 || limit > platformlog.MaxBatchRecords {
+		limit = platformlog.MaxBatchRecords
+	}
+	size := 0
+	for i := from - st.base; i < int64(len(st.records)) && len(reply.Records) < limit; i++ {
+		rec := st.records[i]
+		size += len(rec.Body)
+		if size > platformlog.MaxBatchBytes && len(reply.Records) > 0 {
+			break
+		}
+		reply.Records = append(reply.Records, platformlog.RecordReply{
+			Offset: rec.Offset, TimeMicros: rec.Time.Microseconds(), ID: rec.ID.String(), Body: rec.Body,
+		})
+	}
+	return reply, false
+}
+
+// Control is the JSON body of POST /control; absent fields change nothing.
+type Control struct {
+	Faults        *Faults `json:"faults,omitempty"`
+	AdvanceMillis int64   `json:"advance_ms,omitempty"`
+	// ExpireStream and ExpireBelow remove old records of one stream.
+	ExpireStream string `json:"expire_stream,omitempty"`
+	ExpireBelow  int64  `json:"expire_below,omitempty"`
+}
+
+// State is the JSON reply to GET and POST /control.
+type State struct {
+	Faults  Faults           `json:"faults"`
+	Counts  Counts           `json:"counts"`
+	Streams map[string]int64 `json:"streams"` // next offset by stream
+}
+
+func (s *Server) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.state())
+	})
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		var c Control
+		dec := json.NewDecoder(r.Body)
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Control(c)
+		writeJSON(w, http.StatusOK, s.state())
+	})
+	return mux
+}
+
+// Control carries out one control request.
+func (s *Server) Control(c Control) {
+	if c.Faults != nil {
+		s.SetFaults(*c.Faults)
+	}
+	s.Advance(time.Duration(c.AdvanceMillis) * time.Millisecond)
+	if c.ExpireStream != "" {
+		s.Expire(c.ExpireStream, c.ExpireBelow)
+	}
+}
+
+func (s *Server) state() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := State{Faults: s.faults, Counts: s.counts, Streams: make(map[string]int64)}
+	for name, st := range s.streams {
+		out.Streams[name] = st.next()
+	}
+	return out
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
