--- a/core/config/machine.go
+++ b/core/config/machine.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -18,9 +19,10 @@
 	Refused
 	// SnapshotSeen: the record is a snapshot.
 	SnapshotSeen
-	// Undecodable: the body is not a record of this format.
+	// Undecodable: the body is no record; every reader skips it.
 	Undecodable
-	// Buffered: a gap precedes the record; it waits for a usable snapshot.
+	// Buffered: a gap or a record of a newer format precedes the record, or it
+	// is one; it waits for a usable snapshot or a peer's state.
 	Buffered
 )
 
@@ -113,15 +115,15 @@
 
 // Gap reports whether records wait behind a gap: [from, to) was never seen.
 func (m *Machine) Gap() (from, to int64, gap bool) {
-	if len(m.waiting) == 0 {
+	if len(m.waiting) == 0 || m.waiting[0].offset == m.through {
 		return 0, 0, false
 	}
 	return m.through, m.waiting[0].offset, true
 }
 
 // Blocked returns why the machine stopped applying records, or nil. A record of
-// an unknown format may be a change in a newer format; skipping it would give
-// this reader another state than newer ones.
+// a newer format may be a change; skipping it would give this reader another
+// state than newer ones have.
 func (m *Machine) Blocked() error { return m.blocked }
 
 // Apply takes the record at the given offset and returns the verdicts of all
@@ -191,6 +193,9 @@
 	if err := m.adoptBytes(encoded, version); err != nil {
 		return false, err
 	}
+	if !m.hasBasis { // what the log holds is unknown: a snapshot is due
+		m.basis, m.hasBasis = 0, true
+	}
 	m.drainWaiting()
 	return true, nil
 }
@@ -212,16 +217,16 @@
 }
 
 func (m *Machine) apply(r raw) {
-	if m.blocked != nil {
-		m.block(r, m.blocked)
-		return
-	}
 	rec, err := Decode(r.body)
-	if err != nil {
+	if errors.Is(err, ErrNewerFormat) {
 		m.block(r, fmt.Errorf("offset %d: %w", r.offset, err))
 		return
 	}
 	m.through = r.offset + 1
+	if err != nil {
+		m.out = append(m.out, Verdict{Offset: r.offset, Time: r.at, Outcome: Undecodable})
+		return
+	}
 	if rec.Snapshot != nil {
 		m.sawSnapshot(r, rec)
 		return
@@ -237,7 +242,7 @@
 func (m *Machine) block(r raw, err error) {
 	m.blocked = err
 	m.waiting = append(m.waiting, r)
-	m.out = append(m.out, Verdict{Offset: r.offset, Time: r.at, Outcome: Undecodable})
+	m.out = append(m.out, Verdict{Offset: r.offset, Time: r.at, Outcome: Buffered})
 }
 
 func (m *Machine) sawSnapshot(r raw, rec *Record) {
--- a/platformlog/once.go
+++ b/platformlog/once.go
@@ -62,19 +62,34 @@
 // If ctx ends, the error is OutcomeUnknown if any send may have taken effect,
 // else the last error.
 func AppendOnce(ctx context.Context, log Log, stream string, id RecordID, body []byte, from int64) (Position, error) {
+	return appendOnce(ctx, log, stream, id, body, from, nil)
+}
+
+// Resolve continues an append whose error was OutcomeUnknown: it looks for the
+// record before it sends it again, and then behaves like AppendOnce.
+func Resolve(ctx context.Context, log Log, stream string, id RecordID, body []byte, from int64, doubt error) (Position, error) {
+	pos, found, err := find(ctx, log, stream, id, from)
+	if err != nil {
+		return Position{}, doubt
+	}
+	if found {
+		return pos, nil
+	}
+	return appendOnce(ctx, log, stream, id, body, from, doubt)
+}
+
+// appendOnce takes the error of an earlier send in doubt, or nil.
+func appendOnce(ctx context.Context, log Log, stream string, id RecordID, body []byte, from int64, doubt error) (Position, error) {
 	var backoff Backoff
-	var doubt error
 	for {
 		pos, err := log.Append(ctx, stream, id, body)
-		switch {
-		case err == nil:
+		if err == nil {
 			return pos, nil
-		case errorx.IsOfType(err, Invalid):
-			return Position{}, firstOf(doubt, err)
-		case errorx.IsOfType(err, OutcomeUnknown):
+		}
+		if errorx.IsOfType(err, OutcomeUnknown) {
 			doubt = err
 		}
-		if !backoff.Sleep(ctx, RetryAfter(err)) {
+		if errorx.IsOfType(err, Invalid) || !backoff.Sleep(ctx, RetryAfter(err)) {
 			return Position{}, firstOf(doubt, err)
 		}
 		if doubt == nil {
