--- /dev/null
+++ b/core/config/machine_test.go
@@ -0,0 +1,328 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const logTime = 1_000_000 * time.Hour
+
+func class(name string, base int64, within time.Duration) Change {
+	return Change{Kind: KindClass, Name: name, Base: base, Value: Value{WithinMicros: within.Microseconds(), Success: 0.9}}
+}
+
+func body(t assert.TestingT, id byte, c Change) []byte {
+	b, err := (&Record{ID: ID{id}, Change: &c}).Encode()
+	assert.NilError(t, err)
+	return b
+}
+
+// feed applies a body at the next offset and returns its verdict.
+func feed(t assert.TestingT, m *Machine, b []byte) Verdict {
+	v := m.Apply(m.Next(), logTime, b)
+	assert.Equal(t, len(v), 1)
+	return v[0]
+}
+
+func snapshot(t assert.TestingT, m *Machine) []byte {
+	b, ok := m.SnapshotBody(ID{99})
+	assert.Assert(t, ok)
+	return b
+}
+
+// Guards against two operators who both believe that their change is in force,
+// and against a loser who cannot tell who won.
+func TestOfTwoChangesOfOneRevisionTheFirstWins(t *testing.T) {
+	m := New(Options{})
+	assert.Equal(t, feed(t, m, body(t, 1, class("a", 0, time.Second))).Outcome, Accepted)
+	won := feed(t, m, body(t, 2, class("a", 1, 2*time.Second)))
+	lost := feed(t, m, body(t, 3, class("a", 1, 3*time.Second)))
+	assert.Equal(t, won.Outcome, Accepted)
+	assert.Equal(t, won.Revision, int64(2))
+	assert.Equal(t, lost.Outcome, Lost)
+	assert.Equal(t, lost.Revision, won.Revision)
+	assert.Equal(t, lost.Winner, ID{2})
+	assert.Equal(t, m.Version(), int64(2))
+}
+
+// Guards against a replayed or late record that brings back an old state, also
+// after the item was deleted and after the deletion itself was forgotten.
+func TestReplayHasNoEffect(t *testing.T) {
+	m := New(Options{MaxItems: maxDeleted + 10})
+	create := body(t, 1, class("a", 0, time.Second))
+	feed(t, m, create)
+	assert.Equal(t, feed(t, m, create).Outcome, Lost)
+	feed(t, m, body(t, 2, Change{Kind: KindClass, Name: "a", Base: 1, Deleted: true}))
+	assert.Equal(t, feed(t, m, create).Outcome, Lost)
+	for i := range maxDeleted + 1 {
+		name := fmt.Sprint("n", i)
+		base := m.State().Revision(Key{KindClass, name})
+		v := feed(t, m, body(t, 3, class(name, base, time.Second)))
+		assert.Equal(t, v.Outcome, Accepted)
+		v = feed(t, m, body(t, 3, Change{Kind: KindClass, Name: name, Base: v.Revision, Deleted: true}))
+		assert.Equal(t, v.Outcome, Accepted)
+	}
+	assert.Equal(t, len(m.State().items), maxDeleted)
+	assert.Equal(t, feed(t, m, create).Outcome, Lost)
+	assert.Equal(t, len(m.State().Items()), 0)
+}
+
+// Guards against a fresh reader that differs from one that read everything.
+func TestRestartFromSnapshotGivesTheSameState(t *testing.T) {
+	m := New(Options{})
+	feed(t, m, body(t, 1, class("a", 0, time.Second)))
+	feed(t, m, body(t, 2, class("b", 0, time.Second)))
+	snap := snapshot(t, m)
+	between := body(t, 3, class("a", 1, 2*time.Second))
+	after := body(t, 4, class("b", 2, 3*time.Second))
+	feed(t, m, between)
+	feed(t, m, snap)
+	feed(t, m, after)
+
+	fresh := New(Options{})
+	assert.Equal(t, fresh.Apply(2, logTime, between)[0].Outcome, Buffered)
+	assert.Equal(t, fresh.Version(), int64(0))
+	verdicts := fresh.Apply(3, logTime, snap)
+	assert.Equal(t, verdicts[1].Outcome, Accepted)
+	fresh.Apply(4, logTime, after)
+	assert.Assert(t, bytes.Equal(fresh.State().Encode(), m.State().Encode()))
+}
+
+// Guards against a snapshot that is used although records after the offset it
+// covers are gone.
+func TestSnapshotWithMissingRecordsIsNotUsed(t *testing.T) {
+	m := New(Options{})
+	feed(t, m, body(t, 1, class("a", 0, time.Second)))
+	snap := snapshot(t, m)
+	feed(t, m, body(t, 2, class("a", 1, 2*time.Second)))
+	feed(t, m, snap)
+
+	fresh := New(Options{})
+	fresh.Apply(2, logTime, snap) // offset 1 is gone, the snapshot covers only 0
+	from, to, gap := fresh.Gap()
+	assert.Assert(t, gap)
+	assert.Equal(t, [2]int64{from, to}, [2]int64{0, 2})
+	assert.Equal(t, fresh.Version(), int64(0))
+	changed, err := fresh.Adopt(m.Version(), m.State().Encode())
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	_, _, gap = fresh.Gap()
+	assert.Assert(t, !gap)
+}
+
+// Guards against a paused reader that skips the records it missed.
+func TestJumpIsAGapNotASkip(t *testing.T) {
+	m := New(Options{})
+	feed(t, m, body(t, 1, class("a", 0, time.Second)))
+	v := m.Apply(5, logTime, body(t, 2, class("a", 1, 2*time.Second)))
+	assert.Equal(t, v[0].Outcome, Buffered)
+	assert.Equal(t, m.Version(), int64(1))
+	_, ok := m.SnapshotBody(ID{})
+	assert.Assert(t, !ok, "a reader with a gap must not write snapshots")
+}
+
+// Guards against a configuration that reverts (P8).
+func TestLowerVersionIsNeverApplied(t *testing.T) {
+	m := New(Options{})
+	old := New(Options{})
+	feed(t, old, body(t, 1, class("a", 0, time.Second)))
+	feed(t, m, body(t, 1, class("a", 0, time.Second)))
+	feed(t, m, body(t, 2, class("a", 1, 2*time.Second)))
+	changed, err := m.Adopt(old.Version(), old.State().Encode())
+	assert.NilError(t, err)
+	assert.Assert(t, !changed)
+
+	ahead := New(Options{})
+	changed, err = ahead.Adopt(m.Version(), m.State().Encode())
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, len(ahead.Apply(0, logTime, body(t, 1, class("a", 0, time.Second)))), 0)
+	assert.Equal(t, ahead.Version(), int64(2))
+}
+
+// Guards against a reader that passes over a change in a newer format, while
+// one that cannot be a record at all does not stop anybody.
+func TestNewerFormatStopsAndGarbageDoesNot(t *testing.T) {
+	m := New(Options{})
+	assert.Equal(t, feed(t, m, []byte("garbage")).Outcome, Undecodable)
+	feed(t, m, body(t, 1, class("a", 0, time.Second)))
+	m.Apply(2, logTime, []byte{0x82, 0x02, 0x00})
+	m.Apply(3, logTime, body(t, 2, class("a", 2, 2*time.Second)))
+	assert.ErrorIs(t, m.Blocked(), ErrNewerFormat)
+	assert.Equal(t, m.Version(), int64(2))
+}
+
+// Guards against values that no reader should put in force.
+func TestFaultsNameFieldAndWhatIsAllowed(t *testing.T) {
+	long := string(bytes.Repeat([]byte("a"), MaxNameBytes+1))
+	for _, c := range []struct {
+		change Change
+		fields string
+	}{
+		{class("", 0, time.Second), "name"},
+		{class("Quote", 0, time.Second), "name"},
+		{class(long, 0, time.Second), "name"},
+		{class("a", 0, MinWithin-1), "within"},
+		{class("a", 0, MaxWithin+time.Microsecond), "within"},
+		{class("a", -1, 0), "base within"},
+		{Change{Kind: KindClass, Name: "a", Value: Value{WithinMicros: 1000, Success: math.NaN()}}, "success"},
+		{Change{Kind: KindClass, Name: "a", Value: Value{WithinMicros: 1000, Success: 1.01}}, "success"},
+		{Change{Kind: KindTeam, Name: "a", Value: Value{Quota: -1}}, "quota"},
+		{Change{Kind: KindEmphasis, Value: Value{Emphasis: 2}}, "emphasis"},
+		{Change{Kind: KindEmphasis, Deleted: true}, "emphasis"},
+		{Change{Kind: 9, Name: "a"}, "kind"},
+	} {
+		var got []string
+		for _, f := range c.change.Faults() {
+			got = append(got, f.Field)
+			assert.Assert(t, f.Allowed != "")
+		}
+		assert.Equal(t, fmt.Sprint(got), "["+c.fields+"]")
+	}
+}
+
+// Guards against a state that grows beyond its bound.
+func TestItemsAreBounded(t *testing.T) {
+	m := New(Options{MaxItems: 2})
+	for i, want := range []Outcome{Accepted, Accepted, Refused} {
+		v := feed(t, m, body(t, 1, class(fmt.Sprint("c", i), 0, time.Second)))
+		assert.Equal(t, v.Outcome, want)
+	}
+	feed(t, m, body(t, 1, Change{Kind: KindClass, Name: "c0", Base: 1, Deleted: true}))
+	assert.Equal(t, feed(t, m, body(t, 1, class("c9", 0, time.Second))).Outcome, Accepted)
+}
+
+// Guards against readers that disagree: whatever the records, a reader that
+// starts late, from a snapshot or from a peer, ends in the state of one that
+// read everything, or in none, and no reader's version ever decreases.
+func TestEveryReaderEndsInTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full, late := New(Options{}), New(Options{})
+		start := rapid.Int64Range(0, 30).Draw(t, "late reader's first offset")
+		offer := rapid.Int64Range(0, 50).Draw(t, "offset at which a peer offers its state")
+		var bodies [][]byte
+		for offset := range int64(50) {
+			b := drawBody(t, full, bodies)
+			bodies = append(bodies, b)
+			full.Apply(offset, logTime, b)
+			before := late.Version()
+			if offset >= start {
+				late.Apply(offset, logTime, b)
+			}
+			if offset == offer {
+				_, err := late.Adopt(full.Version(), full.State().Encode())
+				assert.NilError(t, err)
+			}
+			if late.Version() < before {
+				t.Fatalf("version decreased from %d to %d", before, late.Version())
+			}
+		}
+		same := bytes.Equal(full.State().Encode(), late.State().Encode())
+		_, _, gap := late.Gap()
+		if !same && !gap {
+			t.Fatalf("readers differ: versions %d and %d", full.Version(), late.Version())
+		}
+	})
+}
+
+// drawBody draws a change with a current or an old base, a replay, a snapshot
+// or bytes that are no record.
+func drawBody(t *rapid.T, m *Machine, earlier [][]byte) []byte {
+	key := Key{KindClass, string(rune('a' + rapid.IntRange(0, 2).Draw(t, "name")))}
+	c := class(key.Name, m.State().Revision(key), time.Duration(rapid.IntRange(1, 9).Draw(t, "within"))*time.Second)
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		c.Base = rapid.Int64Range(0, 50).Draw(t, "base")
+	case 1:
+		c.Deleted, c.Value = true, Value{}
+	case 2:
+		if len(earlier) > 0 {
+			return rapid.SampledFrom(earlier).Draw(t, "replay")
+		}
+	case 3:
+		if b, ok := m.SnapshotBody(ID{7}); ok {
+			return b
+		}
+	case 4:
+		return []byte("garbage")
+	}
+	return body(t, rapid.Byte().Draw(t, "id"), c)
+}
+
+// Guards against snapshots that are written too late, never or by everyone.
+func TestSnapshotRuleWaitsAndIsCancelled(t *testing.T) {
+	const retention = 9 * time.Hour
+	r := SnapshotRule{Retention: retention, Rand: rand.New(rand.NewPCG(1, 1))}
+	basis := logTime
+	assert.Assert(t, !r.Step(basis+3*time.Hour-1, basis, true))
+	due := basis + 3*time.Hour
+	assert.Assert(t, !r.Step(due, basis, true), "the delay is random and not 0 for this seed")
+	assert.Assert(t, r.Step(due+retention/10, basis, true))
+
+	r = SnapshotRule{Retention: retention, Rand: rand.New(rand.NewPCG(1, 1))}
+	assert.Assert(t, !r.Step(due, basis, true))
+	basis = due + time.Minute // another reader's snapshot
+	assert.Assert(t, !r.Step(due+retention/10, basis, true))
+	assert.Assert(t, !r.Step(due, 0, false))
+}
+
+func FuzzDecode(f *testing.F) {
+	m := New(Options{})
+	f.Add([]byte{})
+	f.Add(body(f, 1, class("a", 0, time.Second)))
+	m.Apply(0, logTime, body(f, 1, class("a", 0, time.Second)))
+	f.Add(snapshot(f, m))
+	f.Add([]byte{0x82, 0x02, 0x00})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, offset := range []int64{0, 5} {
+			m := New(Options{})
+			m.Apply(offset, logTime, b) // must not panic
+			m.State().Settings()
+		}
+	})
+}
+
+func FuzzDecodeState(f *testing.F) {
+	m := New(Options{})
+	f.Add(m.State().Encode())
+	m.Apply(0, logTime, body(f, 1, class("a", 0, time.Second)))
+	f.Add(m.State().Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := DecodeState(b)
+		if err != nil {
+			return
+		}
+		again, err := DecodeState(s.Encode())
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(again.Encode(), s.Encode()))
+	})
+}
+
+// BenchmarkChange reports the cost of one accepted change: applied, and
+// encoded whole for the peers.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := New(Options{MaxItems: n})
+			for i := range n {
+				m.Apply(m.Next(), logTime, body(b, 1, class(fmt.Sprintf("class-%05d", i), 0, time.Second)))
+			}
+			var record, state int
+			for b.Loop() {
+				key := Key{KindClass, "class-00007"}
+				r := body(b, 1, class(key.Name, m.State().Revision(key), time.Second))
+				m.Apply(m.Next(), logTime, r)
+				record, state = len(r), len(m.State().Encode())
+			}
+			b.ReportMetric(float64(record), "recordB")
+			b.ReportMetric(float64(state), "stateB")
+		})
+	}
+}
--- /dev/null
+++ b/core/config/main_test.go
@@ -0,0 +1,16 @@
+package config
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that every run draws the
+// same cases.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/operator/view.go
@@ -0,0 +1,145 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/limpettrail/limpettrail/core/config"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/internal/logstate"
+	"github.com/limpettrail/limpettrail/platformlog"
+)
+
+// view follows the stream for one command and keeps every verdict.
+type view struct {
+	log      platformlog.Log
+	machine  *config.Machine
+	verdicts []config.Verdict
+	byID     map[config.ID]config.Verdict // the first verdict of each change
+	from     int64
+	oldest   int64
+}
+
+func newView(log platformlog.Log) *view {
+	return &view{log: log, machine: config.New(config.Options{}), byID: make(map[config.ID]config.Verdict)}
+}
+
+// load reads to the end of the stream. It retries until ctx ends.
+func (v *view) load(ctx context.Context) error {
+	for {
+		end, err := v.read(ctx, 0)
+		if err != nil {
+			return err
+		}
+		if end {
+			return v.complete()
+		}
+	}
+}
+
+// complete returns an error if records are missing or cannot be understood.
+func (v *view) complete() error {
+	if err := v.machine.Blocked(); err != nil {
+		return err
+	}
+	if from, to, gap := v.machine.Gap(); gap {
+		return fmt.Errorf("the log no longer holds the records %d to %d and no snapshot that covers them", from, to-1)
+	}
+	if v.from > v.machine.Next() {
+		return fmt.Errorf("the log no longer holds the records %d to %d", v.machine.Next(), v.from-1)
+	}
+	return nil
+}
+
+// read takes one batch and reports whether it reached the end of the stream.
+func (v *view) read(ctx context.Context, wait time.Duration) (bool, error) {
+	var backoff platformlog.Backoff
+	for {
+		b, err := v.log.Read(ctx, platformlog.ReadRequest{Stream: logstate.StreamConfig, From: v.from, Wait: wait})
+		if err == nil {
+			v.accept(&b)
+			return v.from >= b.Next, nil
+		}
+		if oldest, ok := platformlog.Oldest(err); ok && errorx.IsOfType(err, platformlog.ExpiredOffset) && oldest > v.from {
+			v.from = oldest
+			continue
+		}
+		if !backoff.Sleep(ctx, platformlog.RetryAfter(err)) {
+			return false, err
+		}
+	}
+}
+
+func (v *view) accept(b *platformlog.Batch) {
+	v.oldest = b.Oldest
+	for _, r := range b.Records {
+		for _, verdict := range v.machine.Apply(r.Offset, r.Time, r.Body) {
+			v.add(verdict)
+		}
+		v.from = r.Offset + 1
+	}
+}
+
+func (v *view) add(verdict config.Verdict) {
+	if verdict.Outcome == config.Buffered || verdict.Change == nil {
+		return
+	}
+	v.verdicts = append(v.verdicts, verdict)
+	if _, replay := v.byID[verdict.ID]; !replay {
+		v.byID[verdict.ID] = verdict
+	}
+}
+
+// outcome returns what became of a change, if that is known.
+func (v *view) outcome(id config.ID) (config.Verdict, bool) {
+	verdict, ok := v.byID[id]
+	if ok && verdict.Outcome == config.Lost && verdict.Winner == id {
+		verdict.Outcome = config.Accepted // the first record has expired, this is a replay
+	}
+	if ok {
+		return verdict, true
+	}
+	for _, it := range v.machine.State().Items() {
+		if it.ID == id {
+			return config.Verdict{ID: id, Outcome: config.Accepted, Revision: it.Revision, Winner: id}, true
+		}
+	}
+	return config.Verdict{}, false
+}
+
+// writeItem writes an item as input for apply.
+func writeItem(w io.Writer, it config.Item) {
+	switch it.Key.Kind {
+	case config.KindClass:
+		fmt.Fprintf(w, "[[class]]\nname = %q\nwithin_ms = %d\nsuccess = %v\nrevision = %d\n",
+			it.Key.Name, it.Value.WithinMicros/1000, it.Value.Success, it.Revision)
+	case config.KindTeam:
+		fmt.Fprintf(w, "[[team]]\nname = %q\nquota = %d\nrevision = %d\n", it.Key.Name, it.Value.Quota, it.Revision)
+	case config.KindEmphasis:
+		fmt.Fprintf(w, "emphasis = %q\nemphasis_revision = %d\n", emphasisName(it.Value.Emphasis), it.Revision)
+	}
+}
+
+func emphasisName(e uint8) string {
+	if policy.Emphasis(e) == policy.EmphasisMessages {
+		return "messages"
+	}
+	return "response"
+}
+
+// describe states a value in one line.
+func describe(k config.Kind, v config.Value, deleted bool) string {
+	switch {
+	case deleted:
+		return "deleted"
+	case k == config.KindClass:
+		return fmt.Sprintf("within %d ms, success %v", v.WithinMicros/1000, v.Success)
+	case k == config.KindTeam:
+		return fmt.Sprintf("quota %d", v.Quota)
+	}
+	return emphasisName(v.Emphasis)
+}
