logstate, platformlog: tests over the log stand-in; full bucket at its start

Cause: the stand-in's rate limit began with an empty bucket, so the first append of every test was refused as throttled. It now begins full.

--- /dev/null
+++ b/internal/logstate/config_test.go
@@ -0,0 +1,122 @@
+package logstate_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/logstate"
+	"github.com/limpettrail/limpettrail/internal/standin/logserver"
+	"github.com/limpettrail/limpettrail/platformlog"
+)
+
+// Guards against a published change that does not reach the entries.
+func TestChangeReachesEveryEntry(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	var seen atomic.Int64
+	a := s.entry(func(o *logstate.Options) {
+		o.OnConfig = func(v int64, set policy.Settings, _ []byte) {
+			assert.Check(t, v > seen.Load())
+			seen.Store(v)
+			assert.Check(t, len(set.Classes) == 1)
+		}
+	})
+	v := s.change(class("a", 0, time.Second))
+	s.until("the first change is in force", func() bool { return seen.Load() == v })
+	v = s.change(class("a", v, 2*time.Second))
+	s.until("the second change is in force", func() bool { return seen.Load() == v })
+	_, settings, _ := a.Config()
+	assert.Equal(t, settings.Classes[0].Within, 2*time.Second)
+}
+
+// Guards against a fresh entry without configuration in an outage, and against
+// one that reverts when the log comes back.
+func TestConfigurationFromAPeerHoldsThroughAnOutage(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.entry(nil)
+	v := s.change(class("a", 0, time.Second))
+	v = s.change(class("a", v, 2*time.Second))
+	s.until("the change is in force", func() bool { return a.Status().ConfigVersion == v })
+	s.server.SetFaults(logserver.Faults{Outage: true})
+	known := v
+	fresh := s.entry(func(o *logstate.Options) {
+		o.OnConfig = func(got int64, _ policy.Settings, _ []byte) { assert.Check(t, got >= known) }
+	})
+	_, _, encoded := a.Config()
+	assert.NilError(t, fresh.Offer(v, encoded))
+	assert.Equal(t, fresh.Status().ConfigVersion, v)
+	assert.Assert(t, fresh.Offer(v+1, encoded) != nil, "the announced version must be the state's")
+	assert.Assert(t, fresh.Offer(v+1, []byte("junk")) != nil)
+	s.server.SetFaults(logserver.Faults{})
+	v = s.change(class("a", v, 3*time.Second))
+	s.until("the next change is in force", func() bool { return fresh.Status().ConfigVersion == v })
+}
+
+// Guards against a paused reader that skips expired records silently.
+func TestMissedChangesAreFetchedFromAPeer(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	g := &gate{Log: s.client()}
+	a := s.entry(nil)
+	var paused *logstate.State
+	paused = s.entry(func(o *logstate.Options) {
+		o.Log = g
+		o.OnConfigGap = func() {
+			v, _, encoded := a.Config()
+			assert.Check(t, paused.Offer(v, encoded) == nil)
+		}
+	})
+	v := s.change(class("a", 0, time.Second))
+	s.until("the change is in force", func() bool { return paused.Status().ConfigVersion == v })
+	g.pause()
+	v = s.change(class("a", v, 2*time.Second))
+	v = s.change(class("b", 0, 2*time.Second))
+	v = s.change(class("a", v-1, 3*time.Second))
+	s.server.Expire(logstate.StreamConfig, 3)
+	s.until("the change is in force", func() bool { return a.Status().ConfigVersion == v })
+	g.resume()
+	s.until("the gap is closed", func() bool {
+		st := paused.Status()
+		return st.ConfigVersion == v && !st.ConfigGap
+	})
+}
+
+// Guards against a configuration that is lost with the log's retention.
+func TestSnapshotLetsAFreshEntryStartAfterExpiry(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a, b := s.entry(nil), s.entry(nil)
+	v := s.change(class("a", 0, time.Second))
+	s.until("the change is in force", func() bool { return a.Status().ConfigVersion == v && b.Status().ConfigVersion == v })
+	nudge := func() { // a record makes the entries read the log's time
+		_, err := s.client().Append(context.Background(), logstate.StreamConfig, platformlog.NewRecordID(), nil)
+		assert.NilError(t, err)
+	}
+	taken := func() int64 { return a.Status().Counters.Snapshots + b.Status().Counters.Snapshots }
+	s.until("a snapshot is written", func() bool {
+		s.server.Advance(time.Hour)
+		nudge()
+		return taken() > 0
+	})
+	records := s.server.Records(logstate.StreamConfig)
+	s.server.Expire(logstate.StreamConfig, records[0].Offset+1)
+	fresh := s.entry(nil)
+	s.until("the fresh entry has the configuration", func() bool { return fresh.Status().ConfigVersion == v })
+}
+
+// Guards against entries that do not find each other, and against appends
+// without need: at rest an entry has written its presence and nothing else.
+func TestEntriesAnnounceThemselvesOnce(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	var known atomic.Pointer[[]wire.EntryAddr]
+	s.entry(func(o *logstate.Options) { o.OnEntries = func(e []wire.EntryAddr) { known.Store(&e) } })
+	for range 3 {
+		e := s.entry(nil)
+		s.until("the list is complete", func() bool { return len(e.Entries()) == int(s.next) })
+	}
+	s.until("the list is complete", func() bool { return known.Load() != nil && len(*known.Load()) == 4 })
+	assert.Equal(t, s.server.Counts().Appends, int64(4))
+}
--- a/internal/standin/logserver/logserver.go
+++ b/internal/standin/logserver/logserver.go
@@ -104,6 +104,7 @@
 		opts.AppendDelay = DefaultAppendDelay
 	}
 	s := &Server{opts: opts, streams: make(map[string]*stream), stop: make(chan struct{}), refill: time.Now()}
+	s.tokens = s.burst()
 	var err error
 	if s.listener, err = net.Listen("tcp", opts.Listen); err != nil {
 		return nil, err
@@ -229,6 +230,9 @@
 	return platformlog.Position{Offset: r.Offset, Time: r.Time}
 }
 
+// burst is the capacity of the rate limit's bucket, which starts full.
+func (s *Server) burst() float64 { return max(1, s.opts.AppendsPerSecond/burstShare) }
+
 // takeToken reports whether the rate limit admits an append, else the wait.
 func (s *Server) takeToken() (time.Duration, bool) {
 	rate := s.opts.AppendsPerSecond
@@ -238,7 +242,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.tokens = min(max(1, rate/burstShare), s.tokens+rate*now.Sub(s.refill).Seconds())
+	s.tokens = min(s.burst(), s.tokens+rate*now.Sub(s.refill).Seconds())
 	s.refill = now
 	if s.tokens < 1 {
 		s.counts.Throttled++
