Adaptive scheduler: estimates, queue, placement, admission, budget, health

Cause: only the first-in first-out baseline existed behind policy.Scheduler.

Ruled out: shares of teams by scanning the teams at each decision (85 teams per class), so teams, classes and jobs are in heaps that know their positions.

--- /dev/null
+++ b/core/policy/admission.go
@@ -0,0 +1,134 @@
+package policy
+
+import "time"
+
+const (
+	// completionMargin is the share of the time to the deadline that the
+	// expected completion may use; estimates of heavy-tailed work are rough.
+	completionMargin = 0.8
+	// quotaWaiting bounds a team's waiting tasks, as a multiple of its quota.
+	quotaWaiting   = 16
+	minRetryAfter  = 100 * time.Millisecond
+	maxRetryAfter  = 30 * time.Second
+	noUpstreamWait = time.Second
+	serviceWeight  = 0.02 // of the newest sample in the mean number of tasks in service
+)
+
+// admit decides on a new job.
+func (s *Adaptive) admit(now time.Duration, job *Job) Verdict {
+	c := s.classes[job.Class]
+	if c == nil || !c.published {
+		return Verdict{Refusal: RefusedUnknownClass}
+	}
+	if len(s.up) == 0 {
+		return Verdict{Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamWait)}
+	}
+	if !s.fitsSomewhere(job) {
+		return Verdict{Refusal: RefusedNeverFits}
+	}
+	left := job.Deadline - now
+	if c.est.known() && s.on.estimates && left < c.est.p50 {
+		return Verdict{Refusal: RefusedDeadline}
+	}
+	if !s.on.admission {
+		return Verdict{}
+	}
+	if s.overQuota(c, job) {
+		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c))}
+	}
+	return s.admitBacklog(c, job, left)
+}
+
+// admitBacklog refuses a job that the backlog ahead would make miss its deadline.
+func (s *Adaptive) admitBacklog(c *classState, job *Job, left time.Duration) Verdict {
+	wait := s.wait(c)
+	if s.queue.waiting+job.Tasks > s.opts.MaxWaiting {
+		return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(wait)}
+	}
+	if s.queue.waiting == 0 {
+		return Verdict{}
+	}
+	allowed := time.Duration(completionMargin * float64(left))
+	need := wait + s.jobTime(c, job)
+	if need <= allowed {
+		return Verdict{}
+	}
+	return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(need - allowed)}
+}
+
+// jobTime is the expected time from a job's first start to its completion.
+func (s *Adaptive) jobTime(c *classState, job *Job) time.Duration {
+	longest := s.high(c, job)
+	work := float64(s.mean(c, job.Declared)) * float64(job.Tasks) / s.drain()
+	return max(longest, time.Duration(work))
+}
+
+// wait is the expected delay before a new job of the class gets its first start.
+func (s *Adaptive) wait(c *classState) time.Duration {
+	var work float64
+	for _, other := range s.classList {
+		if other.waiting == 0 {
+			continue
+		}
+		work += s.ahead(c, other) * float64(other.waiting) * float64(s.mean(other, 0))
+	}
+	return time.Duration(work / s.drain())
+}
+
+// ahead estimates the share of the other class's waiting tasks that is served
+// before a new task of class c.
+func (s *Adaptive) ahead(c, other *classState) float64 {
+	if other == c || !s.on.slackOrder {
+		return 1
+	}
+	if other.saturated() && !c.saturated() {
+		return 1.0 / lateShare
+	}
+	if other.class.Within <= c.class.Within {
+		return 1
+	}
+	// The waiting tasks' slack is spread over the class's target time.
+	return max(1.0/lateShare, float64(c.class.Within)/float64(other.class.Within))
+}
+
+// drain returns the number of slots that serve this entry's tasks. Under
+// backlog that is what it was observed to hold; otherwise free slots count too.
+func (s *Adaptive) drain() float64 {
+	return max(1, s.service)
+}
+
+// observeService samples the number of own tasks in service.
+func (s *Adaptive) observeService() {
+	n := float64(s.inFlight)
+	if s.queue.waiting == 0 || n > s.service {
+		// Without a backlog the number in service says nothing about what
+		// could be, so the mean only grows.
+		s.service = max(s.service, n)
+		return
+	}
+	s.service += (n - s.service) * serviceWeight
+}
+
+func (s *Adaptive) fitsSomewhere(job *Job) bool {
+	if job.Need.MilliCores == 0 && job.Need.MemoryMB == 0 && job.Need.Accelerators == 0 {
+		return true
+	}
+	for _, a := range s.up {
+		if a.info.Capacity.Fits(job.Need) {
+			return true
+		}
+	}
+	return false
+}
+
+// overQuota reports whether the team has as many tasks waiting as allowed.
+func (s *Adaptive) overQuota(c *classState, job *Job) bool {
+	quota := s.quotas[job.Team]
+	t := c.teams[job.Team]
+	return quota > 0 && t != nil && t.waiting >= quota*quotaWaiting
+}
+
+func (s *Adaptive) jittered(d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return d + time.Duration(s.rand.float()*float64(d)/2)
+}
--- /dev/null
+++ b/core/policy/attempts.go
@@ -0,0 +1,234 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+const (
+	maxParked = 8 // jobs passed over in one decision because they fit nowhere free
+	// refusalTarget is the share of starts that may be refused as busy. Each
+	// costs two messages, so this stays inside 0.05 wasted messages a task.
+	refusalTarget   = 0.01
+	waitScaleMin    = 0.25
+	waitScaleMax    = 32
+	waitScaleGrowth = 0.05 // by which one refusal raises the accepted wait
+)
+
+// Next implements Scheduler.
+func (s *Adaptive) Next(now time.Duration) (Placement, bool) {
+	p, ok := Placement{}, false
+	for len(s.parked) < maxParked {
+		j := s.queue.head(now)
+		if j == nil || len(s.up) == 0 {
+			break
+		}
+		c := s.choose(now, j)
+		if c.agent != nil {
+			p, ok = s.place(now, j, c), true
+			break
+		}
+		if !c.misfit {
+			break
+		}
+		s.queue.detach(j)
+		s.parked = append(s.parked, j)
+	}
+	for _, j := range s.parked {
+		s.queue.attach(j)
+	}
+	s.parked = s.parked[:0]
+	s.observeService()
+	return p, ok
+}
+
+// place commits to a choice. From here until Done, Task.Slot holds the time of
+// the send, negative.
+func (s *Adaptive) place(now time.Duration, j *jobState, c choice) Placement {
+	t := s.queue.start(j)
+	t.Slot = -int(now) - 1
+	a := c.agent
+	a.sent(now)
+	s.inFlight++
+	j.racks[a.rack]++
+	if t.Attempts == 0 {
+		s.budget.started(now)
+	}
+	if a.health.ejected {
+		a.health.probing = true
+		a.health.probeAt = now + ejectBase
+	}
+	s.dropFreed(a)
+	slack := j.due - now
+	if j.late || !s.on.slackOrder {
+		slack = j.job.Deadline - now
+	}
+	return Placement{Task: t, Agent: a.info.Agent, Slack: slack, MaxWait: c.maxWait}
+}
+
+// Done implements Scheduler.
+func (s *Adaptive) Done(now time.Duration, agent wire.Incarnation, task *Task, r *wire.Result) {
+	a := s.agents[agent]
+	if a == nil || task.Slot >= 0 {
+		return
+	}
+	sentAt := time.Duration(-task.Slot - 1)
+	task.Slot = 0
+	a.placed--
+	s.inFlight--
+	s.noteFreed(a)
+	if r.Reason != wire.ReasonAgentLost {
+		a.roundTrip(now - sentAt - r.Wait.Duration() - r.Run.Duration())
+	}
+	s.adjustWait(r)
+	j := s.queue.jobs[task.Job]
+	if j == nil {
+		return
+	}
+	s.outcome(now, a, j, r)
+	s.queue.finish(j)
+}
+
+// adjustWait steers the share of busy refusals towards refusalTarget: a
+// refusal raises the accepted wait, every other outcome lowers it a little.
+func (s *Adaptive) adjustWait(r *wire.Result) {
+	if r.Outcome == wire.NotRun && r.Reason == wire.ReasonBusy {
+		s.waitScale *= 1 + waitScaleGrowth
+	} else {
+		s.waitScale *= 1 - waitScaleGrowth*refusalTarget
+	}
+	s.waitScale = min(max(s.waitScale, waitScaleMin), waitScaleMax)
+}
+
+// outcome feeds the estimates and the health of the agent.
+func (s *Adaptive) outcome(now time.Duration, a *agentState, j *jobState, r *wire.Result) {
+	switch {
+	case r.Outcome == wire.Succeeded:
+		s.succeeded(a, j, r.Run.Duration())
+	case agentFault(r):
+		j.class.outcomes.add(false)
+		a.outcomes.add(false)
+		j.blame(a)
+	case r.Reason == wire.ReasonUpstreamDown || r.Reason == wire.ReasonSuspect:
+		a.health.markDown(now, s.rand.float())
+	}
+}
+
+func (s *Adaptive) succeeded(a *agentState, j *jobState, run time.Duration) {
+	c := j.class
+	if c.est.known() {
+		a.speed.observe(run, c.est.logMean())
+	}
+	c.est.observe(run)
+	s.runs.observe(run)
+	c.outcomes.add(true)
+	a.outcomes.add(true)
+	j.succeeded++
+	a.health.markUp()
+	if a.health.ejected {
+		s.ejected--
+		a.health.readmit()
+	}
+	a.health.streak, a.health.blamed, a.health.excused = 0, 0, 0
+}
+
+func (j *jobState) blame(a *agentState) {
+	for i := range j.failedOn {
+		if j.failedOn[i].agent == a {
+			j.failedOn[i].tasks++
+			return
+		}
+	}
+	j.failedOn = append(j.failedOn, failure{agent: a, tasks: 1})
+}
+
+// judge attributes the failures of a job that ended: to the job if it failed
+// on several agents and succeeded on none, else to the agents.
+func (s *Adaptive) judge(now time.Duration, j *jobState) {
+	if len(j.failedOn) == 0 {
+		return
+	}
+	faulty := len(j.failedOn) >= faultyAgents && j.succeeded == 0
+	faulty = faulty || j.class.outcomes.share() < classSuccessFloor
+	for _, f := range j.failedOn {
+		if faulty {
+			f.agent.health.excused += f.tasks
+			continue
+		}
+		f.agent.health.blamed++
+		if f.agent.health.probing {
+			f.agent.health.eject(now, s.rand.float())
+			continue
+		}
+		s.consult(now, f.agent)
+	}
+}
+
+// consult ejects the agent if its failures stand out from those of its peers.
+func (s *Adaptive) consult(now time.Duration, a *agentState) {
+	h := &a.health
+	if !s.on.health || !a.up || h.ejected || h.blamed == 0 || h.suspicion() < ejectStreak {
+		return
+	}
+	if !mayEject(s.ejected, len(s.up)) || !h.guilty(s.peerFailures(a)) {
+		return
+	}
+	s.ejected++
+	h.eject(now, s.rand.float())
+}
+
+// peerFailures is the share of failed tasks at the agents other than a.
+func (s *Adaptive) peerFailures(a *agentState) float64 {
+	good, all := 0.0, 0.0
+	for _, o := range s.up {
+		if o == a || o.health.ejected {
+			continue
+		}
+		good += o.outcomes.good
+		all += o.outcomes.all
+	}
+	return 1 - (good+1)/(all+1)
+}
+
+// Observe implements Scheduler.
+func (s *Adaptive) Observe(now time.Duration, agent wire.Incarnation, load wire.Load) {
+	a := s.agents[agent]
+	if a == nil {
+		return
+	}
+	before := a.health.successes
+	failures := a.health.failures
+	a.observe(now, load)
+	a.health.observe(&load)
+	switch {
+	case load.Down:
+		a.health.markDown(now, s.rand.float())
+	case a.health.down && a.health.downUntil <= now:
+		a.health.markUp()
+	}
+	switch {
+	case !a.health.ejected:
+		s.consult(now, a)
+	case a.health.successes > before: // a probe of another entry succeeded
+		s.ejected--
+		a.health.readmit()
+	case a.health.failures > failures && !a.health.probing:
+		a.health.eject(now, s.rand.float()) // one of another entry failed
+	}
+}
+
+// Retry implements Scheduler. A retry beyond the budget waits for it; it is
+// denied only if the task could not start before its deadline.
+func (s *Adaptive) Retry(now time.Duration, task *Task, reason wire.Reason) (time.Duration, bool) {
+	if reason == wire.ReasonExpired {
+		return 0, false
+	}
+	delay := backoff(reason, task.Attempts, s.rand.float())
+	delay = max(delay, s.budget.take(now))
+	if now+delay >= task.Job.Deadline {
+		s.budget.refund()
+		return 0, false
+	}
+	return delay, true
+}
--- /dev/null
+++ b/core/policy/driver_test.go
@@ -0,0 +1,198 @@
+package policy_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/agent"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+const hop = 300 * time.Microsecond // one-way delay of every frame
+
+// event is one callback at a virtual time; order breaks ties.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// driver connects entry and agent machines over virtual time.
+type driver struct {
+	now     time.Duration
+	queue   events
+	order   int
+	entries []*entry.Machine
+	agents  []*agent.Machine
+	scheds  []policy.Scheduler
+	bad     map[int]bool    // agents that fail every task
+	slow    map[int]float64 // run-time factor
+	badRuns map[int]int     // tasks failed by a bad agent
+	jobs    map[wire.SubmissionID]*submitted
+	done    []*submitted
+	pending int
+	rng     *rand.Rand
+}
+
+// submitted is one job with what the test knows about it.
+type submitted struct {
+	class, team string
+	tasks       int
+	entry       int
+	at, end     time.Duration
+	ideal       time.Duration
+	answer      entry.JobAnswer
+}
+
+func (s *submitted) ratio() float64 { return float64(s.end-s.at) / float64(s.ideal) }
+
+func newDriver(seed uint64, entries, agents int, settings policy.Settings, sched func(i int) policy.Scheduler) *driver {
+	d := &driver{
+		bad: map[int]bool{}, slow: map[int]float64{}, badRuns: map[int]int{},
+		jobs: map[wire.SubmissionID]*submitted{},
+		rng:  rand.New(rand.NewPCG(seed, 1)),
+	}
+	for i := range entries {
+		d.scheds = append(d.scheds, sched(i))
+		d.entries = append(d.entries, entry.New(entry.Options{Incarnation: wire.Incarnation(1000 + i), Scheduler: d.scheds[i], MaxJobs: 1 << 20}))
+		d.stepEntry(i, entry.Configured{Settings: settings})
+	}
+	for k := range agents {
+		d.agents = append(d.agents, agent.New(agent.Options{Incarnation: wire.Incarnation(1 + k), Slots: 8}))
+		for i := range entries {
+			d.connect(i, k)
+		}
+	}
+	for i := range entries {
+		d.every(10*time.Millisecond, func() { d.stepEntry(i, entry.Tick{}) })
+	}
+	for k := range agents {
+		d.every(50*time.Millisecond, func() { d.stepAgent(k, agent.Tick{}) })
+	}
+	return d
+}
+
+func (d *driver) connect(i, k int) {
+	d.stepEntry(i, entry.LinkUp{Hello: wire.AgentHello{
+		Agent: wire.Incarnation(1 + k), Epoch: 1, Name: fmt.Sprint("agent-", k),
+		Zone: fmt.Sprint("zone-", k%3), Rack: fmt.Sprint("rack-", k/3), Slots: 8,
+	}})
+	d.stepAgent(k, agent.LinkUp{Entry: wire.Incarnation(1000 + i), Epoch: 1})
+}
+
+func (d *driver) after(delay time.Duration, do func()) {
+	d.order++
+	heap.Push(&d.queue, event{at: d.now + delay, order: d.order, do: do})
+}
+
+func (d *driver) every(period time.Duration, do func()) {
+	d.after(period, func() { do(); d.every(period, do) })
+}
+
+// run executes events until the virtual time end.
+func (d *driver) run(end time.Duration) {
+	for d.queue[0].at <= end {
+		e := heap.Pop(&d.queue).(event)
+		d.now = e.at
+		e.do()
+	}
+	d.now = end
+}
+
+func (d *driver) stepEntry(i int, ev entry.Event) {
+	for _, a := range d.entries[i].Step(d.now, ev) {
+		switch a := a.(type) {
+		case entry.Send:
+			d.after(hop, func() {
+				d.stepAgent(int(a.Agent)-1, agent.Received{Entry: wire.Incarnation(1000 + i), Epoch: a.Epoch, Frame: a.Frame})
+			})
+		case entry.Answer:
+			s := d.jobs[a.Submission]
+			s.end, s.answer = d.now, a.Answer
+			delete(d.jobs, a.Submission)
+			d.done = append(d.done, s)
+		}
+	}
+}
+
+func (d *driver) stepAgent(k int, ev agent.Event) {
+	for _, a := range d.agents[k].Step(d.now, ev) {
+		switch a := a.(type) {
+		case agent.Send:
+			d.after(hop, func() {
+				d.stepEntry(int(a.Entry)-1000, entry.Received{Agent: wire.Incarnation(1 + k), Epoch: a.Epoch, Frame: a.Frame})
+			})
+		case agent.Run:
+			d.runTask(k, a)
+		}
+	}
+}
+
+// runTask plays the upstream. A run is not stopped by a cancel.
+func (d *driver) runTask(k int, r agent.Run) {
+	run := time.Duration(binary.LittleEndian.Uint64(r.Start.Payload))
+	out := agent.Finished{Attempt: r.Attempt, Outcome: wire.Succeeded}
+	if f := d.slow[k]; f > 0 {
+		run = time.Duration(float64(run) * f)
+	}
+	if poison := r.Start.Payload[8] == 1; poison || d.bad[k] {
+		out.Outcome, out.Reason = wire.Failed, wire.ReasonUpstreamError
+		run /= 4
+		if d.bad[k] && !poison {
+			d.badRuns[k]++
+		}
+	}
+	if run > r.Timeout {
+		run, out.Outcome, out.Reason = r.Timeout, wire.Unknown, wire.ReasonRunLimit
+	}
+	out.Run = run
+	d.after(run, func() { d.stepAgent(k, out) })
+}
+
+// submit offers a job of the given run times.
+func (d *driver) submit(i int, class, team string, deadline time.Duration, runs []time.Duration, poison bool) {
+	var id wire.SubmissionID
+	binary.LittleEndian.PutUint64(id[:], uint64(d.order)+1)
+	d.order++
+	s := &submitted{class: class, team: team, tasks: len(runs), entry: i, at: d.now}
+	payloads := make([][]byte, len(runs))
+	var total, longest time.Duration
+	for n, r := range runs {
+		payloads[n] = binary.LittleEndian.AppendUint64(nil, uint64(r))
+		payloads[n] = append(payloads[n], 0)
+		if poison {
+			payloads[n][8] = 1
+		}
+		total += r
+		longest = max(longest, r)
+	}
+	s.ideal = max(longest, total/time.Duration(8*len(d.agents))) + 2*time.Millisecond
+	d.jobs[id] = s
+	d.stepEntry(i, entry.Submit{Submission: id, Class: class, Team: team, Deadline: deadline, Payloads: payloads})
+}
+
+// heavyTail draws a run time: log-normal, median 150 ms, at most 5 s.
+func (d *driver) heavyTail() time.Duration {
+	sec := 0.150 * math.Exp(0.8*d.rng.NormFloat64())
+	return time.Duration(min(max(sec, 0.02), 5) * float64(time.Second))
+}
--- /dev/null
+++ b/core/policy/estimate.go
@@ -0,0 +1,149 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	defaultRun       = 200 * time.Millisecond // before anything is declared or observed
+	estimateMinimum  = 8                      // observations below which the prior is used
+	estimateGrowth   = 1.002                  // newer observations weigh more: about 500 count
+	estimateRescale  = 1e12                   // weight at which all weights are scaled back
+	bucketsPerOctave = 4
+	bucketCount      = 18 * bucketsPerOctave // 1 ms to 262 s
+	refreshEvery     = 16                    // observations between two quantile scans
+)
+
+// estimate is a decayed histogram of the observed run times of one class.
+type estimate struct {
+	counts       [bucketCount]float64
+	weight       float64 // of the next observation
+	total        float64
+	sum          float64 // weighted seconds
+	sumLog       float64 // weighted logarithms of seconds
+	observations int
+
+	p50, p90, p99 time.Duration // as of the last refresh
+}
+
+// observe adds the run time of one task that succeeded.
+func (e *estimate) observe(run time.Duration) {
+	if e.weight == 0 {
+		e.weight = 1
+	}
+	sec := max(run, time.Millisecond).Seconds()
+	e.counts[bucketOf(run)] += e.weight
+	e.total += e.weight
+	e.sum += e.weight * sec
+	e.sumLog += e.weight * math.Log(sec)
+	e.weight *= estimateGrowth
+	e.observations++
+	if e.weight > estimateRescale {
+		e.rescale()
+	}
+	if e.observations <= 4*refreshEvery || e.observations%refreshEvery == 0 {
+		e.refresh()
+	}
+}
+
+func (e *estimate) rescale() {
+	f := 1 / e.weight
+	for i := range e.counts {
+		e.counts[i] *= f
+	}
+	e.total *= f
+	e.sum *= f
+	e.sumLog *= f
+	e.weight = 1
+}
+
+func (e *estimate) refresh() {
+	e.p50 = e.quantile(0.50)
+	e.p90 = e.quantile(0.90)
+	e.p99 = e.quantile(0.99)
+}
+
+// quantile returns the middle of the bucket that holds the quantile q.
+func (e *estimate) quantile(q float64) time.Duration {
+	rest := q * e.total
+	for i, c := range e.counts {
+		rest -= c
+		if rest <= 0 {
+			return bucketMiddle(i)
+		}
+	}
+	return bucketMiddle(bucketCount - 1)
+}
+
+// known reports whether enough was observed to be used instead of a prior.
+func (e *estimate) known() bool { return e.observations >= estimateMinimum }
+
+// mean returns the mean run time, or the prior while too little was observed.
+func (e *estimate) mean(prior time.Duration) time.Duration {
+	if !e.known() {
+		return priorOr(prior)
+	}
+	return time.Duration(e.sum / e.total * float64(time.Second))
+}
+
+// high returns the 90th percentile, or the prior.
+func (e *estimate) high(prior time.Duration) time.Duration {
+	if !e.known() {
+		return priorOr(prior)
+	}
+	return e.p90
+}
+
+// logMean returns the mean logarithm of the run time in seconds.
+func (e *estimate) logMean() float64 { return e.sumLog / e.total }
+
+func priorOr(prior time.Duration) time.Duration {
+	if prior > 0 {
+		return prior
+	}
+	return defaultRun
+}
+
+func bucketOf(run time.Duration) int {
+	ms := run.Seconds() * 1000
+	if ms <= 1 {
+		return 0
+	}
+	return min(int(math.Log2(ms)*bucketsPerOctave), bucketCount-1)
+}
+
+func bucketMiddle(i int) time.Duration {
+	ms := math.Exp2((float64(i) + 0.5) / bucketsPerOctave)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+const (
+	speedWeight   = 0.02 // of the newest run in the moving average
+	speedPrior    = 8    // runs' worth of evidence for a normal speed
+	speedDeadBand = 0.25 // logarithm within which an agent counts as normal
+)
+
+// speed compares the run times at one agent with what was expected. It works
+// on logarithms, because a mean of heavy-tailed run times never settles.
+type speed struct {
+	log  float64
+	runs float64 // effective number of runs in the average
+}
+
+// observe adds one run given the mean logarithm of its class.
+func (s *speed) observe(run time.Duration, expectedLog float64) {
+	dev := math.Log(max(run, time.Millisecond).Seconds()) - expectedLog
+	dev = min(max(dev, -2), 2)
+	s.runs = min(s.runs+1, 1/speedWeight)
+	s.log += (dev - s.log) / s.runs
+}
+
+// factor returns by how much longer tasks run at the agent, at least 1.
+func (s *speed) factor() float64 {
+	shrunk := s.log * s.runs / (s.runs + speedPrior)
+	if shrunk < speedDeadBand {
+		return 1
+	}
+	return math.Exp(shrunk - speedDeadBand)
+}
--- /dev/null
+++ b/core/policy/figures_test.go
@@ -0,0 +1,125 @@
+package policy_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+)
+
+const meanHeavy = 0.2066 // seconds; mean of heavyTail
+
+// offer submits Poisson arrivals of a class at the share load of all slots, as
+// jobs of 1 to 32 tasks, until the virtual time end.
+func (d *driver) offer(class, team string, load float64, deadline, end time.Duration) {
+	const meanTasks = 0.7*1 + 0.2*4 + 0.09*12 + 0.01*32
+	rate := load * float64(8*len(d.agents)) / (meanHeavy * meanTasks)
+	var next func()
+	next = func() {
+		if d.now >= end {
+			return
+		}
+		n := 1
+		switch u := d.rng.Float64(); {
+		case u > 0.99:
+			n = 32
+		case u > 0.90:
+			n = 12
+		case u > 0.70:
+			n = 4
+		}
+		runs := make([]time.Duration, n)
+		for i := range runs {
+			runs[i] = d.heavyTail()
+		}
+		d.submit(d.rng.IntN(len(d.entries)), class, team, deadline, runs, false)
+		d.after(time.Duration(d.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	d.after(time.Duration(d.rng.ExpFloat64()/rate*float64(time.Second)), next)
+}
+
+// figures are what one run measured after the warm-up.
+type figures struct {
+	p50, p99   float64 // of response time to ideal
+	wasted     float64 // messages per succeeded task
+	complete   int     // jobs
+	goodTasks  int     // tasks of complete jobs
+	late       int     // complete jobs beyond the class's target
+	refused    int
+	other      int
+	startsTask float64
+}
+
+func (d *driver) figures(from time.Duration, class string, within time.Duration) figures {
+	var f figures
+	var ratios []float64
+	for _, s := range d.done {
+		if s.at < from || s.class != class {
+			continue
+		}
+		switch s.answer.Outcome {
+		case entry.Complete:
+			f.complete++
+			f.goodTasks += s.tasks
+			ratios = append(ratios, s.ratio())
+			if s.end-s.at > within {
+				f.late++
+			}
+		case entry.Refused:
+			f.refused++
+		default:
+			f.other++
+		}
+	}
+	slices.Sort(ratios)
+	if len(ratios) > 0 {
+		f.p50 = ratios[len(ratios)/2]
+		f.p99 = ratios[len(ratios)*99/100]
+	}
+	var results, refused, starts, cancels uint64
+	for _, e := range d.entries {
+		st := e.Stats()
+		results += st.Results
+		refused += st.Refused
+		cancels += st.Cancels
+		starts += st.Starts
+	}
+	f.wasted = float64(2*refused+cancels) / float64(max(results, 1))
+	f.startsTask = float64(starts) / float64(max(results, 1))
+	return f
+}
+
+var oneClass = policy.Settings{Classes: []policy.Class{{Name: "c", Within: 2 * time.Second, Success: 0.99}}}
+
+func adaptive(seed uint64) func(int) policy.Scheduler {
+	return func(i int) policy.Scheduler {
+		return policy.New(policy.Options{Seed: seed*100 + uint64(i), Zone: fmt.Sprint("zone-", i)})
+	}
+}
+
+func runLoad(seed uint64, entries int, load float64, sched func(int) policy.Scheduler) figures {
+	d := newDriver(seed, entries, 11, oneClass, sched)
+	d.offer("c", "", load, 20*time.Second, 120*time.Second)
+	d.run(150 * time.Second)
+	return d.figures(5*time.Second, "c", 2*time.Second)
+}
+
+// TestExplore prints figures for work on the policy; it asserts nothing.
+func TestExplore(t *testing.T) {
+	if os.Getenv("POLICY_EXPLORE") == "" {
+		t.Skip("set POLICY_EXPLORE to print figures")
+	}
+	for _, load := range []float64{0.5, 0.7, 0.9, 0.95} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			one := runLoad(seed, 1, load, adaptive(seed))
+			three := runLoad(seed, 3, load, adaptive(seed))
+			base := runLoad(seed, 3, load, func(int) policy.Scheduler { return policy.NewLeastBusy() })
+			t.Logf("load %.2f seed %d one %.3f %.3f | three %.3f %.3f ratio %.3f %.3f wasted %.3f %.3f ref %d | base %.3f %.3f wasted %.3f",
+				load, seed, one.p50, one.p99, three.p50, three.p99, three.p50/one.p50, three.p99/one.p99, one.wasted, three.wasted, three.refused, base.p50, base.p99, base.wasted)
+		}
+	}
+}
--- /dev/null
+++ b/core/policy/place.go
@@ -0,0 +1,176 @@
+package policy
+
+import (
+	"time"
+)
+
+const (
+	spreadPenalty = 2 * time.Millisecond // for each task of the job per slot in the rack
+	tieJitter     = time.Millisecond     // random part of the cost, so that entries differ
+	riskShare     = 0.5                  // chance that an agent with one free slot is full
+	freeMargin    = 0.5                  // believed free slots that count as a free slot
+	lookAhead     = 1.0                  // tasks queued at each agent under backlog
+	freeMaxWait   = 4 * time.Millisecond // accepted queueing while others are believed free
+	unbounded     = time.Hour            // accepted queueing without PartMaxWait
+	messageFactor = 4                    // by how much EmphasisMessages raises the accepted wait
+	minRun        = 5 * time.Millisecond // least mean run time used for rates
+	freedMemory   = 64                   // agents remembered as having freed a slot
+	freedSample   = 8                    // of them, examined for one decision
+)
+
+// choice is the outcome of the search for an agent.
+type choice struct {
+	agent   *agentState
+	maxWait time.Duration
+	misfit  bool // an agent had room but does not offer what the job needs
+}
+
+// candidate is the best agent so far.
+type candidate struct {
+	agent *agentState
+	cost  float64 // seconds
+	free  float64 // believed free slots
+}
+
+// choose finds the agent with the least expected cost for a task of the job.
+func (s *Adaptive) choose(now time.Duration, j *jobState) choice {
+	run := s.meanRun(j)
+	p := pick{now: now, job: j, run: run, meanRun: max(s.runs.mean(0), minRun)}
+	if len(s.up) <= s.opts.SampleAgents {
+		for _, a := range s.up {
+			s.consider(&p, a)
+		}
+	} else {
+		s.sample(&p)
+	}
+	if p.best.agent == nil {
+		return choice{misfit: p.misfit}
+	}
+	return choice{agent: p.best.agent, maxWait: s.maxWait(&p)}
+}
+
+// pick is the state of one search.
+type pick struct {
+	now     time.Duration
+	job     *jobState
+	run     time.Duration // expected run time of the task
+	meanRun time.Duration // over all classes
+	best    candidate
+	free    float64 // believed free slots at the agents seen
+	misfit  bool
+}
+
+// sample examines a random subset and the agents that freed a slot lately.
+func (s *Adaptive) sample(p *pick) {
+	for n := 0; n < freedSample && len(s.freed) > 0; n++ {
+		a := s.freed[len(s.freed)-1-n%len(s.freed)]
+		s.consider(p, a)
+		if n >= len(s.freed)-1 {
+			break
+		}
+	}
+	for n := s.opts.SampleAgents - freedSample; n > 0; n-- {
+		s.consider(p, s.up[s.rand.below(len(s.up))])
+	}
+}
+
+// consider compares one agent with the best so far.
+func (s *Adaptive) consider(p *pick, a *agentState) {
+	if !a.open() {
+		return
+	}
+	if s.on.health && a.placed >= a.health.cap(p.now) {
+		return
+	}
+	limit := a.limit()
+	free := limit - a.believed(p.now, p.meanRun, s.on.ageing)
+	if free <= -s.lookAhead()+freeMargin-1e-9 {
+		return
+	}
+	if !a.info.Capacity.Fits(p.job.job.Need) {
+		p.misfit = true
+		return
+	}
+	p.free += max(0, free)
+	cost := s.cost(p, a, limit, free)
+	if p.best.agent == nil || cost < p.best.cost {
+		p.best = candidate{agent: a, cost: cost, free: free}
+	}
+}
+
+// lookAhead returns the number of tasks that may queue at each agent.
+func (s *Adaptive) lookAhead() float64 {
+	if !s.on.lookAhead {
+		return 0
+	}
+	return lookAhead
+}
+
+// cost returns the expected delay in seconds that the agent adds to a task.
+func (s *Adaptive) cost(p *pick, a *agentState, limit, free float64) float64 {
+	unit := p.meanRun.Seconds() / limit // time until the next of limit tasks ends
+	cost := s.rand.float() * tieJitter.Seconds()
+	if free < freeMargin {
+		cost += unit * (1 + freeMargin - free)
+	} else {
+		// The view is uncertain: the fewer slots are believed free, the more
+		// likely the agent is full by the time the start arrives.
+		cost += unit * riskShare / (free * free)
+	}
+	if a.remote {
+		cost += 2 * s.opts.ZoneDelay.Seconds()
+	}
+	if s.on.spread {
+		cost += spreadPenalty.Seconds() * float64(p.job.racks[a.rack]) / limit
+	}
+	if s.on.speed {
+		cost += (a.speed.factor() - 1) * p.run.Seconds()
+	}
+	return cost
+}
+
+// maxWait returns the queueing delay that the entry accepts at the agent.
+func (s *Adaptive) maxWait(p *pick) time.Duration {
+	if !s.on.maxWait {
+		return unbounded
+	}
+	a := p.best.agent
+	unit := max(a.waitUnit, time.Duration(float64(p.meanRun)/a.limit()), minWaitUnit)
+	wait := time.Duration(float64(unit) * (lookAhead + 2))
+	if p.best.free >= freeMargin && p.free-p.best.free >= 1 {
+		// A refusal costs a round trip; then a free slot is found elsewhere.
+		wait = min(wait, time.Duration(float64(freeMaxWait)*s.waitScale))
+	}
+	if s.settings.Emphasis == EmphasisMessages {
+		wait *= messageFactor
+	}
+	return wait
+}
+
+// noteFreed remembers an agent that freed a slot, for the sampled search.
+func (s *Adaptive) noteFreed(a *agentState) {
+	if a.listed || len(s.up) <= s.opts.SampleAgents {
+		return
+	}
+	if len(s.freed) == freedMemory {
+		s.freed[0].listed = false
+		copy(s.freed, s.freed[1:])
+		s.freed = s.freed[:freedMemory-1]
+	}
+	a.listed = true
+	s.freed = append(s.freed, a)
+}
+
+// dropFreed forgets an agent that was noted.
+func (s *Adaptive) dropFreed(a *agentState) {
+	if !a.listed {
+		return
+	}
+	a.listed = false
+	for i, f := range s.freed {
+		if f == a {
+			s.freed = append(s.freed[:i], s.freed[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/policy/queue.go
@@ -0,0 +1,331 @@
+package policy
+
+import "time"
+
+const (
+	// slackBucket is the difference in slack below which tasks count as equal.
+	slackBucket = 10 * time.Millisecond
+	// lateShare: one start in lateShare goes to a job that already missed its
+	// target, if one waits, so that nothing starves.
+	lateShare = 10
+	// defaultQuota weighs a team without a quota in the fair shares.
+	defaultQuota = 32
+	// saturatedLate is the number of late waiting tasks, as a share of the
+	// class's waiting tasks, above which the class yields to other classes.
+	saturatedLate = 0.1
+)
+
+// jobState is what the queue keeps of a job from its first Enqueue until it
+// has ended and none of its attempts is in flight.
+type jobState struct {
+	job     *Job
+	class   *classState
+	team    *teamState
+	due     time.Duration // latest start that can still meet the target
+	waiting []*Task       // Task.Slot holds the position plus one
+	placed  int
+	started bool
+	late    bool
+	ended   bool
+
+	teamPos   int // in team.viable or team.late
+	expiryPos int
+
+	racks     [rackBuckets]uint16 // tasks placed by rack
+	succeeded int
+	failedOn  []failure
+}
+
+// teamState is one team's part of one class.
+type teamState struct {
+	class     *classState
+	quota     float64
+	inService int
+	waiting   int
+	viable    indexHeap[*jobState]
+	late      indexHeap[*jobState]
+
+	sharePos, duePos, latePos int
+}
+
+func (t *teamState) share() float64 { return float64(t.inService) / t.quota }
+
+// classState is one class's part of the queue, with its statistics.
+type classState struct {
+	class       Class
+	published   bool
+	est         estimate
+	success     float64 // moving average of jobs complete within the target
+	outcomes    ratio   // of tasks
+	teams       map[string]*teamState
+	waiting     int // tasks
+	lateWaiting int // tasks of jobs that cannot meet the target any more
+	byShare     indexHeap[*teamState]
+	byDue       indexHeap[*teamState]
+	lateByShare indexHeap[*teamState]
+
+	pos, latePos int
+}
+
+func (c *classState) saturated() bool {
+	return float64(c.lateWaiting) > saturatedLate*float64(c.waiting)
+}
+
+func (c *classState) below() bool { return c.success < c.class.Success }
+
+func (c *classState) due() time.Duration { return c.byDue.top().viable.top().due }
+
+func (c *classState) lateDue() time.Duration { return c.lateByShare.top().late.top().due }
+
+// queue orders the waiting tasks. Its unit is the job, since all tasks of a
+// job have the same slack. All operations are O(log n).
+type queue struct {
+	fair    bool // shares of teams within a class
+	slack   bool // order by slack; otherwise by arrival
+	jobs    map[*Job]*jobState
+	classes indexHeap[*classState] // with a viable job
+	late    indexHeap[*classState] // with a late job
+	expiry  indexHeap[*jobState]   // viable jobs that have not started
+	waiting int
+	starts  uint64
+	free    []*jobState
+}
+
+func newQueue(fair, slack bool) *queue {
+	q := &queue{fair: fair, slack: slack, jobs: make(map[*Job]*jobState)}
+	q.classes = indexHeap[*classState]{less: lessClass, pos: func(c *classState) *int { return &c.pos }}
+	q.late = indexHeap[*classState]{
+		less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
+		pos:  func(c *classState) *int { return &c.latePos },
+	}
+	q.expiry = indexHeap[*jobState]{
+		less: func(a, b *jobState) bool { return a.due < b.due },
+		pos:  func(j *jobState) *int { return &j.expiryPos },
+	}
+	return q
+}
+
+func lessClass(a, b *classState) bool {
+	if as, bs := a.saturated(), b.saturated(); as != bs {
+		return bs
+	}
+	ad, bd := a.due(), b.due()
+	if ab, bb := ad/slackBucket, bd/slackBucket; ab != bb {
+		return ab < bb
+	}
+	if al, bl := a.below(), b.below(); al != bl {
+		return al
+	}
+	return ad < bd
+}
+
+func lessJob(a, b *jobState) bool {
+	if ab, bb := a.due/slackBucket, b.due/slackBucket; ab != bb {
+		return ab < bb
+	}
+	if a.started != b.started {
+		return a.started
+	}
+	return a.due < b.due
+}
+
+func lessLateJob(a, b *jobState) bool {
+	if a.started != b.started {
+		return a.started
+	}
+	return a.due < b.due
+}
+
+func (q *queue) newClass(class Class) *classState {
+	c := &classState{class: class, success: 1, teams: make(map[string]*teamState)}
+	less := func(a, b *teamState) bool { return a.share() < b.share() }
+	if !q.fair {
+		less = func(a, b *teamState) bool { return a.viable.top().due < b.viable.top().due }
+	}
+	c.byShare = indexHeap[*teamState]{less: less, pos: func(t *teamState) *int { return &t.sharePos }}
+	c.byDue = indexHeap[*teamState]{
+		less: func(a, b *teamState) bool { return lessJob(a.viable.top(), b.viable.top()) },
+		pos:  func(t *teamState) *int { return &t.duePos },
+	}
+	c.lateByShare = indexHeap[*teamState]{
+		less: func(a, b *teamState) bool { return a.share() < b.share() },
+		pos:  func(t *teamState) *int { return &t.latePos },
+	}
+	return c
+}
+
+func (c *classState) team(name string, quota int) *teamState {
+	t := c.teams[name]
+	if t == nil {
+		pos := func(j *jobState) *int { return &j.teamPos }
+		t = &teamState{class: c, quota: quotaWeight(quota)}
+		t.viable = indexHeap[*jobState]{less: lessJob, pos: pos}
+		t.late = indexHeap[*jobState]{less: lessLateJob, pos: pos}
+		c.teams[name] = t
+	}
+	return t
+}
+
+func quotaWeight(quota int) float64 {
+	if quota <= 0 {
+		return defaultQuota
+	}
+	return float64(quota)
+}
+
+// add returns the job's state, created on the first call.
+func (q *queue) add(job *Job, c *classState, t *teamState, due time.Duration) *jobState {
+	j := &jobState{}
+	if n := len(q.free); n > 0 {
+		j = q.free[n-1]
+		q.free = q.free[:n-1]
+	}
+	*j = jobState{job: job, class: c, team: t, due: due, waiting: j.waiting[:0], failedOn: j.failedOn[:0]}
+	if !q.slack {
+		j.due = job.Arrived
+	}
+	q.jobs[job] = j
+	return j
+}
+
+// push adds one waiting task of the job.
+func (q *queue) push(j *jobState, t *Task) {
+	j.waiting = append(j.waiting, t)
+	t.Slot = len(j.waiting)
+	q.count(j, 1)
+	if len(j.waiting) == 1 {
+		q.attach(j)
+		return
+	}
+	q.refresh(j.team)
+}
+
+// remove drops one waiting task. A task that does not wait is left alone.
+func (q *queue) remove(j *jobState, t *Task) {
+	i := t.Slot - 1
+	if i < 0 || i >= len(j.waiting) || j.waiting[i] != t {
+		return
+	}
+	last := len(j.waiting) - 1
+	j.waiting[i] = j.waiting[last]
+	j.waiting[i].Slot = i + 1
+	j.waiting[last] = nil
+	j.waiting = j.waiting[:last]
+	t.Slot = 0
+	q.count(j, -1)
+	if last == 0 {
+		q.detach(j)
+		return
+	}
+	q.refresh(j.team)
+}
+
+func (q *queue) count(j *jobState, n int) {
+	q.waiting += n
+	j.team.waiting += n
+	j.class.waiting += n
+	if j.late {
+		j.class.lateWaiting += n
+	}
+}
+
+// attach makes a job with waiting tasks eligible.
+func (q *queue) attach(j *jobState) {
+	if j.late {
+		j.team.late.put(j)
+	} else {
+		j.team.viable.put(j)
+		if q.slack && !j.started {
+			q.expiry.put(j)
+		}
+	}
+	q.refresh(j.team)
+}
+
+func (q *queue) detach(j *jobState) {
+	if j.late {
+		j.team.late.drop(j)
+	} else {
+		j.team.viable.drop(j)
+	}
+	q.expiry.drop(j)
+	q.refresh(j.team)
+}
+
+// refresh restores the order of the team and its class after a change.
+func (q *queue) refresh(t *teamState) {
+	c := t.class
+	keep(&c.byShare, t, t.viable.len() > 0)
+	keep(&c.byDue, t, t.viable.len() > 0)
+	keep(&c.lateByShare, t, t.late.len() > 0)
+	keep(&q.classes, c, c.byDue.len() > 0)
+	keep(&q.late, c, c.lateByShare.len() > 0)
+}
+
+func keep[T any](h *indexHeap[T], x T, in bool) {
+	if in {
+		h.put(x)
+		return
+	}
+	h.drop(x)
+}
+
+// expire moves the jobs that can no longer meet their target, unless a task of
+// them has started: finishing those loses no work.
+func (q *queue) expire(now time.Duration) {
+	for q.expiry.len() > 0 && q.expiry.top().due < now {
+		j := q.expiry.top()
+		q.detach(j)
+		j.late = true
+		j.class.lateWaiting += len(j.waiting)
+		q.attach(j)
+	}
+}
+
+// head returns the job to serve next, or nil.
+func (q *queue) head(now time.Duration) *jobState {
+	q.expire(now)
+	lateTurn := q.starts%lateShare == lateShare-1
+	if q.late.len() > 0 && (lateTurn || q.classes.len() == 0) {
+		return q.late.top().lateByShare.top().late.top()
+	}
+	if q.classes.len() == 0 {
+		return nil
+	}
+	return q.classes.top().byShare.top().viable.top()
+}
+
+// start removes one task of the job, which is being placed.
+func (q *queue) start(j *jobState) *Task {
+	t := j.waiting[len(j.waiting)-1]
+	q.remove(j, t)
+	q.starts++
+	j.placed++
+	j.team.inService++
+	if !j.started {
+		j.started = true
+		q.expiry.drop(j)
+		if len(j.waiting) > 0 {
+			q.attach(j)
+		}
+	}
+	q.refresh(j.team)
+	return t
+}
+
+// finish ends one placed attempt of the job.
+func (q *queue) finish(j *jobState) {
+	j.placed--
+	j.team.inService--
+	q.refresh(j.team)
+	q.release(j)
+}
+
+// release forgets a job that has ended once nothing of it is in flight.
+func (q *queue) release(j *jobState) {
+	if !j.ended || j.placed > 0 || len(j.waiting) > 0 {
+		return
+	}
+	delete(q.jobs, j.job)
+	q.free = append(q.free, j)
+}
