Queue: a class above its share yields under contention

Now, while draining the backlog would take more than a quarter of the tightest target, a class that holds more than an equal share of the slots in service is served after those that do not. A slow start restarts only on an own failure that stands out.

Ruled out: demoting a class with late jobs, because by then the urgent class is late as well.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -28,6 +28,8 @@
 	inFlight  int
 	service   float64 // own tasks in service under backlog
 	waitScale float64
+
+	contentionAt time.Duration // next comparison of the backlog with the targets
 }
 
 // switches are the parts that are on.
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// completionMargin is the share of the time to the deadline that the
@@ -11,7 +14,11 @@
 	minRetryAfter  = 100 * time.Millisecond
 	maxRetryAfter  = 30 * time.Second
 	noUpstreamWait = time.Second
-	serviceWeight  = 0.02 // of the newest sample in the mean number of tasks in service
+	// contentionShare is the part of the tightest target that draining the
+	// backlog may take before classes above their share must yield.
+	contentionShare  = 0.25
+	contentionPeriod = 5 * time.Millisecond
+	serviceWeight    = 0.02 // of the newest sample in the mean number of tasks in service
 )
 
 // admit decides on a new job.
@@ -72,23 +79,51 @@
 		}
 		work += s.ahead(c, other) * float64(other.waiting) * float64(s.mean(other, 0))
 	}
+	if s.queue.late.len() > 0 {
+		work *= lateShare / (lateShare - 1.0) // starts given to late jobs
+	}
 	return time.Duration(work / s.drain())
 }
 
+// updateContention compares the time to drain the whole backlog with the
+// tightest target of the classes that have work.
+func (s *Adaptive) updateContention(now time.Duration) {
+	if now < s.contentionAt {
+		return
+	}
+	s.contentionAt = now + contentionPeriod
+	if s.queue.waiting == 0 || s.queue.active < 2 {
+		s.queue.contend(false)
+		return
+	}
+	tightest, work := time.Duration(math.MaxInt64), 0.0
+	for _, c := range s.classList {
+		if c.busy() {
+			tightest = min(tightest, c.class.Within)
+			work += float64(c.waiting) * float64(s.mean(c, 0))
+		}
+	}
+	limit := contentionShare * float64(tightest)
+	if s.queue.contended {
+		limit /= 2
+	}
+	s.queue.contend(work/s.drain() > limit)
+}
+
 // ahead estimates the share of the other class's waiting tasks that is served
 // before a new task of class c.
 func (s *Adaptive) ahead(c, other *classState) float64 {
 	if other == c || !s.on.slackOrder {
 		return 1
 	}
-	if other.saturated() && !c.saturated() {
-		return 1.0 / lateShare
+	if s.queue.overShare(other) && !s.queue.overShare(c) {
+		return 0
 	}
 	if other.class.Within <= c.class.Within {
 		return 1
 	}
 	// The waiting tasks' slack is spread over the class's target time.
-	return max(1.0/lateShare, float64(c.class.Within)/float64(other.class.Within))
+	return float64(c.class.Within) / float64(other.class.Within)
 }
 
 // drain returns the number of slots that serve this entry's tasks. Under
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -19,6 +19,7 @@
 // Next implements Scheduler.
 func (s *Adaptive) Next(now time.Duration) (Placement, bool) {
 	p, ok := Placement{}, false
+	s.updateContention(now)
 	for len(s.parked) < maxParked {
 		j := s.queue.head(now)
 		if j == nil || len(s.up) == 0 {
@@ -109,6 +110,9 @@
 	case agentFault(r):
 		j.class.outcomes.add(false)
 		j.blame(a)
+		a.health.failing = true
+	case r.Reason == wire.ReasonRunLimit:
+		a.health.excused++ // the deadline passed; the counters include it
 	case r.Reason == wire.ReasonUpstreamDown || r.Reason == wire.ReasonSuspect:
 		a.health.markDown(now, s.rand.float())
 	}
--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -47,6 +47,7 @@
 	bad     map[int]bool    // agents that fail every task
 	slow    map[int]float64 // run-time factor
 	badRuns map[int]int     // tasks failed by a bad agent
+	busy    time.Duration   // slot time used
 	jobs    map[wire.SubmissionID]*submitted
 	done    []*submitted
 	running map[agent.AttemptID]bool
@@ -175,6 +176,7 @@
 		run, out.Outcome, out.Reason = r.Timeout, wire.Unknown, wire.ReasonRunLimit
 	}
 	out.Run = run
+	d.busy += run
 	d.running[r.Attempt] = true
 	d.after(run, func() { d.endRun(k, out) })
 }
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -58,6 +58,7 @@
 	since     int  // successes since the last failure, all entries
 	mixed     int  // successes since the first failure of the streak
 	ramp      int  // successes counted towards the end of a slow start
+	failing   bool // an own task failed since then
 	limited   bool // the failures are unlikely by chance: one attempt at a time
 
 	ejected   bool
@@ -105,7 +106,6 @@
 	h.failedAt = now
 	h.beside = running
 	h.since = 0
-	h.ramp = 0
 }
 
 // succeeded counts reported successes. They end a streak only once every task
@@ -134,7 +134,7 @@
 
 func (h *health) clear() {
 	h.streak, h.excused, h.blamed, h.since, h.mixed = 0, 0, 0, 0, 0
-	h.limited = false
+	h.failing, h.limited = false, false
 }
 
 // suspicion is the number of failures in a row that no faulty job explains.
@@ -208,7 +208,10 @@
 // at all agents together.
 func (h *health) weigh(failures float64) {
 	n := h.suspicion()
-	h.limited = n > 0 && math.Pow(max(failures, failureFloor), float64(n)) <= limitChance
+	h.limited = h.failing && n > 0 && math.Pow(max(failures, failureFloor), float64(n)) <= limitChance
+	if h.limited {
+		h.ramp = 0
+	}
 }
 
 // guilty reports whether the streak is too unlikely for a healthy agent, given
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -10,9 +10,6 @@
 	lateShare = 10
 	// defaultQuota weighs a team without a quota in the fair shares.
 	defaultQuota = 32
-	// saturatedLate is the number of late waiting tasks, as a share of the
-	// class's waiting tasks, above which the class yields to other classes.
-	saturatedLate = 0.1
 )
 
 // jobState is what the queue keeps of a job from its first Enqueue until it
@@ -59,7 +56,8 @@
 	outcomes    ratio   // of tasks
 	teams       map[string]*teamState
 	waiting     int // tasks
-	lateWaiting int // tasks of jobs that cannot meet the target any more
+	inService   int // tasks
+	yields      bool
 	byShare     indexHeap[*teamState]
 	byDue       indexHeap[*teamState]
 	lateByShare indexHeap[*teamState]
@@ -67,10 +65,6 @@
 	pos, latePos int
 }
 
-func (c *classState) saturated() bool {
-	return float64(c.lateWaiting) > saturatedLate*float64(c.waiting)
-}
-
 func (c *classState) below() bool { return c.success < c.class.Success }
 
 func (c *classState) due() time.Duration { return c.byDue.top().viable.top().due }
@@ -89,6 +83,10 @@
 	waiting int
 	starts  uint64
 	free    []*jobState
+
+	contended bool // the backlog endangers the tightest target
+	inService int
+	active    int // classes with a task that waits or is in service
 }
 
 func newQueue(fair, slack bool) *queue {
@@ -106,8 +104,8 @@
 }
 
 func lessClass(a, b *classState) bool {
-	if as, bs := a.saturated(), b.saturated(); as != bs {
-		return bs
+	if a.yields != b.yields {
+		return b.yields
 	}
 	ad, bd := a.due(), b.due()
 	if ab, bb := ad/slackBucket, bd/slackBucket; ab != bb {
@@ -221,12 +219,51 @@
 }
 
 func (q *queue) count(j *jobState, n int) {
+	was := j.class.busy()
 	q.waiting += n
 	j.team.waiting += n
 	j.class.waiting += n
-	if j.late {
-		j.class.lateWaiting += n
+	q.noteBusy(j.class, was)
+}
+
+// serve counts n more tasks in service.
+func (q *queue) serve(j *jobState, n int) {
+	was := j.class.busy()
+	j.placed += n
+	j.team.inService += n
+	j.class.inService += n
+	q.inService += n
+	q.noteBusy(j.class, was)
+}
+
+func (c *classState) busy() bool { return c.waiting+c.inService > 0 }
+
+func (q *queue) noteBusy(c *classState, was bool) {
+	if is := c.busy(); is && !was {
+		q.active++
+	} else if was && !is {
+		q.active--
+	}
+}
+
+// overShare reports whether the class must yield to other classes: there is
+// contention and it holds more than an equal share of the slots in service.
+// Without this rule, one class that exceeds the capacity brings its jobs' slack
+// down to that of every other class and all of them become late.
+func (q *queue) overShare(c *classState) bool {
+	return q.contended && c.inService*q.active > q.inService
+}
+
+// contend sets whether there is contention.
+func (q *queue) contend(contended bool) {
+	if contended == q.contended {
+		return
+	}
+	q.contended = contended
+	for _, c := range q.classes.items {
+		c.yields = q.overShare(c)
 	}
+	q.classes.reorder()
 }
 
 // attach makes a job with waiting tasks eligible.
@@ -258,6 +295,7 @@
 	keep(&c.byShare, t, t.viable.len() > 0)
 	keep(&c.byDue, t, t.viable.len() > 0)
 	keep(&c.lateByShare, t, t.late.len() > 0)
+	c.yields = q.overShare(c)
 	keep(&q.classes, c, c.byDue.len() > 0)
 	keep(&q.late, c, c.lateByShare.len() > 0)
 }
@@ -277,7 +315,6 @@
 		j := q.expiry.top()
 		q.detach(j)
 		j.late = true
-		j.class.lateWaiting += len(j.waiting)
 		q.attach(j)
 	}
 }
@@ -300,8 +337,7 @@
 	t := j.waiting[len(j.waiting)-1]
 	q.remove(j, t)
 	q.starts++
-	j.placed++
-	j.team.inService++
+	q.serve(j, 1)
 	if !j.started {
 		j.started = true
 		q.expiry.drop(j)
@@ -315,8 +351,7 @@
 
 // finish ends one placed attempt of the job.
 func (q *queue) finish(j *jobState) {
-	j.placed--
-	j.team.inService--
+	q.serve(j, -1)
 	q.refresh(j.team)
 	q.release(j)
 }
--- a/core/policy/regression_test.go
+++ b/core/policy/regression_test.go
@@ -124,6 +124,7 @@
 		d := newDriver(seed, 3, 11, oneClass, adaptive(seed))
 		d.offer("c", "", load, 10*time.Second, 120*time.Second)
 		d.run(120 * time.Second)
+		t.Logf("load %v: slots in use %.3f", load, float64(d.busy)/float64(120*time.Second)/float64(8*len(d.agents)))
 		return d.throughput("", 20*time.Second, 120*time.Second), d.figures(20*time.Second, "c", 2*time.Second)
 	}
 	for seed := uint64(1); seed <= 3; seed++ {
