--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -138,11 +138,11 @@
 func (d *driver) stepAgent(k int, ev agent.Event) {
 	for _, a := range d.agents[k].Step(d.now, ev) {
 		switch a := a.(type) {
-		case agent.Send:
+		case *agent.Send:
 			d.after(hop, func() {
 				d.stepEntry(int(a.Entry)-1000, entry.Received{Agent: wire.Incarnation(1 + k), Epoch: a.Epoch, Frame: a.Frame})
 			})
-		case agent.Run:
+		case *agent.Run:
 			d.runTask(k, a)
 		case agent.Stop:
 			d.endRun(k, agent.Finished{Attempt: a.Attempt, Outcome: wire.Unknown, Reason: wire.ReasonStopped})
@@ -159,7 +159,7 @@
 }
 
 // runTask plays the upstream.
-func (d *driver) runTask(k int, r agent.Run) {
+func (d *driver) runTask(k int, r *agent.Run) {
 	run := time.Duration(binary.LittleEndian.Uint64(r.Start.Payload))
 	out := agent.Finished{Attempt: r.Attempt, Outcome: wire.Succeeded}
 	if f := d.slow[k]; f > 0 {
