Load tool, observer and baselines

Ruled out: judging by the digests alone, since a caller may resubmit the same job; the observer uses the submission named in the reply and the digests. Conclusion: jobs run end to end; comparisons and fault options follow.

--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/limpettrail/limpettrail/internal/dev"
+	"github.com/limpettrail/limpettrail/internal/load"
+)
+
+const (
+	stopTimeout = 10 * time.Second
+	// devLoad is the offered load, as a share of the slots, at which
+	// `dev --jobs` spreads its jobs over time.
+	devLoad = 0.6
+)
+
+type devArgs struct {
+	Entries int    `default:"3" help:"number of entries"`
+	Agents  int    `default:"11" help:"number of agents"`
+	Jobs    int    `help:"run that many mixed jobs, print a summary and exit"`
+	Seed    uint64 `default:"1" help:"seed of the jobs"`
+}
+
+func runDev(a *devArgs, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if a.Jobs > 0 {
+		return runDevJobs(ctx, a, stdout, stderr)
+	}
+	return serveDev(ctx, a, stdout, stderr)
+}
+
+// serveDev runs the system until the process is told to stop.
+func serveDev(ctx context.Context, a *devArgs, stdout, stderr io.Writer) int {
+	s, err := dev.Start(dev.Options{Entries: a.Entries, Agents: a.Agents})
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	addr := s.Entries[0].Addr()
+	fmt.Fprintf(stdout, "callers: http://%s\n", addr)
+	fmt.Fprintf(stdout, "try: curl -s http://%s/v1/jobs -d '{\"class\":\"quote\",\"tasks\":[{\"sleep_us\":50000},{\"sleep_us\":80000}]}'\n", addr)
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := s.Stop(stopCtx); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// runDevJobs runs mixed jobs through the whole path and fails if the observer
+// finds a broken promise or a job that was not complete.
+func runDevJobs(ctx context.Context, a *devArgs, stdout, stderr io.Writer) int {
+	o := load.Options{Entries: a.Entries, Agents: a.Agents, Progress: stderr}
+	o.Shape = load.MixedJobs(a.Seed, a.Jobs, o.WithDefaults().Slots, devLoad)
+	r, err := load.Run(ctx, o, load.Chosen())
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	writeSummary(stdout, r)
+	if len(r.Violations) > 0 {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func writeSummary(w io.Writer, r *load.Result) {
+	a := r.All
+	fmt.Fprintf(w, "jobs: %d complete, %d failed, %d refused, %d unknown, %d without an answer\n",
+		a.Complete, a.Failed, a.Refused, a.Unknown, a.Broken)
+	fmt.Fprintf(w, "response time over ideal: p50 %.3f, p99 %.3f, mean %.3f\n", a.Ratio.P50, a.Ratio.P99, a.Ratio.Mean)
+	fmt.Fprintf(w, "messages beyond one start and one result: %s per task\n", r.Wasted)
+	fmt.Fprintf(w, "tasks of complete jobs: %d in %.1f s\n", r.TasksOK, r.Seconds)
+	fmt.Fprintf(w, "broken promises: %d\n", len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  %s\n", v)
+	}
+}
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/limpettrail/limpettrail/internal/load"
+)
+
+type loadArgs struct {
+	Compare       bool          `help:"run the chosen policy beside the baselines on the same workload"`
+	Short         bool          `help:"a run that ends within 45 seconds"`
+	Scheme        string        `default:"chosen" help:"scheduler of a single run"`
+	Targets       []string      `arg:"--target,separate" help:"URL of a running entry; may be repeated; no system is started"`
+	Seed          uint64        `default:"1" help:"seed of the workload"`
+	Load          float64       `default:"0.7" help:"offered work over slots"`
+	Duration      time.Duration `default:"30s" help:"how long jobs arrive"`
+	Entries       int           `default:"3"`
+	Agents        int           `default:"11" help:"agents of 8 slots; with --target, what the ideal assumes"`
+	Bursts        int           `help:"number of bursts"`
+	BurstShare    float64       `arg:"--burst-share" default:"0.2" help:"share of the jobs that arrive in bursts"`
+	CancelWaves   int           `arg:"--cancel-waves" help:"number of waves of cancellations"`
+	CancelShare   float64       `arg:"--cancel-share" default:"0.5" help:"share of recent jobs that a wave cancels"`
+	FailShare     float64       `arg:"--fail-share" help:"share of jobs that fail on every upstream"`
+	DeclaredError float64       `arg:"--declared-error" default:"10" help:"largest factor by which declared run times are off"`
+	Slow          int           `help:"upstreams that take 4 times as long"`
+	Bad           int           `help:"upstreams that fail every task"`
+	Kill          int           `help:"upstreams killed after a third of the run"`
+	JSON          string        `help:"write the report to this file"`
+	Plot          string        `help:"write the distribution to this .svg or .png file"`
+}
+
+func (a *loadArgs) options(progress io.Writer) load.Options {
+	o := load.Options{
+		Entries: a.Entries, Agents: a.Agents, Progress: progress,
+		Faults: load.Faults{Slow: a.Slow, Bad: a.Bad, Kill: a.Kill},
+	}
+	o.Shape = load.Shape{
+		Seed: a.Seed, Duration: a.Duration, Load: a.Load,
+		Bursts: a.Bursts, BurstShare: a.BurstShare,
+		CancelWaves: a.CancelWaves, CancelShare: a.CancelShare,
+		FailShare: a.FailShare, DeclaredError: a.DeclaredError,
+	}
+	if a.Short {
+		o.Duration = load.ShortDuration
+	}
+	return o.WithDefaults()
+}
+
+func runLoad(a *loadArgs, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	rep, err := a.run(ctx, a.options(stderr))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	if err := a.write(rep, stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	if rep.Violations() > 0 {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func (a *loadArgs) run(ctx context.Context, o load.Options) (load.Report, error) {
+	switch {
+	case len(a.Targets) > 0:
+		return load.DriveRunning(ctx, o, a.Targets)
+	case a.Compare:
+		return load.CompareSchemes(ctx, o, load.Schemes())
+	}
+	var names []string
+	for _, s := range load.Schemes() {
+		if s.Name == a.Scheme {
+			return load.CompareSchemes(ctx, o, []load.Scheme{s})
+		}
+		names = append(names, s.Name)
+	}
+	return load.Report{}, fmt.Errorf("load: no scheme %q, known are %s", a.Scheme, strings.Join(names, ", "))
+}
+
+func (a *loadArgs) write(rep load.Report, stdout io.Writer) error {
+	if err := rep.WriteTable(stdout); err != nil {
+		return err
+	}
+	if a.JSON != "" {
+		if err := rep.WriteJSON(a.JSON); err != nil {
+			return err
+		}
+	}
+	if a.Plot != "" {
+		return rep.WritePlot(a.Plot)
+	}
+	return nil
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/entryd"
@@ -123,6 +124,42 @@
 
 func zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
+// readyPoll is how often WaitReady looks at the entries.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady returns when every entry has a link to every agent.
+func (s *System) WaitReady(ctx context.Context) error {
+	for _, e := range s.Entries {
+		for {
+			if st, ok := e.Stats(); ok && st.Links >= len(s.Agents) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("dev: entry %s has no link to some agent: %w", e.Addr(), ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Messages sums the entries' message counters. Entries that ended count nothing.
+func (s *System) Messages() entry.Stats {
+	var sum entry.Stats
+	for _, e := range s.Entries {
+		st, _ := e.Stats()
+		sum.Starts += st.Messages.Starts
+		sum.Results += st.Messages.Results
+		sum.Refused += st.Messages.Refused
+		sum.Cancels += st.Messages.Cancels
+		sum.Queries += st.Messages.Queries
+		sum.Late += st.Messages.Late
+		sum.Heartbeats += st.Messages.Heartbeats
+	}
+	return sum
+}
+
 // Stop shuts everything down gracefully, entries first.
 func (s *System) Stop(ctx context.Context) error {
 	var errs []error
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -185,6 +185,9 @@
 	case submission:
 		c.answers[x.submit.Submission] = x.answer
 		return x.submit
+	case statsRequest:
+		x.reply <- Stats{Messages: c.machine.Stats(), Jobs: c.machine.Jobs(), Links: len(c.links)}
+		return nil
 	case entry.Event:
 		return x
 	}
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/internal/load/baseline"
+)
+
+// ChosenName and ReferenceName name the two schemes that ratios refer to.
+const (
+	ChosenName    = "chosen"
+	ReferenceName = "one_entry"
+)
+
+// ShortDuration is the length of the arrivals of a short comparison.
+const ShortDuration = 20 * time.Second
+
+// Report is a set of runs on the same workload.
+type Report struct {
+	Seed    uint64    `json:"seed"`
+	Load    float64   `json:"offered_load"`
+	Shape   Shape     `json:"shape"`
+	Faults  Faults    `json:"faults"`
+	Results []*Result `json:"results"`
+}
+
+// Chosen returns the scheme that the system runs with.
+func Chosen() Scheme {
+	return Scheme{Name: ChosenName, New: func(int, uint64) policy.Scheduler { return policy.NewLeastBusy() }}
+}
+
+// Schemes returns the chosen policy, the reference and the baselines.
+func Schemes() []Scheme {
+	reference := Chosen()
+	reference.Name = ReferenceName
+	reference.Entries = 1
+	return []Scheme{
+		Chosen(),
+		reference,
+		{Name: "random", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRandom(seed) }},
+		{Name: "round_robin", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRoundRobin(seed) }},
+		{Name: "least_outstanding", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewLeastOutstanding(seed) }},
+		{Name: "power_of_two", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewPowerOfTwo(seed) }},
+	}
+}
+
+// Compare runs the chosen policy beside the baselines on the same workload.
+func Compare(o Options) (Report, error) { return CompareSchemes(context.Background(), o, Schemes()) }
+
+// CompareSchemes runs the schemes at the same time, each on a system of its
+// own, so that noise of the machine meets all of them alike. The upstreams only
+// sleep, so the systems hardly compete. Processor time is then not separable.
+func CompareSchemes(ctx context.Context, o Options, schemes []Scheme) (Report, error) {
+	o = o.WithDefaults()
+	rep := Report{
+		Seed: o.Seed, Load: o.Load, Shape: o.Shape, Faults: o.Faults,
+		Results: make([]*Result, len(schemes)),
+	}
+	errs := make([]error, len(schemes))
+	var wg sync.WaitGroup
+	for i, s := range schemes {
+		own := o
+		if i > 0 {
+			own.Progress = nil // one progress line stands for all
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, err := Run(ctx, own, s)
+			if err != nil {
+				errs[i] = fmt.Errorf("load: %s: %w", s.Name, err)
+				return
+			}
+			r.Processor = 0
+			rep.Results[i] = r
+		}()
+	}
+	wg.Wait()
+	return rep, errors.Join(errs...)
+}
+
+// Violations returns the number of broken promises in all runs.
+func (r Report) Violations() int {
+	n := 0
+	for _, res := range r.Results {
+		n += len(res.Violations)
+	}
+	return n
+}
+
+func (r Report) find(name string) *Result {
+	for _, res := range r.Results {
+		if res.Name == name {
+			return res
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/observer/record.go
@@ -0,0 +1,70 @@
+package observer
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"strconv"
+	"sync"
+
+	"github.com/limpettrail/limpettrail/internal/standin/upstream"
+)
+
+// StartOf converts a start as reported by the stand-in named upstreamName. A
+// task index that is not a number becomes -1, which no caller sends.
+func StartOf(upstreamName string, s upstream.Started) Start {
+	task, err := strconv.Atoi(s.Task)
+	if err != nil {
+		task = -1
+	}
+	return Start{Upstream: upstreamName, Submission: s.Submission, Task: task, Digest: s.Digest, Key: s.Key}
+}
+
+// File appends starts to a file, one JSON object a line. Each start is one
+// write call, so the record survives the kill of the process that wrote it.
+type File struct {
+	mu sync.Mutex
+	f  *os.File
+}
+
+// OpenFile opens the record at path for appending and creates it if needed.
+func OpenFile(path string) (*File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return &File{f: f}, nil
+}
+
+// Append writes one start.
+func (r *File) Append(s Start) error {
+	line, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, err = r.f.Write(append(line, '\n'))
+	return err
+}
+
+// Close closes the file.
+func (r *File) Close() error { return r.f.Close() }
+
+// Load adds every start in the record at path to the observer.
+func (o *Observer) Load(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var s Start
+		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			return err
+		}
+		o.Started(s)
+	}
+	return lines.Err()
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -28,6 +28,18 @@
 	SleepMicros int64  `json:"sleep_us"`
 	Fail        bool   `json:"fail,omitempty"`
 	Text        string `json:"text,omitempty"`
+	// Key is the key of the non-idempotent request that the task belongs to.
+	// It is part of the payload so that the record of starts does not depend on
+	// what the dispatcher forwards.
+	Key string `json:"key,omitempty"`
+}
+
+// Started describes one start as the upstream saw it.
+type Started struct {
+	Submission string // as received in HeaderSubmission
+	Task       string // as received in HeaderTask
+	Digest     string // SHA-256 of the payload, in hexadecimal
+	Key        string // as found in the payload
 }
 
 // Reply is the stand-in's result.
@@ -41,8 +53,8 @@
 	SlowFactor float64
 	// FailAll makes every task fail at once.
 	FailAll bool
-	// OnStart is called for each task that starts.
-	OnStart func(submission, task string)
+	// OnStart is called for each task that starts, before it runs.
+	OnStart func(Started)
 }
 
 // Server is a running stand-in.
@@ -82,11 +94,17 @@
 		return
 	}
 	s.starts.Add(1)
+	sum := sha256.Sum256(body)
+	digest := hex.EncodeToString(sum[:])
+	var t Task
+	err = json.Unmarshal(body, &t)
 	if s.opts.OnStart != nil {
-		s.opts.OnStart(r.Header.Get(HeaderSubmission), r.Header.Get(HeaderTask))
+		s.opts.OnStart(Started{
+			Submission: r.Header.Get(HeaderSubmission), Task: r.Header.Get(HeaderTask),
+			Digest: digest, Key: t.Key,
+		})
 	}
-	var t Task
-	if err := json.Unmarshal(body, &t); err != nil {
+	if err != nil {
 		http.Error(w, "payload: "+err.Error(), http.StatusUnprocessableEntity)
 		return
 	}
@@ -97,9 +115,8 @@
 	if !s.sleep(r, t) {
 		return
 	}
-	sum := sha256.Sum256(body)
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(Reply{Digest: hex.EncodeToString(sum[:])})
+	json.NewEncoder(w).Encode(Reply{Digest: digest})
 }
 
 // sleep reports false if the request was abandoned.
