--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -27,7 +27,10 @@
 	Seed    uint64 `default:"1" help:"seed of the jobs"`
 }
 
-func runDev(a *devArgs, stdout, stderr io.Writer) int {
+// example is shown in the help.
+func (*devArgs) example() string { return "limpettrail dev --jobs 200 --seed 1" }
+
+func (a *devArgs) run(stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if a.Jobs > 0 {
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -53,10 +53,13 @@
 	return o.WithDefaults()
 }
 
-func runLoad(a *loadArgs, stdout, stderr io.Writer) int {
+// example is shown in the help.
+func (*loadArgs) example() string { return "limpettrail load --compare --short --seed 1" }
+
+func (a *loadArgs) run(stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	rep, err := a.run(ctx, a.options(stderr))
+	rep, err := a.report(ctx, a.options(stderr))
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
@@ -71,7 +74,7 @@
 	return ExitOK
 }
 
-func (a *loadArgs) run(ctx context.Context, o load.Options) (load.Report, error) {
+func (a *loadArgs) report(ctx context.Context, o load.Options) (load.Report, error) {
 	switch {
 	case len(a.Targets) > 0:
 		return load.DriveRunning(ctx, o, a.Targets)
