--- /dev/null
+++ b/internal/load/workload_test.go
@@ -0,0 +1,65 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/load"
+)
+
+func shape(seed uint64) load.Shape {
+	return load.Shape{
+		Seed: seed, Duration: 20 * time.Second, Load: 0.7, Slots: 88, Classes: load.DefaultClasses(),
+		Bursts: 2, BurstShare: 0.2, CancelWaves: 2, CancelShare: 0.5, FailShare: 0.05, DeclaredError: 10,
+	}
+}
+
+// Guards against comparisons in which two schedulers get different work.
+func TestOneSeedGivesOneWorkload(t *testing.T) {
+	assert.DeepEqual(t, load.Generate(shape(7)), load.Generate(shape(7)))
+	a, b := load.Generate(shape(7)), load.Generate(shape(8))
+	assert.Assert(t, len(a) != len(b) || a[0].At != b[0].At)
+}
+
+// Guards against a workload that offers more or less than was asked for.
+func TestWorkloadOffersTheLoadAskedFor(t *testing.T) {
+	s := shape(1)
+	var work time.Duration
+	byClass := make(map[string]time.Duration)
+	for i, j := range load.Generate(s) {
+		work += j.Work()
+		byClass[j.Class] += j.Work()
+		assert.Assert(t, j.At >= 0 && j.At <= s.Duration+time.Second, "job %d at %s", i, j.At)
+		assert.Assert(t, len(j.Runs) >= 1 && len(j.Runs) <= wire.MaxTasksPerJob)
+		assert.Assert(t, j.CancelAt == 0 || j.CancelAt > j.At)
+		off := float64(j.Declared) / float64(j.Longest())
+		assert.Assert(t, off > 0.099 && off < 10.01, "declared off by %v", off)
+	}
+	offered := work.Seconds() / (float64(s.Slots) * s.Duration.Seconds())
+	assert.Assert(t, offered >= s.Load && offered < 1.1*s.Load, "offered %v", offered)
+	for _, c := range s.Classes {
+		share := byClass[c.Name].Seconds() / work.Seconds()
+		assert.Assert(t, share > c.Share-0.1 && share < c.Share+0.1, "class %s has %v of the work", c.Name, share)
+	}
+}
+
+// Guards against a smoke run without jobs of the largest size.
+func TestMixedJobsIncludeTheLargest(t *testing.T) {
+	jobs := load.Generate(load.MixedJobs(1, 100, 88, 0.6))
+	assert.Equal(t, len(jobs), 100)
+	largest := 0
+	for _, j := range jobs {
+		largest = max(largest, len(j.Runs))
+	}
+	assert.Equal(t, largest, wire.MaxTasksPerJob)
+}
+
+// Guards against an ideal that leaves out one of its three parts.
+func TestIdealIsTheLargerOfLongestAndWorkOverSlots(t *testing.T) {
+	j := load.Job{Runs: []time.Duration{time.Second, time.Second, 4 * time.Second}}
+	assert.Equal(t, j.Ideal(2, time.Millisecond), 4*time.Second+time.Millisecond)
+	assert.Equal(t, j.Ideal(1, time.Millisecond), 6*time.Second+time.Millisecond)
+}
