harness: process-level fault tests; load: adaptive scheduler and ablation

Ruled out: waiting by time; tests wait for records of starts, link events and accepted connections. Conclusion: first process-level tests in place.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -15,6 +15,7 @@
 
 type loadArgs struct {
 	Compare       bool          `help:"run the chosen policy beside the baselines on the same workload"`
+	Ablate        bool          `help:"run the chosen scheduler beside copies that lack one part each"`
 	Short         bool          `help:"a run that ends within 45 seconds"`
 	Scheme        string        `default:"chosen" help:"scheduler of a single run"`
 	Targets       []string      `arg:"--target,separate" help:"URL of a running entry; may be repeated; no system is started"`
@@ -78,6 +79,8 @@
 	switch {
 	case len(a.Targets) > 0:
 		return load.DriveRunning(ctx, o, a.Targets)
+	case a.Ablate:
+		return load.Ablate(ctx, o)
 	case a.Compare:
 		return load.CompareSchemes(ctx, o, load.Schemes())
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -68,7 +68,9 @@
 		o.Slots = defaultSlots
 	}
 	if o.NewScheduler == nil {
-		o.NewScheduler = func(int) policy.Scheduler { return policy.NewLeastBusy() }
+		o.NewScheduler = func(i int) policy.Scheduler {
+			return policy.New(policy.Options{Seed: uint64(i), Zone: Zone(i)})
+		}
 	}
 	if len(o.Settings.Classes) == 0 {
 		o.Settings.Classes = SampleClasses()
@@ -90,7 +92,7 @@
 func (s *System) startEntries(opts Options) error {
 	for i := range opts.Entries {
 		e, err := entryd.Start(entryd.Options{
-			Name: fmt.Sprintf("entry-%d", i), Zone: zone(i),
+			Name: fmt.Sprintf("entry-%d", i), Zone: Zone(i),
 			Listen: loopback, PeerListen: loopback,
 			Scheduler: opts.NewScheduler(i), Settings: opts.Settings,
 		})
@@ -114,7 +116,7 @@
 		}
 		s.Upstreams = append(s.Upstreams, up)
 		s.Agents = append(s.Agents, agentd.Start(agentd.Options{
-			Name: fmt.Sprintf("worker-%02d", i), Zone: zone(i),
+			Name: fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
 			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
 			Upstream: "http://" + up.Addr() + "/", Entries: peers,
 		}))
@@ -122,7 +124,8 @@
 	return nil
 }
 
-func zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
+// Zone returns the availability zone of the entry or agent with that number.
+func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
 // readyPoll is how often WaitReady looks at the entries.
 const readyPoll = 5 * time.Millisecond
--- /dev/null
+++ b/internal/harness/agent_faults_test.go
@@ -0,0 +1,91 @@
+package harness_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/internal/faultproxy"
+	"github.com/limpettrail/limpettrail/internal/harness"
+	"github.com/limpettrail/limpettrail/internal/observer"
+)
+
+// Guards against tasks that are placed again although the agent that died may
+// have started them.
+func TestAgentKilledWhileTasksRun(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 3, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	c.Agents[0].Kill()
+	assert.NilError(t, c.AwaitStarts(ctx, 1, 20))
+	assert.NilError(t, c.StartAgent(0))
+	ends := verdict(t, c, wait)
+	assert.Assert(t, ends[observer.Complete] > 0)
+}
+
+// Guards against a second start by an agent that was paused while its entry
+// gave its link up.
+func TestAgentFrozenAndThawed(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 1, Agents: 2, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	from := c.Entries[0].Events()
+	assert.NilError(t, c.Agents[0].Freeze())
+	_, err := c.Entries[0].Await(ctx, from, links(1))
+	assert.NilError(t, err)
+	from = c.Entries[0].Events()
+	assert.NilError(t, c.Agents[0].Thaw())
+	_, err = c.Entries[0].Await(ctx, from, links(2))
+	assert.NilError(t, err)
+	ends := verdict(t, c, wait)
+	assert.Assert(t, ends[observer.Complete] > 0)
+}
+
+func links(n int) func(harness.Event) bool {
+	return func(e harness.Event) bool { return e.Kind == harness.Links && e.Count == n }
+}
+
+// Guards against attempts that stay pending, or start twice, when a connection
+// falls silent in one direction while new connections work.
+func TestLinkSilentInOneDirection(t *testing.T) {
+	for name, d := range map[string]faultproxy.Direction{
+		"to entry": faultproxy.ToServer, "to agent": faultproxy.ToClient,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, c := start(t, harness.ClusterOptions{Entries: 1, Agents: 2, Slots: 4, Relay: true})
+			wait := c.Drive(ctx, t.Name(), jobs(100))
+			assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+			relay := c.Relays[0][0]
+			before := relay.Accepted()
+			relay.Silence(d)
+			assert.NilError(t, relay.WaitAccepted(ctx, before+1))
+			ends := verdict(t, c, wait)
+			assert.Equal(t, ends[observer.Complete], 100, "a silent link must cost no job: %v", ends)
+		})
+	}
+}
+
+// Guards against tasks that run twice because the upstream's end was taken for
+// a refusal.
+func TestUpstreamKilledWhileTasksRun(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 1, Agents: 2, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	c.Upstreams[0].Kill()
+	assert.NilError(t, c.AwaitStarts(ctx, 1, 30))
+	assert.NilError(t, c.StartUpstream(ctx, 0))
+	ends := verdict(t, c, wait)
+	assert.Assert(t, ends[observer.Complete] > 0)
+}
+
+// Guards against a planned stop of an agent that interrupts a task or loses a
+// result.
+func TestPlannedStopOfAnAgentUnderLoad(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 3, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	assert.NilError(t, c.Agents[0].Terminate())
+	assert.NilError(t, c.Agents[0].Wait(ctx))
+	ends := verdict(t, c, wait)
+	assert.Equal(t, ends[observer.Complete], 100, "a planned stop must cost no job: %v", ends)
+}
--- /dev/null
+++ b/internal/harness/entry_faults_test.go
@@ -0,0 +1,47 @@
+package harness_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/internal/harness"
+	"github.com/limpettrail/limpettrail/internal/observer"
+)
+
+// Guards against callers that wait for ever, and against tasks of the dead
+// entry that start a second time through another one.
+func TestEntryKilledWhileTasksRun(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 2, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	c.Entries[0].Kill()
+	assert.NilError(t, c.StartEntry(ctx, 0))
+	assert.NilError(t, c.AwaitLinks(ctx, 2))
+	ends := verdict(t, c, wait)
+	assert.Assert(t, ends[observer.Broken] > 0, "no caller noticed: %v", ends)
+	assert.Assert(t, ends[observer.Complete] >= 50, "the other entry must go on: %v", ends)
+
+	again := c.Drive(ctx, t.Name()+"-again", jobs(10))
+	outcomes, err := again()
+	assert.NilError(t, err)
+	for _, o := range outcomes {
+		assert.Equal(t, o.Ending, observer.Complete, "the restarted entry must serve: %s", o.Reason)
+	}
+}
+
+// Guards against a planned stop of an entry that breaks off a job in progress.
+func TestPlannedStopOfAnEntryUnderLoad(t *testing.T) {
+	ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 2, Slots: 4})
+	wait := c.Drive(ctx, t.Name(), jobs(100))
+	assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
+	assert.NilError(t, c.Entries[0].Terminate())
+	assert.NilError(t, c.Entries[0].Wait(ctx))
+	outcomes, err := wait()
+	assert.NilError(t, err)
+	for _, o := range outcomes {
+		assert.Assert(t, o.Ending == observer.Complete || o.Ending == observer.NotRun || refusedDial(o.Reason),
+			"a planned stop ended a job as %s: %s", o.Ending, o.Reason)
+	}
+	verdict(t, c, wait)
+}
--- a/internal/harness/node/main.go
+++ b/internal/harness/node/main.go
@@ -68,7 +68,7 @@
 func runEntry(ctx context.Context, a *entryArgs) error {
 	e, err := entryd.Start(entryd.Options{
 		Name: a.Name, Zone: a.Zone, Listen: a.Listen, PeerListen: a.Peer,
-		Scheduler: policy.NewLeastBusy(),
+		Scheduler: policy.New(policy.Options{Seed: uint64(os.Getpid()), Zone: a.Zone}),
 		Settings:  policy.Settings{Classes: dev.SampleClasses()},
 	})
 	if err != nil {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/internal/dev"
 	"github.com/limpettrail/limpettrail/internal/load/baseline"
 )
 
@@ -30,8 +31,12 @@
 }
 
 // Chosen returns the scheme that the system runs with.
-func Chosen() Scheme {
-	return Scheme{Name: ChosenName, New: func(int, uint64) policy.Scheduler { return policy.NewLeastBusy() }}
+func Chosen() Scheme { return adaptive(ChosenName, 0) }
+
+func adaptive(name string, disable policy.Parts) Scheme {
+	return Scheme{Name: name, New: func(entry int, seed uint64) policy.Scheduler {
+		return policy.New(policy.Options{Seed: seed, Zone: dev.Zone(entry), Disable: disable})
+	}}
 }
 
 // Schemes returns the chosen policy, the reference and the baselines.
@@ -42,6 +47,7 @@
 	return []Scheme{
 		Chosen(),
 		reference,
+		{Name: "least_busy", New: func(int, uint64) policy.Scheduler { return policy.NewLeastBusy() }},
 		{Name: "random", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRandom(seed) }},
 		{Name: "round_robin", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRoundRobin(seed) }},
 		{Name: "least_outstanding", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewLeastOutstanding(seed) }},
