load: bytes on links, starts by upstream, baselines in order of arrival

Cause: control bytes are accounted apart from messages, the cost of a bad worker is counted in starts at it, and a plain baseline has no urgency order. Ruled out: measuring bytes in the same run as response times; the relays that count add to them.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -33,13 +33,14 @@
 	Slow          int           `help:"upstreams that take 4 times as long"`
 	Bad           int           `help:"upstreams that fail every task"`
 	Kill          int           `help:"upstreams killed after a third of the run"`
+	CountBytes    bool          `arg:"--count-bytes" help:"count the bytes on links, through relays that add to response times"`
 	JSON          string        `help:"write the report to this file"`
 	Plot          string        `help:"write the distribution to this .svg or .png file"`
 }
 
 func (a *loadArgs) options(progress io.Writer) load.Options {
 	o := load.Options{
-		Entries: a.Entries, Agents: a.Agents, Progress: progress,
+		Entries: a.Entries, Agents: a.Agents, Progress: progress, CountBytes: a.CountBytes,
 		Faults: load.Faults{Slow: a.Slow, Bad: a.Bad, Kill: a.Kill},
 	}
 	o.Shape = load.Shape{
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -26,6 +26,9 @@
 	Settings     policy.Settings
 	// Upstream returns the behaviour of each upstream; nil means the default.
 	Upstream func(agent int) upstream.Options
+	// Relay, if set, returns an address that leads to an entry's peer address;
+	// agents connect there instead.
+	Relay func(peer string) (string, error)
 }
 
 const (
@@ -105,9 +108,9 @@
 }
 
 func (s *System) startAgents(opts Options) error {
-	var peers []string
-	for _, e := range s.Entries {
-		peers = append(peers, e.PeerAddr())
+	peers, err := s.peers(opts)
+	if err != nil {
+		return err
 	}
 	for i := range opts.Agents {
 		up, err := upstream.Start(loopback, opts.Upstream(i))
@@ -124,6 +127,23 @@
 	return nil
 }
 
+// peers returns the addresses that agents connect to.
+func (s *System) peers(opts Options) ([]string, error) {
+	var addrs []string
+	for _, e := range s.Entries {
+		addr := e.PeerAddr()
+		if opts.Relay != nil {
+			relayed, err := opts.Relay(addr)
+			if err != nil {
+				return nil, err
+			}
+			addr = relayed
+		}
+		addrs = append(addrs, addr)
+	}
+	return addrs, nil
+}
+
 // Zone returns the availability zone of the entry or agent with that number.
 func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
--- a/internal/load/baseline/baseline.go
+++ b/internal/load/baseline/baseline.go
@@ -1,6 +1,7 @@
 // Package baseline holds simple schedulers that the chosen policy is compared
 // with. Each binds a task to an agent as soon as the agent's queue has room,
-// in order of arrival, and differs only in which agent it picks.
+// in order of arrival, and differs only in which agent it picks. Agents run
+// the tasks in order of arrival too, unless ByDeadline is used.
 package baseline
 
 import (
@@ -31,6 +32,8 @@
 	waiting []*policy.Task
 	room    []*agent // reused by Next
 	turn    int
+	// byDeadline gives agents the time left as the urgency of a task.
+	byDeadline bool
 }
 
 type agent struct {
@@ -91,6 +94,12 @@
 	})
 }
 
+// ByDeadline makes agents run tasks in order of the callers' deadlines.
+func (s *Scheduler) ByDeadline() *Scheduler {
+	s.byDeadline = true
+	return s
+}
+
 // Configure implements policy.Scheduler.
 func (s *Scheduler) Configure(_ time.Duration, settings policy.Settings) {
 	clear(s.classes)
@@ -165,8 +174,11 @@
 	t := s.waiting[0]
 	s.waiting = s.waiting[1:]
 	a.placed++
-	left := t.Job.Deadline - now
-	return policy.Placement{Task: t, Agent: a.info.Agent, Slack: left, MaxWait: left}, true
+	p := policy.Placement{Task: t, Agent: a.info.Agent, MaxWait: t.Job.Deadline - now}
+	if s.byDeadline {
+		p.Slack = p.MaxWait
+	}
+	return p, true
 }
 
 func (a *agent) hasRoom() bool {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -48,13 +48,20 @@
 		Chosen(),
 		reference,
 		{Name: "least_busy", New: func(int, uint64) policy.Scheduler { return policy.NewLeastBusy() }},
-		{Name: "random", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRandom(seed) }},
-		{Name: "round_robin", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewRoundRobin(seed) }},
-		{Name: "least_outstanding", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewLeastOutstanding(seed) }},
-		{Name: "power_of_two", New: func(_ int, seed uint64) policy.Scheduler { return baseline.NewPowerOfTwo(seed) }},
+		simple("random", baseline.NewRandom),
+		simple("round_robin", baseline.NewRoundRobin),
+		simple("least_outstanding", baseline.NewLeastOutstanding),
+		simple("power_of_two", baseline.NewPowerOfTwo),
+		{Name: "least_outstanding_edf", New: func(_ int, seed uint64) policy.Scheduler {
+			return baseline.NewLeastOutstanding(seed).ByDeadline()
+		}},
 	}
 }
 
+func simple(name string, make func(seed uint64) *baseline.Scheduler) Scheme {
+	return Scheme{Name: name, New: func(_ int, seed uint64) policy.Scheduler { return make(seed) }}
+}
+
 // Compare runs the chosen policy beside the baselines on the same workload.
 func Compare(o Options) (Report, error) { return CompareSchemes(context.Background(), o, Schemes()) }
 
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -46,6 +46,8 @@
 	Response time.Duration
 	// Late is how long after its intended time the request was sent.
 	Late time.Duration
+	// Bytes is the size of the job's task payloads and of its results.
+	Bytes uint64
 }
 
 // prepared is a job with its request encoded.
@@ -55,6 +57,7 @@
 	url     string
 	body    []byte
 	digests []string
+	bytes   uint64 // of the payloads
 }
 
 type driver struct {
@@ -107,6 +110,7 @@
 		sum := sha256.Sum256(payload)
 		p.digests = append(p.digests, hex.EncodeToString(sum[:]))
 		req.Tasks = append(req.Tasks, payload)
+		p.bytes += uint64(len(payload))
 	}
 	body, err := json.Marshal(req)
 	p.body = body
@@ -152,7 +156,7 @@
 	}
 	d.sent.Add(1)
 	began := time.Now()
-	answer, reason := d.exchange(ctx, p)
+	answer, reason, received := d.exchange(ctx, p)
 	answer.Took = time.Since(began)
 	if o := d.target.Observer; o != nil {
 		o.Answered(p.name, answer)
@@ -162,12 +166,13 @@
 	defer d.mu.Unlock()
 	d.outcomes = append(d.outcomes, Outcome{
 		Job: p.job, Ending: answer.Ending, Reason: reason,
-		Response: time.Since(intended), Late: late,
+		Response: time.Since(intended), Late: late, Bytes: p.bytes + received,
 	})
 }
 
 // exchange sends the request once and classifies how it ended.
-func (d *driver) exchange(ctx context.Context, p *prepared) (observer.Answer, string) {
+// It returns the answer, the reason and the size of the results.
+func (d *driver) exchange(ctx context.Context, p *prepared) (observer.Answer, string, uint64) {
 	limit := time.Now().Add(p.job.Deadline + callerPatience)
 	gaveUp := time.Time{}
 	if p.job.CancelAt > 0 {
@@ -182,9 +187,9 @@
 	case err == nil:
 		return classify(&reply)
 	case !gaveUp.IsZero() && ctx.Err() != nil:
-		return observer.Answer{Ending: observer.Abandoned}, ""
+		return observer.Answer{Ending: observer.Abandoned}, "", 0
 	}
-	return observer.Answer{Ending: observer.Broken}, err.Error()
+	return observer.Answer{Ending: observer.Broken}, err.Error(), 0
 }
 
 func (d *driver) post(ctx context.Context, p *prepared, reply *entryd.JobReply) error {
@@ -206,9 +211,11 @@
 	return err
 }
 
-func classify(r *entryd.JobReply) (observer.Answer, string) {
+func classify(r *entryd.JobReply) (observer.Answer, string, uint64) {
 	a := observer.Answer{Submission: r.Submission}
+	var received uint64
 	for _, raw := range r.Results {
+		received += uint64(len(raw))
 		var result upstream.Reply
 		if json.Unmarshal(raw, &result) != nil {
 			result.Digest = "unreadable"
@@ -225,7 +232,7 @@
 	default:
 		a.Ending = observer.Unknown
 	}
-	return a, r.Reason
+	return a, r.Reason, received
 }
 
 // progress writes a line at every interval until the returned function is called.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -76,16 +76,21 @@
 	Goodput     float64              `json:"goodput"` // work of jobs complete by the end of the arrivals, over slots x duration
 	SendLateMS  Distribution         `json:"send_late_ms"`
 	Violations  []observer.Violation `json:"violations"`
+	// StartsBy counts the starts at each upstream. Those at a bad one are what
+	// it cost before it was avoided.
+	StartsBy map[string]int `json:"starts_by_upstream,omitempty"`
 
-	ratios *hdrhistogram.Histogram
+	ratios  *hdrhistogram.Histogram
+	payload uint64 // task payloads sent and result bodies received by callers
 }
 
-// ControlBytes are the bytes on the links between agents and entries, payloads
-// and results included.
+// ControlBytes are the bytes on the links between agents and entries.
 type ControlBytes struct {
 	ToAgents  uint64 `json:"to_agents"`
 	ToEntries uint64 `json:"to_entries"`
 	Payload   uint64 `json:"payload"` // part of both that is task payload and result body
+	// PerAgentSecond is the rest, for each agent and second.
+	PerAgentSecond float64 `json:"per_agent_second"`
 }
 
 // tally accumulates one class.
@@ -168,6 +173,7 @@
 			t.add(o, ideal, within)
 		}
 		lateness.RecordValue(max(o.Late.Microseconds(), 0))
+		r.payload += o.Bytes
 		if o.Ending == observer.Complete {
 			r.TasksOK += len(o.Job.Runs)
 			if o.Job.At+o.Response <= duration {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -38,7 +38,10 @@
 	Agents   int // default 11
 	Settings policy.Settings
 	Faults   Faults
-	Progress io.Writer
+	// CountBytes leads the agents' links through relays that count bytes. The
+	// relays add to response times, so take the two figures in separate runs.
+	CountBytes bool
+	Progress   io.Writer
 }
 
 // Scheme is one way to schedule.
@@ -85,7 +88,9 @@
 		o.Entries = s.Entries
 	}
 	watch := observer.New()
-	sys, err := start(o, s, watch)
+	var relays relays
+	defer relays.close()
+	sys, err := start(o, s, watch, &relays)
 	if err != nil {
 		return nil, err
 	}
@@ -99,12 +104,12 @@
 	if err := sys.WaitReady(readyCtx); err != nil {
 		return nil, err
 	}
-	return measure(ctx, o, s, sys, watch)
+	return measure(ctx, o, s, sys, watch, relays)
 }
 
 // start brings up the system with an observer at every upstream.
-func start(o Options, s Scheme, watch *observer.Observer) (*dev.System, error) {
-	return dev.Start(dev.Options{
+func start(o Options, s Scheme, watch *observer.Observer, r *relays) (*dev.System, error) {
+	opts := dev.Options{
 		Entries: o.Entries, Agents: o.Agents, Slots: o.Slots / o.Agents,
 		Settings:     o.Settings,
 		NewScheduler: func(i int) policy.Scheduler { return s.New(i, o.Seed+uint64(i)) },
@@ -119,15 +124,20 @@
 			}
 			return u
 		},
-	})
+	}
+	if o.CountBytes {
+		opts.Relay = r.add
+	}
+	return dev.Start(opts)
 }
 
-func measure(ctx context.Context, o Options, s Scheme, sys *dev.System, watch *observer.Observer) (*Result, error) {
+func measure(ctx context.Context, o Options, s Scheme, sys *dev.System, watch *observer.Observer, links relays) (*Result, error) {
 	t := Target{Entries: addresses(sys), Observer: watch, Progress: o.Progress}
 	roundTrip, err := RoundTrip(ctx, t.Entries)
 	if err != nil {
 		return nil, err
 	}
+	bytesBefore := links.count()
 	before, began := processorTime(), time.Now()
 	stopFaults := scheduleKills(o, sys)
 	defer stopFaults()
@@ -140,6 +150,8 @@
 		Seconds: time.Since(began).Seconds(), Processor: (processorTime() - before).Seconds(),
 	}
 	r.summarise(outcomes, o.Settings.Classes, o.Duration, roundTrip)
+	r.ControlByte = links.control(bytesBefore, r, o.Agents)
+	r.StartsBy = watch.StartsBy()
 	messages := sys.Messages()
 	r.Wasted = wasted(messages, watch.Duplicates())
 	r.Heartbeats = messages.Heartbeats
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -72,6 +72,10 @@
 			fmt.Fprintf(w, "%s: refused sends %d, cancels %d, queries %d, late results %d, duplicates %d, heartbeats %d; sends late by p99 %.2f ms\n",
 				res.Name, m.RefusedSends, m.Cancels, m.Queries, m.LateResults, m.Duplicates, res.Heartbeats, res.SendLateMS.P99)
 		}
+		if c := res.ControlByte; c != nil {
+			fmt.Fprintf(w, "%s: bytes to agents %d, to entries %d, of these payload %d; control %.0f B/s for each agent\n",
+				res.Name, c.ToAgents, c.ToEntries, c.Payload, c.PerAgentSecond)
+		}
 		for i, v := range res.Violations {
 			if i == maxViolationsShown {
 				fmt.Fprintf(w, "%s: and %d more\n", res.Name, len(res.Violations)-i)
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -131,3 +131,14 @@
 	}
 	return len(o.starts) - len(seen)
 }
+
+// StartsBy returns the number of starts at each upstream.
+func (o *Observer) StartsBy() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	by := make(map[string]int)
+	for _, s := range o.starts {
+		by[s.Upstream]++
+	}
+	return by
+}
