load: requests as a caller writes them, keys and declared run times

Cause: the entry's request type is about to change to a strict decoder, and the tool must see the interface as a caller does. Ruled out: sending keys by default; an entry without the platform's log refuses such requests. Conclusion: keyed jobs are resubmitted to the next entry when the connection breaks; not run against an entry that supports keys yet.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -30,6 +30,8 @@
 	CancelShare   float64       `arg:"--cancel-share" default:"0.5" help:"share of recent jobs that a wave cancels"`
 	FailShare     float64       `arg:"--fail-share" help:"share of jobs that fail on every upstream"`
 	DeclaredError float64       `arg:"--declared-error" default:"10" help:"largest factor by which declared run times are off"`
+	SendDeclared  bool          `arg:"--send-declared" help:"send declared run times with the jobs"`
+	KeyedShare    float64       `arg:"--keyed-share" help:"share of jobs that are not idempotent and carry a key"`
 	Slow          int           `help:"upstreams that take 4 times as long"`
 	Bad           int           `help:"upstreams that fail every task"`
 	Kill          int           `help:"upstreams killed after a third of the run"`
@@ -48,6 +50,7 @@
 		Bursts: a.Bursts, BurstShare: a.BurstShare,
 		CancelWaves: a.CancelWaves, CancelShare: a.CancelShare,
 		FailShare: a.FailShare, DeclaredError: a.DeclaredError,
+		SendDeclared: a.SendDeclared, KeyedShare: a.KeyedShare,
 	}
 	if a.Short {
 		o.Duration = load.ShortDuration
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,9 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/observer"
-	"github.com/limpettrail/limpettrail/internal/standin/upstream"
 )
 
 const (
@@ -25,6 +21,10 @@
 	progressInterval = time.Second
 	// callerPatience is how long after its deadline a caller still waits.
 	callerPatience = 10 * time.Second
+	// resubmitDelay and maxAttempts are how a caller resubmits a keyed request
+	// whose connection broke. Other requests are not resubmitted.
+	resubmitDelay = 200 * time.Millisecond
+	maxAttempts   = 10
 )
 
 // Target is a running system.
@@ -50,16 +50,6 @@
 	Bytes uint64
 }
 
-// prepared is a job with its request encoded.
-type prepared struct {
-	job     *Job
-	name    string
-	url     string
-	body    []byte
-	digests []string
-	bytes   uint64 // of the payloads
-}
-
 type driver struct {
 	target   Target
 	client   *http.Client
@@ -75,7 +65,7 @@
 func Drive(ctx context.Context, t Target, run string, jobs []Job) ([]Outcome, error) {
 	ready := make([]prepared, len(jobs))
 	for i := range jobs {
-		p, err := prepare(&jobs[i], fmt.Sprintf("%s-%06d", run, i), t.Entries[i%len(t.Entries)])
+		p, err := prepare(&jobs[i], fmt.Sprintf("%s-%06d", run, i), i)
 		if err != nil {
 			return nil, err
 		}
@@ -95,28 +85,6 @@
 	}}
 }
 
-// prepare encodes the request. Each payload carries the request's name and the
-// task's index, so that no two payloads have the same digest.
-func prepare(j *Job, name, url string) (prepared, error) {
-	p := prepared{job: j, name: name, url: url + "/v1/jobs"}
-	req := entryd.JobRequest{Class: j.Class, DeadlineMS: j.Deadline.Milliseconds()}
-	for i, run := range j.Runs {
-		payload, err := json.Marshal(upstream.Task{
-			SleepMicros: run.Microseconds(), Fail: j.Fails, Text: fmt.Sprintf("%s.%d", name, i),
-		})
-		if err != nil {
-			return p, err
-		}
-		sum := sha256.Sum256(payload)
-		p.digests = append(p.digests, hex.EncodeToString(sum[:]))
-		req.Tasks = append(req.Tasks, payload)
-		p.bytes += uint64(len(payload))
-	}
-	body, err := json.Marshal(req)
-	p.body = body
-	return p, err
-}
-
 func (d *driver) sendAll(ctx context.Context, ready []prepared) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -151,28 +119,45 @@
 func (d *driver) call(ctx context.Context, p *prepared) {
 	intended := d.start.Add(p.job.At)
 	late := time.Since(intended)
-	if o := d.target.Observer; o != nil {
-		o.Sent(observer.Request{Name: p.name, Digests: p.digests, Deadline: p.job.Deadline})
-	}
 	d.sent.Add(1)
-	began := time.Now()
-	answer, reason, received := d.exchange(ctx, p)
-	answer.Took = time.Since(began)
-	if o := d.target.Observer; o != nil {
-		o.Answered(p.name, answer)
+	var end ended
+	for attempt := range p.attempts() {
+		end = d.attempt(ctx, p, attempt)
+		if end.answer.Ending != observer.Broken || ctx.Err() != nil {
+			break
+		}
+		sleepUntil(ctx, time.Now().Add(resubmitDelay))
 	}
 	d.ended.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.outcomes = append(d.outcomes, Outcome{
-		Job: p.job, Ending: answer.Ending, Reason: reason,
-		Response: time.Since(intended), Late: late, Bytes: p.bytes + received,
+		Job: p.job, Ending: end.answer.Ending, Reason: end.reason,
+		Response: time.Since(intended), Late: late, Bytes: p.bytes + end.bytes,
 	})
 }
 
+// attempt submits the job to the next entry and records how it ended.
+func (d *driver) attempt(ctx context.Context, p *prepared, number int) ended {
+	name := p.name
+	if number > 0 {
+		name = fmt.Sprintf("%s#%d", p.name, number)
+	}
+	if o := d.target.Observer; o != nil {
+		o.Sent(observer.Request{Name: name, Key: p.key, Digests: p.digests, Deadline: p.job.Deadline})
+	}
+	began := time.Now()
+	url := d.target.Entries[(p.entry+number)%len(d.target.Entries)] + jobsPath
+	end := d.exchange(ctx, p, url)
+	end.answer.Took = time.Since(began)
+	if o := d.target.Observer; o != nil {
+		o.Answered(name, end.answer)
+	}
+	return end
+}
+
 // exchange sends the request once and classifies how it ended.
-// It returns the answer, the reason and the size of the results.
-func (d *driver) exchange(ctx context.Context, p *prepared) (observer.Answer, string, uint64) {
+func (d *driver) exchange(ctx context.Context, p *prepared, url string) ended {
 	limit := time.Now().Add(p.job.Deadline + callerPatience)
 	gaveUp := time.Time{}
 	if p.job.CancelAt > 0 {
@@ -181,19 +166,19 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	var reply entryd.JobReply
-	err := d.post(ctx, p, &reply)
+	var reply jobReply
+	err := d.post(ctx, p, url, &reply)
 	switch {
 	case err == nil:
 		return classify(&reply)
 	case !gaveUp.IsZero() && ctx.Err() != nil:
-		return observer.Answer{Ending: observer.Abandoned}, "", 0
+		return ended{answer: observer.Answer{Ending: observer.Abandoned}}
 	}
-	return observer.Answer{Ending: observer.Broken}, err.Error(), 0
+	return ended{answer: observer.Answer{Ending: observer.Broken}, reason: err.Error()}
 }
 
-func (d *driver) post(ctx context.Context, p *prepared, reply *entryd.JobReply) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url, bytes.NewReader(p.body))
+func (d *driver) post(ctx context.Context, p *prepared, url string, reply *jobReply) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(p.body))
 	if err != nil {
 		return err
 	}
@@ -211,30 +196,6 @@
 	return err
 }
 
-func classify(r *entryd.JobReply) (observer.Answer, string, uint64) {
-	a := observer.Answer{Submission: r.Submission}
-	var received uint64
-	for _, raw := range r.Results {
-		received += uint64(len(raw))
-		var result upstream.Reply
-		if json.Unmarshal(raw, &result) != nil {
-			result.Digest = "unreadable"
-		}
-		a.Results = append(a.Results, result.Digest)
-	}
-	switch r.Outcome {
-	case "complete":
-		a.Ending = observer.Complete
-	case "failed":
-		a.Ending = observer.Failed
-	case "refused":
-		a.Ending = observer.NotRun
-	default:
-		a.Ending = observer.Unknown
-	}
-	return a, r.Reason, received
-}
-
 // progress writes a line at every interval until the returned function is called.
 func (d *driver) progress(total int) func() {
 	if d.target.Progress == nil {
@@ -272,7 +233,7 @@
 	var times []time.Duration
 	for i := range roundTripProbes {
 		began := time.Now()
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, entries[i%len(entries)]+"/v1/jobs", bytes.NewReader(nil))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, entries[i%len(entries)]+jobsPath, bytes.NewReader(nil))
 		if err != nil {
 			return 0, err
 		}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -50,6 +50,12 @@
 	FailShare float64
 	// DeclaredError is the largest factor by which a declared run time is off.
 	DeclaredError float64
+	// SendDeclared sends declared run times, which needs an entry that accepts
+	// the field `needs`.
+	SendDeclared bool
+	// KeyedShare of the jobs are not idempotent: they carry a key and are
+	// resubmitted to the next entry when the connection breaks.
+	KeyedShare float64
 }
 
 // Job is one generated job.
@@ -61,6 +67,8 @@
 	Deadline time.Duration
 	CancelAt time.Duration // 0: never
 	Fails    bool
+	// Keyed jobs are not idempotent. SendDeclared sends Declared along.
+	Keyed, SendDeclared bool
 }
 
 const (
@@ -169,7 +177,9 @@
 
 // job draws one job. A number of tasks of 0 is drawn as well.
 func (s Shape) job(rng *rand.Rand, c ClassLoad, tasks int) Job {
-	j := Job{Class: c.Name, Deadline: c.Deadline, Fails: rng.Float64() < s.FailShare}
+	j := Job{Class: c.Name, Deadline: c.Deadline, SendDeclared: s.SendDeclared}
+	j.Fails = rng.Float64() < s.FailShare
+	j.Keyed = rng.Float64() < s.KeyedShare
 	if tasks == 0 {
 		tasks = size(rng, c.MaxTasks)
 	}
