--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -22,11 +22,14 @@
 	queue     *queue
 	budget    budget
 	runs      estimate // over all classes
+	outcomes  ratio    // of tasks at all agents, all entries
 	parked    []*jobState
 	ejected   int
 	inFlight  int
 	service   float64 // own tasks in service under backlog
 	waitScale float64
+
+	contentionAt time.Duration // next comparison of the backlog with the targets
 }
 
 // switches are the parts that are on.
@@ -235,3 +238,6 @@
 }
 
 func (s *Adaptive) meanRun(j *jobState) time.Duration { return s.mean(j.class, j.job.Declared) }
+
+// Ejected returns the number of agents that are ejected.
+func (s *Adaptive) Ejected() int { return s.ejected }
