load: scenarios and overhead of the path

Ruled out: direct and relayed calls in separate runs, since noise of the machine would then differ between them. Conclusion: scenarios overload, classes, faults, bad-worker, bad-jobs and near-full run the chosen scheduler.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -16,6 +16,8 @@
 type loadArgs struct {
 	Compare       bool          `help:"run the chosen policy beside the baselines on the same workload"`
 	Ablate        bool          `help:"run the chosen scheduler beside copies that lack one part each"`
+	Scenario      string        `help:"run a named experiment; an unknown name lists them"`
+	Overhead      bool          `help:"measure what the path adds to calling upstreams directly"`
 	Short         bool          `help:"a run that ends within 45 seconds"`
 	Scheme        string        `default:"chosen" help:"scheduler of a single run"`
 	Targets       []string      `arg:"--target,separate" help:"URL of a running entry; may be repeated; no system is started"`
@@ -64,6 +66,9 @@
 func (a *loadArgs) run(stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if a.Overhead {
+		return a.runOverhead(ctx, stdout, stderr)
+	}
 	rep, err := a.report(ctx, a.options(stderr))
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -79,10 +84,22 @@
 	return ExitOK
 }
 
+func (a *loadArgs) runOverhead(ctx context.Context, stdout, stderr io.Writer) int {
+	r, err := load.MeasureOverhead(ctx, a.options(stderr))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	r.Write(stdout)
+	return ExitOK
+}
+
 func (a *loadArgs) report(ctx context.Context, o load.Options) (load.Report, error) {
 	switch {
 	case len(a.Targets) > 0:
 		return load.DriveRunning(ctx, o, a.Targets)
+	case a.Scenario != "":
+		return load.RunScenario(ctx, o, a.Scenario)
 	case a.Ablate:
 		return load.Ablate(ctx, o)
 	case a.Compare:
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -65,31 +65,48 @@
 // Compare runs the chosen policy beside the baselines on the same workload.
 func Compare(o Options) (Report, error) { return CompareSchemes(context.Background(), o, Schemes()) }
 
-// CompareSchemes runs the schemes at the same time, each on a system of its
-// own, so that noise of the machine meets all of them alike. The upstreams only
-// sleep, so the systems hardly compete. Processor time is then not separable.
+// CompareSchemes runs the schemes on the same workload.
 func CompareSchemes(ctx context.Context, o Options, schemes []Scheme) (Report, error) {
 	o = o.WithDefaults()
+	var cases []Case
+	for _, s := range schemes {
+		cases = append(cases, Case{Options: o, Scheme: s})
+	}
+	return RunCases(ctx, o, cases)
+}
+
+// Case is one run of a report.
+type Case struct {
+	Options Options
+	Scheme  Scheme
+}
+
+// RunCases runs the cases at the same time, each on a system of its own, so
+// that noise of the machine meets all of them alike. The upstreams only sleep,
+// so the systems hardly compete. Processor time is then not separable. The
+// options are those that the report states.
+func RunCases(ctx context.Context, o Options, cases []Case) (Report, error) {
 	rep := Report{
 		Seed: o.Seed, Load: o.Load, Shape: o.Shape, Faults: o.Faults,
-		Results: make([]*Result, len(schemes)),
+		Results: make([]*Result, len(cases)),
 	}
-	errs := make([]error, len(schemes))
+	errs := make([]error, len(cases))
 	var wg sync.WaitGroup
-	for i, s := range schemes {
-		own := o
+	for i, c := range cases {
 		if i > 0 {
-			own.Progress = nil // one progress line stands for all
+			c.Options.Progress = nil // one progress line stands for all
 		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			r, err := Run(ctx, own, s)
+			r, err := Run(ctx, c.Options, c.Scheme)
 			if err != nil {
-				errs[i] = fmt.Errorf("load: %s: %w", s.Name, err)
+				errs[i] = fmt.Errorf("load: %s: %w", c.Scheme.Name, err)
 				return
 			}
-			r.Processor = 0
+			if len(cases) > 1 {
+				r.Processor = 0
+			}
 			rep.Results[i] = r
 		}()
 	}
--- /dev/null
+++ b/internal/load/overhead.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/limpettrail/limpettrail/internal/dev"
+	"github.com/limpettrail/limpettrail/internal/observer"
+)
+
+// Overhead compares single tasks through the whole path with the same tasks
+// posted straight to upstreams. Both are the response time less the task's own
+// run time, in microseconds.
+type Overhead struct {
+	PathUS   Distribution `json:"path_us"`
+	DirectUS Distribution `json:"direct_us"`
+}
+
+const (
+	overheadLoad   = 0.5
+	overheadMinRun = 50 * time.Millisecond
+	overheadMaxRun = 300 * time.Millisecond
+)
+
+// MeasureOverhead drives both at the same time at half load, so that noise of
+// the machine meets both.
+func MeasureOverhead(ctx context.Context, o Options) (r Overhead, err error) {
+	o.Load = overheadLoad
+	o.Classes = []ClassLoad{{
+		Name: "quote", Share: 1, MaxTasks: 1,
+		MinRun: overheadMinRun, MaxRun: overheadMaxRun, Deadline: time.Minute,
+	}}
+	o = o.WithDefaults()
+	sys, err := start(o, Chosen(), observer.New(), nil)
+	if err != nil {
+		return r, err
+	}
+	defer func() {
+		stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		err = errors.Join(err, sys.Stop(stopCtx))
+	}()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := sys.WaitReady(readyCtx); err != nil {
+		return r, err
+	}
+	return measureBoth(ctx, o, sys)
+}
+
+func measureBoth(ctx context.Context, o Options, sys *dev.System) (Overhead, error) {
+	jobs := Generate(o.Shape)
+	var path, direct []Outcome
+	var pathErr, directErr error
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		path, pathErr = Drive(ctx, Target{Entries: addresses(sys), Progress: o.Progress}, "path", jobs)
+	}()
+	go func() {
+		defer wg.Done()
+		direct, directErr = driveDirect(ctx, upstreams(sys), jobs)
+	}()
+	wg.Wait()
+	return Overhead{PathUS: added(path), DirectUS: added(direct)}, errors.Join(pathErr, directErr)
+}
+
+func upstreams(sys *dev.System) []string {
+	var urls []string
+	for _, u := range sys.Upstreams {
+		urls = append(urls, "http://"+u.Addr()+"/")
+	}
+	return urls
+}
+
+// driveDirect posts the first task of each job to the upstreams in turn.
+func driveDirect(ctx context.Context, urls []string, jobs []Job) ([]Outcome, error) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	outcomes := make([]Outcome, len(jobs))
+	errs := make([]error, len(jobs))
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i := range jobs {
+		j := &jobs[i]
+		if !sleepUntil(ctx, start.Add(j.At)) {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			outcomes[i] = Outcome{Job: j, Ending: observer.Broken}
+			if errs[i] = postDirect(ctx, client, urls[i%len(urls)], j); errs[i] == nil {
+				outcomes[i].Ending = observer.Complete
+			}
+			outcomes[i].Response = time.Since(start.Add(j.At))
+		}()
+	}
+	wg.Wait()
+	return outcomes, errors.Join(errs...)
+}
+
+func postDirect(ctx context.Context, client *http.Client, url string, j *Job) error {
+	payload := fmt.Sprintf(`{"sleep_us":%d}`, j.Runs[0].Microseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(payload)))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func added(outcomes []Outcome) Distribution {
+	h := hdrhistogram.New(1, maxResponse, significant)
+	for _, o := range outcomes {
+		if o.Ending == observer.Complete {
+			h.RecordValue(max((o.Response - o.Job.Longest()).Microseconds(), 1))
+		}
+	}
+	return summary(h, 1)
+}
+
+// Write prints both distributions and what the path adds.
+func (r Overhead) Write(w io.Writer) {
+	fmt.Fprintf(w, "through the path: p50 %.0f us, p99 %.0f us, mean %.0f us, n %d\n", r.PathUS.P50, r.PathUS.P99, r.PathUS.Mean, r.PathUS.Count)
+	fmt.Fprintf(w, "direct:           p50 %.0f us, p99 %.0f us, mean %.0f us, n %d\n", r.DirectUS.P50, r.DirectUS.P99, r.DirectUS.Mean, r.DirectUS.Count)
+	fmt.Fprintf(w, "the path adds:    p50 %.0f us, p99 %.0f us\n", r.PathUS.P50-r.DirectUS.P50, r.PathUS.P99-r.DirectUS.P99)
+}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -45,6 +45,9 @@
 	Ratio Distribution `json:"ratio"`
 	// ResponseMS is the response time of complete jobs in milliseconds.
 	ResponseMS Distribution `json:"response_ms"`
+	// Goodput is the work of jobs complete by the end of the arrivals, over
+	// slots x duration.
+	Goodput float64 `json:"goodput"`
 }
 
 // Wasted counts messages beyond one start and one result per task.
@@ -73,7 +76,6 @@
 	ControlByte *ControlBytes        `json:"control_bytes,omitempty"`
 	Processor   float64              `json:"processor_seconds"` // of the whole process, load generator and upstreams included; 0 if not separable
 	Seconds     float64              `json:"seconds"`
-	Goodput     float64              `json:"goodput"` // work of jobs complete by the end of the arrivals, over slots x duration
 	SendLateMS  Distribution         `json:"send_late_ms"`
 	Violations  []observer.Violation `json:"violations"`
 	// StartsBy counts the starts at each upstream. Those at a bad one are what
@@ -98,6 +100,7 @@
 	ClassResult
 	eligible int
 	within   int
+	work     time.Duration // of jobs complete by the end of the arrivals
 	ratios   *hdrhistogram.Histogram
 	response *hdrhistogram.Histogram
 }
@@ -110,7 +113,7 @@
 	}
 }
 
-func (t *tally) add(o Outcome, ideal, within time.Duration) {
+func (t *tally) add(o Outcome, ideal, within, duration time.Duration) {
 	t.Jobs++
 	if o.Ending != observer.Abandoned && !o.Job.Fails {
 		t.eligible++
@@ -123,6 +126,9 @@
 		if o.Response <= within {
 			t.within++
 		}
+		if o.Job.At+o.Response <= duration {
+			t.work += o.Job.Work()
+		}
 	case observer.Failed:
 		t.Failed++
 	case observer.NotRun:
@@ -136,8 +142,10 @@
 	}
 }
 
-func (t *tally) result() ClassResult {
+// result summarises the class; capacity is in slot seconds.
+func (t *tally) result(capacity float64) ClassResult {
 	r := t.ClassResult
+	r.Goodput = t.work.Seconds() / capacity
 	if t.eligible > 0 {
 		r.WithinTarget = float64(t.within) / float64(t.eligible)
 	}
@@ -164,31 +172,27 @@
 	for _, c := range classes {
 		byClass[c.Name] = newTally(c.Name)
 	}
-	var work time.Duration
 	for _, o := range outcomes {
 		ideal := o.Job.Ideal(r.Slots, roundTrip)
 		within := target(classes, o.Job.Class)
-		all.add(o, ideal, within)
+		all.add(o, ideal, within, duration)
 		if t := byClass[o.Job.Class]; t != nil {
-			t.add(o, ideal, within)
+			t.add(o, ideal, within, duration)
 		}
 		lateness.RecordValue(max(o.Late.Microseconds(), 0))
 		r.payload += o.Bytes
 		if o.Ending == observer.Complete {
 			r.TasksOK += len(o.Job.Runs)
-			if o.Job.At+o.Response <= duration {
-				work += o.Job.Work()
-			}
 		}
 	}
 	r.RoundTripUS = roundTrip.Microseconds()
-	r.All = all.result()
+	capacity := float64(r.Slots) * duration.Seconds()
+	r.All = all.result(capacity)
 	r.ratios = all.ratios
 	r.SendLateMS = summary(lateness, 1000)
-	r.Goodput = work.Seconds() / (float64(r.Slots) * duration.Seconds())
 	for _, c := range classes {
 		if t := byClass[c.Name]; t.Jobs > 0 {
-			r.Classes = append(r.Classes, t.result())
+			r.Classes = append(r.Classes, t.result(capacity))
 		}
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,6 +20,8 @@
 	defaultSlots = 8
 	// killAfter is the part of the run after which an upstream is killed.
 	killAfter = 3
+	// upstreamName is the format of a sample upstream's name in records.
+	upstreamName = "upstream-%02d"
 )
 
 // Faults are defects of the sample upstreams. They are given to the first
@@ -114,7 +116,7 @@
 		Settings:     o.Settings,
 		NewScheduler: func(i int) policy.Scheduler { return s.New(i, o.Seed+uint64(i)) },
 		Upstream: func(i int) upstream.Options {
-			name := fmt.Sprintf("upstream-%02d", i)
+			name := fmt.Sprintf(upstreamName, i)
 			u := upstream.Options{OnStart: func(st upstream.Started) { watch.Started(observer.StartOf(name, st)) }}
 			switch {
 			case i < o.Faults.Slow:
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,85 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"strings"
+)
+
+// Scenario is a named experiment behind one of the acceptance figures.
+type Scenario struct {
+	Name  string
+	About string
+	cases func(o Options) []Case
+}
+
+const (
+	urgentLoad = 0.2 // offered by the urgent class, as a share of the slots
+	bulkLoad   = 1.0 // offered by the bulk class
+)
+
+// Scenarios returns the known scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"overload", "offered loads of 1 and 2: goodput of the second over the first", overloadCases},
+		{"classes", "urgent class at 20% and bulk class at 100% of the slots", classCases},
+		{"faults", "70% load, one upstream fails everything, one is killed", faultCases},
+		{"bad-worker", "70% load, one upstream fails everything; see its starts", badWorkerCases},
+		{"bad-jobs", "70% load, one job in ten fails on every upstream", badJobCases},
+		{"near-full", "95% load", nearFullCases},
+	}
+}
+
+// RunScenario runs the scenario with that name.
+func RunScenario(ctx context.Context, o Options, name string) (Report, error) {
+	o = o.WithDefaults()
+	var names []string
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			cases := s.cases(o)
+			return RunCases(ctx, cases[0].Options, cases)
+		}
+		names = append(names, s.Name)
+	}
+	return Report{}, fmt.Errorf("load: no scenario %q, known are %s", name, strings.Join(names, ", "))
+}
+
+func named(name string) Scheme {
+	s := Chosen()
+	s.Name = name
+	return s
+}
+
+func overloadCases(o Options) []Case {
+	once, twice := o, o
+	once.Load, twice.Load = 1, 2
+	return []Case{{once, named("load_1x")}, {twice, named("load_2x")}}
+}
+
+func classCases(o Options) []Case {
+	o.Load = urgentLoad + bulkLoad
+	o.Classes = DefaultClasses()
+	o.Classes[0].Share = urgentLoad
+	o.Classes[1].Share = bulkLoad
+	return []Case{{o, Chosen()}}
+}
+
+func faultCases(o Options) []Case {
+	o.Faults = Faults{Bad: 1, Kill: 1}
+	return []Case{{o.WithDefaults(), Chosen()}}
+}
+
+func badWorkerCases(o Options) []Case {
+	o.Faults = Faults{Bad: 1}
+	return []Case{{o.WithDefaults(), Chosen()}}
+}
+
+func badJobCases(o Options) []Case {
+	o.FailShare = 0.1
+	return []Case{{o, Chosen()}}
+}
+
+func nearFullCases(o Options) []Case {
+	o.Load = 0.95
+	return []Case{{o, Chosen()}}
+}
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -26,7 +26,7 @@
 			res.Name, a.Jobs, a.Complete, a.Failed, a.Refused, a.Unknown+a.Broken,
 			a.Ratio.P50, a.Ratio.P99, a.Ratio.Mean,
 			over(a.Ratio.P50, b.Ratio.P50), over(a.Ratio.P99, b.Ratio.P99), over(a.Ratio.Mean, b.Ratio.Mean),
-			res.Wasted, a.WithinTarget, res.Goodput, len(res.Violations))
+			res.Wasted, a.WithinTarget, a.Goodput, len(res.Violations))
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -51,11 +51,11 @@
 
 func (r Report) writeClasses(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "\nscheme\tclass\tjobs\tcomplete\tp50\tp99\tmean\tp99 ms\twithin\t")
+	fmt.Fprintln(t, "\nscheme\tclass\tjobs\tcomplete\tp50\tp99\tmean\tp99 ms\twithin\tgoodput\t")
 	for _, res := range r.Results {
 		for _, c := range res.Classes {
-			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t\n", res.Name, c.Class, c.Jobs, c.Complete,
-				c.Ratio.P50, c.Ratio.P99, c.Ratio.Mean, c.ResponseMS.P99, c.WithinTarget)
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%.3f\t\n", res.Name, c.Class, c.Jobs, c.Complete,
+				c.Ratio.P50, c.Ratio.P99, c.Ratio.Mean, c.ResponseMS.P99, c.WithinTarget, c.Goodput)
 		}
 	}
 	if err := t.Flush(); err != nil {
@@ -68,6 +68,10 @@
 func (r Report) writeMessages(w io.Writer) {
 	fmt.Fprintln(w)
 	for _, res := range r.Results {
+		if r.Faults.Bad > 0 {
+			bad := fmt.Sprintf(upstreamName, r.Faults.Slow)
+			fmt.Fprintf(w, "%s: %d starts at %s, which fails everything\n", res.Name, res.StartsBy[bad], bad)
+		}
 		if m := res.Wasted; m != nil {
 			fmt.Fprintf(w, "%s: refused sends %d, cancels %d, queries %d, late results %d, duplicates %d, heartbeats %d; sends late by p99 %.2f ms\n",
 				res.Name, m.RefusedSends, m.Cancels, m.Queries, m.LateResults, m.Duplicates, res.Heartbeats, res.SendLateMS.P99)
