--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serves callers, places tasks"`
 	Agent    *agentArgs    `arg:"subcommand:agent" help:"run an agent beside one upstream"`
 	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole system on loopback"`
+	Load     *loadArgs     `arg:"subcommand:load" help:"generate load, measure response time and messages"`
 	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge the time lines of processes"`
 	Check    *checkArgs    `arg:"subcommand:check" help:"check a settings file"`
 	Version  *versionArgs  `arg:"subcommand:version" help:"print the version"`
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/entryd"
@@ -25,6 +26,9 @@
 	Settings     policy.Settings
 	// Upstream returns the behaviour of each upstream; nil means the default.
 	Upstream func(agent int) upstream.Options
+	// Relay, if set, returns an address that leads to an entry's peer address;
+	// agents connect there instead.
+	Relay func(peer string) (string, error)
 }
 
 const (
@@ -67,7 +71,9 @@
 		o.Slots = defaultSlots
 	}
 	if o.NewScheduler == nil {
-		o.NewScheduler = func(int) policy.Scheduler { return policy.NewLeastBusy() }
+		o.NewScheduler = func(i int) policy.Scheduler {
+			return policy.New(policy.Options{Seed: uint64(i), Zone: Zone(i)})
+		}
 	}
 	if len(o.Settings.Classes) == 0 {
 		o.Settings.Classes = SampleClasses()
@@ -89,7 +95,7 @@
 func (s *System) startEntries(opts Options) error {
 	for i := range opts.Entries {
 		e, err := entryd.Start(entryd.Options{
-			Name: fmt.Sprintf("entry-%d", i), Zone: zone(i),
+			Name: fmt.Sprintf("entry-%d", i), Zone: Zone(i),
 			Listen: loopback, PeerListen: loopback,
 			Scheduler: opts.NewScheduler(i), Settings: opts.Settings,
 		})
@@ -102,9 +108,9 @@
 }
 
 func (s *System) startAgents(opts Options) error {
-	var peers []string
-	for _, e := range s.Entries {
-		peers = append(peers, e.PeerAddr())
+	peers, err := s.peers(opts)
+	if err != nil {
+		return err
 	}
 	for i := range opts.Agents {
 		up, err := upstream.Start(loopback, opts.Upstream(i))
@@ -113,7 +119,7 @@
 		}
 		s.Upstreams = append(s.Upstreams, up)
 		s.Agents = append(s.Agents, agentd.Start(agentd.Options{
-			Name: fmt.Sprintf("worker-%02d", i), Zone: zone(i),
+			Name: fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
 			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
 			Upstream: "http://" + up.Addr() + "/", Entries: peers,
 		}))
@@ -121,7 +127,61 @@
 	return nil
 }
 
-func zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
+// peers returns the addresses that agents connect to.
+func (s *System) peers(opts Options) ([]string, error) {
+	var addrs []string
+	for _, e := range s.Entries {
+		addr := e.PeerAddr()
+		if opts.Relay != nil {
+			relayed, err := opts.Relay(addr)
+			if err != nil {
+				return nil, err
+			}
+			addr = relayed
+		}
+		addrs = append(addrs, addr)
+	}
+	return addrs, nil
+}
+
+// Zone returns the availability zone of the entry or agent with that number.
+func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
+
+// readyPoll is how often WaitReady looks at the entries.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady returns when every entry has a link to every agent.
+func (s *System) WaitReady(ctx context.Context) error {
+	for _, e := range s.Entries {
+		for {
+			if st, ok := e.Stats(); ok && st.Links >= len(s.Agents) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("dev: entry %s has no link to some agent: %w", e.Addr(), ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Messages sums the entries' message counters. Entries that ended count nothing.
+func (s *System) Messages() entry.Stats {
+	var sum entry.Stats
+	for _, e := range s.Entries {
+		st, _ := e.Stats()
+		sum.Starts += st.Messages.Starts
+		sum.Results += st.Messages.Results
+		sum.Refused += st.Messages.Refused
+		sum.Cancels += st.Messages.Cancels
+		sum.Queries += st.Messages.Queries
+		sum.Late += st.Messages.Late
+		sum.Heartbeats += st.Messages.Heartbeats
+	}
+	return sum
+}
 
 // Stop shuts everything down gracefully, entries first.
 func (s *System) Stop(ctx context.Context) error {
