--- a/internal/entryd/claims.go
+++ b/internal/entryd/claims.go
@@ -22,7 +22,7 @@
 	e.log.Emit(eventlog.ClaimForwarded, eventlog.Fields{
 		Submission: rec.id.String(), Peer: res.Owner.Peer, Detail: res.Owner.Submission.String(),
 	})
-	e.table.markForeign(rec)
+	e.table.passOn(rec)
 	ctx, cancel := context.WithDeadline(e.ctx, rec.deadline)
 	answer := e.ownerAnswer(ctx, res.Owner)
 	cancel()
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -197,7 +197,9 @@
 }
 
 func (e *Entry) release(id wire.SubmissionID) {
-	if req, ok := e.table.claimRequest(id); ok {
-		e.opts.Claims.Release(req)
+	// A record that is no longer kept leaves its claim to expire.
+	if rec := e.table.get(id); rec != nil {
+		e.table.passOn(rec)
+		e.opts.Claims.Release(rec.claimRequest())
 	}
 }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -146,14 +146,6 @@
 	return claimapi.ClaimRequest{Team: r.key.team, Key: r.key.key, Submission: r.id}
 }
 
-// claimRequest returns the request of a submission that is in the table.
-func (t *jobTable) claimRequest(id wire.SubmissionID) (claimapi.ClaimRequest, bool) {
-	if r := t.get(id); r != nil {
-		return r.claimRequest(), true
-	}
-	return claimapi.ClaimRequest{}, false
-}
-
 // await answers the caller. The machine answers the job by its deadline plus
 // SettleBound; a caller that joined it may have an earlier deadline. If the
 // process ends first the connection is broken: a reply without an answer would
--- a/internal/entryd/peerrpc.go
+++ b/internal/entryd/peerrpc.go
@@ -18,7 +18,7 @@
 
 // Bounds of the calls between entries.
 const (
-	maxRPCConnections = 64
+	maxRPCConnections = 1024
 	maxRPCRequest     = 64 << 10 // bytes read from one calling connection
 	maxRPCReply       = 24 << 20 // bytes read as the reply of one call
 	rpcWait           = 5 * time.Second
--- a/internal/entryd/table.go
+++ b/internal/entryd/table.go
@@ -24,7 +24,7 @@
 
 	answer  entry.JobAnswer
 	waiters int
-	foreign bool // its claim was lost: the answer is another submission's
+	passed  bool // its claim was lost or released: the key's answer is not this one
 	bytes   int64
 	expires time.Time
 }
@@ -45,6 +45,9 @@
 	if !r.finished() {
 		return true
 	}
+	if r.passed {
+		return false
+	}
 	if r.idempotent {
 		return r.answer.Outcome == entry.Complete
 	}
@@ -121,12 +124,13 @@
 	return t.byID[id]
 }
 
-// markForeign notes that the answer of the record will be that of the claim's
-// owner, so that it is not kept: a later request asks the owner again.
-func (t *jobTable) markForeign(r *record) {
+// passOn notes that the claim of the submission was lost or released, so that a
+// later request with its key is not given this record's answer but claims anew
+// or asks the owner.
+func (t *jobTable) passOn(r *record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.foreign = true
+	r.passed = true
 }
 
 // resolve sets the answer of a submission. Only the first call has an effect.
@@ -139,7 +143,7 @@
 	}
 	r.answer = a
 	close(r.done)
-	if r.key.key == "" || r.foreign {
+	if r.key.key == "" || r.passed {
 		t.remove(r)
 		return
 	}
