--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -69,7 +69,7 @@
 		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
-	body, reqErr := readBody(w, r)
+	body, reqErr := readBody(w, r, e.opts.BodyTimeout)
 	if reqErr != nil {
 		writeRequestError(w, reqErr)
 		return
@@ -86,12 +86,12 @@
 	e.accept(w, r, req)
 }
 
-// readBody reads the whole body within bodyTimeout. The read deadline is
+// readBody reads the whole body within timeout. The read deadline is
 // lifted afterwards: an expired one would cancel the request's context while
 // the job runs.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *RequestError) {
+func readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	rc.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
