--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -35,7 +35,10 @@
 }
 
 func (e *Entry) coreLoop() {
-	opts := entry.Options{Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler}
+	opts := entry.Options{
+		Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler,
+		MaxJobs: e.opts.MaxJobs, MaxTasks: e.opts.MaxTasks,
+	}
 	if e.log != nil {
 		opts.Observer = observer{e.log}
 	}
@@ -197,7 +200,9 @@
 }
 
 func (e *Entry) release(id wire.SubmissionID) {
-	if req, ok := e.table.claimRequest(id); ok {
-		e.opts.Claims.Release(req)
+	// A record that is no longer kept leaves its claim to expire.
+	if rec := e.table.get(id); rec != nil {
+		e.table.passOn(rec)
+		e.opts.Claims.Release(rec.claimRequest())
 	}
 }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -69,7 +69,7 @@
 		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
-	body, reqErr := readBody(w, r)
+	body, reqErr := readBody(w, r, e.opts.BodyTimeout)
 	if reqErr != nil {
 		writeRequestError(w, reqErr)
 		return
@@ -86,12 +86,12 @@
 	e.accept(w, r, req)
 }
 
-// readBody reads the whole body within bodyTimeout. The read deadline is
+// readBody reads the whole body within timeout. The read deadline is
 // lifted afterwards: an expired one would cancel the request's context while
 // the job runs.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *RequestError) {
+func readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	rc.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -146,14 +146,6 @@
 	return claimapi.ClaimRequest{Team: r.key.team, Key: r.key.key, Submission: r.id}
 }
 
-// claimRequest returns the request of a submission that is in the table.
-func (t *jobTable) claimRequest(id wire.SubmissionID) (claimapi.ClaimRequest, bool) {
-	if r := t.get(id); r != nil {
-		return r.claimRequest(), true
-	}
-	return claimapi.ClaimRequest{}, false
-}
-
 // await answers the caller. The machine answers the job by its deadline plus
 // SettleBound; a caller that joined it may have an earlier deadline. If the
 // process ends first the connection is broken: a reply without an answer would
