--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -101,7 +101,7 @@
 
 // Guards against an upstream that fails everything at once and swallows tasks
 // faster than three entries, which send whenever they believe a slot is free,
-// can notice. The count covers ten seconds without any ejection by entries.
+// can notice. The count covers three seconds without any ejection by entries.
 func TestUpstreamThatFailsEverythingCostsFewTasks(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -127,6 +127,7 @@
 				}
 				s.pass(time.Millisecond)
 			}
+			t.Logf("%d of %d tasks failed", cost, sent)
 			assert.Assert(t, cost <= 10, "%d tasks failed", cost)
 		})
 	}
@@ -307,3 +308,27 @@
 		assert.Equal(t, len(f.Results), 2)
 	}
 }
+
+// Guards against one long task whose open attempt holds the floor, so that the
+// ended short ones fill the window and the agent refuses work it could do; and
+// against released records that are then reported as not run.
+func TestLongTaskDoesNotFillTheWindow(t *testing.T) {
+	s := newScript(Options{Slots: 2, Window: 100})
+	long := s.start(1, 0)
+	ran := s.nextSeq
+	for range 1000 {
+		seq := s.start(2, 0)
+		assert.Equal(t, len(s.running), 2, "attempt %d", seq)
+		s.now += 100 * time.Millisecond
+		s.step(Finished{Attempt: s.running[1].Attempt, Outcome: wire.Succeeded, Run: 100 * time.Millisecond})
+		s.running = s.running[:1]
+	}
+	s.results = nil
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.frame(wire.ToAgent{Queries: []wire.Seq{long, ran}})
+	assert.Equal(t, s.result(t, ran).Outcome, wire.Unknown)
+	s.end(succeeded)
+	assert.Equal(t, s.result(t, long).Outcome, wire.Succeeded)
+	s.frame(wire.ToAgent{Floor: s.nextSeq})
+	assert.Equal(t, len(s.m.peers[entryA].delivered), 0)
+}
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -26,6 +26,7 @@
 		f = new(outFrame)
 	}
 	rest := p.out
+	p.markSent(now, rest)
 	for {
 		n := fitting(rest)
 		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.load(now)}
@@ -46,6 +47,15 @@
 	p.sentAt = now
 }
 
+func (p *peer) markSent(now time.Duration, results []wire.Result) {
+	for i := range results {
+		if a := p.attempts[results[i].Seq]; a != nil {
+			a.sentEpoch = p.epoch
+			a.sentAt = now
+		}
+	}
+}
+
 // fitting returns how many of the results go into one frame, at least one.
 func fitting(results []wire.Result) int {
 	bytes := 0
--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -71,7 +71,7 @@
 }
 
 func (m *Machine) ranWell(now time.Duration, a *attempt, run time.Duration) {
-	if m.down || m.suspect() {
+	if m.suspect() {
 		m.greetAll()
 	}
 	m.successes++
@@ -144,7 +144,12 @@
 }
 
 // reached ends the unreachable state.
-func (m *Machine) reached() { m.down = false }
+func (m *Machine) reached() {
+	if m.down {
+		m.down = false
+		m.greetAll()
+	}
+}
 
 // probe asks for a connection attempt to an unreachable upstream when one is due.
 func (m *Machine) probe(now time.Duration) {
@@ -159,8 +164,7 @@
 func (m *Machine) probed(now time.Duration, e Probed) {
 	m.probing = false
 	m.probeAt = now + m.probeFor
-	if e.Reachable && m.down {
+	if e.Reachable {
 		m.reached()
-		m.greetAll()
 	}
 }
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -26,8 +26,11 @@
 	order    uint64
 	state    attemptState
 	released bool // settled by the entry while it was running
-	run      Run
-	result   wire.Result
+	// sentEpoch and sentAt say when the result was last sent.
+	sentEpoch wire.Epoch
+	sentAt    time.Duration
+	run       Run
+	result    wire.Result
 }
 
 func (a *attempt) id() AttemptID {
@@ -66,7 +69,9 @@
 	// answered NotRun.
 	amnesic       bool
 	attempts      map[wire.Seq]*attempt
-	byArrival     []*attempt // unsettled attempts, ascending seq
+	byArrival     []*attempt            // unsettled attempts, ascending seq
+	delivered     map[wire.Seq]struct{} // ended, result delivered, record released early
+	roomAt        time.Duration         // when makeRoom may search again
 	out           []wire.Result
 	frame         *outFrame // frame under construction
 	greet         bool      // send a frame even if there is nothing to report
@@ -108,6 +113,11 @@
 		return
 	}
 	p.floor = floor
+	for seq := range p.delivered {
+		if seq < floor {
+			delete(p.delivered, seq)
+		}
+	}
 	n := 0
 	for n < len(p.byArrival) && p.byArrival[n].start.Seq < floor {
 		m.release(p, p.byArrival[n])
@@ -153,9 +163,10 @@
 
 func (m *Machine) addPeer(entry wire.Incarnation) *peer {
 	p := &peer{
-		entry:    entry,
-		amnesic:  m.forgot,
-		attempts: make(map[wire.Seq]*attempt),
+		entry:     entry,
+		amnesic:   m.forgot,
+		attempts:  make(map[wire.Seq]*attempt),
+		delivered: make(map[wire.Seq]struct{}),
 	}
 	m.peers[entry] = p
 	m.peerList = append(m.peerList, p)
@@ -211,54 +222,6 @@
 	return !p.up && now-p.downAt >= m.opts.PeerRetention && len(p.attempts) == 0
 }
 
-// boundRetained keeps the memory of unfetched results within bounds: results
-// of entries without a link are given up, longest down first.
-func (m *Machine) boundRetained() {
-	for m.retained > m.opts.MaxRetainedBytes {
-		p := m.longestDown()
-		if p == nil {
-			return // new starts are refused until floors advance
-		}
-		for _, a := range p.byArrival {
-			m.loseResult(a)
-		}
-	}
-}
-
-func (m *Machine) loseResult(a *attempt) {
-	if a.state != stateDone || len(a.result.Body) == 0 {
-		return
-	}
-	m.retained -= len(a.result.Body)
-	a.result.Body = nil
-	a.result.Outcome = wire.Unknown
-	a.result.Reason = wire.ReasonResultLost
-}
-
-// longestDown returns the entry without a link that holds result bytes and
-// lost its link first.
-func (m *Machine) longestDown() *peer {
-	var oldest *peer
-	for _, p := range m.peerList {
-		if p.up || !p.holdsBytes() {
-			continue
-		}
-		if oldest == nil || p.downAt < oldest.downAt {
-			oldest = p
-		}
-	}
-	return oldest
-}
-
-func (p *peer) holdsBytes() bool {
-	for _, a := range p.byArrival {
-		if a.state == stateDone && len(a.result.Body) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // greetAll sends the load to every entry at once, for changes that entries
 // must not learn late.
 func (m *Machine) greetAll() {
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -72,9 +72,12 @@
 	p.report(wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: wire.ReasonStaleSeq})
 }
 
-// mayHaveForgotten says that the seq may belong to a record that was dropped
-// with an earlier record of the same entry.
+// mayHaveForgotten says that the record of the seq was released early, or may
+// have been dropped with an earlier record of the same entry.
 func (p *peer) mayHaveForgotten(seq wire.Seq) bool {
+	if _, ended := p.delivered[seq]; ended {
+		return true
+	}
 	return p.amnesic && (p.firstSeq == 0 || seq < p.firstSeq)
 }
 
@@ -89,7 +92,11 @@
 		return wire.ReasonUpstreamDown
 	case m.suspect() && !m.trialDue(now):
 		return wire.ReasonSuspect
-	case len(p.attempts) >= m.opts.Window:
+	}
+	if len(p.attempts) >= m.opts.Window {
+		m.makeRoom(now, p)
+	}
+	if len(p.attempts) >= m.opts.Window {
 		return wire.ReasonBusy
 	}
 	if m.boundRetained(); m.retained > m.opts.MaxRetainedBytes {
