--- /dev/null
+++ b/core/policy/admission.go
@@ -0,0 +1,187 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// completionMargin is the share of the time to the deadline that the
+	// expected completion may use; estimates of heavy-tailed work are rough.
+	completionMargin = 0.8
+	// backlogShare is the part of the class's target that a job may spend
+	// behind the backlog.
+	backlogShare = 0.5
+	// quotaWaiting bounds a team's waiting tasks, as a multiple of its quota.
+	quotaWaiting   = 16
+	minRetryAfter  = 100 * time.Millisecond
+	maxRetryAfter  = 30 * time.Second
+	noUpstreamWait = time.Second
+	// contentionShare is the part of the tightest target that draining the
+	// backlog may take before classes above their share must yield.
+	contentionShare  = 0.25
+	contentionPeriod = 5 * time.Millisecond
+	serviceWeight    = 0.02 // of the newest sample in the mean number of tasks in service
+)
+
+// admit decides on a new job.
+func (s *Adaptive) admit(now time.Duration, job *Job) Verdict {
+	c := s.classes[job.Class]
+	if c == nil || !c.published {
+		return Verdict{Refusal: RefusedUnknownClass}
+	}
+	if len(s.up) == 0 {
+		return Verdict{Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamWait)}
+	}
+	if !s.fitsSomewhere(job) {
+		return Verdict{Refusal: RefusedNeverFits}
+	}
+	left := job.Deadline - now
+	if c.est.known() && s.on.estimates && left < c.est.p50 {
+		return Verdict{Refusal: RefusedDeadline}
+	}
+	if !s.on.admission {
+		return Verdict{}
+	}
+	if s.overQuota(c, job) {
+		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c))}
+	}
+	return s.admitBacklog(c, job, left)
+}
+
+// admitBacklog refuses a job that the backlog ahead would make miss its deadline.
+func (s *Adaptive) admitBacklog(c *classState, job *Job, left time.Duration) Verdict {
+	wait := s.wait(c)
+	if s.queue.waiting+job.Tasks > s.opts.MaxWaiting {
+		return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(wait)}
+	}
+	if s.queue.waiting == 0 {
+		return Verdict{}
+	}
+	// A backlog near the target makes the jobs behind it late, and late jobs
+	// expire with work half done; so it stops growing before.
+	allowed := min(
+		time.Duration(completionMargin*float64(left))-s.jobTime(c, job),
+		time.Duration(backlogShare*float64(c.class.Within)),
+	)
+	if wait <= allowed {
+		return Verdict{}
+	}
+	return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(wait - allowed)}
+}
+
+// jobTime is the expected time from a job's first start to its completion.
+func (s *Adaptive) jobTime(c *classState, job *Job) time.Duration {
+	longest := s.high(c, job)
+	work := float64(s.mean(c, job.Declared)) * float64(job.Tasks) / s.drain()
+	return max(longest, time.Duration(work))
+}
+
+// wait is the expected delay before a new job of the class gets its first start.
+func (s *Adaptive) wait(c *classState) time.Duration {
+	contended := s.backlog() > contentionShare*float64(c.class.Within)
+	var work float64
+	for _, other := range s.classList {
+		if other.waiting == 0 {
+			continue
+		}
+		work += s.ahead(c, other, contended) * float64(other.waiting) * float64(s.mean(other, 0))
+	}
+	if s.queue.late.len() > 0 {
+		work *= lateShare / (lateShare - 1.0) // starts given to late jobs
+	}
+	return time.Duration(work / s.drain())
+}
+
+// ahead estimates the share of the other class's waiting tasks that is served
+// before a new task of class c. Under contention the class with more work is
+// the one that yields.
+func (s *Adaptive) ahead(c, other *classState, contended bool) float64 {
+	switch {
+	case other == c || !s.on.slackOrder:
+		return 1
+	case contended && other.tasks() > c.tasks():
+		return 0
+	case other.class.Within <= c.class.Within:
+		return 1
+	}
+	// The waiting tasks' slack is spread over the class's target time.
+	return float64(c.class.Within) / float64(other.class.Within)
+}
+
+// backlog is the expected time in nanoseconds to serve all waiting tasks.
+func (s *Adaptive) backlog() float64 {
+	work := 0.0
+	for _, c := range s.classList {
+		if c.waiting > 0 {
+			work += float64(c.waiting) * float64(s.mean(c, 0))
+		}
+	}
+	return work / s.drain()
+}
+
+// updateContention compares the backlog with the tightest target of the
+// classes that have work.
+func (s *Adaptive) updateContention(now time.Duration) {
+	if now < s.contentionAt {
+		return
+	}
+	s.contentionAt = now + contentionPeriod
+	if s.queue.waiting == 0 || s.queue.active < 2 {
+		s.queue.contend(false)
+		return
+	}
+	tightest := time.Duration(math.MaxInt64)
+	for _, c := range s.classList {
+		if c.tasks() > 0 {
+			tightest = min(tightest, c.class.Within)
+		}
+	}
+	limit := contentionShare * float64(tightest)
+	if s.queue.contended {
+		limit /= 2
+	}
+	s.queue.contend(s.backlog() > limit)
+}
+
+// drain returns the number of slots that serve this entry's tasks. Under
+// backlog that is what it was observed to hold; otherwise free slots count too.
+func (s *Adaptive) drain() float64 {
+	return max(1, s.service)
+}
+
+// observeService samples the number of own tasks in service.
+func (s *Adaptive) observeService() {
+	n := float64(s.inFlight)
+	if s.queue.waiting == 0 || n > s.service {
+		// Without a backlog the number in service says nothing about what
+		// could be, so the mean only grows.
+		s.service = max(s.service, n)
+		return
+	}
+	s.service += (n - s.service) * serviceWeight
+}
+
+func (s *Adaptive) fitsSomewhere(job *Job) bool {
+	if job.Need.MilliCores == 0 && job.Need.MemoryMB == 0 && job.Need.Accelerators == 0 {
+		return true
+	}
+	for _, a := range s.up {
+		if a.info.Capacity.Fits(job.Need) {
+			return true
+		}
+	}
+	return false
+}
+
+// overQuota reports whether the team has as many tasks waiting as allowed.
+func (s *Adaptive) overQuota(c *classState, job *Job) bool {
+	quota := s.quotas[job.Team]
+	t := c.teams[job.Team]
+	return quota > 0 && t != nil && t.waiting >= quota*quotaWaiting
+}
+
+func (s *Adaptive) jittered(d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return d + time.Duration(s.rand.float()*float64(d)/2)
+}
--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -240,7 +240,7 @@
 	entry := newFakeEntry(t, 10)
 	var started sync.WaitGroup
 	started.Add(2)
-	up := startUpstream(t, upstream.Options{OnStart: func(string, string) { started.Done() }})
+	up := startUpstream(t, upstream.Options{OnStart: func(upstream.Started) { started.Done() }})
 	startAgent(t, Options{Upstream: upstreamURL(up), Entries: []string{entry.addr()}, Slots: 2})
 	entry.awaitLink()
 	long := []byte(`{"sleep_us":3600000000}`)
@@ -260,7 +260,7 @@
 	entry := newFakeEntry(t, 10)
 	release := make(chan struct{})
 	started := make(chan struct{}, 1)
-	up := startUpstream(t, upstream.Options{OnStart: func(string, string) { started <- struct{}{}; <-release }})
+	up := startUpstream(t, upstream.Options{OnStart: func(upstream.Started) { started <- struct{}{}; <-release }})
 	a := startAgent(t, Options{
 		Upstream: upstreamURL(up), Entries: []string{entry.addr()},
 		Core: agent.Options{DrainLinger: time.Millisecond},
