--- /dev/null
+++ b/internal/operator/history_test.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/config"
+	"github.com/limpettrail/limpettrail/internal/logstate"
+	"github.com/limpettrail/limpettrail/internal/standin/logserver"
+	"github.com/limpettrail/limpettrail/platformlog"
+)
+
+// itemOp is one change of an item, by the ids of the changes that won.
+type itemOp struct {
+	key     config.Key
+	outcome Outcome
+	id      platformlog.RecordID
+	base    platformlog.RecordID // that set the replaced revision
+}
+
+// itemModel is a compare-and-swap register per item. The state is the id of the
+// change in force.
+func itemModel() porcupine.Model {
+	step := func(state, input, _ any) []any {
+		current, op := state.(platformlog.RecordID), input.(itemOp)
+		switch {
+		case op.outcome == Accepted && current == op.base:
+			return []any{op.id}
+		case op.outcome == Lost && current != op.base:
+			return []any{current}
+		case op.outcome == Unknown && current == op.base:
+			return []any{current, op.id}
+		case op.outcome == Unknown:
+			return []any{current}
+		}
+		return nil
+	}
+	m := porcupine.NondeterministicModel{
+		Init:      func() []any { return []any{platformlog.RecordID{}} },
+		Step:      step,
+		Partition: byItem,
+	}
+	return m.ToModel()
+}
+
+func byItem(history []porcupine.Operation) [][]porcupine.Operation {
+	parts := make(map[config.Key][]porcupine.Operation)
+	for _, o := range history {
+		key := o.Input.(itemOp).key
+		parts[key] = append(parts[key], o)
+	}
+	var out [][]porcupine.Operation
+	for _, p := range parts {
+		out = append(out, p)
+	}
+	return out
+}
+
+// timed is one result with the time of its command.
+type timed struct {
+	ChangeResult
+	call, end int64
+}
+
+// Guards against a false yes, a false no and a lost update, over histories of
+// racing operators with lost and late appends, outages and slow reads.
+func TestConfigHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { configHistory(t, seed) })
+	}
+}
+
+func configHistory(t *testing.T, seed uint64) {
+	s := startLog(t)
+	stop := make(chan struct{})
+	var faults, workers sync.WaitGroup
+	faults.Go(func() { injectFaults(s, rand.New(rand.NewPCG(seed, 99)), stop) })
+	start := time.Now()
+	results := make([][]timed, 4)
+	for w := range results {
+		c, _ := client(t, s, 150*time.Millisecond)
+		rnd := rand.New(rand.NewPCG(seed, uint64(w)))
+		workers.Go(func() {
+			for i := range 15 {
+				file := fmt.Sprintf("[[team]]\nname = \"t%d\"\nquota = %d\n", rnd.IntN(3), 1000*(w+1)+i)
+				call := time.Since(start)
+				r := c.Apply(context.Background(), "f", []byte(file), false)
+				for _, ch := range r.Changes {
+					results[w] = append(results[w], timed{ch, int64(call), int64(time.Since(start))})
+				}
+			}
+		})
+	}
+	workers.Wait()
+	close(stop)
+	faults.Wait()
+	check(t, s, results)
+}
+
+// check replays the log and compares it with what the operators were told.
+func check(t *testing.T, s *logserver.Server, results [][]timed) {
+	m := config.New(config.Options{})
+	byRevision := make(map[int64]platformlog.RecordID)
+	accepted := make(map[platformlog.RecordID]bool)
+	for _, r := range s.Records(logstate.StreamConfig) {
+		for _, v := range m.Apply(r.Offset, r.Time, r.Body) {
+			if v.Outcome == config.Accepted {
+				byRevision[r.Offset+1] = r.ID
+				accepted[r.ID] = true
+			}
+		}
+	}
+	var history []porcupine.Operation
+	count := make(map[Outcome]int)
+	for _, worker := range results {
+		for _, r := range worker {
+			count[r.Outcome]++
+			switch r.Outcome {
+			case Accepted:
+				assert.Assert(t, accepted[r.ID], "a false yes")
+			case NotAccepted, Lost:
+				assert.Assert(t, !accepted[r.ID], "a false no")
+			case Unknown:
+				r.end = math.MaxInt64
+			}
+			if r.Outcome == NotAccepted {
+				continue
+			}
+			op := itemOp{key: r.Key, outcome: r.Outcome, id: r.ID, base: byRevision[r.Base]}
+			history = append(history, porcupine.Operation{ClientId: len(history), Input: op, Call: r.call, Return: r.end})
+		}
+	}
+	t.Logf("outcomes: %v", count)
+	assert.Assert(t, count[Accepted] > 0)
+	assert.Assert(t, porcupine.CheckOperations(itemModel(), history), "not linearizable")
+}
+
+func injectFaults(s *logserver.Server, rnd *rand.Rand, stop <-chan struct{}) {
+	defer s.SetFaults(logserver.Faults{})
+	choices := []logserver.Faults{
+		{}, {}, {},
+		{LoseReplies: 3},
+		{LoseRequests: 3},
+		{LateAppends: 5, LateByMillis: 400},
+		{Outage: true},
+		{ReadDelayMillis: 40},
+		{AppendDelayMillis: 120},
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(50+rnd.IntN(200)) * time.Millisecond):
+			s.SetFaults(choices[rnd.IntN(len(choices))])
+		}
+	}
+}
+
+// Guards against a checker that accepts everything.
+func TestConfigCheckerRejectsALostUpdate(t *testing.T) {
+	id := func(n byte) platformlog.RecordID { return platformlog.RecordID{n} }
+	op := func(outcome Outcome, n, base byte, call int64) porcupine.Operation {
+		return porcupine.Operation{Input: itemOp{outcome: outcome, id: id(n), base: id(base)}, Call: call, Return: call + 1}
+	}
+	bad := []porcupine.Operation{op(Accepted, 1, 0, 1), op(Accepted, 2, 0, 3)}
+	good := []porcupine.Operation{op(Accepted, 1, 0, 1), op(Lost, 2, 0, 3), op(Accepted, 3, 1, 5)}
+	assert.Assert(t, !porcupine.CheckOperations(itemModel(), bad))
+	assert.Assert(t, porcupine.CheckOperations(itemModel(), good))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -66,7 +66,7 @@
 }
 
 // ExitCode returns the exit code: the worst outcome counts.
-func (r *Result) ExitCode() int {
+func (r Result) ExitCode() int {
 	code := ExitOK
 	if r.Err != nil {
 		code = ExitNotAccepted
