Join the parts: entry node over the platform log, operators' endpoints, config command

Cause: entry shell, log follower, policy and operators' view existed apart; nothing ran them as one process, and dev used settings that no operator had published. Change: internal/entrynode, TLS on every listener, config sub-commands, dev with the log stand-in and published classes, agent status and metrics. Found: go-arg returns the innermost sub-command, so config list printed the help; each command is now looked up at the top level.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -161,7 +161,7 @@
 }
 
 // load returns the state that the agent reports on every frame.
-func (m *Machine) load(now time.Duration) wire.Load {
+func (m *Machine) Load(now time.Duration) wire.Load {
 	return wire.Load{
 		Running:      len(m.active),
 		Queued:       m.queue.Len(),
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -29,7 +29,7 @@
 	p.markSent(now, rest)
 	for {
 		n := fitting(rest)
-		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.load(now)}
+		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.Load(now)}
 		if p.sendConfig {
 			f.frame.Config = m.config
 			p.configVersion = m.config.Version
--- a/core/entry/example_test.go
+++ b/core/entry/example_test.go
@@ -40,9 +40,9 @@
 func (x *embedded) toAgent(ev agent.Event) {
 	for _, action := range append([]agent.Action(nil), x.agent.Step(x.now, ev)...) {
 		switch a := action.(type) {
-		case agent.Send:
+		case *agent.Send:
 			x.toEntry(entry.Received{Agent: agentID, Epoch: a.Epoch, Frame: a.Frame})
-		case agent.Run:
+		case *agent.Run:
 			fmt.Printf("task %d runs\n", a.Start.Index)
 			x.now += 50 * time.Millisecond // the work itself
 			result := append([]byte("done "), a.Start.Payload...)
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -59,6 +59,9 @@
 			l.sender.Finish()
 		}
 		return nil
+	case statusQuery:
+		e.reply <- c.status()
+		return nil
 	case agent.Drain:
 		c.emit(eventlog.AgentDraining, eventlog.Fields{Detail: c.opts.Name})
 		return e
--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/operatorhttp"
 	"github.com/limpettrail/limpettrail/internal/settings"
 )
 
@@ -26,19 +29,58 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	p := agentd.Start(agentd.Options{
-		Name:     v.String("name"),
-		Zone:     v.String("zone"),
-		Rack:     v.String("rack"),
-		Slots:    int(v.Int("slots")),
-		Upstream: v.String("upstream"),
-		Entries:  v.Strings("entries"),
+	ids, err := loadIdentities(settings.RoleAgent, v)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	logger, err := newLogger(v.String("log_level"))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	opts := agentOptions(v, ids)
+	opts.Log = eventlog.New(logger, opts.Name, uint64(opts.Incarnation))
+	p := agentd.Start(opts)
+	operators, err := serveOperators(p, v, ids)
+	if err != nil {
+		p.Kill()
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	fmt.Fprintf(stdout, "agent %s: upstream %s, operators %s\n", opts.Name, opts.Upstream, operators)
+	return serve(p, v.Duration("drain_timeout"), ids.reload, stderr)
+}
+
+func agentOptions(v *settings.Values, ids identities) agentd.Options {
+	return agentd.Options{
+		Incarnation: wire.Incarnation(rand.Uint64() | 1),
+		Name:        v.String("name"),
+		Zone:        v.String("zone"),
+		Rack:        v.String("rack"),
+		Slots:       int(v.Int("slots")),
+		Upstream:    v.String("upstream"),
+		Entries:     v.Strings("entries"),
 		Capacity: wire.Capacity{
 			MilliCores:   v.Int("milli_cores"),
 			MemoryMB:     v.Int("memory") / bytesPerMB,
 			Accelerators: v.Int("accelerators"),
 		},
-	})
-	fmt.Fprintf(stdout, "agent %s: upstream %s\n", v.String("name"), v.String("upstream"))
-	return serve(p, v.Duration("drain_timeout"), func() error { return nil }, stderr)
+		Dial: dial(ids.peer),
+	}
+}
+
+// serveOperators opens the operators' address, if one is set, and returns it.
+// It is served until the process ends.
+func serveOperators(p *agentd.Agent, v *settings.Values, ids identities) (string, error) {
+	addr := v.String("operator_listen")
+	if addr == "" {
+		return "none", nil
+	}
+	l, err := listen(ids.operator, addr)
+	if err != nil {
+		return "", err
+	}
+	go operatorhttp.NewServer(p.OperatorHandler()).Serve(l)
+	return l.Addr().String(), nil
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,17 +10,18 @@
 	"github.com/alexflint/go-arg"
 )
 
-// Exit codes of the binary.
+// Exit codes of the binary. config also returns operator.ExitLost and
+// operator.ExitUnknown.
 const (
-	ExitOK      = 0 // done
-	ExitFailed  = 1 // the command ran and failed, or a check found faults
-	ExitUsage   = 2 // the command line is wrong
-	ExitUnknown = 3 // the outcome is not known; ask again as the message says
+	ExitOK     = 0 // done
+	ExitFailed = 1 // the command ran and failed, or a check found faults
+	ExitUsage  = 2 // the command line is wrong
 )
 
 type args struct {
 	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serves callers, places tasks"`
 	Agent    *agentArgs    `arg:"subcommand:agent" help:"run an agent beside one upstream"`
+	Config   *configArgs   `arg:"subcommand:config" help:"publish and inspect classes and targets"`
 	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole system on loopback"`
 	Load     *loadArgs     `arg:"subcommand:load" help:"generate load, measure response time and messages"`
 	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge the time lines of processes"`
@@ -35,7 +36,7 @@
 
 // Epilogue ends the help text of the program and of each sub-command.
 func (args) Epilogue() string {
-	return "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 outcome not known.\n" +
+	return "Exit codes: 0 done, 1 failed, 2 wrong input, 3 another change was first, 4 outcome not known.\n" +
 		"Start with: limpettrail dev"
 }
 
@@ -44,6 +45,30 @@
 	run(stdout, stderr io.Writer) int
 }
 
+// command returns the sub-command that was given, or nil. The parser's own
+// Subcommand returns the innermost one, which for config is not a command.
+func (a *args) command() command {
+	switch {
+	case a.Entry != nil:
+		return a.Entry
+	case a.Agent != nil:
+		return a.Agent
+	case a.Config != nil:
+		return a.Config
+	case a.Dev != nil:
+		return a.Dev
+	case a.Load != nil:
+		return a.Load
+	case a.Timeline != nil:
+		return a.Timeline
+	case a.Check != nil:
+		return a.Check
+	case a.Version != nil:
+		return a.Version
+	}
+	return nil
+}
+
 // Main runs the command line and returns the exit code.
 func Main(argv []string, stdout, stderr io.Writer) int {
 	var a args
@@ -54,7 +79,7 @@
 	}
 	err = p.Parse(argv)
 	if errors.Is(err, arg.ErrHelp) {
-		writeHelp(p, stdout)
+		writeHelp(p, &a, stdout)
 		return ExitOK
 	}
 	if err != nil {
@@ -62,8 +87,8 @@
 		fmt.Fprintln(stderr, "error:", err)
 		return ExitUsage
 	}
-	c, ok := p.Subcommand().(command)
-	if !ok {
+	c := a.command()
+	if c == nil {
 		p.WriteHelp(stderr)
 		return ExitUsage
 	}
@@ -71,9 +96,9 @@
 }
 
 // writeHelp writes the help of the sub-command that was named, with its example.
-func writeHelp(p *arg.Parser, w io.Writer) {
+func writeHelp(p *arg.Parser, a *args, w io.Writer) {
 	p.WriteHelpForSubcommand(w, p.SubcommandNames()...)
-	if c, ok := p.Subcommand().(interface{ example() string }); ok {
+	if c, ok := a.command().(interface{ example() string }); ok {
 		fmt.Fprintf(w, "\nExample: %s\n", c.example())
 	}
 }
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,7 +16,8 @@
 )
 
 const (
-	stopTimeout = 10 * time.Second
+	startTimeout = 10 * time.Second
+	stopTimeout  = 10 * time.Second
 	// devLoad is the offered load, as a share of the slots, at which
 	// `dev --jobs` spreads its jobs over time.
 	devLoad = 0.6
@@ -41,24 +44,40 @@
 
 // serveDev runs the system until the process is told to stop.
 func serveDev(ctx context.Context, a *devArgs, stdout, stderr io.Writer) int {
-	s, err := dev.Start(dev.Options{Entries: a.Entries, Agents: a.Agents})
+	s, err := dev.Start(dev.Options{Entries: a.Entries, Agents: a.Agents, Operators: true})
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	addr := s.Entries[0].Addr()
-	fmt.Fprintf(stdout, "callers: http://%s\n", addr)
-	fmt.Fprintf(stdout, "try: curl -s http://%s/v1/jobs -d '{\"class\":\"quote\",\"tasks\":[{\"sleep_us\":50000},{\"sleep_us\":80000}]}'\n", addr)
-	<-ctx.Done()
+	waitCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	err = s.WaitReady(waitCtx)
+	cancel()
+	if err == nil {
+		describeDev(stdout, s)
+		<-ctx.Done()
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := s.Stop(stopCtx); err != nil {
+	if err := errors.Join(err, s.Stop(stopCtx)); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
+// describeDev says where everything is and what to try.
+func describeDev(w io.Writer, s *dev.System) {
+	for i, e := range s.Entries {
+		fmt.Fprintf(w, "entry-%d: callers http://%s  operators http://%s (/status /metrics /readyz /timeline)\n", i, e.Addr(), e.OperatorAddr())
+	}
+	fmt.Fprintf(w, "agents: operators %s\n", strings.Join(s.Operators[len(s.Entries):], " "))
+	fmt.Fprintf(w, "platform log: %s  faults: %s\n\nTry:\n", s.Log.URL(), s.Log.ControlURL())
+	fmt.Fprintf(w, "  curl -s http://%s/v1/jobs -d '{\"class\":\"quote\",\"tasks\":[{\"sleep_us\":50000},{\"sleep_us\":80000}]}'\n", s.Entries[0].Addr())
+	fmt.Fprintf(w, "  limpettrail config --log %s list\n", s.Log.URL())
+	fmt.Fprintf(w, "  limpettrail config status %s\n", strings.Join(s.Operators, " "))
+	fmt.Fprintf(w, "  limpettrail timeline --job SUBMISSION %s\n", strings.Join(s.Operators, " "))
+}
+
 // runDevJobs runs mixed jobs through the whole path and fails if the observer
 // finds a broken promise or a job that was not complete.
 func runDevJobs(ctx context.Context, a *devArgs, stdout, stderr io.Writer) int {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -3,11 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"os"
 
 	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/entryd"
+	"github.com/limpettrail/limpettrail/internal/entrynode"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/settings"
+	"github.com/limpettrail/limpettrail/internal/tlsfiles"
+	"github.com/limpettrail/limpettrail/platformlog"
 )
 
 type entryArgs struct {
@@ -24,17 +31,57 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	e, err := entryd.Start(entryd.Options{
-		Name:       v.String("name"),
-		Zone:       v.String("zone"),
-		Listen:     v.String("listen"),
-		PeerListen: v.String("peer_listen"),
-		Scheduler:  policy.NewLeastBusy(),
-	})
+	ids, err := loadIdentities(settings.RoleEntry, v)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	fmt.Fprintf(stdout, "entry %s: callers %s, peers %s\n", v.String("name"), e.Addr(), e.PeerAddr())
-	return serve(e, v.Duration("drain_timeout"), func() error { return nil }, stderr)
+	n, err := startEntry(v, ids)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	fmt.Fprintf(stdout, "entry %s: callers %s, peers %s, operators %s\n",
+		v.String("name"), n.Addr(), n.PeerAddr(), n.OperatorAddr())
+	return serve(n, v.Duration("drain_timeout"), ids.reload, stderr)
+}
+
+func startEntry(v *settings.Values, ids identities) (*entrynode.Node, error) {
+	logger, err := newLogger(v.String("log_level"))
+	if err != nil {
+		return nil, err
+	}
+	incarnation := wire.Incarnation(rand.Uint64() | 1)
+	return entrynode.Start(entrynode.Options{
+		Entry: entryd.Options{
+			Name:           v.String("name"),
+			Zone:           v.String("zone"),
+			Listen:         v.String("listen"),
+			PeerListen:     v.String("peer_listen"),
+			OperatorListen: v.String("operator_listen"),
+			MaxJobs:        int(v.Int("max_jobs")),
+			Scheduler:      policy.New(policy.Options{Seed: uint64(incarnation), Zone: v.String("zone")}),
+			DialFunc:       dial(ids.peer),
+			Log:            eventlog.New(logger, v.String("name"), uint64(incarnation)),
+			Incarnation:    incarnation,
+		},
+		Listen: func(role entryd.Listener, addr string) (net.Listener, error) {
+			return listen(ids.of(role), addr)
+		},
+		Log:         platformlog.NewClient(platformlog.ClientOptions{BaseURL: v.String("log_url")}),
+		Advertise:   v.String("peer_advertise"),
+		Retention:   v.Duration("log_retention"),
+		ClaimWindow: v.Duration("claim_window"),
+	})
+}
+
+// of returns the identity of one of the entry's listeners.
+func (ids identities) of(role entryd.Listener) *tlsfiles.Identity {
+	switch role {
+	case entryd.CallerListener:
+		return ids.caller
+	case entryd.PeerListener:
+		return ids.peer
+	}
+	return ids.operator
 }
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -8,6 +8,9 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // process is a running entry or agent.
@@ -52,3 +55,17 @@
 		}
 	}
 }
+
+// newLogger writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(l)
+	c.OutputPaths = []string{"stderr"}
+	c.EncoderConfig.TimeKey = "time"
+	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return c.Build(zap.WithCaller(false))
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -1,18 +1,32 @@
-// Package dev runs a whole system in one process on loopback: entries, agents
-// and sample upstreams, joined by real sockets.
+// Package dev runs a whole system in one process on loopback: the stand-in of
+// the platform's log, entries, agents and sample upstreams, joined by real
+// sockets.
 package dev
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/entryd"
+	"github.com/limpettrail/limpettrail/internal/entrynode"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/operator"
+	"github.com/limpettrail/limpettrail/internal/operatorhttp"
+	"github.com/limpettrail/limpettrail/internal/standin/logserver"
 	"github.com/limpettrail/limpettrail/internal/standin/upstream"
+	"github.com/limpettrail/limpettrail/platformlog"
 )
 
 // Options size the system. Zero values take today's figures: 3 entries, 11
@@ -24,6 +38,13 @@
 	// NewScheduler makes the scheduler of each entry.
 	NewScheduler func(entry int) policy.Scheduler
 	Settings     policy.Settings
+	// LogRetention is how long the log stand-in keeps records; 0 is its default.
+	LogRetention time.Duration
+	// Logger receives the events of every process; nil keeps them on the time
+	// line only.
+	Logger *zap.Logger
+	// Operators opens an operators' address for each entry and agent.
+	Operators bool
 	// Upstream returns the behaviour of each upstream; nil means the default.
 	Upstream func(agent int) upstream.Options
 	// Relay, if set, returns an address that leads to an entry's peer address;
@@ -42,15 +63,22 @@
 
 // System is a running system.
 type System struct {
-	Entries   []*entryd.Entry
+	Log       *logserver.Server
+	Entries   []*entrynode.Node
 	Agents    []*agentd.Agent
 	Upstreams []*upstream.Server
+	// Operators are the operators' addresses, entries first.
+	Operators []string
+	servers   []*http.Server
 }
 
 // Start brings up the system. The caller stops it with Stop.
 func Start(opts Options) (*System, error) {
 	opts = withDefaults(opts)
 	s := &System{}
+	if err := s.startLog(opts); err != nil {
+		return nil, errors.Join(err, s.Stop(context.Background()))
+	}
 	if err := s.startEntries(opts); err != nil {
 		return nil, errors.Join(err, s.Stop(context.Background()))
 	}
@@ -78,6 +106,9 @@
 	if len(o.Settings.Classes) == 0 {
 		o.Settings.Classes = SampleClasses()
 	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
 	if o.Upstream == nil {
 		o.Upstream = func(int) upstream.Options { return upstream.Options{} }
 	}
@@ -92,17 +123,63 @@
 	}
 }
 
+// startLog starts the log stand-in and publishes the settings in it.
+func (s *System) startLog(opts Options) error {
+	var err error
+	s.Log, err = logserver.Start(logserver.Options{Listen: loopback, Control: loopback, Retention: opts.LogRetention})
+	if err != nil {
+		return err
+	}
+	client := s.logClient()
+	defer client.Close()
+	var report strings.Builder
+	c := operator.Client{Log: client, Out: &report}
+	result := c.Apply(context.Background(), "settings", []byte(settingsTOML(opts.Settings)), false)
+	if result.ExitCode() != operator.ExitOK {
+		return fmt.Errorf("dev: publish settings: %s", report.String())
+	}
+	return nil
+}
+
+func (s *System) logClient() *platformlog.Client {
+	return platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.Log.URL()})
+}
+
+// settingsTOML writes settings as input of `limpettrail config apply`.
+func settingsTOML(s policy.Settings) string {
+	var b strings.Builder
+	if s.Emphasis == policy.EmphasisMessages {
+		b.WriteString("emphasis = \"messages\"\n")
+	}
+	for _, c := range s.Classes {
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nwithin_ms = %d\nsuccess = %v\n", c.Name, c.Within.Milliseconds(), c.Success)
+	}
+	for _, t := range s.Teams {
+		fmt.Fprintf(&b, "[[team]]\nname = %q\nquota = %d\n", t.Name, t.Quota)
+	}
+	return b.String()
+}
+
 func (s *System) startEntries(opts Options) error {
 	for i := range opts.Entries {
-		e, err := entryd.Start(entryd.Options{
-			Name: fmt.Sprintf("entry-%d", i), Zone: Zone(i),
-			Listen: loopback, PeerListen: loopback,
-			Scheduler: opts.NewScheduler(i), Settings: opts.Settings,
-		})
+		name := fmt.Sprintf("entry-%d", i)
+		o := entryd.Options{
+			Name: name, Zone: Zone(i), Listen: loopback, PeerListen: loopback,
+			Incarnation: wire.Incarnation(rand.Uint64() | 1),
+			Scheduler:   opts.NewScheduler(i),
+		}
+		o.Log = eventlog.New(opts.Logger, name, uint64(o.Incarnation))
+		if opts.Operators {
+			o.OperatorListen = loopback
+		}
+		n, err := entrynode.Start(entrynode.Options{Entry: o, Log: s.logClient(), Retention: opts.LogRetention})
 		if err != nil {
 			return err
 		}
-		s.Entries = append(s.Entries, e)
+		s.Entries = append(s.Entries, n)
+		if opts.Operators {
+			s.Operators = append(s.Operators, n.OperatorAddr())
+		}
 	}
 	return nil
 }
@@ -118,12 +195,34 @@
 			return err
 		}
 		s.Upstreams = append(s.Upstreams, up)
-		s.Agents = append(s.Agents, agentd.Start(agentd.Options{
-			Name: fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
+		o := agentd.Options{
+			Incarnation: wire.Incarnation(rand.Uint64() | 1),
+			Name:        fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
 			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
 			Upstream: "http://" + up.Addr() + "/", Entries: peers,
-		}))
+		}
+		o.Log = eventlog.New(opts.Logger, o.Name, uint64(o.Incarnation))
+		a := agentd.Start(o)
+		s.Agents = append(s.Agents, a)
+		if err := s.serveOperators(a, opts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) serveOperators(a *agentd.Agent, opts Options) error {
+	if !opts.Operators {
+		return nil
+	}
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return err
 	}
+	server := operatorhttp.NewServer(a.OperatorHandler())
+	go server.Serve(l)
+	s.servers = append(s.servers, server)
+	s.Operators = append(s.Operators, l.Addr().String())
 	return nil
 }
 
@@ -150,11 +249,12 @@
 // readyPoll is how often WaitReady looks at the entries.
 const readyPoll = 5 * time.Millisecond
 
-// WaitReady returns when every entry has a link to every agent.
+// WaitReady returns when every entry has the configuration and a link to every
+// agent.
 func (s *System) WaitReady(ctx context.Context) error {
 	for _, e := range s.Entries {
 		for {
-			if st, ok := e.Stats(); ok && st.Links >= len(s.Agents) {
+			if st, ok := e.Stats(); ok && st.Links >= len(s.Agents) && e.Ready() {
 				break
 			}
 			select {
@@ -195,5 +295,11 @@
 	for _, u := range s.Upstreams {
 		errs = append(errs, u.Close())
 	}
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	if s.Log != nil {
+		errs = append(errs, s.Log.Close())
+	}
 	return errors.Join(errs...)
 }
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -111,6 +111,7 @@
 		}
 	case entry.Answer:
 		c.e.emitAnswer(x)
+		c.e.countAnswer(&x)
 		c.e.table.resolve(x.Submission, x.Answer)
 	case entry.Claim:
 		c.e.claim(x.Submission)
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -45,6 +45,16 @@
 	DefaultAnswerBytes     = 64 << 20
 )
 
+// Listener names one of the entry's listeners.
+type Listener uint8
+
+// Listeners of an entry.
+const (
+	CallerListener Listener = iota
+	PeerListener
+	OperatorListener
+)
+
 // Options configure an entry process. Zero values take the defaults.
 type Options struct {
 	Name string
@@ -64,7 +74,9 @@
 	// must not block.
 	LearnedConfig func(wire.ConfigState)
 	// ListenFunc opens the listeners. Default net.Listen on TCP.
-	ListenFunc func(addr string) (net.Listener, error)
+	ListenFunc func(role Listener, addr string) (net.Listener, error)
+	// LogStatus returns what /status shows of the platform's log.
+	LogStatus func() any
 	// DialFunc connects to the peer listener of another entry. Default TCP.
 	DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 	// Log receives the process's events. It may be nil.
@@ -89,7 +101,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.ListenFunc == nil {
-		o.ListenFunc = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+		o.ListenFunc = func(_ Listener, addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
 	if o.DialFunc == nil {
 		o.DialFunc = func(ctx context.Context, addr string) (net.Conn, error) {
@@ -125,6 +137,7 @@
 	servers   []*http.Server
 	table     *jobTable
 	log       *eventlog.Log
+	metrics   *entryMetrics
 	requests  atomic.Int64 // caller requests in progress
 	pending   atomic.Int64 // bytes reserved for their bodies
 	rpcConns  atomic.Int64
@@ -168,7 +181,7 @@
 	opts = opts.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		opts: opts, start: time.Now(), log: opts.Log,
+		opts: opts, start: time.Now(), log: opts.Log, metrics: newEntryMetrics(),
 		events: make(chan any, ringEvents),
 		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
 		ctx:    ctx, cancel: cancel, drained: make(chan struct{}),
@@ -186,14 +199,14 @@
 }
 
 func (e *Entry) listen() (err error) {
-	if e.callers, err = e.opts.ListenFunc(e.opts.Listen); err != nil {
+	if e.callers, err = e.opts.ListenFunc(CallerListener, e.opts.Listen); err != nil {
 		return err
 	}
-	if e.peers, err = e.opts.ListenFunc(e.opts.PeerListen); err != nil {
+	if e.peers, err = e.opts.ListenFunc(PeerListener, e.opts.PeerListen); err != nil {
 		return err
 	}
 	if e.opts.OperatorListen != "" {
-		e.operators, err = e.opts.ListenFunc(e.opts.OperatorListen)
+		e.operators, err = e.opts.ListenFunc(OperatorListener, e.opts.OperatorListen)
 	}
 	return err
 }
@@ -265,6 +278,9 @@
 	e.send(entry.Entries{List: list})
 }
 
+// KnownEntries returns the list that SetEntries gave.
+func (e *Entry) KnownEntries() []wire.EntryAddr { return *e.known.Load() }
+
 // Stop refuses new jobs, answers those in progress and then ends. If ctx ends
 // first, the jobs that are left are not answered.
 func (e *Entry) Stop(ctx context.Context) error {
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -132,6 +132,8 @@
 	rec := &record{
 		key:        requestKey{team: req.Team, key: req.Key},
 		idempotent: req.Idempotent,
+		class:      req.Class,
+		accepted:   time.Now(),
 		deadline:   time.Now().Add(req.Deadline),
 		done:       make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/entryd/metrics.go
@@ -0,0 +1,87 @@
+package entryd
+
+import (
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/internal/metrics"
+)
+
+// Names of the entry's metrics. Labels are bounded: classes that are not
+// published and reasons come from fixed sets.
+const (
+	metricJobs      = "limpettrail_jobs_total"
+	metricResponse  = "limpettrail_response_seconds"
+	metricTargetMet = "limpettrail_target_met_total"
+	metricRefusals  = "limpettrail_refusals_total"
+	metricMessages  = "limpettrail_messages_total"
+	metricInFlight  = "limpettrail_jobs_in_flight"
+	metricLinks     = "limpettrail_agent_links"
+	metricVersion   = "limpettrail_config_version"
+	otherClass      = "other"
+)
+
+// entryMetrics is the registry of one entry.
+type entryMetrics struct{ registry gometrics.Registry }
+
+func newEntryMetrics() *entryMetrics { return &entryMetrics{registry: gometrics.NewRegistry()} }
+
+func (m *entryMetrics) count(name string) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+func (m *entryMetrics) gauge(name string, v int64) {
+	gometrics.GetOrRegisterGauge(name, m.registry).Update(v)
+}
+
+// countAnswer records the outcome and response time of one job.
+func (e *Entry) countAnswer(x *entry.Answer) {
+	rec := e.table.get(x.Submission)
+	if rec == nil {
+		return
+	}
+	class, within := e.target(rec.class)
+	elapsed := time.Since(rec.accepted)
+	e.metrics.count(metrics.Name(metricJobs, "class", class, "outcome", x.Answer.Outcome.String()))
+	if x.Answer.Outcome == entry.Refused {
+		e.metrics.count(metrics.Name(metricRefusals, "reason", x.Answer.Reason))
+	}
+	if x.Answer.Outcome != entry.Complete {
+		return
+	}
+	metrics.Duration(e.metrics.registry, metrics.Name(metricResponse, "class", class)).Update(elapsed.Microseconds())
+	if elapsed <= within {
+		e.metrics.count(metrics.Name(metricTargetMet, "class", class))
+	}
+}
+
+// target returns the label and the response target of a class.
+func (e *Entry) target(class string) (string, time.Duration) {
+	for _, c := range e.config.Load().Settings.Classes {
+		if c.Name == class {
+			return class, c.Within
+		}
+	}
+	return otherClass, 0
+}
+
+// collect brings the gauges and the message counters up to date.
+func (e *Entry) collect() {
+	e.metrics.gauge(metricLinks, e.links.Load())
+	e.metrics.gauge(metricVersion, e.config.Load().Version)
+	s, ok := e.coreAnswers()
+	if !ok {
+		return
+	}
+	e.metrics.gauge(metricInFlight, int64(s.Jobs))
+	for kind, n := range map[string]uint64{
+		"start": s.Stats.Starts, "result": s.Stats.Results, "refused": s.Stats.Refused,
+		"cancel": s.Stats.Cancels, "query": s.Stats.Queries, "late": s.Stats.Late,
+		"heartbeat": s.Stats.Heartbeats,
+	} {
+		c := gometrics.GetOrRegisterCounter(metrics.Name(metricMessages, "kind", kind), e.metrics.registry)
+		c.Inc(int64(n) - c.Count())
+	}
+}
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -1,16 +1,14 @@
 package entryd
 
 import (
-	"encoding/json"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/limpettrail/limpettrail/core/timeline"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/operatorhttp"
 )
 
 // maxOperatorConnections bounds the connections of the operators' listener.
@@ -30,21 +28,22 @@
 	PendingBytes  int64  `json:"pending_bytes"`
 	Records       int    `json:"records"`
 	AnswerBytes   int64  `json:"answer_bytes"`
+	Log           any    `json:"log,omitempty"`
 	coreStatus
 }
 
 func (e *Entry) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", e.healthz)
-	mux.HandleFunc("GET /readyz", e.readyz)
-	mux.HandleFunc("GET /status", e.status)
-	mux.HandleFunc("GET /timeline", e.timeline)
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
-	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	return mux
+	return operatorhttp.Handler(operatorhttp.Options{
+		Log:      e.log,
+		Registry: e.metrics.registry,
+		Collect:  e.collect,
+		Healthy:  e.healthy,
+		Ready: func() (any, bool) {
+			r := e.readiness()
+			return r, r.Ready
+		},
+		Status: func() any { return e.status() },
+	})
 }
 
 // coreAnswers asks the core goroutine for its counters, within a second.
@@ -69,13 +68,10 @@
 	}
 }
 
-// healthz reports whether the core goroutine answers.
-func (e *Entry) healthz(w http.ResponseWriter, _ *http.Request) {
-	if _, ok := e.coreAnswers(); !ok {
-		writeJSON(w, http.StatusServiceUnavailable, map[string]bool{"healthy": false})
-		return
-	}
-	writeJSON(w, http.StatusOK, map[string]bool{"healthy": true})
+// healthy reports whether the core goroutine answers.
+func (e *Entry) healthy() (any, bool) {
+	_, ok := e.coreAnswers()
+	return map[string]bool{"healthy": ok}, ok
 }
 
 // readiness says why the entry should or should not get requests.
@@ -97,16 +93,10 @@
 	return r
 }
 
-func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
-	r := e.readiness()
-	if !r.Ready {
-		writeJSON(w, http.StatusServiceUnavailable, r)
-		return
-	}
-	writeJSON(w, http.StatusOK, r)
-}
+// Ready reports whether the entry can take work now.
+func (e *Entry) Ready() bool { return e.readiness().Ready }
 
-func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) status() Status {
 	s := Status{
 		Name: e.opts.Name, Zone: e.opts.Zone, Incarnation: hex(e.Incarnation()),
 		UptimeMS: e.now().Milliseconds(), Ready: e.readiness().Ready, Draining: e.draining.Load(),
@@ -115,23 +105,10 @@
 	}
 	s.Records, s.AnswerBytes = e.table.size()
 	s.coreStatus, _ = e.coreAnswers()
-	writeJSON(w, http.StatusOK, s)
-}
-
-// timeline returns the recent events, of one submission if it is named.
-func (e *Entry) timeline(w http.ResponseWriter, r *http.Request) {
-	want := r.URL.Query().Get("submission")
-	writeJSON(w, http.StatusOK, e.log.Timeline(func(ev *timeline.Event) bool {
-		return want == "" || ev.Submission == want
-	}))
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		status, body = http.StatusInternalServerError, []byte(`{}`)
+	if e.opts.LogStatus != nil {
+		s.Log = e.opts.LogStatus()
 	}
-	writeBody(w, status, append(body, 0x0a))
+	return s
 }
 
 // limitedListener accepts at most a fixed number of connections at a time.
--- a/internal/entryd/table.go
+++ b/internal/entryd/table.go
@@ -19,6 +19,8 @@
 	key         requestKey // key.key is empty if the caller gave none
 	fingerprint uint64
 	idempotent  bool
+	class       string
+	accepted    time.Time
 	deadline    time.Time
 	done        chan struct{} // closed when answer is set
 
--- a/internal/operatorhttp/operatorhttp.go
+++ b/internal/operatorhttp/operatorhttp.go
@@ -29,26 +29,31 @@
 	Registry gometrics.Registry
 	// Status returns a value that is served as JSON at /status.
 	Status func() any
-	// Ready returns nil if the process can take work now; its error is shown
-	// at /readyz. A process that answers at all is healthy.
-	Ready func() error
+	// Healthy and Ready report whether the process works at all and whether it
+	// can take work now, with a value that is served as JSON.
+	Healthy func() (any, bool)
+	Ready   func() (any, bool)
+	// Collect, if set, brings the gauges of the registry up to date before
+	// they are exported.
+	Collect func()
 }
 
-// NewServer returns the operators' HTTP server; the caller listens and serves.
-func NewServer(opts Options) *http.Server {
+// NewServer returns an HTTP server for a handler of this package; the caller
+// listens and serves.
+func NewServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           Handler(opts),
+		Handler:           h,
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
-// Handler returns the routes alone.
+// Handler returns the routes.
 func Handler(opts Options) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /readyz", opts.readyz)
+	mux.HandleFunc("GET /healthz", probe(opts.Healthy))
+	mux.HandleFunc("GET /readyz", probe(opts.Ready))
 	mux.HandleFunc("GET /status", opts.status)
 	mux.HandleFunc("GET /metrics", opts.metrics)
 	mux.HandleFunc("GET /timeline", opts.timeline)
@@ -60,22 +65,27 @@
 	return mux
 }
 
-func (o Options) readyz(w http.ResponseWriter, _ *http.Request) {
-	if err := o.Ready(); err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
+// probe serves a check as 200 or 503 with its value.
+func probe(check func() (any, bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		value, ok := check()
+		w.Header().Set("Content-Type", contentTypeJSON)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		json.NewEncoder(w).Encode(value)
 	}
-	w.Write([]byte("ready\n"))
 }
 
 func (o Options) status(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", contentTypeJSON)
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	e.Encode(o.Status())
+	json.NewEncoder(w).Encode(o.Status())
 }
 
 func (o Options) metrics(w http.ResponseWriter, _ *http.Request) {
+	if o.Collect != nil {
+		o.Collect()
+	}
 	w.Header().Set("Content-Type", contentTypeText)
 	metrics.Write(w, o.Registry)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -109,17 +109,12 @@
 	if v.String("operator_listen") == "" {
 		out = append(out, "operator_listen is not set: no metrics, status or time line")
 	}
-	if v.role == RoleAgent && v.Int("slots") > maxUpstreamConns {
-		out = append(out, "slots exceeds the 64 connections that the agent opens to its upstream")
-	}
 	if v.role == RoleAgent && !upstreamIsLocal(v.String("upstream")) {
 		out = append(out, "upstream is not on loopback: the agent should run beside its upstream")
 	}
 	return out
 }
 
-const maxUpstreamConns = 64
-
 func upstreamIsLocal(text string) bool {
 	u, err := url.Parse(text)
 	if err != nil {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -36,6 +36,7 @@
 	{Name: "peer_listen", Kind: KindAddr, Required: true, Help: "address that agents and other entries connect to"},
 	{Name: "peer_advertise", Kind: KindAddr, Help: "address that peers are told, if it differs from peer_listen"},
 	{Name: "log_url", Kind: KindURL, Required: true, Help: "the platform's log service"},
+	{Name: "log_retention", Kind: KindDuration, Default: "24h", Min: int64(time.Minute), Max: int64(366 * 24 * time.Hour), Help: "how long the platform's log keeps records"},
 	{Name: "max_jobs", Kind: KindInt, Default: "10000", Min: 1, Max: 1_000_000, Help: "submissions in progress before new ones are refused"},
 	{Name: "claim_window", Kind: KindDuration, Default: "15m", Min: int64(time.Minute), Max: int64(24 * time.Hour), Help: "age up to which a non-idempotent request's key is accepted"},
 	{Name: "tls.caller_cert", Kind: KindPath, Help: "certificate of the callers' address (PEM)"},
@@ -46,11 +47,10 @@
 	{Name: "rack", Kind: KindName, Required: true, Help: "rack of this worker"},
 	{Name: "entries", Kind: KindAddrs, Required: true, Help: "entries' peer addresses to start from; may be the balancer's"},
 	{Name: "upstream", Kind: KindURL, Required: true, Help: "URL that tasks are posted to"},
-	{Name: "slots", Kind: KindInt, Default: "8", Min: 1, Max: 1024, Help: "tasks that the upstream runs at once"},
+	{Name: "slots", Kind: KindInt, Default: "8", Min: 1, Max: 64, Help: "tasks that the upstream runs at once"},
 	{Name: "milli_cores", Kind: KindInt, Default: "0", Min: 0, Max: 10_000_000, Help: "processor of the worker in thousandths of a core; 0 means not stated"},
 	{Name: "memory", Kind: KindSize, Default: "0MB", Min: 0, Max: 1 << 50, Help: "memory of the worker; 0MB means not stated"},
 	{Name: "accelerators", Kind: KindInt, Default: "0", Min: 0, Max: 1024, Help: "accelerators of the worker"},
-	{Name: "max_entries", Kind: KindInt, Default: "6", Min: 1, Max: 64, Help: "entries that the agent keeps links to"},
 }
 
 // Keys returns the settings of a role in the order of the documentation.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,7 +53,7 @@
 		{"size unit", settings.RoleAgent, goodAgent + "memory = \"128\"\n",
 			`f.toml:6: memory: not a size with unit MB or GB: got "128"; allowed: size from 0MB to 1073741824MB, e.g. "64MB"`},
 		{"slots", settings.RoleAgent, goodAgent + "slots = 0\n",
-			`f.toml:6: slots: out of range: got "0"; allowed: integer from 1 to 1024`},
+			`f.toml:6: slots: out of range: got "0"; allowed: integer from 1 to 64`},
 		{"empty list", settings.RoleAgent, strings.Replace(goodAgent, `["127.0.0.1:7100"]`, "[]", 1),
 			`f.toml:4: entries: wrong type; allowed: list of IP:port, e.g. ["10.0.0.5:7100", "10.0.0.6:7100"]`},
 		{"plain text beyond loopback", settings.RoleEntry, strings.Replace(goodEntry, "127.0.0.1:8080", "10.0.0.1:8080", 1),
