Agent core: suspect after four failures in a row, older successes prove nothing

Cause: two failures of two submissions in a row made an upstream suspect; under many failing jobs healthy upstreams were limited, while a success of a run that started before the upstream began to fail ended the suspicion of a faulty one. Change: a streak ends only with a success of a run that started after the streak's first run; each failure lowers the number of concurrent runs by one; suspect from four failures of at least two submissions.

--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -154,9 +154,21 @@
 // Guards against an upstream that stays suspect after it has recovered.
 func TestOneSuccessEndsSuspicion(t *testing.T) {
 	s := newScript(Options{Slots: 8})
-	s.start(1, 0)
-	s.start(2, 0)
-	s.endAll(failed)
+	old := s.start(9, 0)
+	s.now++
+	for range suspectRuns / 2 {
+		s.start(1, 0)
+		s.start(2, 0)
+	}
+	for len(s.running) > 1 {
+		last := s.running[1]
+		s.running = append(s.running[:1], s.running[2:]...)
+		f := failed
+		f.Attempt = last.Attempt
+		s.step(f)
+	}
+	assert.Equal(t, s.running[0].Attempt.Seq, old)
+	s.end(succeeded) // started before the failures: proves nothing
 	refused := s.start(3, time.Hour)
 	assert.Equal(t, s.result(t, refused).Reason, wire.ReasonSuspect)
 	s.pass(suspectDelay)
--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -19,38 +19,50 @@
 	maxSuspectDelay = 8 * time.Second
 )
 
-// failureStreak describes the runs that failed since the last success.
+// suspectRuns is how many runs must fail in a row before the upstream is
+// suspect. With 2, failing jobs made healthy upstreams suspect; with 5 and
+// more, an upstream of 8 slots that fails everything cost over 10 tasks.
+const suspectRuns = 4
+
+// failureStreak describes the runs that failed since the upstream last proved
+// healthy.
 type failureStreak struct {
 	runs    int
+	began   time.Duration // when the first of them started
 	first   wire.SubmissionID
 	several bool // runs of at least two submissions failed
 }
 
-func (s *failureStreak) add(id wire.SubmissionID) {
+func (s *failureStreak) add(a *attempt) {
 	if s.runs == 0 {
-		s.first = id
+		s.first = a.start.Submission
+		s.began = a.started
 	}
 	s.runs++
-	s.several = s.several || id != s.first
+	s.several = s.several || a.start.Submission != s.first
+}
+
+// succeeded ends the streak unless the run started before the streak did: an
+// upstream that begins to fail still completes the tasks that it has.
+func (s *failureStreak) succeeded(a *attempt) {
+	if a.started >= s.began {
+		*s = failureStreak{}
+	}
 }
 
 // suspect says that the upstream seems to fail everything. Failures of one
 // submission are not enough: that job may fail everywhere.
-func (m *Machine) suspect() bool { return m.streak.several }
+func (m *Machine) suspect() bool { return m.streak.several && m.streak.runs >= suspectRuns }
 
-// allowed is the number of tasks that may run at once now. Failures without a
-// success lower it even if they are all of one submission: otherwise an
+// allowed is the number of tasks that may run at once now. Each failure of a
+// streak lowers it by one, even if all are of one submission: otherwise an
 // upstream that fails at once would consume the queue before tasks of a second
 // submission prove it faulty.
 func (m *Machine) allowed() int {
-	limit := m.limiter.limit()
-	switch m.streak.runs {
-	case 0:
-		return limit
-	case 1:
-		return max(1, limit/2)
-	}
-	return 1
+	if m.suspect() {
+		return 1
+	}
+	return max(1, m.limiter.limit()-m.streak.runs)
 }
 
 // doubled returns the next delay of a backoff.
@@ -71,15 +83,10 @@
 }
 
 func (m *Machine) ranWell(now time.Duration, a *attempt, run time.Duration) {
-	if m.suspect() {
-		m.greetAll()
-	}
 	m.successes++
 	m.reached()
-	m.streak = failureStreak{}
 	m.refusedFor = 0
-	m.suspectFor = 0
-	m.holdUntil = 0
+	m.endStreak(a)
 	a.class.observe(run)
 	if a.class.inflated() {
 		m.limiter.overloaded(now, a.started, float64(m.opts.Slots)/2)
@@ -88,6 +95,19 @@
 	m.limiter.grow()
 }
 
+func (m *Machine) endStreak(a *attempt) {
+	was := m.suspect()
+	m.streak.succeeded(a)
+	if m.suspect() {
+		return
+	}
+	m.holdUntil = 0
+	m.suspectFor = 0
+	if was {
+		m.greetAll()
+	}
+}
+
 // ranBadly counts a failed run. A run that was stopped by a cancel or by the
 // task's own deadline says nothing about the upstream's health: under overload
 // deadlines pass everywhere.
@@ -104,7 +124,7 @@
 		m.limiter.overloaded(now, a.started, 1)
 	}
 	was := m.suspect()
-	m.streak.add(a.start.Submission)
+	m.streak.add(a)
 	if !m.suspect() {
 		return
 	}
