Agent: superfluous links are given up without losing work; bound of upstream connections tested

Cause: links that replace unreachable entries stayed after those came back, so with daily restarts every agent would end up linked to all entries. Ruled out: closing at once (its open attempts would become unknown).

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -149,6 +149,8 @@
 		m.finished(now, &e)
 	case Probed:
 		m.probed(now, e)
+	case Retire:
+		m.retire(now, e)
 	case Drain:
 		m.drain(now)
 	case Tick:
@@ -170,7 +172,6 @@
 		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration())),
 		Successes:    m.successes,
 		Failures:     m.failures,
-		Draining:     m.draining,
 		Down:         m.down,
 	}
 }
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -24,6 +24,7 @@
 	frames  []*wire.ToEntry
 	stops   int
 	probes  int
+	retired int
 	drained bool
 }
 
@@ -45,6 +46,8 @@
 			s.stops++
 		case Probe:
 			s.probes++
+		case Retired:
+			s.retired++
 		case Drained:
 			s.drained = true
 		}
--- a/core/agent/drain.go
+++ b/core/agent/drain.go
@@ -50,3 +50,24 @@
 	}
 	return false
 }
+
+func (m *Machine) retire(now time.Duration, e Retire) {
+	p := m.peers[e.Entry]
+	if p == nil || !p.up || p.retiring {
+		return
+	}
+	p.retiring = true
+	p.retireAt = now
+	p.greet = true
+	m.handBack(wire.ReasonDraining, func(a *attempt) bool { return a.peer == p })
+}
+
+// reportRetired emits Retired at the tick that finds a retiring link settled,
+// with the same linger as a drain.
+func (m *Machine) reportRetired(now time.Duration, p *peer) {
+	if !p.retiring || p.retired || len(p.attempts) > 0 || now-p.retireAt < m.opts.DrainLinger {
+		return
+	}
+	p.retired = true
+	m.emit(Retired{Entry: p.entry, Epoch: p.epoch})
+}
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -48,6 +48,10 @@
 // Tick lets time-driven work happen. Deliver it every 50 ms or so.
 type Tick struct{}
 
+// Retire gives up the link to one entry, because others are preferred. The
+// entry is told that the agent is draining; its work is finished first.
+type Retire struct{ Entry wire.Incarnation }
+
 // Drain begins the graceful shutdown. Queued tasks are handed back as not run.
 type Drain struct{}
 
@@ -57,6 +61,7 @@
 func (Finished) isEvent() {}
 func (Probed) isEvent()   {}
 func (Tick) isEvent()     {}
+func (Retire) isEvent()   {}
 func (Drain) isEvent()    {}
 
 // Action is an output of the machine.
@@ -85,6 +90,13 @@
 // and to deliver Probed. At most one probe is in progress.
 type Probe struct{}
 
+// Retired says that the entry of a Retire event has settled everything and had
+// time to learn of it, so the link may be closed.
+type Retired struct {
+	Entry wire.Incarnation
+	Epoch wire.Epoch
+}
+
 // Drained says that no task is queued or running and that every result was
 // settled by its entry or the delivery bound passed. It is emitted once.
 type Drained struct{}
@@ -95,4 +107,5 @@
 func (*Run) isAction()    {}
 func (Stop) isAction()    {}
 func (Probe) isAction()   {}
+func (Retired) isAction() {}
 func (Drained) isAction() {}
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -30,6 +30,7 @@
 	for {
 		n := fitting(rest)
 		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.load(now)}
+		f.frame.Load.Draining = m.draining || p.retiring
 		if p.sendConfig {
 			f.frame.Config = m.config
 			p.configVersion = m.config.Version
--- a/core/agent/pause_test.go
+++ b/core/agent/pause_test.go
@@ -164,6 +164,30 @@
 	assert.Assert(t, s.drained)
 }
 
+// Guards against a link that is given up with work on it, or while its entry
+// may still send starts.
+func TestRetiredLinkIsFinishedFirst(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	s.start(1, 0)
+	queued := s.start(1, time.Minute)
+	s.step(Retire{Entry: entryA})
+	assert.Equal(t, s.result(t, queued).Reason, wire.ReasonDraining)
+	assert.Assert(t, s.frames[len(s.frames)-1].Load.Draining)
+	s.pass(DefaultDrainLinger)
+	s.end(succeeded)
+	s.pass(DefaultDrainLinger)
+	assert.Equal(t, s.retired, 0) // not settled
+	s.frame(wire.ToAgent{Floor: s.nextSeq})
+	s.pass(0)
+	s.pass(0)
+	assert.Equal(t, s.retired, 1)
+	late := s.start(1, 0)
+	assert.Equal(t, s.result(t, late).Reason, wire.ReasonDraining)
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.start(1, 0)
+	assert.Equal(t, len(s.running), 1)
+}
+
 // Guards against an expected wait that misleads the refusal decision: over a
 // simulated load its mean must be near the mean of the real waits.
 func TestExpectedWaitIsNearTheRealWait(t *testing.T) {
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -75,7 +75,10 @@
 	out           []wire.Result
 	frame         *outFrame // frame under construction
 	greet         bool      // send a frame even if there is nothing to report
-	configVersion int64     // newest version that the entry is known to have
+	retiring      bool      // starts are refused until the next LinkUp
+	retired       bool      // Retired was emitted
+	retireAt      time.Duration
+	configVersion int64 // newest version that the entry is known to have
 	sendConfig    bool
 }
 
@@ -157,6 +160,7 @@
 	p.sentAt = now
 	p.discardOutput()
 	p.greet = true
+	p.retiring, p.retired = false, false
 	p.configVersion = e.ConfigVersion
 	p.sendConfig = m.config != nil && e.ConfigVersion < m.config.Version
 }
@@ -205,6 +209,7 @@
 		if now-p.sentAt >= m.opts.HeartbeatInterval {
 			p.greet = true
 		}
+		m.reportRetired(now, p)
 		return
 	}
 	if now-p.downAt >= m.opts.LinkLease {
--- a/core/agent/property_test.go
+++ b/core/agent/property_test.go
@@ -274,6 +274,8 @@
 	}
 }
 
+func (w *world) retire(*rapid.T) { w.step(Retire{Entry: w.entry().id}) }
+
 func (w *world) drain(t *rapid.T) {
 	if w.draw("drain", 0, 9) == 0 {
 		w.draining = true // set first: no Run may follow from this step
@@ -314,7 +316,7 @@
 			"start": w.sendStarts, "repeat start": w.repeatStart, "cancel": w.cancel,
 			"give up": w.giveUp, "deliver": w.deliver, "deliver more": w.deliver,
 			"replace link": w.replaceLink, "late link up": w.lateLinkUp, "break link": w.breakLink,
-			"finish": w.finishRun, "finish more": w.finishRun, "probe": w.endProbe, "pass": w.pass, "drain": w.drain,
+			"finish": w.finishRun, "finish more": w.finishRun, "probe": w.endProbe, "pass": w.pass, "drain": w.drain, "retire": w.retire,
 		})
 		w.settleAll()
 	})
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -84,7 +84,7 @@
 // refusal returns why a new start cannot be accepted, or ReasonNone.
 func (m *Machine) refusal(now time.Duration, p *peer, s *wire.Start, due time.Duration) wire.Reason {
 	switch {
-	case m.draining:
+	case m.draining || p.retiring:
 		return wire.ReasonDraining
 	case s.Deadline <= 0:
 		return wire.ReasonExpired
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -53,6 +53,9 @@
 	DialUpstream DialFunc
 	// SilenceTimeout replaces link.SilenceTimeout, for tests.
 	SilenceTimeout time.Duration
+	// ShedInterval replaces the interval at which superfluous links are given
+	// up, for tests.
+	ShedInterval time.Duration
 	// Core overrides the machine's durations, for tests. Its Incarnation and
 	// Slots are ignored.
 	Core agent.Options
@@ -72,6 +75,9 @@
 	if o.SilenceTimeout <= 0 {
 		o.SilenceTimeout = link.SilenceTimeout
 	}
+	if o.ShedInterval <= 0 {
+		o.ShedInterval = shedInterval
+	}
 	o.Core.Incarnation = o.Incarnation
 	o.Core.Slots = o.Slots
 	return o
@@ -102,6 +108,8 @@
 	epoch  wire.Epoch
 	peer   string
 	sender *link.Sender[*wire.ToEntry]
+	// retired says that the link was given up and only reads what is left.
+	retired bool
 }
 
 // finishLinks asks the core goroutine to close every link gracefully.
@@ -124,6 +132,7 @@
 	a.emit(eventlog.AgentStarted, eventlog.Fields{Detail: opts.Name, Count: int64(opts.Slots)})
 	a.goDuty(a.coreLoop)
 	a.goDuty(a.tickLoop)
+	a.goDuty(a.shedLoop)
 	a.finder.refresh()
 	return a
 }
--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -96,14 +96,7 @@
 // Guards against an agent that no entry can reach although entries which it
 // knows are alive: all that it is linked to are lost at once.
 func TestAgentLinksFurtherEntriesWhenItsOwnAreLost(t *testing.T) {
-	var entries []*fakeEntry
-	var list []wire.EntryAddr
-	for i := range 2 * linksInZone {
-		e := newFakeEntry(t, wire.Incarnation(10+i))
-		e.list = func() []wire.EntryAddr { return list }
-		entries = append(entries, e)
-		list = append(list, wire.EntryAddr{Incarnation: e.id, Peer: e.addr(), Zone: "z"})
-	}
+	entries, list := listedEntries(t, 2*linksInZone)
 	chosen := chooseEntries("w", "z", list)
 	assert.Equal(t, len(chosen), linksInZone)
 	startAgent(t, Options{Name: "w", Zone: "z", Upstream: "http://127.0.0.1:1/", Entries: []string{chosen[0].Peer}})
@@ -122,6 +115,77 @@
 	}
 }
 
+// Guards against links that add up, and against a seed that is linked again
+// after others were preferred.
+func TestSuperfluousLinkIsGivenUp(t *testing.T) {
+	entries, list := listedEntries(t, linksInZone+1)
+	chosen := chooseEntries("w", "z", list)
+	extra := entries[0]
+	for _, e := range entries {
+		if !contains(chosen, e.id) {
+			extra = e
+		}
+	}
+	startAgent(t, Options{
+		Name: "w", Zone: "z", Upstream: "http://127.0.0.1:1/", Entries: []string{extra.addr()},
+		ShedInterval: 20 * time.Millisecond, Core: agent.Options{DrainLinger: time.Millisecond},
+	})
+	extra.await("the end of its link", func() bool { return len(extra.hellos) > 0 && extra.links == 0 })
+	assert.Assert(t, extra.load.Draining)
+	for _, c := range chosen {
+		entries[c.Incarnation-10].awaitLink()
+	}
+	assert.Equal(t, len(extra.hellos), 1)
+}
+
+// listedEntries starts entries of zone "z" that list each other.
+func listedEntries(t *testing.T, n int) (entries []*fakeEntry, list []wire.EntryAddr) {
+	for i := range n {
+		e := newFakeEntry(t, wire.Incarnation(10+i))
+		e.list = func() []wire.EntryAddr { return list }
+		entries = append(entries, e)
+		list = append(list, wire.EntryAddr{Incarnation: e.id, Peer: e.addr(), Zone: "z"})
+	}
+	return entries, list
+}
+
+// Guards against more connections than the upstream admits.
+func TestUpstreamConnectionsAreBounded(t *testing.T) {
+	entry := newFakeEntry(t, 10)
+	up := startUpstream(t, upstream.Options{})
+	var open, most atomic.Int64
+	startAgent(t, Options{
+		Slots: 2 * MaxUpstreamConns, Upstream: upstreamURL(up), Entries: []string{entry.addr()},
+		DialUpstream: func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := dialTCP(ctx, addr)
+			if n := open.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			return &closeCounter{Conn: c, open: &open}, err
+		},
+	})
+	entry.awaitLink()
+	assert.Equal(t, entry.hellos[0].Slots, MaxUpstreamConns)
+	for seq := range 3 * MaxUpstreamConns {
+		entry.start(wire.Seq(seq+1), `{"sleep_us":20000}`)
+	}
+	for seq := range 3 * MaxUpstreamConns {
+		assert.Equal(t, entry.result(wire.Seq(seq+1)).Outcome, wire.Succeeded)
+	}
+	assert.Assert(t, most.Load() <= MaxUpstreamConns)
+}
+
+type closeCounter struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *closeCounter) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // failingConn fails writes once broken, after accepting some bytes.
 type failingConn struct {
 	net.Conn
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -62,6 +62,13 @@
 	case agent.Drain:
 		c.emit(eventlog.AgentDraining, eventlog.Fields{Detail: c.opts.Name})
 		return e
+	case agent.Received:
+		// The refusal of a start that crossed the end of a retired link is lost;
+		// the entry asks for it over a new one.
+		if l := c.links[e.Entry]; l.retired && len(e.Frame.Starts) > 0 {
+			c.finder.retired(l.peer, false)
+		}
+		return e
 	case agent.Event:
 		return e
 	}
@@ -107,12 +114,28 @@
 		c.runner.stop(x.Attempt)
 	case agent.Probe:
 		c.runner.probe()
+	case agent.Retired:
+		c.retired(x)
 	case agent.Drained:
 		c.emit(eventlog.AgentDrained, eventlog.Fields{Detail: c.opts.Name})
 		close(c.drained)
 	}
 }
 
+// retired closes a link that the entry no longer needs. The reader ends it once
+// the entry has read the last frame and closed its side.
+func (c *core) retired(x agent.Retired) {
+	l, ok := c.links[x.Entry]
+	if !ok || l.epoch != x.Epoch {
+		return
+	}
+	l.retired = true
+	c.links[x.Entry] = l
+	c.finder.retired(l.peer, true)
+	l.sender.Finish()
+	c.emit(eventlog.EntryRetired, eventlog.Fields{Peer: l.peer, Detail: l.hello.Name})
+}
+
 func (c *core) sendFrame(x *agent.Send) {
 	c.tracer.send(x)
 	c.traceLoad(&x.Frame.Load)
--- a/internal/agentd/finder.go
+++ b/internal/agentd/finder.go
@@ -36,6 +36,7 @@
 	entry   wire.Incarnation // reached at the last connection, 0 if none
 	failed  int              // dials that failed in a row
 	failing time.Time        // when the first of them failed
+	retired bool             // given up in favour of others
 }
 
 func newFinder(a *Agent) *finder {
@@ -127,6 +128,9 @@
 	if s.entry != 0 && f.linkedLocked(s.entry) {
 		return false
 	}
+	if s.retired && len(f.links) > 0 && !f.preferredLocked(s.entry) {
+		return false
+	}
 	i := slices.IndexFunc(f.known, func(e wire.EntryAddr) bool { return e.Peer == addr })
 	return i < 0 || !f.linkedLocked(f.known[i].Incarnation)
 }
@@ -139,6 +143,7 @@
 	s := f.loops[addr]
 	s.entry = entry
 	s.failed = 0
+	s.retired = false
 	for i := range f.known {
 		if f.known[i].Peer == addr {
 			f.known[i].Incarnation = entry
--- a/internal/eventlog/catalog_agent.go
+++ b/internal/eventlog/catalog_agent.go
@@ -13,6 +13,7 @@
 	EntryLinkDown   = define(2011, "entry_link_down", zapcore.WarnLevel, false)
 	EntryDialFailed = define(2012, "entry_dial_failed", zapcore.WarnLevel, false)
 	EntryDropped    = define(2013, "entry_dropped", zapcore.InfoLevel, false)
+	EntryRetired    = define(2014, "entry_retired", zapcore.InfoLevel, false)
 	UpstreamDown    = define(2020, "upstream_down", zapcore.WarnLevel, false)
 	UpstreamUp      = define(2021, "upstream_up", zapcore.InfoLevel, false)
 	LimitChanged    = define(2022, "limit_changed", zapcore.InfoLevel, false)
