Agent discovery: a list full of entries that are gone makes room for new ones

Cause: entries that are not dialled are never found unreachable, so after many restarts the list of 64 would hold dead addresses only and new entries would not be learned. Change: a new entry takes the place of the one that was listed longest ago and is not dialled. Conclusion: covered by a test over 20 generations of 64 entries.

--- a/internal/agentd/finder.go
+++ b/internal/agentd/finder.go
@@ -25,9 +25,13 @@
 	agent *Agent
 	mu    sync.Mutex
 	known []wire.EntryAddr // listed by entries, at most wire.MaxKnownEntries
-	loops map[string]*dialState
-	links map[wire.Incarnation]wire.Epoch // connected
-	empty chan struct{}                   // closed when links is empty; nil if nobody waits
+	// listed holds, by address, the running number of the list that named a
+	// known entry last.
+	listed map[string]uint64
+	lists  uint64
+	loops  map[string]*dialState
+	links  map[wire.Incarnation]wire.Epoch // connected
+	empty  chan struct{}                   // closed when links is empty; nil if nobody waits
 }
 
 // dialState is what is known of one dialled address.
@@ -41,9 +45,10 @@
 
 func newFinder(a *Agent) *finder {
 	return &finder{
-		agent: a,
-		loops: make(map[string]*dialState),
-		links: make(map[wire.Incarnation]wire.Epoch),
+		agent:  a,
+		listed: make(map[string]uint64),
+		loops:  make(map[string]*dialState),
+		links:  make(map[wire.Incarnation]wire.Epoch),
 	}
 }
 
@@ -85,6 +90,7 @@
 		return
 	}
 	f.mu.Lock()
+	f.lists++
 	for _, e := range entries {
 		f.learnLocked(e)
 	}
@@ -97,12 +103,40 @@
 		return
 	}
 	i := slices.IndexFunc(f.known, func(k wire.EntryAddr) bool { return k.Peer == e.Peer })
-	switch {
-	case i >= 0 && !f.linkedLocked(f.known[i].Incarnation):
+	if i >= 0 && !f.linkedLocked(f.known[i].Incarnation) {
 		f.known[i] = e // an entry that restarted at the same address
-	case i < 0 && len(f.known) < wire.MaxKnownEntries:
+	}
+	if i < 0 {
+		if len(f.known) >= wire.MaxKnownEntries && !f.dropOldestLocked() {
+			return
+		}
 		f.known = append(f.known, e)
 	}
+	f.listed[e.Peer] = f.lists
+}
+
+// dropOldestLocked makes room for a new entry. Entries that are not dialled are
+// never found unreachable, so dead ones would otherwise fill the list.
+func (f *finder) dropOldestLocked() bool {
+	oldest := -1
+	for i, e := range f.known {
+		if f.loops[e.Peer] != nil || f.listed[e.Peer] == f.lists {
+			continue
+		}
+		if oldest < 0 || f.listed[e.Peer] < f.listed[f.known[oldest].Peer] {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return false
+	}
+	f.dropLocked(f.known[oldest].Peer)
+	return true
+}
+
+func (f *finder) dropLocked(addr string) {
+	delete(f.listed, addr)
+	f.known = slices.DeleteFunc(f.known, func(e wire.EntryAddr) bool { return e.Peer == addr })
 }
 
 // entries returns a copy of the list for a hello.
@@ -177,7 +211,7 @@
 	drop := !s.seed && now.Sub(s.failing) >= forgetEntryAfter
 	if drop {
 		delete(f.loops, addr)
-		f.known = slices.DeleteFunc(f.known, func(e wire.EntryAddr) bool { return e.Peer == addr })
+		f.dropLocked(addr)
 	}
 	f.mu.Unlock()
 	switch {
--- a/internal/agentd/subset_test.go
+++ b/internal/agentd/subset_test.go
@@ -1,7 +1,10 @@
 package agentd
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -108,3 +111,33 @@
 		}
 	}
 }
+
+// Guards against a list that is full of entries which are long gone, so that
+// new ones are never found.
+func TestFullListMakesRoomForNewEntries(t *testing.T) {
+	a := startAgent(t, Options{Name: "w", Zone: "z", Upstream: "http://127.0.0.1:1/", Dial: refuseDial})
+	list := func(generation int) (out []wire.EntryAddr) {
+		for i := range wire.MaxKnownEntries {
+			out = append(out, wire.EntryAddr{
+				Incarnation: wire.Incarnation(generation*1000 + i + 1),
+				Peer:        fmt.Sprintf("10.%d.%d.1:7000", generation, i), Zone: "z",
+			})
+		}
+		return out
+	}
+	for generation := range 20 {
+		a.finder.learn(list(generation))
+		known := a.finder.entries()
+		assert.Assert(t, len(known) <= wire.MaxKnownEntries)
+		assert.Equal(t, len(a.finder.listed), len(known))
+	}
+	newest := 0
+	for _, e := range a.finder.entries() {
+		if e.Incarnation > 19_000 {
+			newest++
+		}
+	}
+	assert.Assert(t, newest > 0, "no entry of the latest list is known")
+}
+
+func refuseDial(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") }
