entryd: body timeout and job bounds as options, hello bounds, kill test

Cause: slow senders were bounded by a constant no test could reach, the machine's bounds on jobs and tasks could not be set, and an agent could announce any number of slots or names of any length. An answered job with attempts in doubt kept its payloads in memory. The kill test passed for an empty 200 as well, since that is not JSON either; it now demands that no reply arrives.

--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -215,8 +215,10 @@
 func (m *Machine) finish(now time.Duration, j *job, a JobAnswer) {
 	delete(m.jobs, j.info.Submission)
 	heap.Remove(&m.deadlines, j.duePos)
-	m.tasks -= len(j.payloads)
+	m.tasks -= len(j.tasks)
 	m.payload -= j.bytes
+	// Attempts in doubt keep the job reachable until their agent reports.
+	j.payloads = nil
 	m.sched.JobDone(now, &j.info, a.Outcome == Complete)
 	if j.claim == claimWon && a.Outcome == Refused {
 		m.emit(Release{Submission: j.info.Submission})
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -35,7 +35,10 @@
 }
 
 func (e *Entry) coreLoop() {
-	opts := entry.Options{Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler}
+	opts := entry.Options{
+		Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler,
+		MaxJobs: e.opts.MaxJobs, MaxTasks: e.opts.MaxTasks,
+	}
 	if e.log != nil {
 		opts.Observer = observer{e.log}
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -27,7 +27,6 @@
 	// sender: a caller's request or an agent's socket.
 	ringEvents        = 8192
 	readHeaderTimeout = 5 * time.Second
-	bodyTimeout       = 30 * time.Second
 	writeTimeout      = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
@@ -41,6 +40,7 @@
 	DefaultMaxRequests     = 4096
 	DefaultMaxConnections  = 8192
 	DefaultMaxPending      = 256 << 20
+	DefaultBodyTimeout     = 30 * time.Second
 	DefaultAnswerRetention = 15 * time.Minute
 	DefaultAnswerBytes     = 64 << 20
 )
@@ -76,6 +76,12 @@
 	MaxRequests     int
 	MaxConnections  int
 	MaxPendingBytes int64
+	// BodyTimeout bounds the time in which the body of a request must arrive.
+	BodyTimeout time.Duration
+	// MaxJobs and MaxTasks bound the jobs in progress and their tasks. Defaults
+	// of core/entry.
+	MaxJobs  int
+	MaxTasks int
 	// AnswerRetention and MaxAnswerBytes bound the kept answers of jobs with a key.
 	AnswerRetention time.Duration
 	MaxAnswerBytes  int64
@@ -96,6 +102,7 @@
 	setDefault(&o.MaxRequests, DefaultMaxRequests)
 	setDefault(&o.MaxConnections, DefaultMaxConnections)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPending)
+	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
 	setDefault(&o.AnswerRetention, DefaultAnswerRetention)
 	setDefault(&o.MaxAnswerBytes, DefaultAnswerBytes)
 	return o
--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -116,14 +116,14 @@
 	run, open := gate()
 	defer open()
 	a := startAgent(t, e, 8, run)
-	failed := make(chan error, 1)
+	status := make(chan int, 1)
 	go func() {
-		_, err := try("POST", jobs(e), `{"class":"c","tasks":[1]}`)
-		failed <- err
+		r, _ := try("POST", jobs(e), `{"class":"c","tasks":[1]}`)
+		status <- r.status
 	}()
 	waitFor(t, "start", func() bool { return a.starts() == 1 })
 	e.Kill()
-	assert.Assert(t, <-failed != nil)
+	assert.Equal(t, <-status, 0, "no reply at all")
 }
 
 // Guards against a planned stop that interrupts a job or runs a new one (P7).
@@ -230,3 +230,23 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, entryd.ConfigReply{Version: 7, State: []byte("seven")})
 }
+
+// Guards against slow senders that hold a request, and against a body timeout
+// that cancels a job which runs longer.
+func TestBodyTimeoutEndsTheBodyOnly(t *testing.T) {
+	e := startEntry(t, entryd.Options{BodyTimeout: 50 * time.Millisecond})
+	startAgent(t, e, 8, func(s wire.Start) wire.Result {
+		time.Sleep(200 * time.Millisecond)
+		return echo(s)
+	})
+	assert.Equal(t, do(t, "POST", jobs(e), `{"class":"c","tasks":[1]}`).status, 200)
+
+	c, err := net.Dial("tcp", e.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	io.WriteString(c, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	c.SetReadDeadline(time.Now().Add(time.Minute))
+	got, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(got), "HTTP/1.1 408 "), string(got))
+}
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -69,7 +69,7 @@
 		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
-	body, reqErr := readBody(w, r)
+	body, reqErr := readBody(w, r, e.opts.BodyTimeout)
 	if reqErr != nil {
 		writeRequestError(w, reqErr)
 		return
@@ -86,12 +86,10 @@
 	e.accept(w, r, req)
 }
 
-// readBody reads the whole body within bodyTimeout. The read deadline is
-// lifted afterwards: an expired one would cancel the request's context while
-// the job runs.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *RequestError) {
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+// readBody reads the whole body within timeout. net/http lifts the read
+// deadline once the body has ended, so it does not bound the job.
+func readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -102,7 +100,6 @@
 	case err != nil:
 		return nil, &RequestError{Status: http.StatusRequestTimeout, Reason: ReasonBodyUnread, Detail: err.Error()}
 	}
-	rc.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -20,6 +20,7 @@
 	// maxPeerConnections bounds the connections of the peer listener.
 	maxPeerConnections = 16384
 	acceptPause        = 10 * time.Millisecond
+	maxAgentSlots      = 1 << 16
 )
 
 var errWrongPreface = errors.New("entryd: wrong preface")
@@ -106,7 +107,7 @@
 	if err := conn.Read(&hello, link.HandshakeTimeout); err != nil {
 		return hello, err
 	}
-	if hello.Protocol != wire.ProtocolVersion || hello.Agent == 0 || hello.Slots <= 0 {
+	if !usable(&hello) {
 		return hello, fmt.Errorf("entryd: unusable hello: protocol %d, agent %d, slots %d",
 			hello.Protocol, hello.Agent, hello.Slots)
 	}
@@ -117,3 +118,11 @@
 		Entries: known[:min(len(known), wire.MaxKnownEntries)],
 	}), conn.Flush())
 }
+
+// usable checks what the machine and the scheduler rely on.
+func usable(h *wire.AgentHello) bool {
+	return h.Protocol == wire.ProtocolVersion && h.Agent != 0 && h.Epoch != 0 &&
+		h.Slots > 0 && h.Slots <= maxAgentSlots &&
+		max(len(h.Name), len(h.Zone), len(h.Rack)) <= MaxNameBytes &&
+		len(h.Entries) <= wire.MaxKnownEntries
+}
