entry: place a task at the end of its retry delay; bound configuration frames

Cause: a task whose first attempt was refused waited for the next tick although its retry delay is 2 ms. A configuration above the frame limit would have closed every link. A newer configuration of an agent was handed over once only, so a failed decoding was never repeated. Ruled out: a shorter tick, since every tick costs a pass over the links. Conclusion: the shell's timer follows Machine.NextRetry.

--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -11,9 +11,13 @@
 type configState struct {
 	version int64
 	state   []byte
-	learned int64 // highest version handed to the shell
 }
 
+// maxConfigBytes bounds the encoded configuration that is sent to agents: with
+// the starts of one frame it must stay below wire.MaxFrameBytes, since a larger
+// frame closes the link.
+const maxConfigBytes = 2 << 20
+
 // configured puts a configuration in force unless a newer one is (P8).
 func (m *Machine) configured(now time.Duration, e Configured) {
 	if e.Version < m.config.version {
@@ -31,7 +35,8 @@
 
 // offerConfig sends the configuration to an agent with an older one.
 func (m *Machine) offerConfig(link *agentLink) {
-	if len(m.config.state) == 0 || link.config >= m.config.version {
+	size := len(m.config.state)
+	if size == 0 || size > maxConfigBytes || link.config >= m.config.version {
 		return
 	}
 	link.config = m.config.version
@@ -43,8 +48,7 @@
 // decodes it and delivers Configured. An older one is answered with ours.
 func (m *Machine) learnConfig(link *agentLink, c *wire.ConfigState) {
 	link.config = c.Version
-	if c.Version > max(m.config.version, m.config.learned) {
-		m.config.learned = c.Version
+	if c.Version > m.config.version {
 		m.emit(LearnedConfig{Agent: link.agent, State: *c})
 		return
 	}
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -70,6 +70,15 @@
 	return j
 }
 
+// NextRetry returns the time at which the next task ends its retry delay, if
+// one waits. A Tick at that time places it without waiting for the next one.
+func (m *Machine) NextRetry() (at time.Duration, ok bool) {
+	if len(m.retries) == 0 {
+		return 0, false
+	}
+	return m.retries[0].retryAt, true
+}
+
 func (m *Machine) dueRetries(now time.Duration) {
 	for len(m.retries) > 0 && m.retries[0].retryAt <= now {
 		t := heap.Pop(&m.retries).(*task)
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -32,6 +32,8 @@
 	e       *Entry
 	machine *entry.Machine
 	links   map[wire.Incarnation]linkOpened
+	wake    *time.Timer   // fires at the end of the next retry delay
+	wakeAt  time.Duration // 0 if it is not set
 }
 
 func (e *Entry) coreLoop() {
@@ -42,7 +44,11 @@
 	if e.log != nil {
 		opts.Observer = observer{e.log}
 	}
-	c := &core{e: e, machine: entry.New(opts), links: make(map[wire.Incarnation]linkOpened)}
+	c := &core{
+		e: e, machine: entry.New(opts), links: make(map[wire.Incarnation]linkOpened),
+		wake: time.NewTimer(tickInterval),
+	}
+	defer c.wake.Stop()
 	defer func() {
 		for _, l := range c.links {
 			l.sender.Close()
@@ -55,8 +61,23 @@
 			return
 		case ev := <-e.events:
 			c.handle(ev)
+		case <-c.wake.C:
+			c.wakeAt = 0
+			c.step(entry.Tick{})
 		}
+		c.armWake()
+	}
+}
+
+// armWake sets the timer to the end of the next retry delay. Such delays are
+// shorter than the tick interval, and the task's response time includes them.
+func (c *core) armWake() {
+	at, ok := c.machine.NextRetry()
+	if !ok || at == c.wakeAt {
+		return
 	}
+	c.wakeAt = at
+	c.wake.Reset(max(0, at-c.e.now()))
 }
 
 func (c *core) step(ev entry.Event) {
