--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -114,3 +114,24 @@
 	f, _ = frames(m.Step(0, entry.Entries{List: list}))
 	assert.Equal(t, len(f.Entries), 0)
 }
+
+// Guards against memory that grows without bound: a job beyond a bound of the
+// machine is refused as not run, and accepted again once there is room.
+func TestJobsBeyondTheBoundsAreRefused(t *testing.T) {
+	for _, o := range []entry.Options{{MaxJobs: 1}, {MaxTasks: 3}, {MaxPayloadBytes: 3}} {
+		o.Scheduler = &held{}
+		m := entry.New(o)
+		submit := func(id byte) []entry.Action {
+			return m.Step(0, entry.Submit{
+				Submission: wire.SubmissionID{id}, Deadline: time.Minute, Payloads: [][]byte{{1}, {2}},
+			})
+		}
+		assert.Equal(t, len(submit(1)), 0)
+		a := submit(2)[0].(entry.Answer).Answer
+		assert.Equal(t, a.Outcome, entry.Refused)
+		assert.Equal(t, a.Reason, entry.ReasonTooManyJobs)
+		assert.Assert(t, a.RetryAfter > 0)
+		m.Step(0, entry.CancelJob{Submission: wire.SubmissionID{1}})
+		assert.Equal(t, len(submit(3)), 0)
+	}
+}
--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -250,3 +251,44 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasPrefix(string(got), "HTTP/1.1 408 "), string(got))
 }
+
+// Guards against kept answers of unbounded size.
+func TestOldestAnswersAreDroppedFirst(t *testing.T) {
+	e := startEntry(t, entryd.Options{MaxAnswerBytes: 1200}) // two records
+	startAgent(t, e, 8, echo)
+	for _, key := range []string{"k1", "k2", "k3"} {
+		assert.Equal(t, do(t, "POST", jobs(e), `{"class":"c","key":"`+key+`","tasks":[1]}`).status, 200)
+	}
+	assert.Equal(t, do(t, "GET", jobs(e)+"/k1", "").status, 404)
+	assert.Equal(t, do(t, "GET", jobs(e)+"/k3", "").status, 200)
+}
+
+// Guards against a job that runs on when nobody can ask for its answer, and
+// against a cancel that does not reach the entry which has the job.
+func TestAbandonedAndForwardedCancels(t *testing.T) {
+	e, other := startEntry(t, entryd.Options{}), startEntry(t, entryd.Options{})
+	other.SetEntries([]wire.EntryAddr{{Incarnation: e.Incarnation(), Peer: e.PeerAddr()}})
+	running := func() bool {
+		return !strings.Contains(do(t, "GET", "http://"+e.OperatorAddr()+"/status", "").raw, `"jobs":0`)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", jobs(e), strings.NewReader(`{"class":"c","tasks":[1]}`))
+	assert.NilError(t, err)
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	waitFor(t, "accepted", running) // no agent: its task waits
+	cancel()
+	waitFor(t, "cancelled", func() bool { return !running() })
+
+	done := make(chan reply, 1)
+	go func() {
+		r, _ := try("POST", jobs(e), `{"class":"c","key":"k","tasks":[1]}`)
+		done <- r
+	}()
+	waitFor(t, "accepted", running)
+	assert.Equal(t, do(t, "DELETE", jobs(other)+"/k", "").status, 202)
+	assert.Equal(t, (<-done).body.Reason, "cancelled")
+}
