client: honour Retry-After in full; options by cmp.Or

Cause: a Retry-After above BackoffMax was cut, so a job was sent again before the entry's time; with many attempts the doubled pause overflowed and the random source panicked. Ruled out: a bound on Retry-After beside the deadline, since the deadline and MaxAttempts bound the wait already. Conclusion: a test records the pauses instead of sleeping.

--- a/client/client.go
+++ b/client/client.go
@@ -9,6 +9,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -35,7 +36,8 @@
 	// MaxAttempts bounds the submissions of one job. Default 5.
 	MaxAttempts int
 	// BackoffMin and BackoffMax bound the pause before a resubmission, which
-	// doubles each time. Defaults 50 ms and 2 s.
+	// doubles each time and is added to the entry's Retry-After. Defaults 50 ms
+	// and 2 s.
 	BackoffMin time.Duration
 	BackoffMax time.Duration
 	// RetryShare bounds resubmissions to a share of the submitted jobs, beside
@@ -54,6 +56,7 @@
 	cancelTimeout      = 500 * time.Millisecond
 	settleGrace        = 3 * time.Second // an entry answers within this after the deadline
 	keyRandomBytes     = 12
+	maxDoublings       = 16 // more would overflow the pause with many attempts
 )
 
 // Needs are the declared needs of the largest task of a job. Zero means not stated.
@@ -98,6 +101,7 @@
 	opts   Options
 	mu     sync.Mutex
 	tokens float64 // resubmissions that may be made now
+	sleep  func(context.Context, time.Duration) bool
 }
 
 // New returns a client.
@@ -113,18 +117,12 @@
 	if opts.HTTP == nil {
 		opts.HTTP = http.DefaultClient
 	}
-	setDefault(&opts.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&opts.BackoffMin, DefaultBackoffMin)
-	setDefault(&opts.BackoffMax, DefaultBackoffMax)
-	setDefault(&opts.RetryShare, DefaultRetryShare)
-	setDefault(&opts.RetryFloor, DefaultRetryFloor)
-	return &Client{opts: opts, tokens: opts.RetryFloor}, nil
-}
-
-func setDefault[T int | float64 | time.Duration](v *T, byDefault T) {
-	if *v <= 0 {
-		*v = byDefault
-	}
+	opts.MaxAttempts = cmp.Or(opts.MaxAttempts, DefaultMaxAttempts)
+	opts.BackoffMin = cmp.Or(opts.BackoffMin, DefaultBackoffMin)
+	opts.BackoffMax = cmp.Or(opts.BackoffMax, DefaultBackoffMax)
+	opts.RetryShare = cmp.Or(opts.RetryShare, DefaultRetryShare)
+	opts.RetryFloor = cmp.Or(opts.RetryFloor, DefaultRetryFloor)
+	return &Client{opts: opts, tokens: opts.RetryFloor, sleep: sleep}, nil
 }
 
 // NewKey returns a key of the form `<unix milliseconds>-<unique text>`.
@@ -193,19 +191,22 @@
 // pause waits before a resubmission. It reports false if there is no time or
 // no budget for one.
 func (c *Client) pause(ctx context.Context, attempt int, e *Error, job *Job, began time.Time) bool {
-	backoff := min(c.opts.BackoffMin<<(attempt-1), c.opts.BackoffMax)
+	backoff := min(c.opts.BackoffMin<<min(attempt-1, maxDoublings), c.opts.BackoffMax)
 	// Half of the pause is random, so that callers of a failed entry spread out.
-	wait := backoff/2 + time.Duration(mathrand.Int64N(int64(backoff/2)+1))
-	if e.RetryAfter > 0 {
-		wait += min(e.RetryAfter, c.opts.BackoffMax)
-	}
+	wait := backoff/2 + time.Duration(mathrand.Int64N(max(1, int64(backoff/2))))
+	wait += e.RetryAfter
 	if left, bounded := timeLeft(ctx, job, began); bounded && wait >= left {
 		return false
 	}
 	if !c.spend() {
 		return false
 	}
-	t := time.NewTimer(wait)
+	return c.sleep(ctx, wait)
+}
+
+// sleep waits for d. It reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -80,6 +80,7 @@
 	o.BackoffMin, o.BackoffMax = time.Millisecond, 2*time.Millisecond
 	c, err := client.New(o)
 	assert.NilError(t, err)
+	c.RecordPauses(func(time.Duration) {})
 	return c
 }
 
@@ -168,3 +169,20 @@
 	keys := s.seen()
 	assert.Equal(t, keys[len(keys)-1], "cancel")
 }
+
+// Guards against a resubmission before the time that the entry asks for, and
+// against one that cannot be answered before the caller's deadline.
+func TestRetryAfterIsHonoured(t *testing.T) {
+	s := serve(t, "later", "ok", "later")
+	c := newClient(t, client.Options{}, s.URL)
+	var pauses []time.Duration
+	c.RecordPauses(func(d time.Duration) { pauses = append(pauses, d) })
+	_, err := c.Submit(context.Background(), job)
+	assert.NilError(t, err)
+	hurried := job
+	hurried.Deadline = 500 * time.Millisecond
+	_, err = c.Submit(context.Background(), hurried)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(pauses), 1)
+	assert.Assert(t, pauses[0] >= time.Second && pauses[0] < 2*time.Second)
+}
--- /dev/null
+++ b/client/export_test.go
@@ -0,0 +1,14 @@
+package client
+
+import (
+	"context"
+	"time"
+)
+
+// RecordPauses makes the client pass its pauses to f instead of sleeping.
+func (c *Client) RecordPauses(f func(time.Duration)) {
+	c.sleep = func(_ context.Context, d time.Duration) bool {
+		f(d)
+		return true
+	}
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -16,6 +16,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
@@ -110,22 +111,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxJobs, DefaultMaxJobs)
-	setDefault(&o.MaxTasks, DefaultMaxTasks)
-	setDefault(&o.MaxPayloadBytes, DefaultMaxPayloadBytes)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&o.AgentLease, DefaultAgentLease)
-	setDefault(&o.SettleBound, DefaultSettleBound)
+	o.MaxJobs = cmp.Or(o.MaxJobs, DefaultMaxJobs)
+	o.MaxTasks = cmp.Or(o.MaxTasks, DefaultMaxTasks)
+	o.MaxPayloadBytes = cmp.Or(o.MaxPayloadBytes, DefaultMaxPayloadBytes)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, DefaultHeartbeatInterval)
+	o.AgentLease = cmp.Or(o.AgentLease, DefaultAgentLease)
+	o.SettleBound = cmp.Or(o.SettleBound, DefaultSettleBound)
 	return o
 }
 
-func setDefault[T int | int64 | time.Duration](v *T, byDefault T) {
-	if *v <= 0 {
-		*v = byDefault
-	}
-}
-
 // New returns a machine without links or jobs.
 func New(opts Options) *Machine {
 	return &Machine{
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
@@ -151,6 +152,7 @@
 	for _, l := range c.links {
 		s.Agents = append(s.Agents, l.hello.Name)
 	}
+	slices.Sort(s.Agents)
 	return s
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -4,6 +4,7 @@
 package entryd
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log"
@@ -99,21 +100,15 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = wire.Incarnation(rand.Uint64() | 1)
 	}
-	setDefault(&o.MaxRequests, DefaultMaxRequests)
-	setDefault(&o.MaxConnections, DefaultMaxConnections)
-	setDefault(&o.MaxPendingBytes, DefaultMaxPending)
-	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&o.AnswerRetention, DefaultAnswerRetention)
-	setDefault(&o.MaxAnswerBytes, DefaultAnswerBytes)
+	o.MaxRequests = cmp.Or(o.MaxRequests, DefaultMaxRequests)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
+	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPending)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
+	o.AnswerRetention = cmp.Or(o.AnswerRetention, DefaultAnswerRetention)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultAnswerBytes)
 	return o
 }
 
-func setDefault[T int | int64 | time.Duration](v *T, byDefault T) {
-	if *v <= 0 {
-		*v = byDefault
-	}
-}
-
 // Entry is a running entry.
 type Entry struct {
 	opts      Options
