logstate: fresh entries start at the claims that can still count

It now finds, by bisection over offsets, the last record older than the life of a claim (17 min) and starts there; the horizon rule covers what it skips. Also: claims after Close are answered; the stand-in applies late appends before lost requests, so that a release can precede its claim in a test.

--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -1,6 +1,9 @@
 package logstate_test
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/limpettrail/limpettrail/internal/claimapi"
 	"github.com/limpettrail/limpettrail/internal/logstate"
 	"github.com/limpettrail/limpettrail/internal/standin/logserver"
+	"github.com/limpettrail/limpettrail/platformlog"
 )
 
 const life = claims.DefaultWindow + 2*claims.DefaultSkew
@@ -18,8 +22,8 @@
 func TestOneOfTwoEntriesWinsAKey(t *testing.T) {
 	s := newSystem(t, logserver.Options{})
 	a, b := s.ready(s.entry(nil)), s.ready(s.entry(nil))
-	for range 20 {
-		r := request("k", 0)
+	for i := range 20 {
+		r := request(fmt.Sprint("k", i), 0)
 		r2 := again(r)
 		ca, cb := begin(a, r), begin(b, r2)
 		won, lost := <-ca, <-cb
@@ -100,6 +104,23 @@
 	}
 }
 
+// Guards against a claim that blocks its key for good because its append took
+// effect after its release.
+func TestClaimThatFollowsItsReleaseIsReleasedAgain(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.ready(s.entry(func(o *logstate.Options) { o.ClaimTimeout = 100 * time.Millisecond }))
+	b := s.ready(s.entry(nil))
+	s.until("presence is written", func() bool { return b.Status().Counters.Presences == 1 && a.Status().Counters.Presences == 1 })
+	s.server.SetFaults(logserver.Faults{LateAppends: 1, LateByMillis: 1500, LoseRequests: 1_000_000})
+	r := request("k", 0)
+	assert.Equal(t, claim(a, r).Reason, logstate.ReasonLogUnavailable)
+	s.server.SetFaults(logserver.Faults{})
+	s.until("a release precedes and another follows the late claim", func() bool {
+		return len(s.server.Records(logstate.StreamClaims)) >= 3
+	})
+	s.until("the key is free", func() bool { return claim(b, again(r)).Won })
+}
+
 // Guards against a second submission that is told that the key may have run
 // while this entry knows that it gave the first one up.
 func TestKeyGivenUpByThisEntryIsRefusedAsNotRun(t *testing.T) {
@@ -132,7 +153,38 @@
 	assert.Equal(t, got.Owner.Submission, held.Submission, "a claimed key is known in an outage")
 	s.server.SetFaults(logserver.Faults{})
 	s.ready(a)
-	assert.Assert(t, claim(a, request("k", 0)).Won)
+	assert.Assert(t, claim(a, request("after", 0)).Won)
+}
+
+// endlessPoll is a Log whose long polls end only with a record.
+type endlessPoll struct{ platformlog.Log }
+
+func (e endlessPoll) Read(ctx context.Context, r platformlog.ReadRequest) (platformlog.Batch, error) {
+	wait := r.Wait > 0
+	r.Wait = 0
+	for {
+		b, err := e.Log.Read(ctx, r)
+		if !wait || len(b.Records) > 0 {
+			return b, err
+		}
+		select {
+		case <-ctx.Done():
+			return b, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// Guards against an entry that refuses claims until its long poll ends although
+// the log is back.
+func TestFailedAppendEndsTheLongPoll(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.ready(s.entry(func(o *logstate.Options) { o.Log = endlessPoll{s.client()} }))
+	s.until("presence is written", func() bool { return a.Status().Counters.Presences == 1 })
+	s.server.SetFaults(logserver.Faults{Outage: true})
+	assert.Equal(t, claim(a, request("k", 0)).Reason, logstate.ReasonLogUnavailable)
+	s.server.SetFaults(logserver.Faults{})
+	s.ready(a)
 }
 
 // Guards against a claim that stays open, or wins, when the log falls silent
@@ -167,6 +219,38 @@
 	assert.Assert(t, got.RunBefore)
 }
 
+// counting is a Log that counts the claim records it returns.
+type counting struct {
+	platformlog.Log
+	records atomic.Int64
+}
+
+func (c *counting) Read(ctx context.Context, r platformlog.ReadRequest) (platformlog.Batch, error) {
+	b, err := c.Log.Read(ctx, r)
+	if r.Stream == logstate.StreamClaims {
+		c.records.Add(int64(len(b.Records)))
+	}
+	return b, err
+}
+
+// Guards against a start that takes as long as the log's retention is deep, and
+// against one that skips claims that still count.
+func TestFreshEntryReadsOnlyClaimsThatCanCount(t *testing.T) {
+	s := newSystem(t, logserver.Options{AppendDelay: -1})
+	a := s.ready(s.entry(nil))
+	for i := range 200 {
+		assert.Assert(t, claim(a, request(fmt.Sprint("old", i), 0)).Won)
+	}
+	s.server.Advance(life + time.Minute)
+	nowInLog := request("k", -life-time.Minute)
+	assert.Assert(t, claim(a, nowInLog).Won)
+	log := &counting{Log: s.client()}
+	fresh := s.ready(s.entry(func(o *logstate.Options) { o.Log = log }))
+	assert.Assert(t, log.records.Load() < 30, "%d records read", log.records.Load())
+	assert.Equal(t, claim(fresh, again(nowInLog)).Owner.Submission, nowInLog.Submission)
+	assert.Assert(t, claim(fresh, request("l", -life-time.Minute+claims.DefaultWindow-time.Second)).Won)
+}
+
 // Guards against claims on a log that forgets them while their keys are valid.
 func TestTooShortRetentionRefusesKeys(t *testing.T) {
 	s := newSystem(t, logserver.Options{})
@@ -188,17 +272,25 @@
 	assert.Equal(t, claim(a, request("l", 0)).Reason, logstate.ReasonTooManyClaims)
 }
 
+// Guards against a caller that waits for ever on an entry that has stopped.
+func TestClaimAfterCloseIsRefused(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.ready(s.entry(nil))
+	a.Close()
+	assert.Equal(t, claim(a, request("k", 0)).Reason, logstate.ReasonLogUnavailable)
+}
+
 // Guards against one append for each claim.
 func TestClaimsShareRecords(t *testing.T) {
 	s := newSystem(t, logserver.Options{AppendDelay: 20 * time.Millisecond})
 	a := s.ready(s.entry(nil))
 	var all []<-chan claimapi.ClaimResult
 	const n = 500
-	for range n {
-		all = append(all, begin(a, request("k", 0)))
+	for i := range n {
+		all = append(all, begin(a, request(fmt.Sprint("k", i), 0)))
 	}
 	for _, c := range all {
-		<-c
+		assert.Assert(t, (<-c).Won)
 	}
 	records := len(s.server.Records(logstate.StreamClaims))
 	assert.Assert(t, records < n/2, "%d records for %d claims", records, n)
--- a/internal/logstate/follow.go
+++ b/internal/logstate/follow.go
@@ -21,14 +21,16 @@
 	from   int64
 	// apply takes a batch whose first record is at from, under State.mu.
 	apply func(b *platformlog.Batch, from int64)
+	// first returns the offset to start at; nil means 0.
+	first func() (int64, error)
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the read in progress
 	kicked bool
 }
 
-func (s *State) follow(stream string, apply func(*platformlog.Batch, int64)) *follower {
-	f := &follower{s: s, stream: stream, apply: apply}
+func (s *State) follow(stream string, apply func(*platformlog.Batch, int64), first func() (int64, error)) *follower {
+	f := &follower{s: s, stream: stream, apply: apply, first: first}
 	s.mu.Lock()
 	s.stream(stream)
 	s.mu.Unlock()
@@ -48,6 +50,15 @@
 
 func (f *follower) run() {
 	var backoff platformlog.Backoff
+	for f.first != nil && f.s.ctx.Err() == nil {
+		from, err := f.first()
+		if err == nil {
+			f.from, f.first = from, nil
+			break
+		}
+		f.failed(err)
+		backoff.Sleep(f.s.ctx, platformlog.RetryAfter(err))
+	}
 	for f.s.ctx.Err() == nil {
 		b, kicked, err := f.read()
 		if kicked {
--- a/internal/logstate/logstate.go
+++ b/internal/logstate/logstate.go
@@ -53,7 +53,8 @@
 	// considered. Default 1 s.
 	Maintenance time.Duration
 
-	// The callbacks run one at a time on a goroutine of the State.
+	// The callbacks, and those of Claim, run one at a time on a goroutine of the
+	// State. They must not block: claims are answered on the same goroutine.
 
 	// OnConfig receives each configuration that comes into force.
 	OnConfig func(version int64, s policy.Settings, encoded []byte)
@@ -163,9 +164,9 @@
 		opts.Events.Emit(eventlog.RetentionTooShort, eventlog.Fields{Duration: opts.Retention})
 	}
 	s.wg.Go(s.notify.run)
-	s.claims = s.follow(StreamClaims, s.applyClaims)
-	s.config = s.follow(StreamConfig, s.applyConfig)
-	s.follow(StreamEntries, s.applyEntries)
+	s.claims = s.follow(StreamClaims, s.applyClaims, s.claimsStart)
+	s.config = s.follow(StreamConfig, s.applyConfig, nil)
+	s.follow(StreamEntries, s.applyEntries, nil)
 	s.wg.Go(s.appendLoop)
 	s.wg.Go(s.timerLoop)
 	s.wg.Go(s.maintenanceLoop)
--- a/internal/logstate/notifier.go
+++ b/internal/logstate/notifier.go
@@ -14,10 +14,16 @@
 
 func newNotifier() *notifier { return &notifier{wake: make(chan struct{}, 1)} }
 
+// add queues a callback. After close it runs on a goroutine of its own, so that
+// a late caller gets its answer too.
 func (n *notifier) add(f func()) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		go f()
+		return
+	}
 	n.queue = append(n.queue, f)
-	n.mu.Unlock()
 	n.signal()
 }
 
--- a/internal/operator/history_test.go
+++ b/internal/operator/history_test.go
@@ -89,12 +89,14 @@
 		c, _ := client(t, s, 150*time.Millisecond)
 		rnd := rand.New(rand.NewPCG(seed, uint64(w)))
 		workers.Go(func() {
-			for i := range 15 {
+			for i := range 25 {
 				file := fmt.Sprintf("[[team]]\nname = \"t%d\"\nquota = %d\n", rnd.IntN(3), 1000*(w+1)+i)
 				call := time.Since(start)
 				r := c.Apply(context.Background(), "f", []byte(file), false)
+				end := int64(time.Since(start))
+				time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 				for _, ch := range r.Changes {
-					results[w] = append(results[w], timed{ch, int64(call), int64(time.Since(start))})
+					results[w] = append(results[w], timed{ch, int64(call), end})
 				}
 			}
 		})
@@ -146,10 +148,10 @@
 func injectFaults(s *logserver.Server, rnd *rand.Rand, stop <-chan struct{}) {
 	defer s.SetFaults(logserver.Faults{})
 	choices := []logserver.Faults{
-		{}, {}, {},
-		{LoseReplies: 3},
-		{LoseRequests: 3},
-		{LateAppends: 5, LateByMillis: 400},
+		{},
+		{LoseReplies: 30},
+		{LoseRequests: 30},
+		{LateAppends: 1000, LateByMillis: 400},
 		{Outage: true},
 		{ReadDelayMillis: 40},
 		{AppendDelayMillis: 120},
@@ -158,7 +160,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(50+rnd.IntN(200)) * time.Millisecond):
+		case <-time.After(time.Duration(50+rnd.IntN(250)) * time.Millisecond):
 			s.SetFaults(choices[rnd.IntN(len(choices))])
 		}
 	}
--- a/internal/standin/logserver/http.go
+++ b/internal/standin/logserver/http.go
@@ -23,19 +23,20 @@
 	loseRequest, loseReply, late bool
 }
 
-// drawAppendFault consumes one of the counted faults.
+// drawAppendFault consumes one of the counted faults: late appends first, then
+// lost requests, then lost replies.
 func (s *Server) drawAppendFault() appendFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := appendFault{Faults: s.faults}
 	switch {
 	case s.faults.Outage || s.faults.Silent:
-	case s.faults.LoseRequests > 0:
-		s.faults.LoseRequests--
-		f.loseRequest = true
 	case s.faults.LateAppends > 0:
 		s.faults.LateAppends--
 		f.late = true
+	case s.faults.LoseRequests > 0:
+		s.faults.LoseRequests--
+		f.loseRequest = true
 	case s.faults.LoseReplies > 0:
 		s.faults.LoseReplies--
 		f.loseReply = true
--- a/platformlog/platformlog_test.go
+++ b/platformlog/platformlog_test.go
@@ -100,6 +100,36 @@
 	assertType(t, err, platformlog.OutcomeUnknown)
 }
 
+// flaky loses the request of its first append and refuses all others. The
+// second append ends the context.
+type flaky struct {
+	appends int
+	cancel  context.CancelFunc
+}
+
+func (f *flaky) Append(context.Context, string, platformlog.RecordID, []byte) (platformlog.Position, error) {
+	f.appends++
+	if f.appends == 1 {
+		return platformlog.Position{}, platformlog.OutcomeUnknown.New("connection lost")
+	}
+	f.cancel()
+	return platformlog.Position{}, platformlog.Unavailable.New("outage")
+}
+
+func (f *flaky) Read(context.Context, platformlog.ReadRequest) (platformlog.Batch, error) {
+	return platformlog.Batch{}, nil
+}
+
+// Guards against a resend that failed without effect and hides that the first
+// send may still take effect.
+func TestRefusedResendLeavesTheOutcomeUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := &flaky{cancel: cancel}
+	_, err := platformlog.AppendOnce(ctx, log, "s", platformlog.NewRecordID(), nil, 0)
+	assert.Equal(t, log.appends, 2)
+	assertType(t, err, platformlog.OutcomeUnknown)
+}
+
 // Guards against failures without effect that are reported as unknown, and the
 // other way round.
 func TestErrorsStateWhetherTheAppendHadEffect(t *testing.T) {
