--- a/core/config/machine_test.go
+++ b/core/config/machine_test.go
@@ -271,6 +271,11 @@
 	basis = due + time.Minute // another reader's snapshot
 	assert.Assert(t, !r.Step(due+retention/10, basis, true))
 	assert.Assert(t, !r.Step(due, 0, false))
+
+	r = SnapshotRule{Retention: retention, Rand: rand.New(rand.NewPCG(1, 1))}
+	late := logTime + retention // after an outage as long as the retention
+	assert.Assert(t, !r.Step(late, logTime, true))
+	assert.Assert(t, r.Step(late+minSnapshotSpread, logTime, true))
 }
 
 func FuzzDecode(f *testing.F) {
--- a/internal/logstate/claims.go
+++ b/internal/logstate/claims.go
@@ -87,7 +87,9 @@
 	c.active = make(map[wire.Incarnation]time.Duration)
 }
 
-// Claim implements claimapi.Claims.
+// Claim implements claimapi.Claims. A submission may be claimed once in its
+// life: a release of an earlier, given-up claim may still be on its way and
+// would free a second one.
 func (s *State) Claim(req claimapi.ClaimRequest, done func(claimapi.ClaimResult)) {
 	key := claimKey{claims.KeyHash(req.Team, req.Key), req.Submission}
 	created, err := claims.CreatedAt(req.Key)
@@ -111,7 +113,7 @@
 	_, held := s.claim.held[key]
 	st := s.stream(StreamClaims)
 	switch {
-	case s.claim.pending[key] != nil || held:
+	case s.claim.pending[key] != nil || s.claim.releases[key] != nil || held:
 		return claimapi.ClaimResult{Reason: ReasonDuplicateSubmission}, true
 	case !s.retentionOK():
 		return claimapi.ClaimResult{Reason: ReasonRetentionTooShort}, true
--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -196,6 +196,7 @@
 	r := request("k", 0)
 	got := claim(a, r)
 	assert.Assert(t, !got.Won && !got.RunBefore)
+	assert.Equal(t, claim(a, r).Reason, logstate.ReasonDuplicateSubmission, "its release would free a second claim of it")
 	s.server.SetFaults(logserver.Faults{})
 	b := s.ready(s.entry(nil))
 	s.until("the key is free", func() bool { return claim(b, again(r)).Won })
