Placement: accepted wait while all agents are believed full covers three entries

Cause: with all agents believed full, each of three entries queues one task at each agent; the third was refused because the accepted wait covered three tasks, and no agent elsewhere was better. The emphasis now sets the share of refusals that the accepted wait is steered to (1% or 0.2%); multiplying the wait had no effect, since the steering took it back.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -8,12 +8,14 @@
 
 const (
 	maxParked = 8 // jobs passed over in one decision because they fit nowhere free
-	// refusalTarget is the share of starts that may be refused as busy. Each
-	// costs two messages, so this stays inside 0.05 wasted messages a task.
-	refusalTarget   = 0.01
-	waitScaleMin    = 0.25
-	waitScaleMax    = 32
-	waitScaleGrowth = 0.05 // by which one refusal raises the accepted wait
+	// These are the shares of starts that may be refused as busy, by emphasis.
+	// Each refusal costs two messages, so the first stays inside 0.05 wasted
+	// messages a task with room for other kinds.
+	responseRefusals = 0.01
+	messageRefusals  = 0.002
+	waitScaleMin     = 0.25
+	waitScaleMax     = 32
+	waitScaleGrowth  = 0.05 // by which one refusal raises the accepted wait
 )
 
 // Next implements Scheduler.
@@ -91,13 +93,17 @@
 	s.queue.finish(j)
 }
 
-// adjustWait steers the share of busy refusals towards refusalTarget: a
+// adjustWait steers the share of busy refusals towards that of the emphasis: a
 // refusal raises the accepted wait, every other outcome lowers it a little.
 func (s *Adaptive) adjustWait(r *wire.Result) {
+	target := responseRefusals
+	if s.settings.Emphasis == EmphasisMessages {
+		target = messageRefusals
+	}
 	if r.Outcome == wire.NotRun && r.Reason == wire.ReasonBusy {
 		s.waitScale *= 1 + waitScaleGrowth
 	} else {
-		s.waitScale *= 1 - waitScaleGrowth*refusalTarget
+		s.waitScale *= 1 - waitScaleGrowth*target
 	}
 	s.waitScale = min(max(s.waitScale, waitScaleMin), waitScaleMax)
 }
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -12,7 +12,7 @@
 	lookAhead     = 1.0                  // tasks queued at each agent under backlog
 	freeMaxWait   = 4 * time.Millisecond // accepted queueing while others are believed free
 	unbounded     = time.Hour            // accepted queueing without PartMaxWait
-	messageFactor = 4                    // by how much EmphasisMessages raises the accepted wait
+	fullMaxWait   = 6                    // accepted queueing in waits per queued task while all are believed full
 	minRun        = 5 * time.Millisecond // least mean run time used for rates
 	freedMemory   = 64                   // agents remembered as having freed a slot
 	freedSample   = 8                    // of them, examined for one decision
@@ -136,14 +136,11 @@
 	}
 	a := p.best.agent
 	unit := max(a.waitUnit, time.Duration(float64(p.meanRun)/a.limit()), minWaitUnit)
-	wait := time.Duration(float64(unit) * (lookAhead + 2))
+	wait := fullMaxWait * unit
 	if p.best.free >= freeMargin && p.free-p.best.free >= 1 {
 		// A refusal costs a round trip; then a free slot is found elsewhere.
 		wait = min(wait, time.Duration(float64(freeMaxWait)*s.waitScale))
 	}
-	if s.settings.Emphasis == EmphasisMessages {
-		wait *= messageFactor
-	}
 	return wait
 }
 
