--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -29,6 +29,7 @@
 	service   float64 // own tasks in service under backlog
 	waitScale float64
 
+	forgetAt     time.Duration // next search for agents that left
 	contentionAt time.Duration // next comparison of the backlog with the targets
 }
 
@@ -138,9 +139,10 @@
 
 // forget drops the agents that left long ago and have nothing in flight.
 func (s *Adaptive) forget(now time.Duration) {
-	if len(s.agents) == len(s.up) {
+	if len(s.agents) == len(s.up) || now < s.forgetAt {
 		return
 	}
+	s.forgetAt = now + forgetDownAgent/4
 	for id, a := range s.agents {
 		if a.up || a.placed > 0 || now-a.downAt < forgetDownAgent {
 			continue
--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -1,10 +1,11 @@
 package policy_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
@@ -15,32 +16,17 @@
 
 const hop = 300 * time.Microsecond // one-way delay of every frame
 
-// event is one callback at a virtual time; order breaks ties.
+// event is one callback at a virtual time.
 type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 // driver connects entry and agent machines over virtual time.
 type driver struct {
 	now     time.Duration
-	queue   events
-	order   int
+	queue   []event // by time, then by insertion
+	ids     uint64  // of submissions
 	entries []*entry.Machine
 	agents  []*agent.Machine
 	scheds  []policy.Scheduler
@@ -48,6 +34,7 @@
 	slow    map[int]float64 // run-time factor
 	badRuns map[int]int     // tasks failed by a bad agent
 	busy    time.Duration   // slot time used
+	down    bool            // every upstream refuses connections
 	jobs    map[wire.SubmissionID]*submitted
 	done    []*submitted
 	running map[agent.AttemptID]bool
@@ -101,8 +88,9 @@
 }
 
 func (d *driver) after(delay time.Duration, do func()) {
-	d.order++
-	heap.Push(&d.queue, event{at: d.now + delay, order: d.order, do: do})
+	at := d.now + delay
+	i := sort.Search(len(d.queue), func(i int) bool { return d.queue[i].at > at })
+	d.queue = slices.Insert(d.queue, i, event{at: at, do: do})
 }
 
 func (d *driver) every(period time.Duration, do func()) {
@@ -112,7 +100,8 @@
 // run executes events until the virtual time end.
 func (d *driver) run(end time.Duration) {
 	for d.queue[0].at <= end {
-		e := heap.Pop(&d.queue).(event)
+		e := d.queue[0]
+		d.queue = d.queue[1:]
 		d.now = e.at
 		e.do()
 	}
@@ -172,6 +161,9 @@
 			d.badRuns[k]++
 		}
 	}
+	if d.down {
+		out.Outcome, out.Reason, run = wire.NotRun, wire.ReasonUpstreamDown, 0
+	}
 	if run > r.Timeout {
 		run, out.Outcome, out.Reason = r.Timeout, wire.Unknown, wire.ReasonRunLimit
 	}
@@ -184,8 +176,8 @@
 // submit offers a job of the given run times.
 func (d *driver) submit(i int, class, team string, deadline time.Duration, runs []time.Duration, poison bool) {
 	var id wire.SubmissionID
-	binary.LittleEndian.PutUint64(id[:], uint64(d.order)+1)
-	d.order++
+	d.ids++
+	binary.LittleEndian.PutUint64(id[:], d.ids)
 	s := &submitted{class: class, team: team, tasks: len(runs), entry: i, at: d.now}
 	payloads := make([][]byte, len(runs))
 	var total, longest time.Duration
--- /dev/null
+++ b/core/policy/policy_test.go
@@ -0,0 +1,384 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// newTest returns a scheduler with n agents of 8 slots that have proven healthy.
+func newTest(n int, o Options) *Adaptive {
+	s := New(o)
+	s.Configure(0, Settings{Classes: []Class{
+		{Name: "c", Within: time.Second, Success: 0.99},
+		{Name: "d", Within: 10 * time.Second, Success: 0.9},
+	}})
+	for i := range n {
+		id := wire.Incarnation(i + 1)
+		s.AgentUp(0, AgentInfo{
+			Agent: id, Zone: "z", Rack: fmt.Sprint(i / 3), Slots: 8,
+			Capacity: wire.Capacity{MilliCores: int64(1000 * (1 + i%2))},
+		})
+		s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Successes: 100})
+	}
+	return s
+}
+
+func newTestJob(class string, now time.Duration, tasks int) (*Job, []*Task) {
+	j := &Job{Class: class, Tasks: tasks, Arrived: now, Deadline: now + time.Minute}
+	var list []*Task
+	for i := range tasks {
+		list = append(list, &Task{Job: j, Index: i})
+	}
+	return j, list
+}
+
+func enqueue(s *Adaptive, now time.Duration, class string, tasks int) (*Job, []*Task) {
+	j, list := newTestJob(class, now, tasks)
+	for _, t := range list {
+		s.Enqueue(now, t)
+	}
+	return j, list
+}
+
+// Guards against decisions on a handful of runs, and against an estimate that
+// does not follow a class whose run times change.
+func TestEstimateUsesThePriorFirstAndFollowsChanges(t *testing.T) {
+	var e estimate
+	for range estimateMinimum - 1 {
+		e.observe(time.Second)
+	}
+	assert.Equal(t, e.mean(50*time.Millisecond), 50*time.Millisecond)
+	assert.Equal(t, e.high(0), defaultRun)
+	e.observe(time.Second)
+	assert.Check(t, math.Abs(e.mean(0).Seconds()-1) < 0.001)
+	for i := range 3000 {
+		e.observe(time.Duration(1+i%100) * time.Millisecond)
+	}
+	for _, q := range []struct{ got, want time.Duration }{
+		{e.mean(0), 50 * time.Millisecond}, {e.p50, 50 * time.Millisecond},
+		{e.p90, 90 * time.Millisecond}, {e.p99, 99 * time.Millisecond},
+	} {
+		assert.Check(t, math.Abs(math.Log(float64(q.got)/float64(q.want))) < 0.15, "%v, want %v", q.got, q.want)
+	}
+}
+
+// Guards against a lost, doubled or out-of-order task in the heaps: any
+// sequence of operations gives each task once, the least slack first within a
+// class, and leaves nothing behind.
+func TestQueueGivesEachTaskOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue(true, true)
+		classes := []*classState{
+			q.newClass(Class{Name: "a", Within: time.Second}),
+			q.newClass(Class{Name: "b", Within: 5 * time.Second}),
+		}
+		waiting := map[*Task]*jobState{}
+		var placed []*jobState
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0, 1:
+				c := classes[rapid.IntRange(0, 1).Draw(t, "class")]
+				team := c.team(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team")), 4)
+				job, tasks := newTestJob(c.class.Name, now, rapid.IntRange(1, 4).Draw(t, "tasks"))
+				j := q.add(job, c, team, now+c.class.Within)
+				for _, task := range tasks {
+					q.push(j, task)
+					waiting[task] = j
+				}
+			case 2:
+				if j := q.head(now); j != nil {
+					task := q.start(j)
+					if waiting[task] != j {
+						t.Fatal("a task was given twice or never enqueued")
+					}
+					delete(waiting, task)
+					placed = append(placed, j)
+				}
+			case 3:
+				if n := len(placed); n > 0 {
+					i := rapid.IntRange(0, n-1).Draw(t, "end")
+					q.finish(placed[i])
+					placed = append(placed[:i], placed[i+1:]...)
+				}
+			case 4:
+				for task, j := range waiting {
+					q.remove(j, task)
+					q.remove(j, task) // a second call changes nothing
+					delete(waiting, task)
+					break
+				}
+			}
+			q.contend(rapid.Bool().Draw(t, "contended"))
+			if q.waiting != len(waiting) || q.inService != len(placed) {
+				t.Fatalf("%d waiting, want %d; %d in service, want %d", q.waiting, len(waiting), q.inService, len(placed))
+			}
+			checkHeaps(t, q)
+		}
+		for len(waiting) > 0 {
+			j := q.head(now)
+			delete(waiting, q.start(j))
+			placed = append(placed, j)
+		}
+		for _, j := range placed {
+			j.ended = true
+			q.finish(j)
+		}
+		if q.head(now) != nil || q.active != 0 || q.inService != 0 {
+			t.Fatal("work was left behind")
+		}
+	})
+}
+
+func checkHeaps(t *rapid.T, q *queue) {
+	checkHeap(t, &q.classes)
+	checkHeap(t, &q.late)
+	checkHeap(t, &q.expiry)
+	for _, c := range q.classes.items {
+		checkHeap(t, &c.byShare)
+		checkHeap(t, &c.byDue)
+	}
+}
+
+func checkHeap[T any](t *rapid.T, h *indexHeap[T]) {
+	for i, x := range h.items {
+		if *h.pos(x) != i+1 || i > 0 && h.less(x, h.items[(i-1)/2]) {
+			t.Fatalf("item %d of %T is out of place", i, h.items)
+		}
+	}
+}
+
+// Guards against a late job that blocks others, and against one that starves.
+func TestLateJobsYieldButKeepAShare(t *testing.T) {
+	q := newQueue(true, true)
+	c := q.newClass(Class{Name: "a", Within: time.Second})
+	late, lateTasks := newTestJob("a", 0, 30)
+	viable, viableTasks := newTestJob("a", 0, 270)
+	lj := q.add(late, c, c.team("x", 0), 0)
+	vj := q.add(viable, c, c.team("x", 0), time.Hour)
+	for _, task := range lateTasks {
+		q.push(lj, task)
+	}
+	for _, task := range viableTasks {
+		q.push(vj, task)
+	}
+	count := 0
+	for i := 1; i <= 290; i++ {
+		j := q.head(time.Second)
+		q.start(j)
+		if j == lj {
+			count++
+		}
+		assert.Equal(t, count, i/lateShare)
+	}
+}
+
+// Guards against a team that crowds out others within a class.
+func TestTeamsShareByQuota(t *testing.T) {
+	s := newTest(11, Options{})
+	s.Configure(0, Settings{
+		Classes: []Class{{Name: "c", Within: time.Hour}},
+		Teams:   []Team{{Name: "x", Quota: 30}, {Name: "y", Quota: 10}},
+	})
+	started := map[string]int{}
+	for i, team := range []string{"x", "y"} {
+		j := &Job{Class: "c", Team: team, Tasks: 200, Arrived: time.Duration(i), Deadline: time.Hour}
+		for k := range 200 {
+			s.Enqueue(0, &Task{Job: j, Index: k})
+		}
+	}
+	for range 80 {
+		p, ok := s.Next(0)
+		assert.Assert(t, ok)
+		started[p.Task.Job.Team]++
+	}
+	assert.Equal(t, started["x"], 60)
+	assert.Equal(t, started["y"], 20)
+}
+
+// Guards against retries beyond a tenth of the starts and against denying a
+// retry that the deadline allows.
+func TestRetriesWaitForTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := budget{tokens: retryBurst}
+		now, starts := time.Duration(0), 0
+		granted := []time.Duration{}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "start") {
+				b.started(now)
+				starts++
+				continue
+			}
+			granted = append(granted, now+b.take(now))
+		}
+		used := 0
+		for _, at := range granted {
+			if at <= now {
+				used++
+			}
+		}
+		limit := retryBurst + retryFloorRate*now.Seconds() + retryShare*float64(starts)
+		// Grants are dated by the rate at the time, which may fall afterwards.
+		if float64(used) > 1.5*limit+1 {
+			t.Fatalf("%d retries, want at most %.1f", used, limit)
+		}
+	})
+	s := newTest(3, Options{})
+	task := &Task{Job: &Job{Deadline: time.Hour}, Attempts: 1}
+	var last time.Duration
+	for range 100 {
+		delay, ok := s.Retry(0, task, wire.ReasonBusy)
+		assert.Assert(t, ok)
+		assert.Check(t, delay >= last)
+		last = delay
+	}
+	assert.Check(t, last > time.Second)
+	task.Job.Deadline = time.Millisecond
+	_, ok := s.Retry(0, task, wire.ReasonBusy)
+	assert.Check(t, !ok, "a retry after the deadline")
+}
+
+// Guards against ejecting so many agents that the rest is overloaded: whatever
+// the outcomes, at most three and a third are ejected and one is kept.
+func TestEjectionsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 15).Draw(t, "agents")
+		s := newTest(n, Options{Seed: 1})
+		loads := make([]wire.Load, n)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			job, _ := enqueue(s, now, "c", 1)
+			for p, ok := s.Next(now); ok; p, ok = s.Next(now) {
+				i := int(p.Agent) - 1
+				r := &wire.Result{Outcome: wire.Succeeded, Run: 1000}
+				loads[i].Slots, loads[i].Limit = 8, 8
+				if rapid.IntRange(0, 3).Draw(t, "fails") > 0 && i%2 == 0 {
+					r.Outcome = wire.Failed
+					loads[i].Failures++
+				} else {
+					loads[i].Successes++
+				}
+				s.Done(now, p.Agent, p.Task, r)
+				s.JobDone(now, job, r.Outcome == wire.Succeeded)
+				s.Observe(now, p.Agent, loads[i])
+			}
+			ejected := 0
+			for _, a := range s.up {
+				if a.health.ejected {
+					ejected++
+				}
+			}
+			if ejected != s.Ejected() || ejected > 3 || ejected*3 > n || ejected >= n {
+				t.Fatalf("%d of %d agents ejected, counted %d", ejected, n, s.Ejected())
+			}
+		}
+	})
+}
+
+// Guards against a readmission that never happens, or without a probe.
+func TestEjectedAgentIsProbedWithOneTask(t *testing.T) {
+	s := newTest(6, Options{Seed: 1})
+	a := s.up[2]
+	a.health.eject(0, 0)
+	s.ejected = 1
+	enqueue(s, 0, "c", 100)
+	for p, ok := s.Next(0); ok; p, ok = s.Next(0) {
+		assert.Check(t, p.Agent != a.info.Agent)
+	}
+	now := 3 * time.Second
+	var probe *Task
+	for p, ok := s.Next(now); ok; p, ok = s.Next(now) {
+		if p.Agent == a.info.Agent {
+			assert.Check(t, probe == nil, "two probes at once")
+			probe = p.Task
+		}
+	}
+	assert.Assert(t, probe != nil)
+	s.Done(now, a.info.Agent, probe, &wire.Result{Outcome: wire.Succeeded, Run: 1000})
+	assert.Equal(t, s.Ejected(), 0)
+}
+
+// Guards against a job that fits no free agent and blocks those that would.
+func TestJobThatFitsNowhereFreeBlocksNoOther(t *testing.T) {
+	s := newTest(2, Options{}) // agent 1 offers one core, agent 2 two
+	s.Observe(0, 2, wire.Load{Slots: 8, Limit: 8, Running: 8, Queued: 8, Successes: 100})
+	big, _ := newTestJob("c", 0, 1)
+	big.Need.MilliCores = 2000
+	s.Enqueue(0, &Task{Job: big})
+	small, _ := enqueue(s, 0, "d", 1)
+	p, ok := s.Next(0)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Task.Job, small)
+	assert.Equal(t, s.queue.waiting, 1)
+}
+
+// Guards against a start that waits at a full agent while others are free, and
+// against refusals that help nobody when all are full.
+func TestAcceptedWaitDependsOnFreeAgents(t *testing.T) {
+	s := newTest(3, Options{})
+	enqueue(s, 0, "c", 100)
+	first, _ := s.Next(0)
+	last := first
+	for p, ok := first, true; ok; p, ok = s.Next(0) {
+		last = p
+	}
+	assert.Check(t, first.MaxWait <= 10*time.Millisecond, "%v", first.MaxWait)
+	assert.Check(t, last.MaxWait >= 4*defaultRun/8, "%v", last.MaxWait)
+	assert.Equal(t, s.inFlight, int(3*(8+lookAhead)))
+}
+
+// Guards against wrong refusals and missing or wrong advice to retry.
+func TestAdmissionRefusals(t *testing.T) {
+	s := newTest(2, Options{MaxWaiting: 50})
+	job := func(change func(*Job)) Verdict {
+		j, _ := newTestJob("c", 0, 1)
+		change(j)
+		return s.Admit(0, j)
+	}
+	check := func(v Verdict, want Refusal, retry bool) {
+		t.Helper()
+		assert.Equal(t, v.Refusal.String(), want.String())
+		assert.Equal(t, v.RetryAfter > 0, retry)
+	}
+	check(job(func(*Job) {}), Admitted, false)
+	check(job(func(j *Job) { j.Class = "x" }), RefusedUnknownClass, false)
+	check(job(func(j *Job) { j.Need.MilliCores = 9000 }), RefusedNeverFits, false)
+	check(job(func(j *Job) { j.Tasks = 51 }), RefusedOverload, true)
+	for range estimateMinimum {
+		s.classes["c"].est.observe(time.Second)
+	}
+	check(job(func(j *Job) { j.Deadline = 500 * time.Millisecond }), RefusedDeadline, false)
+	enqueue(s, 0, "c", 40)
+	for _, ok := s.Next(0); ok; _, ok = s.Next(0) {
+	}
+	check(job(func(*Job) {}), RefusedOverload, true)
+	s.AgentDown(0, 1)
+	s.AgentDown(0, 2)
+	check(job(func(*Job) {}), RefusedNoUpstream, true)
+}
+
+// Guards against a settings value that is silently ignored.
+func TestNamesAreChecked(t *testing.T) {
+	for _, name := range []string{NameAdaptive, NameLeastBusy} {
+		s, err := ByName(name, 1, "z")
+		assert.NilError(t, err)
+		assert.Check(t, s != nil)
+	}
+	_, err := ByName("fastest", 1, "z")
+	assert.ErrorContains(t, err, `"fastest"`)
+	part, err := PartByName("look-ahead")
+	assert.NilError(t, err)
+	assert.Equal(t, part, PartLookAhead)
+	_, err = PartByName("luck")
+	assert.ErrorContains(t, err, `"luck"`)
+}
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -173,11 +173,7 @@
 
 // add returns the job's state, created on the first call.
 func (q *queue) add(job *Job, c *classState, t *teamState, due time.Duration) *jobState {
-	j := &jobState{}
-	if n := len(q.free); n > 0 {
-		j = q.free[n-1]
-		q.free = q.free[:n-1]
-	}
+	j := q.unused()
 	*j = jobState{job: job, class: c, team: t, due: due, waiting: j.waiting[:0], failedOn: j.failedOn[:0]}
 	if !q.slack {
 		j.due = job.Arrived
@@ -186,6 +182,17 @@
 	return j
 }
 
+// unused returns a state to fill, one that was released if there is any.
+func (q *queue) unused() *jobState {
+	n := len(q.free)
+	if n == 0 {
+		return new(jobState)
+	}
+	j := q.free[n-1]
+	q.free = q.free[:n-1]
+	return j
+}
+
 // push adds one waiting task of the job.
 func (q *queue) push(j *jobState, t *Task) {
 	j.waiting = append(j.waiting, t)
--- a/core/policy/regression_test.go
+++ b/core/policy/regression_test.go
@@ -169,3 +169,43 @@
 	b := fmt.Sprintf("%+v", runLoad(7, 3, 0.9, adaptive(7)))
 	assert.Equal(t, a, b)
 }
+
+// Guards against a storm of retries while and after every upstream is down.
+func TestRetryTrafficAfterAnOutageIsBounded(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		d := newDriver(seed, 3, 11, oneClass, adaptive(seed))
+		d.offer("c", "", 0.7, 30*time.Second, 40*time.Second)
+		d.after(10*time.Second, func() { d.down = true })
+		d.after(15*time.Second, func() { d.down = false })
+		d.run(80 * time.Second)
+		offered, starts := 0, uint64(0)
+		for _, s := range d.done {
+			if s.answer.Outcome != entry.Refused {
+				offered += s.tasks
+			}
+		}
+		for _, e := range d.entries {
+			starts += e.Stats().Starts
+		}
+		f := d.figures(0, "c", 2*time.Second)
+		t.Logf("seed %d: %d starts for %d tasks admitted; %+v", seed, starts, offered, f)
+		assert.Check(t, float64(starts) < 1.1*float64(offered), "seed %d", seed)
+		assert.Equal(t, len(d.jobs), 0, "jobs without an answer")
+	}
+}
+
+// Guards against a straggler that gets as many tasks as its peers.
+func TestStragglerGetsFewTasks(t *testing.T) {
+	ratio := func(disable policy.Parts) float64 {
+		d := newDriver(1, 3, 11, oneClass, func(i int) policy.Scheduler {
+			return policy.New(policy.Options{Seed: uint64(i), Zone: fmt.Sprint("zone-", i), Disable: disable})
+		})
+		d.slow[3] = 4
+		d.offer("c", "", 0.5, 20*time.Second, 120*time.Second)
+		d.run(150 * time.Second)
+		return d.figures(40*time.Second, "c", 2*time.Second).p99
+	}
+	with, without := ratio(0), ratio(policy.PartSpeed)
+	t.Logf("p99 of response time to ideal: %.3f with the speed factor, %.3f without", with, without)
+	assert.Check(t, with < without)
+}
