Health: hold a suspect agent until its peers have reported, then judge it

An entry without an own failure kept sending bursts to an agent that had failed three tasks in a row.

Now a suspect agent gets no task for 600 ms, longer than a heartbeat, and is judged after it. Counters alone limit an agent to one task at a time once chance cannot explain them.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -24,7 +24,7 @@
 	runs      estimate // over all classes
 	outcomes  ratio    // of tasks at all agents, all entries
 	parked    []*jobState
-	ejected   int
+	ejected   int // agents that are held or ejected
 	inFlight  int
 	service   float64 // own tasks in service under backlog
 	waitScale float64
@@ -147,7 +147,7 @@
 		if a.up || a.placed > 0 || now-a.downAt < forgetDownAgent {
 			continue
 		}
-		if a.health.ejected {
+		if a.health.ejected || a.health.held {
 			s.ejected--
 		}
 		delete(s.agents, id)
@@ -242,4 +242,12 @@
 func (s *Adaptive) meanRun(j *jobState) time.Duration { return s.mean(j.class, j.job.Declared) }
 
 // Ejected returns the number of agents that are ejected.
-func (s *Adaptive) Ejected() int { return s.ejected }
+func (s *Adaptive) Ejected() int {
+	n := 0
+	for _, a := range s.agents {
+		if a.health.ejected {
+			n++
+		}
+	}
+	return n
+}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -173,17 +173,26 @@
 	}
 }
 
-// consult ejects the agent if its failures stand out from those of its peers.
+// consult holds an agent whose failures stand out from those of its peers, and
+// ejects it if they still do once every peer has reported.
 func (s *Adaptive) consult(now time.Duration, a *agentState) {
 	h := &a.health
-	if !s.on.health || !a.up || h.ejected || h.blamed == 0 || h.suspicion() < ejectStreak {
+	if !s.on.health || h.ejected || h.held && now < h.heldAt+holdPeriod {
 		return
 	}
-	if !mayEject(s.ejected, len(s.up)) || !h.guilty(s.peers(now, a)) {
-		return
+	guilty := h.blamed > 0 && h.suspicion() >= ejectStreak && h.guilty(s.peers(now, a))
+	switch {
+	case h.held && guilty:
+		h.held = false
+		h.eject(now, s.rand.float())
+	case h.held:
+		h.held = false
+		s.ejected--
+	case guilty && mayEject(s.ejected, len(s.up)):
+		h.held = true
+		h.heldAt = now
+		s.ejected++
 	}
-	s.ejected++
-	h.eject(now, s.rand.float())
 }
 
 // peers returns the share of failed tasks at the agents other than a, and how
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -28,11 +28,14 @@
 	ejectDivisor      = 3 // at most a third of the agents
 	ejectBase         = 2 * time.Second
 	ejectCeiling      = time.Minute
-	downBase          = 100 * time.Millisecond
-	downCeiling       = 5 * time.Second
-	rampStep          = 2 // tasks in flight gained by each success of a slow start
-	rampEnd           = 16
-	faultyAgents      = 2 // a job that failed on as many agents with no success is faulty
+	// holdPeriod separates suspicion and ejection. It exceeds a heartbeat, so
+	// that the peers' counters are current when the agent is judged.
+	holdPeriod   = 600 * time.Millisecond
+	downBase     = time.Second // the agent reports when its upstream is back
+	downCeiling  = 10 * time.Second
+	rampStep     = 2 // tasks in flight gained by each success of a slow start
+	rampEnd      = 16
+	faultyAgents = 2 // a job that failed on as many agents with no success is faulty
 )
 
 // failure counts the failed tasks of a job at one agent.
@@ -61,6 +64,8 @@
 	failing   bool // an own task failed since then
 	limited   bool // the failures are unlikely by chance: one attempt at a time
 
+	heldAt    time.Duration
+	held      bool // no starts until the agent is judged
 	ejected   bool
 	ejectedAt time.Duration
 	ejections int
@@ -148,6 +153,8 @@
 			return 1
 		}
 		return 0
+	case h.held && now < h.heldAt+2*holdPeriod:
+		return 0
 	case h.down:
 		if now >= h.downUntil {
 			return 1
@@ -207,8 +214,10 @@
 // weigh decides whether starts are limited, given the share of tasks that fail
 // at all agents together.
 func (h *health) weigh(failures float64) {
-	n := h.suspicion()
-	h.limited = h.failing && n > 0 && math.Pow(max(failures, failureFloor), float64(n)) <= limitChance
+	chance := math.Pow(max(failures, failureFloor), float64(h.suspicion()))
+	// Without an own failure, those of faulty jobs and passed deadlines at
+	// other entries may explain the counters.
+	h.limited = h.failing && chance <= limitChance || chance < ejectChance
 	if h.limited {
 		h.ramp = 0
 	}
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -272,14 +272,14 @@
 				s.JobDone(now, job, r.Outcome == wire.Succeeded)
 				s.Observe(now, p.Agent, loads[i])
 			}
-			ejected := 0
+			closed := 0
 			for _, a := range s.up {
-				if a.health.ejected {
-					ejected++
+				if a.health.ejected || a.health.held {
+					closed++
 				}
 			}
-			if ejected != s.Ejected() || ejected > 3 || ejected*3 > n || ejected >= n {
-				t.Fatalf("%d of %d agents ejected, counted %d", ejected, n, s.Ejected())
+			if closed != s.ejected || closed > 3 || closed*3 > n || closed >= n {
+				t.Fatalf("%d of %d agents held or ejected, counted %d", closed, n, s.ejected)
 			}
 		}
 	})
