--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -165,6 +165,7 @@
 			continue
 		}
 		f.agent.health.blamed++
+		f.agent.health.excused += f.tasks - 1 // one job is one piece of evidence
 		if f.agent.health.probing {
 			f.agent.health.eject(now, s.rand.float()) // the probe failed
 			continue
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -10,8 +10,9 @@
 const (
 	// ejectStreak is the least number of failures in a row before ejection.
 	ejectStreak = 3
-	// failingPeerWeight is the number of failures by which each peer that
-	// failed within failureMemory raises ejectStreak.
+	// failingPeerWeight is the number of failures by which the square of the
+	// number of peers that failed within failureMemory raises ejectStreak: two
+	// agents may well be faulty at once, but six of eleven are not.
 	failingPeerWeight = 2
 	failureMemory     = 20 * time.Second
 	// ejectChance is the probability, given the peers' failure share, below
@@ -229,7 +230,7 @@
 // cannot tell from a faulty agent when another entry accepted them.
 func (h *health) guilty(peerFailures float64, failingPeers int) bool {
 	n := h.suspicion()
-	need := ejectStreak + failingPeerWeight*failingPeers + max(0, h.mixed-h.first)
+	need := ejectStreak + failingPeerWeight*failingPeers*failingPeers + max(0, h.mixed-h.first)
 	if h.blamed == 0 || n < need {
 		return false
 	}
