--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -197,7 +197,7 @@
 }
 
 // peers returns the share of failed tasks at the agents other than a, and how
-// many of them had a failure lately.
+// many of them had a failure lately or no success since.
 func (s *Adaptive) peers(now time.Duration, a *agentState) (failures float64, failing int) {
 	good, all := 0.0, 0.0
 	for _, o := range s.up {
@@ -206,7 +206,7 @@
 		}
 		good += o.health.outcomes.good
 		all += o.health.outcomes.all
-		if at := o.health.failedAt; at > 0 && now-at < failureMemory {
+		if at := o.health.failedAt; o.health.streak > 0 || at > 0 && now-at < failureMemory {
 			failing++
 		}
 	}
