Admission: a team below its share is not refused for another's backlog

Cause: with one team offering 1.5 times the capacity, 1,372 of 3,445 jobs of a team with an equal quota and 0.2 of the capacity were refused, because the backlog was counted for the class as a whole. Callers could also grow the table of teams by inventing names.

Ruled out: refusing by quota alone (a quota does not bound a team without contention).

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -168,11 +168,21 @@
 
 func (s *Adaptive) newJob(job *Job) *jobState {
 	c := s.class(Class{Name: job.Class})
-	t := c.team(job.Team, s.quotas[job.Team])
+	t := s.team(c, job.Team)
 	work := max(s.high(c, job), s.jobWork(c, job))
 	return s.queue.add(job, c, t, job.Arrived+c.class.Within-work)
 }
 
+// team returns the team's part of the class. Teams that are not published share
+// one part, so callers cannot grow the table by inventing names.
+func (s *Adaptive) team(c *classState, name string) *teamState {
+	quota, known := s.quotas[name]
+	if !known {
+		name = ""
+	}
+	return c.team(name, quota)
+}
+
 // jobWork is the job's total work divided by the slots of all agents.
 func (s *Adaptive) jobWork(c *classState, job *Job) time.Duration {
 	slots := 0
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -44,14 +44,14 @@
 		return Verdict{}
 	}
 	if s.overQuota(c, job) {
-		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c))}
+		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c, job.Team))}
 	}
 	return s.admitBacklog(c, job, left)
 }
 
 // admitBacklog refuses a job that the backlog ahead would make miss its deadline.
 func (s *Adaptive) admitBacklog(c *classState, job *Job, left time.Duration) Verdict {
-	wait := s.wait(c)
+	wait := s.wait(c, job.Team)
 	if s.queue.waiting+job.Tasks > s.opts.MaxWaiting {
 		return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(wait)}
 	}
@@ -78,14 +78,18 @@
 }
 
 // wait is the expected delay before a new job of the class gets its first start.
-func (s *Adaptive) wait(c *classState) time.Duration {
+func (s *Adaptive) wait(c *classState, team string) time.Duration {
 	contended := s.backlog() > contentionShare*float64(c.class.Within)
 	var work float64
 	for _, other := range s.classList {
 		if other.waiting == 0 {
 			continue
 		}
-		work += s.ahead(c, other, contended) * float64(other.waiting) * float64(s.mean(other, 0))
+		tasks := float64(other.waiting)
+		if other == c {
+			tasks = s.aheadInClass(c, team)
+		}
+		work += s.ahead(c, other, contended) * tasks * float64(s.mean(other, 0))
 	}
 	if s.queue.late.len() > 0 {
 		work *= lateShare / (lateShare - 1.0) // starts given to late jobs
@@ -93,6 +97,24 @@
 	return time.Duration(work / s.drain())
 }
 
+// aheadInClass estimates the class's tasks that are served before a new one of
+// the team. A team that waits less than its share is not refused for the
+// backlog of another.
+func (s *Adaptive) aheadInClass(c *classState, team string) float64 {
+	if !s.queue.fair {
+		return float64(c.waiting)
+	}
+	t := s.team(c, team)
+	quotas := 0.0
+	if t.viable.len() == 0 {
+		quotas = t.quota
+	}
+	for _, other := range c.byShare.items {
+		quotas += other.quota
+	}
+	return min(float64(c.waiting), float64(t.waiting)*quotas/t.quota)
+}
+
 // ahead estimates the share of the other class's waiting tasks that is served
 // before a new task of class c. Under contention the class with more work is
 // the one that yields.
--- a/core/policy/bench_test.go
+++ b/core/policy/bench_test.go
@@ -19,8 +19,7 @@
 	return s
 }
 
-// BenchmarkDecision measures one placement: Next with one waiting task.
-// The sub-benchmark "cycle" adds Enqueue, Done and Observe.
+// BenchmarkDecision measures the choice of an agent for one task.
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{11, 110, 1100, 11000} {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
@@ -44,6 +43,9 @@
 	for _, n := range []int{11, 110, 1100, 11000} {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
 			s := benchScheduler(n)
+			for i := range 85 {
+				s.quotas[fmt.Sprint(i)] = 10
+			}
 			for i := range 1000 {
 				j, tasks := newTestJob("d", time.Second, 1)
 				j.Team = fmt.Sprint(i % 85)
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -337,6 +337,17 @@
 	assert.Equal(t, s.inFlight, int(3*(8+lookAhead)))
 }
 
+// Guards against state that callers can grow by inventing team names.
+func TestUnknownTeamsShareOneState(t *testing.T) {
+	s := newTest(1, Options{})
+	for i := range 1000 {
+		j, tasks := newTestJob("c", 0, 1)
+		j.Team = fmt.Sprint(i)
+		s.Enqueue(0, tasks[0])
+	}
+	assert.Equal(t, len(s.classes["c"].teams), 1)
+}
+
 // Guards against wrong refusals and missing or wrong advice to retry.
 func TestAdmissionRefusals(t *testing.T) {
 	s := newTest(2, Options{MaxWaiting: 50})
