--- a/core/policy/figures_test.go
+++ b/core/policy/figures_test.go
@@ -115,18 +115,24 @@
 	return d.figures(5*time.Second, "c", 2*time.Second)
 }
 
-// TestExplore prints figures for work on the policy; it asserts nothing.
-func TestExplore(t *testing.T) {
-	if os.Getenv("POLICY_EXPLORE") == "" {
-		t.Skip("set POLICY_EXPLORE to print figures")
+// TestAblation prints the figures of docs/policy.md; it asserts nothing.
+func TestAblation(t *testing.T) {
+	if os.Getenv("POLICY_ABLATION") == "" {
+		t.Skip("set POLICY_ABLATION=1 to print figures")
 	}
-	for _, load := range []float64{0.5, 0.7, 0.9, 0.95} {
+	names := []string{"", "estimates", "slack-order", "spread", "speed", "health", "max-wait", "look-ahead", "ageing"}
+	for _, load := range []float64{0.7, 0.9, 0.95} {
 		for seed := uint64(1); seed <= 3; seed++ {
 			one := runLoad(seed, 1, load, adaptive(seed))
-			three := runLoad(seed, 3, load, adaptive(seed))
 			base := runLoad(seed, 3, load, func(int) policy.Scheduler { return policy.NewLeastBusy() })
-			t.Logf("load %.2f seed %d one %.3f %.3f | three %.3f %.3f ratio %.3f %.3f wasted %.3f %.3f ref %d | base %.3f %.3f wasted %.3f",
-				load, seed, one.p50, one.p99, three.p50, three.p99, three.p50/one.p50, three.p99/one.p99, one.wasted, three.wasted, three.refused, base.p50, base.p99, base.wasted)
+			t.Logf("load %.2f seed %d one entry: p50 %.3f p99 %.3f wasted %.3f; least-busy: p50 %.3f p99 %.3f", load, seed, one.p50, one.p99, one.wasted, base.p50, base.p99)
+			for _, name := range names {
+				part, _ := policy.PartByName(name)
+				f := runLoad(seed, 3, load, func(i int) policy.Scheduler {
+					return policy.New(policy.Options{Seed: seed*100 + uint64(i), Zone: fmt.Sprint("zone-", i), Disable: part})
+				})
+				t.Logf("load %.2f seed %d without %-12q p50 %.3f p99 %.3f (to one entry %.3f %.3f) wasted %.3f refused %d", load, seed, name, f.p50, f.p99, f.p50/one.p50, f.p99/one.p99, f.wasted, f.refused)
+			}
 		}
 	}
 }
--- a/core/policy/regression_test.go
+++ b/core/policy/regression_test.go
@@ -209,3 +209,23 @@
 	t.Logf("p99 of response time to ideal: %.3f with the speed factor, %.3f without", with, without)
 	assert.Check(t, with < without)
 }
+
+// Guards against cancels, refusals and probes that multiply while one upstream
+// is gone and one fails everything.
+func TestMessagesStayFewWithOneUpstreamGoneAndOneFailing(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		d := newDriver(seed, 3, 11, oneClass, adaptive(seed))
+		d.offer("c", "", 0.7, 20*time.Second, 60*time.Second)
+		d.after(10*time.Second, func() {
+			d.bad[7] = true
+			for i := range d.entries {
+				d.stepEntry(i, entry.LinkDown{Agent: 3, Epoch: 1})
+			}
+		})
+		d.run(90 * time.Second)
+		f := d.figures(0, "c", 2*time.Second)
+		t.Logf("seed %d: %+v, failed by the bad upstream: %d", seed, f, d.badRuns[7])
+		assert.Check(t, f.wasted <= 0.2, "seed %d: %.3f", seed, f.wasted)
+		assert.Equal(t, len(d.jobs), 0, "jobs without an answer")
+	}
+}
