--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -24,11 +24,12 @@
 	runs      estimate // over all classes
 	outcomes  ratio    // of tasks at all agents, all entries
 	parked    []*jobState
-	ejected   int
+	ejected   int // agents that are held or ejected
 	inFlight  int
 	service   float64 // own tasks in service under backlog
 	waitScale float64
 
+	forgetAt     time.Duration // next search for agents that left
 	contentionAt time.Duration // next comparison of the backlog with the targets
 }
 
@@ -138,14 +139,15 @@
 
 // forget drops the agents that left long ago and have nothing in flight.
 func (s *Adaptive) forget(now time.Duration) {
-	if len(s.agents) == len(s.up) {
+	if len(s.agents) == len(s.up) || now < s.forgetAt {
 		return
 	}
+	s.forgetAt = now + forgetDownAgent/4
 	for id, a := range s.agents {
 		if a.up || a.placed > 0 || now-a.downAt < forgetDownAgent {
 			continue
 		}
-		if a.health.ejected {
+		if a.health.ejected || a.health.held {
 			s.ejected--
 		}
 		delete(s.agents, id)
@@ -166,11 +168,21 @@
 
 func (s *Adaptive) newJob(job *Job) *jobState {
 	c := s.class(Class{Name: job.Class})
-	t := c.team(job.Team, s.quotas[job.Team])
+	t := s.team(c, job.Team)
 	work := max(s.high(c, job), s.jobWork(c, job))
 	return s.queue.add(job, c, t, job.Arrived+c.class.Within-work)
 }
 
+// team returns the team's part of the class. Teams that are not published share
+// one part, so callers cannot grow the table by inventing names.
+func (s *Adaptive) team(c *classState, name string) *teamState {
+	quota, known := s.quotas[name]
+	if !known {
+		name = ""
+	}
+	return c.team(name, quota)
+}
+
 // jobWork is the job's total work divided by the slots of all agents.
 func (s *Adaptive) jobWork(c *classState, job *Job) time.Duration {
 	slots := 0
@@ -240,4 +252,12 @@
 func (s *Adaptive) meanRun(j *jobState) time.Duration { return s.mean(j.class, j.job.Declared) }
 
 // Ejected returns the number of agents that are ejected.
-func (s *Adaptive) Ejected() int { return s.ejected }
+func (s *Adaptive) Ejected() int {
+	n := 0
+	for _, a := range s.agents {
+		if a.health.ejected {
+			n++
+		}
+	}
+	return n
+}
