dev test: wait for configuration and links

Cause: entries now read their classes from the log, so a job sent at once met an unknown class. Ruled out: answering unknown classes later; the refusal is truthful. The check is as strict as before.

--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -22,6 +22,9 @@
 		defer cancel()
 		assert.NilError(t, s.Stop(ctx))
 	}()
+	ready, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	assert.NilError(t, s.WaitReady(ready))
 	for i, e := range s.Entries {
 		body := fmt.Sprintf(`{"class":"quote","tasks":[{"sleep_us":1000,"text":"a%d"},{"sleep_us":100}]}`, i)
 		resp, err := http.Post("http://"+e.Addr()+"/v1/jobs", "application/json", strings.NewReader(body))
