client: pass over entries that did not take a job

Ruled out: a larger budget, which would also let more resubmissions through after an outage. A dial that failed sends no message to the system, so moving to another entry is not charged; entries that broke or drain are avoided for 2 s. Conclusion: the test of unreachable entries now passes with a single attempt in the budget.

--- a/client/client.go
+++ b/client/client.go
@@ -55,6 +55,8 @@
 	DefaultRetryFloor  = 10
 	cancelTimeout      = 500 * time.Millisecond
 	settleGrace        = 3 * time.Second // an entry answers within this after the deadline
+	avoidTime          = 2 * time.Second
+	reasonDraining     = "draining" // of an entry that is about to end
 	keyRandomBytes     = 12
 	maxDoublings       = 16 // more would overflow the pause with many attempts
 )
@@ -102,6 +104,8 @@
 	mu     sync.Mutex
 	tokens float64 // resubmissions that may be made now
 	sleep  func(context.Context, time.Duration) bool
+	// avoided holds for each entry until when others are preferred.
+	avoided []time.Time
 }
 
 // New returns a client.
@@ -122,7 +126,10 @@
 	opts.BackoffMax = cmp.Or(opts.BackoffMax, DefaultBackoffMax)
 	opts.RetryShare = cmp.Or(opts.RetryShare, DefaultRetryShare)
 	opts.RetryFloor = cmp.Or(opts.RetryFloor, DefaultRetryFloor)
-	return &Client{opts: opts, tokens: opts.RetryFloor, sleep: sleep}, nil
+	return &Client{
+		opts: opts, tokens: opts.RetryFloor, sleep: sleep,
+		avoided: make([]time.Time, len(opts.Entries)),
+	}, nil
 }
 
 // NewKey returns a key of the form `<unix milliseconds>-<unique text>`.
@@ -145,14 +152,15 @@
 	}
 	began := time.Now()
 	c.earn()
-	entry := mathrand.IntN(len(c.opts.Entries))
 	doubt := false // an earlier submission may have run
+	moves := 0     // changes to another entry since nothing was sent
 	for attempt := 1; ; attempt++ {
 		body, err := c.encode(ctx, &job, began)
 		if err != nil {
 			return nil, err
 		}
-		base := c.opts.Entries[entry%len(c.opts.Entries)]
+		entry := c.pick()
+		base := c.opts.Entries[entry]
 		answer, failure := c.post(ctx, base, body, len(job.Tasks))
 		if failure == nil {
 			answer.Key, answer.Attempts = job.Key, attempt
@@ -164,13 +172,42 @@
 			c.abandon(ctx, base, &job)
 			return nil, failure.final(doubt)
 		}
+		c.avoid(entry, failure)
+		if failure.unsent && moves < len(c.opts.Entries)-1 {
+			moves++ // no message reached the system, so the budget is not charged
+			continue
+		}
 		if !failure.retryable() || attempt >= c.opts.MaxAttempts || !c.pause(ctx, attempt, failure, &job, began) {
 			return nil, failure.final(doubt)
 		}
-		entry++
 	}
 }
 
+// pick returns the index of an entry that is not avoided, at random; of any
+// entry if all are.
+func (c *Client) pick() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first, now := mathrand.IntN(len(c.avoided)), time.Now()
+	for i := range c.avoided {
+		if at := (first + i) % len(c.avoided); now.After(c.avoided[at]) {
+			return at
+		}
+	}
+	return first
+}
+
+// avoid passes over an entry for a while that did not take the job: without
+// this, every job would try a dead entry first and use up the retry budget.
+func (c *Client) avoid(entry int, e *Error) {
+	if e.Outcome != Broken && e.Reason != reasonDraining {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[entry] = time.Now().Add(avoidTime)
+}
+
 // earn credits the retry budget for one submitted job.
 func (c *Client) earn() {
 	c.mu.Lock()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -146,7 +146,7 @@
 	gone := httptest.NewServer(nil)
 	gone.Close()
 	s := serve(t, "ok", "ok", "ok", "ok")
-	c := newClient(t, client.Options{}, gone.URL, s.URL)
+	c := newClient(t, client.Options{MaxAttempts: 1}, gone.URL, s.URL, gone.URL)
 	for range 4 {
 		_, err := c.Submit(context.Background(), job)
 		assert.NilError(t, err)
