entry: a cancelled job carries no Retry-After

Cause: a job cancelled before it started was refused with Retry-After, so the client of another goroutine or process that waited for it sent it again. Ruled out: an exception in the client only, since every caller follows the header. Conclusion: 409, reason cancelled, without Retry-After; covered by the test of forwarded cancels.

--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -194,7 +194,7 @@
 		a.Outcome = Unknown
 	case j.started > 0:
 		a.Outcome = Failed
-	default:
+	case j.reason != ReasonCancelled: // a retry would undo the caller's cancel
 		a.RetryAfter = overloadRetryAfter
 	}
 	return a
--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -290,5 +290,8 @@
 	}()
 	waitFor(t, "accepted", running)
 	assert.Equal(t, do(t, "DELETE", jobs(other)+"/k", "").status, 202)
-	assert.Equal(t, (<-done).body.Reason, "cancelled")
+	r := <-done
+	assert.Equal(t, r.body.Reason, "cancelled")
+	assert.Equal(t, r.status, 409)
+	assert.Equal(t, r.header.Get("Retry-After"), "", "a client would undo the cancel")
 }
--- a/internal/entryd/reply.go
+++ b/internal/entryd/reply.go
@@ -92,6 +92,8 @@
 		return http.StatusBadGateway
 	case a.Outcome == entry.Unknown:
 		return http.StatusGatewayTimeout
+	case a.Reason == entry.ReasonCancelled:
+		return http.StatusConflict
 	case a.RetryAfter <= 0:
 		return http.StatusUnprocessableEntity
 	case a.Reason == policy.RefusedQuota.String():
