--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -135,3 +136,27 @@
 		assert.Equal(t, len(submit(3)), 0)
 	}
 }
+
+// Guards against a refused task that waits for the next tick although its
+// retry delay has ended.
+func TestRefusedTaskIsPlacedWhenItsDelayEnds(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &delayed{}})
+	m.Step(0, up(1, 0))
+	m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Minute, Payloads: make([][]byte, 1)})
+	m.Step(0, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+		Results: []wire.Result{{Seq: 1, Outcome: wire.NotRun, Reason: wire.ReasonBusy}},
+	}})
+	at, ok := m.NextRetry()
+	assert.Assert(t, ok)
+	f, _ := frames(m.Step(at-1, entry.Tick{}))
+	assert.Equal(t, len(f.Starts), 0)
+	f, _ = frames(m.Step(at, entry.Tick{}))
+	assert.Equal(t, f.Starts[0].Seq, wire.Seq(2))
+}
+
+// delayed has tasks retried after 2 ms.
+type delayed struct{ oneAgent }
+
+func (*delayed) Retry(time.Duration, *policy.Task, wire.Reason) (time.Duration, bool) {
+	return 2 * time.Millisecond, true
+}
