entryd: a planned stop lets other entries fetch their answers

Ruled out: keeping the peer listener open for a fixed time, since the calls of ended jobs return at once: the stop waits until none is left, at most 2 s.

--- a/internal/entryd/claims_test.go
+++ b/internal/entryd/claims_test.go
@@ -1,6 +1,9 @@
 package entryd_test
 
 import (
+	"bytes"
+	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -91,3 +94,42 @@
 		assert.Equal(t, r.body.Reason, c.reason)
 	}
 }
+
+// Guards against a planned stop of a claim's owner that cuts off the entries
+// which wait for its answer (P7). The owner's own caller has gone, and the
+// answer is large, so that nothing else holds up the stop.
+func TestStopOfTheOwnerDeliversForwardedAnswers(t *testing.T) {
+	claims := newClaims()
+	owner, other := startClaiming(t, claims, 101), startClaiming(t, claims, 102)
+	run, open := gate()
+	defer open()
+	a := startAgent(t, owner, 8, func(s wire.Start) wire.Result {
+		run(s)
+		return wire.Result{Outcome: wire.Succeeded, Body: bytes.Repeat([]byte("1"), 3<<20)}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", jobs(owner), strings.NewReader(once))
+	assert.NilError(t, err)
+	gone := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(req)
+		gone <- err
+	}()
+	waitFor(t, "start", func() bool { return a.starts() == 2 })
+	cancel()
+	assert.ErrorIs(t, <-gone, context.Canceled)
+	answered := make(chan reply, 1)
+	go func() {
+		r, _ := try("POST", jobs(other), once)
+		answered <- r
+	}()
+	waitFor(t, "forwarded", func() bool {
+		s := do(t, "GET", "http://"+owner.OperatorAddr()+"/status", "")
+		return strings.Contains(s.raw, `"peer_calls":1`) && strings.Contains(s.raw, `"requests":0`)
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- owner.Stop(context.Background()) }()
+	open()
+	assert.NilError(t, <-stopped)
+	assert.Equal(t, (<-answered).status, 200)
+}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -30,6 +30,7 @@
 	readHeaderTimeout = 5 * time.Second
 	writeTimeout      = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	peerGrace         = 2 * time.Second
 	maxHeaderBytes    = 16 << 10
 	refusalRetryAfter = time.Second
 	recordOverhead    = 512 // bytes of a kept answer beside its results
@@ -271,6 +272,7 @@
 	select {
 	case <-e.drained:
 		err = e.servers[0].Shutdown(ctx)
+		e.awaitPeers(ctx)
 	case <-e.ctx.Done():
 	case <-ctx.Done():
 		err = ctx.Err()
@@ -279,6 +281,16 @@
 	return err
 }
 
+// awaitPeers lets other entries fetch the answers that they wait for. The jobs
+// have ended, so their calls return at once.
+func (e *Entry) awaitPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerGrace)
+	defer cancel()
+	for e.rpcConns.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, tickInterval)
+	}
+}
+
 // Kill ends the entry at once, as a crash would.
 func (e *Entry) Kill() {
 	if e.ctx.Err() == nil {
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -26,6 +26,7 @@
 	Draining      bool   `json:"draining"`
 	ConfigVersion int64  `json:"config_version"`
 	Links         int64  `json:"agent_links"`
+	PeerCalls     int64  `json:"peer_calls"` // connections of other entries
 	Requests      int64  `json:"requests"`
 	PendingBytes  int64  `json:"pending_bytes"`
 	Records       int    `json:"records"`
@@ -111,7 +112,7 @@
 		Name: e.opts.Name, Zone: e.opts.Zone, Incarnation: hex(e.Incarnation()),
 		UptimeMS: e.now().Milliseconds(), Ready: e.readiness().Ready, Draining: e.draining.Load(),
 		ConfigVersion: e.config.Load().Version, Links: e.links.Load(),
-		Requests: e.requests.Load(), PendingBytes: e.pending.Load(),
+		PeerCalls: e.rpcConns.Load(), Requests: e.requests.Load(), PendingBytes: e.pending.Load(),
 	}
 	s.Records, s.AnswerBytes = e.table.size()
 	s.coreStatus, _ = e.coreAnswers()
