Agent core: a forgotten entry does not revive a replaced connection

Change: epochs increase over all links of an agent incarnation, and the highest epoch of a forgotten entry bounds those accepted later. The model draws epochs accordingly. Also: a test for a result lost on a link that is silent towards the entry.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -13,7 +13,9 @@
 //   - A start is accepted only on the current epoch of its link and only with a
 //     seq above every seq seen from that entry, so a delayed or repeated start
 //     is refused without remembering each refused seq.
-//   - Epochs of one entry only increase, also across LinkDown.
+//   - Epochs of one entry only increase, also across LinkDown and after its
+//     record was forgotten: a connection that was replaced is never accepted
+//     again.
 package agent
 
 import (
@@ -91,11 +93,14 @@
 	peers    map[wire.Incarnation]*peer
 	peerList []*peer // in order of first contact, so that iteration is deterministic
 	forgot   bool    // some peer was removed from the table
-	retained int     // bytes of results that are not settled
-	queue    runQueue
-	active   []*attempt // running
-	order    uint64     // arrival counter, breaks ties in the queue
-	config   *wire.ConfigState
+	// lastForgotten is the highest epoch of a removed peer. Epochs increase over
+	// all links, so a connection at or below it was replaced long ago.
+	lastForgotten wire.Epoch
+	retained      int // bytes of results that are not settled
+	queue         runQueue
+	active        []*attempt // running
+	order         uint64     // arrival counter, breaks ties in the queue
+	config        *wire.ConfigState
 
 	limiter      limiter
 	classes      map[string]*classStats
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -282,6 +282,20 @@
 	assert.Equal(t, s.result(t, ran).Outcome, wire.Unknown)
 }
 
+// Guards against a replaced connection that is accepted once its entry was
+// forgotten: its delayed start would run after it was reported as not run.
+func TestForgottenEntryDoesNotReviveReplacedConnection(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	s.step(LinkUp{Entry: entryA, Epoch: 2})
+	s.frame(wire.ToAgent{Queries: []wire.Seq{1}})
+	assert.Equal(t, s.result(t, 1).Outcome, wire.NotRun)
+	s.step(LinkDown{Entry: entryA, Epoch: 2})
+	s.pass(DefaultPeerRetention)
+	s.step(LinkUp{Entry: entryA, Epoch: 1})
+	s.step(Received{Entry: entryA, Epoch: 1, Frame: &wire.ToAgent{Starts: []wire.Start{{Seq: 1, Deadline: 1e6}}}})
+	assert.Equal(t, len(s.running), 0)
+}
+
 // Guards against a configuration that goes back to an older version, or that
 // does not reach an entry which started during an outage of the log.
 func TestNewestConfigurationReachesEntriesWithoutIt(t *testing.T) {
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -168,6 +168,7 @@
 func (m *Machine) addPeer(entry wire.Incarnation) *peer {
 	p := &peer{
 		entry:     entry,
+		epoch:     m.lastForgotten,
 		amnesic:   m.forgot,
 		attempts:  make(map[wire.Seq]*attempt),
 		delivered: make(map[wire.Seq]struct{}),
@@ -195,6 +196,7 @@
 		if m.forgettable(now, p) {
 			delete(m.peers, p.entry)
 			m.forgot = true
+			m.lastForgotten = max(m.lastForgotten, p.epoch)
 			continue
 		}
 		kept = append(kept, p)
--- a/core/agent/property_test.go
+++ b/core/agent/property_test.go
@@ -31,6 +31,7 @@
 	id      wire.Incarnation
 	nextSeq wire.Seq
 	epoch   wire.Epoch
+	former  wire.Epoch // epoch of the connection before
 	up      bool
 	lossy   bool // frames of the agent are lost on this link
 	open    map[wire.Seq]bool
@@ -56,6 +57,7 @@
 	now      time.Duration
 	slots    int
 	entries  []*modelEntry
+	epoch    wire.Epoch // last one used, over all links
 	ran      map[AttemptID]bool
 	running  []AttemptID
 	notRun   map[AttemptID]bool // NotRun was reported
@@ -131,7 +133,8 @@
 }
 
 func (w *world) linkUp(e *modelEntry, lossy bool) {
-	e.epoch++
+	w.epoch++
+	e.former, e.epoch = e.epoch, w.epoch
 	e.up = true
 	e.lossy = lossy
 	w.step(LinkUp{Entry: e.id, Epoch: e.epoch})
@@ -223,8 +226,8 @@
 // lateLinkUp announces a replaced connection after its successor.
 func (w *world) lateLinkUp(*rapid.T) {
 	e := w.entry()
-	if e.epoch > 1 {
-		w.step(LinkUp{Entry: e.id, Epoch: e.epoch - 1})
+	if e.former > 0 {
+		w.step(LinkUp{Entry: e.id, Epoch: e.former})
 	}
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -37,8 +37,8 @@
 // Seq numbers the attempts of one entry incarnation, strictly increasing.
 type Seq uint64
 
-// Epoch numbers the connections that an agent opened to one entry address,
-// strictly increasing per agent incarnation.
+// Epoch numbers the connections of one agent incarnation, strictly increasing
+// over all entries: an agent cannot tell beforehand which entry it will reach.
 type Epoch uint64
 
 // SubmissionID identifies one submission of one job.
--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -61,6 +61,28 @@
 	assert.Equal(t, up.Starts(), int64(3))
 }
 
+// Guards against a result that is lost on a link whose other direction is
+// silent: it must be answered over the new link, without a second start.
+func TestResultLostOnSilentLinkIsDeliveredAgain(t *testing.T) {
+	entry := newFakeEntry(t, 10)
+	proxy := startProxy(t, entry.addr())
+	up := startUpstream(t, upstream.Options{})
+	startAgent(t, Options{Upstream: upstreamURL(up), Entries: []string{proxy.Addr()}})
+	entry.awaitLink()
+	proxy.Open()[0].Silence(faultproxy.ToServer)
+	entry.start(1, `{}`)
+	for up.Starts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	entry.mu.Lock()
+	entry.conn.Close() // as an entry does that receives nothing
+	entry.mu.Unlock()
+	entry.await("a second link", func() bool { return len(entry.hellos) > 1 })
+	entry.send(wire.ToAgent{Queries: []wire.Seq{1}})
+	assert.Equal(t, entry.result(1).Outcome, wire.Succeeded)
+	assert.Equal(t, up.Starts(), int64(1))
+}
+
 // Guards against an agent that finds one entry only behind a balancer, or that
 // keeps replacing the link to an entry which it reaches by two addresses.
 func TestEntriesBehindBalancerGetOneLinkEach(t *testing.T) {
