logstate: a silent connection delays no change beyond 4 s

Cause: a long poll of 10 s plus a timeout of 3 s let one silent connection hold back a change for 13 s, beyond the 6 s of P8, and every claim with it. Polls are now 2 s, reads time out 2 s later, and a claim that is given up ends the poll in progress. Without the repeated read the new test fails.

--- a/internal/logstate/claims.go
+++ b/internal/logstate/claims.go
@@ -196,12 +196,19 @@
 	s.wakeAppender()
 }
 
+// giveUpOverdue ends overdue claims. Their read-back may be stuck on a silent
+// connection, so the read in progress is repeated on a new one.
 func (s *State) giveUpOverdue(now time.Time) {
+	overdue := false
 	for key, p := range s.claim.pending {
 		if now.After(p.deadline) {
 			s.abandon(key, p, unavailable())
+			overdue = true
 		}
 	}
+	if overdue {
+		s.claims.kick()
+	}
 }
 
 // requeueReleases repeats releases that were not read back, and forgets those
--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -187,6 +187,32 @@
 	s.ready(a)
 }
 
+// silentPoll is a Log of which one long poll of the claims stays without answer.
+type silentPoll struct {
+	platformlog.Log
+	armed atomic.Bool
+}
+
+func (p *silentPoll) Read(ctx context.Context, r platformlog.ReadRequest) (platformlog.Batch, error) {
+	b, err := p.Log.Read(ctx, r)
+	if r.Stream == logstate.StreamClaims && r.Wait > 0 && p.armed.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return platformlog.Batch{}, ctx.Err()
+	}
+	return b, err
+}
+
+// Guards against a connection that goes silent and takes every later claim with
+// it while new connections work.
+func TestSilentConnectionCostsOneClaim(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	log := &silentPoll{Log: s.client()}
+	a := s.ready(s.entry(func(o *logstate.Options) { o.Log, o.ClaimTimeout = log, 300*time.Millisecond }))
+	log.armed.Store(true)
+	claim(a, request("k", 0))
+	s.until("claims work again", func() bool { return claim(a, request("l", 0)).Won })
+}
+
 // Guards against a claim that stays open, or wins, when the log falls silent
 // between its append and its read-back.
 func TestOutageInTheMiddleEndsTheClaim(t *testing.T) {
--- a/internal/logstate/logstate.go
+++ b/internal/logstate/logstate.go
@@ -74,8 +74,10 @@
 	DefaultMaxLive      = 1_000_000
 	DefaultMaintenance  = time.Second
 
-	// pollWait is the long poll of a follower at rest: 0.1 reads a second.
-	pollWait = 10 * time.Second
+	// pollWait is the long poll of a follower. A read on a connection that went
+	// silent ends after pollWait plus the client's read timeout; the sum must
+	// stay well under the 6 s in which a change is in force (P8).
+	pollWait = 2 * time.Second
 	// timerInterval is the resolution of claim deadlines.
 	timerInterval = 50 * time.Millisecond
 	// releaseRetry is how long a release may stay unread before it is sent again.
--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -47,14 +47,17 @@
 	BaseURL string
 	// DialTimeout bounds the connection set-up. Default 1 s.
 	DialTimeout time.Duration
-	// Timeout bounds a request without its long poll. Default 3 s.
+	// Timeout bounds an append. Default 3 s.
 	Timeout time.Duration
+	// ReadTimeout bounds a read beyond its long poll. Default 2 s.
+	ReadTimeout time.Duration
 }
 
 // Defaults of ClientOptions.
 const (
 	DefaultDialTimeout = time.Second
 	DefaultTimeout     = 3 * time.Second
+	DefaultReadTimeout = 2 * time.Second
 	idleConns          = 8
 	idleTimeout        = 30 * time.Second
 	// maxReplyBytes bounds a read reply: base64 adds a third, and one record
@@ -64,10 +67,11 @@
 
 // Client is a Log over HTTP. It is safe for concurrent use.
 type Client struct {
-	base      string
-	timeout   time.Duration
-	http      *http.Client
-	transport *http.Transport
+	base        string
+	timeout     time.Duration
+	readTimeout time.Duration
+	http        *http.Client
+	transport   *http.Transport
 }
 
 // NewClient returns a client. It connects on the first request.
@@ -78,12 +82,18 @@
 	if opts.Timeout <= 0 {
 		opts.Timeout = DefaultTimeout
 	}
+	if opts.ReadTimeout <= 0 {
+		opts.ReadTimeout = DefaultReadTimeout
+	}
 	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &Client{base: opts.BaseURL, timeout: opts.Timeout, transport: t, http: &http.Client{Transport: t}}
+	return &Client{
+		base: opts.BaseURL, timeout: opts.Timeout, readTimeout: opts.ReadTimeout,
+		transport: t, http: &http.Client{Transport: t},
+	}
 }
 
 // Close closes idle connections.
@@ -126,7 +136,7 @@
 // Read implements Log.
 func (c *Client) Read(ctx context.Context, r ReadRequest) (Batch, error) {
 	wait := min(r.Wait, MaxWait)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	ctx, cancel := context.WithTimeout(ctx, c.readTimeout+wait)
 	defer cancel()
 	q := url.Values{"from": {strconv.FormatInt(r.From, 10)}}
 	if r.Max > 0 {
--- a/platformlog/platformlog_test.go
+++ b/platformlog/platformlog_test.go
@@ -21,7 +21,7 @@
 	opts.Listen = "127.0.0.1:0"
 	s, err := logserver.Start(opts)
 	assert.NilError(t, err)
-	c := platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.URL(), Timeout: 20 * time.Second})
+	c := platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.URL(), Timeout: 20 * time.Second, ReadTimeout: 20 * time.Second})
 	t.Cleanup(func() {
 		s.Close()
 		c.Close()
@@ -142,10 +142,12 @@
 	_, err = c.Read(ctx, platformlog.ReadRequest{Stream: "s"})
 	assertType(t, err, platformlog.Unavailable)
 	s.SetFaults(logserver.Faults{Silent: true})
-	impatient := platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.URL(), Timeout: 100 * time.Millisecond})
+	impatient := platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.URL(), Timeout: 100 * time.Millisecond, ReadTimeout: 100 * time.Millisecond})
 	defer impatient.Close()
 	_, err = impatient.Append(ctx, "s", id, nil)
 	assertType(t, err, platformlog.OutcomeUnknown)
+	_, err = impatient.Read(ctx, platformlog.ReadRequest{Stream: "s", Wait: time.Millisecond})
+	assertType(t, err, platformlog.Unavailable)
 	s.SetFaults(logserver.Faults{})
 	_, err = c.Append(ctx, "s", id, make([]byte, platformlog.MaxRecordBytes+1))
 	assertType(t, err, platformlog.Invalid)
