--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -9,10 +9,10 @@
 	tieJitter     = time.Millisecond     // random part of the cost, so that entries differ
 	riskShare     = 0.5                  // chance that an agent with one free slot is full
 	freeMargin    = 0.5                  // believed free slots that count as a free slot
-	lookAhead     = 1.0                  // tasks queued at each agent under backlog
+	lookAhead     = 2.0                  // tasks queued at each agent under backlog
 	freeMaxWait   = 4 * time.Millisecond // accepted queueing while others are believed free
 	unbounded     = time.Hour            // accepted queueing without PartMaxWait
-	fullMaxWait   = 6                    // accepted queueing in waits per queued task while all are believed full
+	fullMaxWait   = 8                    // accepted queueing in waits per queued task while all are believed full
 	minRun        = 5 * time.Millisecond // least mean run time used for rates
 	freedMemory   = 64                   // agents remembered as having freed a slot
 	freedSample   = 8                    // of them, examined for one decision
