--- a/core/policy/regression_test.go
+++ b/core/policy/regression_test.go
@@ -89,15 +89,15 @@
 // Guards against a bulk class at full load that makes an urgent class late.
 func TestUrgentClassKeepsItsTargetBesideBulk(t *testing.T) {
 	settings := policy.Settings{Classes: []policy.Class{
-		{Name: "urgent", Within: 6 * time.Second, Success: 0.99},
+		{Name: "urgent", Within: 2 * time.Second, Success: 0.99},
 		{Name: "bulk", Within: 30 * time.Second, Success: 0.9},
 	}}
 	for seed := uint64(1); seed <= 3; seed++ {
 		d := newDriver(seed, 3, 11, settings, adaptive(seed))
-		d.offer("urgent", "", 0.2, 12*time.Second, 180*time.Second)
+		d.offer("urgent", "", 0.2, 8*time.Second, 180*time.Second)
 		d.offer("bulk", "", 1.0, 60*time.Second, 180*time.Second)
 		d.run(180 * time.Second)
-		urgent := d.figures(20*time.Second, "urgent", 6*time.Second)
+		urgent := d.figures(20*time.Second, "urgent", 2*time.Second)
 		bulk := d.throughput("bulk", 60*time.Second, 180*time.Second)
 		used := d.throughput("urgent", 60*time.Second, 180*time.Second)
 		t.Logf("seed %d: urgent %+v, bulk %.3f of the slots, urgent %.3f", seed, urgent, bulk, used)
