Placement: the accepted wait converges within tens of refusals

It now starts at 32 ms, near the time until the next task of an agent ends, and moves by 20%; while all agents are believed full it is scaled as well.

The test of the accepted wait now first reports 1,000 successes, since the small wait is reached only then; its bound of 10 ms is unchanged.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -56,7 +56,7 @@
 		agents:    make(map[wire.Incarnation]*agentState),
 		queue:     newQueue(o.on(PartFairness), o.on(PartSlackOrder)),
 		budget:    budget{tokens: retryBurst},
-		waitScale: 1,
+		waitScale: waitScaleStart,
 	}
 }
 
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -13,9 +13,10 @@
 	// messages a task with room for other kinds.
 	responseRefusals = 0.01
 	messageRefusals  = 0.002
+	waitScaleStart   = 8
 	waitScaleMin     = 0.25
-	waitScaleMax     = 32
-	waitScaleGrowth  = 0.05 // by which one refusal raises the accepted wait
+	waitScaleMax     = 64
+	waitScaleGrowth  = 0.2 // by which one refusal raises the accepted wait
 )
 
 // Next implements Scheduler.
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -136,7 +136,7 @@
 	}
 	a := p.best.agent
 	unit := max(a.waitUnit, time.Duration(float64(p.meanRun)/a.limit()), minWaitUnit)
-	wait := fullMaxWait * unit
+	wait := time.Duration(fullMaxWait * max(1, s.waitScale/waitScaleStart) * float64(unit))
 	if p.best.free >= freeMargin && p.free-p.best.free >= 1 {
 		// A refusal costs a round trip; then a free slot is found elsewhere.
 		wait = min(wait, time.Duration(float64(freeMaxWait)*s.waitScale))
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -326,6 +326,9 @@
 // against refusals that help nobody when all are full.
 func TestAcceptedWaitDependsOnFreeAgents(t *testing.T) {
 	s := newTest(3, Options{})
+	for range 1000 { // without refusals the accepted wait falls
+		s.adjustWait(&wire.Result{Outcome: wire.Succeeded})
+	}
 	enqueue(s, 0, "c", 100)
 	first, _ := s.Next(0)
 	last := first
