--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -133,6 +133,8 @@
 			})
 		case *agent.Run:
 			d.runTask(k, a)
+		case agent.Probe:
+			d.after(hop, func() { d.stepAgent(k, agent.Probed{Reachable: !d.down}) })
 		case agent.Stop:
 			d.endRun(k, agent.Finished{Attempt: a.Attempt, Outcome: wire.Unknown, Reason: wire.ReasonStopped})
 		}
