logstate: mark a quiet claims stream, so that fresh entries can judge new keys

Cause: after a quiet time as long as the retention the claims stream is empty, a fresh entry's horizon is its own start, and keys created in the first minute were answered as possibly run. Ruled out: trusting the configured retention for the age of missing records, because a wrong setting would then allow a second start.

--- a/internal/logstate/append.go
+++ b/internal/logstate/append.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/limpettrail/limpettrail/core/claims"
+	"github.com/limpettrail/limpettrail/core/config"
 	"github.com/limpettrail/limpettrail/platformlog"
 )
 
@@ -192,3 +193,28 @@
 	s.mu.Unlock()
 	s.claims.kick()
 }
+
+// writeMarker appends a record without claims if the newest one is old. After a
+// quiet time as long as the retention the stream would else be empty, and a
+// fresh reader could not tell whether it missed claims: keys would be unjudged
+// until they are a minute newer than its start. The snapshots' rule decides who
+// writes.
+func (s *State) writeMarker(rule *config.SnapshotRule) {
+	s.mu.Lock()
+	st := s.stream(StreamClaims)
+	now := st.now + time.Since(st.readAt)
+	due := st.reachable && st.next == st.end && st.end > 0 && rule.Step(now, s.claim.newest, true)
+	from := st.next
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	body, err := (&claims.Record{Entry: s.opts.Incarnation, Peer: s.opts.PeerAddr}).Encode()
+	if err != nil {
+		panic("logstate: claims record cannot be encoded: " + err.Error())
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, maintenanceTimeout)
+	defer cancel()
+	// An error needs no action: the rule asks again.
+	_, _ = platformlog.AppendOnce(ctx, s.opts.Log, StreamClaims, platformlog.NewRecordID(), body, from)
+}
--- a/internal/logstate/claims.go
+++ b/internal/logstate/claims.go
@@ -77,6 +77,7 @@
 	held     map[claimKey]time.Duration
 	releases map[claimKey]*pendingRelease
 	swept    time.Duration                      // log time
+	newest   time.Duration                      // log time of the newest record read
 	active   map[wire.Incarnation]time.Duration // log time of the last record
 }
 
@@ -233,6 +234,7 @@
 
 func (s *State) applyClaims(b *platformlog.Batch, from int64) {
 	for _, r := range b.Records {
+		s.claim.newest = r.Time
 		for _, v := range s.table.Apply(r.Offset, r.Time, r.Body) {
 			s.claim.active[v.Entry] = r.Time
 			if v.Entry == s.opts.Incarnation {
--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -278,6 +278,27 @@
 	assert.Assert(t, claim(fresh, request("l", -life-time.Minute+claims.DefaultWindow-time.Second)).Won)
 }
 
+// Guards against a fresh entry that cannot judge any key because the log has
+// been quiet for longer than its retention.
+func TestQuietLogLeavesNewKeysJudgeable(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.ready(s.entry(nil))
+	assert.Assert(t, claim(a, request("k", 0)).Won)
+	s.until("a record marks the quiet stream", func() bool {
+		s.server.Advance(time.Hour)
+		r := s.server.Records(logstate.StreamClaims)
+		return len(r) > 0 && r[len(r)-1].Offset > 0
+	})
+	a.Close()
+	s.server.Expire(logstate.StreamClaims, 1)
+	s.server.Advance(life + time.Minute)
+	fresh := s.ready(s.entry(nil))
+	b, err := s.client().Read(t.Context(), platformlog.ReadRequest{Stream: logstate.StreamClaims, From: platformlog.FromOldest})
+	assert.NilError(t, err)
+	ahead := b.Now - time.Duration(time.Now().UnixNano())
+	assert.Assert(t, claim(fresh, request("l", -ahead)).Won)
+}
+
 // Guards against claims on a log that forgets them while their keys are valid.
 func TestTooShortRetentionRefusesKeys(t *testing.T) {
 	s := newSystem(t, logserver.Options{})
--- a/internal/logstate/logstate.go
+++ b/internal/logstate/logstate.go
@@ -264,16 +264,16 @@
 
 // maintenanceLoop writes presence and snapshots when they are due.
 func (s *State) maintenanceLoop() {
-	rule := config.SnapshotRule{
-		Retention: s.opts.Retention,
-		Rand:      rand.New(rand.NewPCG(uint64(s.opts.Incarnation), 0)),
-	}
+	rnd := rand.New(rand.NewPCG(uint64(s.opts.Incarnation), 0))
+	snapshots := config.SnapshotRule{Retention: s.opts.Retention, Rand: rnd}
+	markers := snapshots
 	p := presenceSchedule{every: s.opts.Retention / presenceShare}
 	t := time.NewTicker(s.opts.Maintenance)
 	defer t.Stop()
 	for {
 		s.writePresence(&p)
-		s.writeSnapshot(&rule)
+		s.writeSnapshot(&snapshots)
+		s.writeMarker(&markers)
 		s.askOnGap()
 		select {
 		case <-s.ctx.Done():
