--- a/core/config/machine_test.go
+++ b/core/config/machine_test.go
@@ -206,7 +206,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		full, late := New(Options{}), New(Options{})
 		start := rapid.Int64Range(0, 30).Draw(t, "late reader's first offset")
-		offer := rapid.Int64Range(0, 50).Draw(t, "offset at which a peer offers its state")
+		offer := rapid.Int64Range(0, 150).Draw(t, "offset at which a peer offers its state, none from 50 on")
 		var bodies [][]byte
 		for offset := range int64(50) {
 			b := drawBody(t, full, bodies)
--- a/internal/logstate/follow.go
+++ b/internal/logstate/follow.go
@@ -145,10 +145,10 @@
 // setReachable records and reports a change of a stream's state.
 func (s *State) setReachable(stream string, up bool, err error) {
 	st := s.stream(stream)
-	if st.reachable == up {
+	if st.known && st.reachable == up {
 		return
 	}
-	st.reachable = up
+	st.known, st.reachable = true, up
 	code := eventlog.LogUnavailable
 	if up {
 		code = eventlog.LogAvailable
--- a/internal/logstate/logstate.go
+++ b/internal/logstate/logstate.go
@@ -139,6 +139,7 @@
 
 // streamState is what is known of one followed stream.
 type streamState struct {
+	known     bool // reachable was determined at least once
 	reachable bool
 	caughtUp  bool // reached the end of the stream at least once
 	next      int64
