--- a/internal/harness/build.go
+++ b/internal/harness/build.go
@@ -21,34 +21,45 @@
 	dir         string
 }
 
-var (
-	buildOnce sync.Once
-	built     Binaries
-	buildErr  error
-)
+// builds holds the programs with and without the race detector.
+var builds [2]struct {
+	once sync.Once
+	bin  Binaries
+	err  error
+}
+
+func slot(race bool) int {
+	if race {
+		return 1
+	}
+	return 0
+}
 
-// Build builds the programs once in each test process, with the race detector.
-// Call Remove at the end, e.g. in TestMain.
-func Build() (Binaries, error) {
-	buildOnce.Do(func() { built, buildErr = build() })
-	return built, buildErr
+// Build builds the programs once in each test process. Call Remove at the end,
+// e.g. in TestMain.
+func Build(race bool) (Binaries, error) {
+	b := &builds[slot(race)]
+	b.once.Do(func() { b.bin, b.err = build(race) })
+	return b.bin, b.err
 }
 
 // Remove deletes what Build built.
 func Remove() {
-	if built.dir != "" {
-		os.RemoveAll(built.dir)
+	for i := range builds {
+		if dir := builds[i].bin.dir; dir != "" {
+			os.RemoveAll(dir)
+		}
 	}
 }
 
-func build() (Binaries, error) {
+func build(race bool) (Binaries, error) {
 	dir, err := os.MkdirTemp("", "limpettrail-harness-")
 	if err != nil {
 		return Binaries{}, err
 	}
 	b := Binaries{Limpettrail: filepath.Join(dir, "limpettrail"), Node: filepath.Join(dir, "node"), dir: dir}
 	for path, pkg := range map[string]string{b.Limpettrail: binaryPkg, b.Node: nodePkg} {
-		out, err := exec.Command("go", "build", "-race", "-o", path, pkg).CombinedOutput()
+		out, err := exec.Command("go", "build", fmt.Sprintf("-race=%t", race), "-o", path, pkg).CombinedOutput()
 		if err != nil {
 			return b, fmt.Errorf("harness: build %s: %w\n%s", pkg, err, out)
 		}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -19,8 +19,10 @@
 	Entries int
 	Agents  int
 	Slots   int
-	// Relay puts a faultproxy before the peer address of each entry.
+	// Relay leads each link of an agent to an entry through a faultproxy.
 	Relay bool
+	// NoRace starts programs without the race detector, for benchmarks.
+	NoRace bool
 }
 
 // Cluster is a system of real processes with an observer.
@@ -42,7 +44,7 @@
 // StartCluster starts the processes and waits until every agent is linked to
 // every entry. dir holds settings and records. Close ends the processes.
 func StartCluster(ctx context.Context, dir string, o ClusterOptions) (*Cluster, error) {
-	l, err := NewLauncher(dir)
+	l, err := NewLauncher(dir, !o.NoRace)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/harness/launch.go
+++ b/internal/harness/launch.go
@@ -41,9 +41,10 @@
 	dir string // for settings files
 }
 
-// NewLauncher returns the launcher that tests use. dir holds settings files.
-func NewLauncher(dir string) (Launcher, error) {
-	bin, err := Build()
+// NewLauncher returns the launcher that tests use. dir holds settings files;
+// race selects programs with the race detector.
+func NewLauncher(dir string, race bool) (Launcher, error) {
+	bin, err := Build(race)
 	if err != nil {
 		return nil, err
 	}
