--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -29,6 +29,8 @@
 	// Relay, if set, returns an address that leads to an entry's peer address;
 	// agents connect there instead.
 	Relay func(peer string) (string, error)
+	// UpstreamRelay does the same for an agent's connections to its upstream.
+	UpstreamRelay func(upstream string) (string, error)
 }
 
 const (
@@ -118,10 +120,14 @@
 			return err
 		}
 		s.Upstreams = append(s.Upstreams, up)
+		addr, err := relayed(opts.UpstreamRelay, up.Addr())
+		if err != nil {
+			return err
+		}
 		s.Agents = append(s.Agents, agentd.Start(agentd.Options{
 			Name: fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
 			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
-			Upstream: "http://" + up.Addr() + "/", Entries: peers,
+			Upstream: "http://" + addr + "/", Entries: peers,
 		}))
 	}
 	return nil
@@ -131,19 +137,22 @@
 func (s *System) peers(opts Options) ([]string, error) {
 	var addrs []string
 	for _, e := range s.Entries {
-		addr := e.PeerAddr()
-		if opts.Relay != nil {
-			relayed, err := opts.Relay(addr)
-			if err != nil {
-				return nil, err
-			}
-			addr = relayed
+		addr, err := relayed(opts.Relay, e.PeerAddr())
+		if err != nil {
+			return nil, err
 		}
 		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
 
+func relayed(relay func(string) (string, error), addr string) (string, error) {
+	if relay == nil {
+		return addr, nil
+	}
+	return relay(addr)
+}
+
 // Zone returns the availability zone of the entry or agent with that number.
 func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
--- a/internal/faultproxy/conn.go
+++ b/internal/faultproxy/conn.go
@@ -9,11 +9,11 @@
 
 // Conn is one relayed connection.
 type Conn struct {
-	ends    [directions]net.Conn // ends[d] is where bytes of direction d go
-	inspect func(c *Conn, d Direction, chunk []byte)
-	done    chan struct{}
-	once    sync.Once
-	lanes   [directions]lane
+	ends  [directions]net.Conn // ends[d] is where bytes of direction d go
+	reach func(c *Conn, d Direction, n int) int
+	done  chan struct{}
+	once  sync.Once
+	lanes [directions]lane
 }
 
 // lane is the state of one direction.
@@ -30,8 +30,8 @@
 	read time.Time
 }
 
-func newConn(client, server net.Conn, inspect func(*Conn, Direction, []byte)) *Conn {
-	c := &Conn{inspect: inspect, done: make(chan struct{})}
+func newConn(client, server net.Conn, reach func(*Conn, Direction, int) int) *Conn {
+	c := &Conn{reach: reach, done: make(chan struct{})}
 	c.ends[ToServer] = server
 	c.ends[ToClient] = client
 	return c
@@ -137,24 +137,34 @@
 func (c *Conn) write(d Direction, ahead <-chan chunk) {
 	l := &c.lanes[d]
 	for ch := range ahead {
-		if !c.wait(l, ch.read) {
+		if !c.wait(l, ch.read) || !c.pass(d, ch.data) {
 			return
 		}
-		c.inspect(c, d, ch.data)
+	}
+	c.endOfStream(l)
+}
+
+// pass writes the bytes, in parts if a fault is due between them. It reports
+// false if the connection ended.
+func (c *Conn) pass(d Direction, data []byte) bool {
+	l := &c.lanes[d]
+	for len(data) > 0 {
+		n := c.reach(c, d, len(data))
 		if l.silent.Load() {
-			continue
+			return true
 		}
 		if !c.passHold(l) {
-			return
+			return false
 		}
-		n, err := c.ends[d].Write(ch.data)
-		l.bytes.Add(uint64(n))
+		written, err := c.ends[d].Write(data[:n])
+		l.bytes.Add(uint64(written))
 		if err != nil {
 			c.Cut()
-			return
+			return false
 		}
+		data = data[n:]
 	}
-	c.endOfStream(l)
+	return true
 }
 
 // endOfStream ends the whole connection, as both protocols that are relayed in
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -31,12 +31,19 @@
 	listener net.Listener
 	wg       sync.WaitGroup
 
-	mu      sync.Mutex
-	conns   []*Conn // every connection accepted so far
-	refuse  bool
-	delay   [directions]time.Duration
-	onChunk func(c *Conn, d Direction, chunk []byte)
-	closed  bool
+	mu     sync.Mutex
+	conns  []*Conn // every connection accepted so far
+	refuse bool
+	delay  [directions]time.Duration
+	at     [directions]*trigger
+	closed bool
+}
+
+// trigger is a fault at one position of a connection's stream.
+type trigger struct {
+	offset uint64
+	fault  func(c *Conn)
+	fired  chan struct{}
 }
 
 // Start listens on a free loopback port and relays to target.
@@ -88,13 +95,16 @@
 	}
 }
 
-// OnChunk sets a function that sees each chunk before it is passed on and may
-// inject a fault at that point. The chunk is dropped if the function cuts or
-// silences the connection. Boundaries of chunks are not those of messages.
-func (p *Proxy) OnChunk(f func(c *Conn, d Direction, chunk []byte)) {
+// At injects a fault at one position: on the first connection that has passed
+// on offset bytes in the direction and has more to pass on, fault is called
+// before the next byte. It is called once. A later At for the same direction
+// replaces an earlier one. The returned channel is closed after the call.
+func (p *Proxy) At(d Direction, offset uint64, fault func(c *Conn)) <-chan struct{} {
+	t := &trigger{offset: offset, fault: fault, fired: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.onChunk = f
+	p.at[d] = t
+	return t.fired
 }
 
 // Open returns the open connections, oldest first.
@@ -197,7 +207,7 @@
 		client.Close()
 		return
 	}
-	c := newConn(client, server, p.inspect)
+	c := newConn(client, server, p.reach)
 	if !p.register(c) {
 		c.Cut()
 		return
@@ -216,11 +226,23 @@
 	return !p.closed
 }
 
-func (p *Proxy) inspect(c *Conn, d Direction, chunk []byte) {
+// reach calls the fault of a direction if the connection has reached its
+// position, and returns how many of the next n bytes come before it.
+func (p *Proxy) reach(c *Conn, d Direction, n int) int {
 	p.mu.Lock()
-	f := p.onChunk
-	p.mu.Unlock()
-	if f != nil {
-		f(c, d, chunk)
+	t := p.at[d]
+	passed := c.Bytes(d)
+	if t == nil || t.offset < passed || t.offset >= passed+uint64(n) {
+		p.mu.Unlock()
+		return n
 	}
+	if t.offset > passed {
+		p.mu.Unlock()
+		return int(t.offset - passed)
+	}
+	p.at[d] = nil
+	p.mu.Unlock()
+	t.fault(c)
+	close(t.fired)
+	return n
 }
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -125,18 +125,18 @@
 	assert.Assert(t, time.Since(began) >= delay)
 }
 
-// Guards against a fault that comes one chunk too late.
-func TestChunkIsDroppedWhenTheHookSilences(t *testing.T) {
+// Guards against a fault that comes a byte too early or too late.
+func TestFaultComesAtItsPosition(t *testing.T) {
 	p := echo(t)
-	p.OnChunk(func(c *faultproxy.Conn, d faultproxy.Direction, chunk []byte) {
-		if string(chunk) == "lost" {
-			c.Silence(d)
-		}
-	})
+	fired := p.At(faultproxy.ToServer, 6, func(c *faultproxy.Conn) { c.Silence(faultproxy.ToServer) })
 	c := dial(t, p)
-	say(t, c, "passed")
+	say(t, c, "passedlost")
 	hear(t, c, "passed")
-	say(t, c, "lost")
+	<-fired
+	say(t, c, "lost too")
 	hearNothing(t, c)
 	assert.Equal(t, p.Bytes(faultproxy.ToServer), uint64(len("passed")))
+	fresh := dial(t, p)
+	say(t, fresh, "passedagain")
+	hear(t, fresh, "passedagain")
 }
