--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -8,12 +8,14 @@
 
 const (
 	maxParked = 8 // jobs passed over in one decision because they fit nowhere free
-	// refusalTarget is the share of starts that may be refused as busy. Each
-	// costs two messages, so this stays inside 0.05 wasted messages a task.
-	refusalTarget   = 0.01
-	waitScaleMin    = 0.25
-	waitScaleMax    = 32
-	waitScaleGrowth = 0.05 // by which one refusal raises the accepted wait
+	// These are the shares of starts that may be refused as busy, by emphasis.
+	// Each refusal costs two messages, so the first stays inside 0.05 wasted
+	// messages a task with room for other kinds.
+	responseRefusals = 0.01
+	messageRefusals  = 0.002
+	waitScaleMin     = 0.25
+	waitScaleMax     = 32
+	waitScaleGrowth  = 0.05 // by which one refusal raises the accepted wait
 )
 
 // Next implements Scheduler.
@@ -91,13 +93,17 @@
 	s.queue.finish(j)
 }
 
-// adjustWait steers the share of busy refusals towards refusalTarget: a
+// adjustWait steers the share of busy refusals towards that of the emphasis: a
 // refusal raises the accepted wait, every other outcome lowers it a little.
 func (s *Adaptive) adjustWait(r *wire.Result) {
+	target := responseRefusals
+	if s.settings.Emphasis == EmphasisMessages {
+		target = messageRefusals
+	}
 	if r.Outcome == wire.NotRun && r.Reason == wire.ReasonBusy {
 		s.waitScale *= 1 + waitScaleGrowth
 	} else {
-		s.waitScale *= 1 - waitScaleGrowth*refusalTarget
+		s.waitScale *= 1 - waitScaleGrowth*target
 	}
 	s.waitScale = min(max(s.waitScale, waitScaleMin), waitScaleMax)
 }
@@ -159,6 +165,7 @@
 			continue
 		}
 		f.agent.health.blamed++
+		f.agent.health.excused += f.tasks - 1 // one job is one piece of evidence
 		if f.agent.health.probing {
 			f.agent.health.eject(now, s.rand.float()) // the probe failed
 			continue
@@ -167,21 +174,30 @@
 	}
 }
 
-// consult ejects the agent if its failures stand out from those of its peers.
+// consult holds an agent whose failures stand out from those of its peers, and
+// ejects it if they still do once every peer has reported.
 func (s *Adaptive) consult(now time.Duration, a *agentState) {
 	h := &a.health
-	if !s.on.health || !a.up || h.ejected || h.blamed == 0 || h.suspicion() < ejectStreak {
+	if !s.on.health || h.ejected || h.held && now < h.heldAt+holdPeriod {
 		return
 	}
-	if !mayEject(s.ejected, len(s.up)) || !h.guilty(s.peers(now, a)) {
-		return
+	guilty := h.blamed > 0 && h.suspicion() >= ejectStreak && h.guilty(s.peers(now, a))
+	switch {
+	case h.held && guilty:
+		h.held = false
+		h.eject(now, s.rand.float())
+	case h.held:
+		h.held = false
+		s.ejected--
+	case guilty && mayEject(s.ejected, len(s.up)):
+		h.held = true
+		h.heldAt = now
+		s.ejected++
 	}
-	s.ejected++
-	h.eject(now, s.rand.float())
 }
 
 // peers returns the share of failed tasks at the agents other than a, and how
-// many of them had a failure lately.
+// many of them had a failure lately or no success since.
 func (s *Adaptive) peers(now time.Duration, a *agentState) (failures float64, failing int) {
 	good, all := 0.0, 0.0
 	for _, o := range s.up {
@@ -190,7 +206,7 @@
 		}
 		good += o.health.outcomes.good
 		all += o.health.outcomes.all
-		if at := o.health.failedAt; at > 0 && now-at < failureMemory {
+		if at := o.health.failedAt; o.health.streak > 0 || at > 0 && now-at < failureMemory {
 			failing++
 		}
 	}
