--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -165,7 +165,8 @@
 }
 
 // summarise fills in everything that follows from the outcomes alone.
-func (r *Result) summarise(outcomes []Outcome, classes []policy.Class, duration, roundTrip time.Duration) {
+func (r *Result) summarise(outcomes []Outcome, opts Options, roundTrip time.Duration) {
+	classes, duration := opts.Settings.Classes, opts.Duration
 	all := newTally("all")
 	lateness := hdrhistogram.New(1, maxResponse, significant)
 	byClass := make(map[string]*tally)
@@ -173,7 +174,7 @@
 		byClass[c.Name] = newTally(c.Name)
 	}
 	for _, o := range outcomes {
-		ideal := o.Job.Ideal(r.Slots, roundTrip)
+		ideal := o.Job.Ideal(opts.slotsAt(o.Job.At), roundTrip)
 		within := target(classes, o.Job.Class)
 		all.add(o, ideal, within, duration)
 		if t := byClass[o.Job.Class]; t != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -83,6 +83,16 @@
 	return o
 }
 
+// slotsAt returns the slots in service at a moment of the run: those of
+// upstreams that are neither bad nor killed by then.
+func (o Options) slotsAt(at time.Duration) int {
+	out := o.Faults.Bad
+	if at >= o.Duration/killAfter {
+		out += o.Faults.Kill
+	}
+	return max(o.Slots-out*(o.Slots/o.Agents), 1)
+}
+
 // Run starts a system with the scheme, drives it with the workload and stops it.
 func Run(ctx context.Context, o Options, s Scheme) (r *Result, err error) {
 	o = o.WithDefaults()
@@ -151,7 +161,7 @@
 		Name: s.Name, Seed: o.Seed, Entries: o.Entries, Slots: o.Slots, Offered: o.Load,
 		Seconds: time.Since(began).Seconds(), Processor: (processorTime() - before).Seconds(),
 	}
-	r.summarise(outcomes, o.Settings.Classes, o.Duration, roundTrip)
+	r.summarise(outcomes, o, roundTrip)
 	r.ControlByte = links.control(bytesBefore, r, o.Agents)
 	r.StartsBy = watch.StartsBy()
 	messages := sys.Messages()
@@ -182,7 +192,7 @@
 		Name: "running", Seed: o.Seed, Entries: len(entries), Slots: o.Slots, Offered: o.Load,
 		Seconds: time.Since(began).Seconds(), Violations: watch.Judge(),
 	}
-	r.summarise(outcomes, o.Settings.Classes, o.Duration, roundTrip)
+	r.summarise(outcomes, o, roundTrip)
 	rep.Results = []*Result{r}
 	return rep, nil
 }
