load: reasons of refused starts, tests of the figures and of faulty runs

Cause: a refused start counts twice in the measure, and why it was refused decides what to change. Ruled out: a counter in the entry's core, which belongs to others; a wrapper round the scheduler sees each attempt's end.

--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -60,7 +60,7 @@
 }
 
 // runDevJobs runs mixed jobs through the whole path and fails if the observer
-// finds a broken promise or a job that was not complete.
+// finds a broken promise.
 func runDevJobs(ctx context.Context, a *devArgs, stdout, stderr io.Writer) int {
 	o := load.Options{Entries: a.Entries, Agents: a.Agents, Progress: stderr}
 	o.Shape = load.MixedJobs(a.Seed, a.Jobs, o.WithDefaults().Slots, devLoad)
--- a/internal/load/drive_test.go
+++ b/internal/load/drive_test.go
@@ -60,3 +60,31 @@
 	assert.NilError(t, rep.WritePlot(t.TempDir()+"/plot.svg"))
 	assert.NilError(t, rep.WritePlot(t.TempDir()+"/plot.png"))
 }
+
+// Guards against promises broken by cancellations, failing jobs and failing,
+// slow and dying upstreams together.
+func TestPromisesHoldWithFaultyUpstreamsAndCancellations(t *testing.T) {
+	s := shape(5)
+	s.Duration = 3 * time.Second
+	o := load.Options{Shape: s, Faults: load.Faults{Slow: 1, Bad: 1, Kill: 1}}
+	r, err := load.Run(context.Background(), o, load.Chosen())
+	assert.NilError(t, err)
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	assert.Assert(t, r.All.Complete > 0 && r.All.Abandoned > 0, "%+v", r.All)
+}
+
+// Guards against a run on entries elsewhere that reports counters it cannot read.
+func TestRunningEntriesAreDrivenByAddress(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Write([]byte(`{"outcome":"refused","reason":"test"}`))
+	}))
+	defer server.Close()
+	o := load.Options{Shape: load.MixedJobs(1, 5, 88, 0.9)}
+	rep, err := load.DriveRunning(context.Background(), o, []string{server.URL})
+	assert.NilError(t, err)
+	assert.Equal(t, rep.Results[0].All.Refused, 5)
+	assert.Assert(t, rep.Results[0].Wasted == nil)
+	assert.Equal(t, rep.Violations(), 0)
+}
--- a/internal/load/overhead.go
+++ b/internal/load/overhead.go
@@ -39,7 +39,7 @@
 		MinRun: overheadMinRun, MaxRun: overheadMaxRun, Deadline: time.Minute,
 	}}
 	o = o.WithDefaults()
-	sys, err := start(o, Chosen(), observer.New(), nil)
+	sys, err := start(o, Chosen(), &probes{watch: observer.New()})
 	if err != nil {
 		return r, err
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -52,12 +52,14 @@
 
 // Wasted counts messages beyond one start and one result per task.
 type Wasted struct {
-	RefusedSends uint64  `json:"refused_sends"` // a refused start counts twice: itself and the refusal
-	Cancels      uint64  `json:"cancels"`
-	Queries      uint64  `json:"queries"`
-	LateResults  uint64  `json:"late_results"`
-	Duplicates   uint64  `json:"duplicates"` // starts at upstreams beyond one per task
-	PerTask      float64 `json:"per_task"`   // sum over tasks that succeeded, of whatever job
+	RefusedSends uint64 `json:"refused_sends"` // a refused start counts twice: itself and the refusal
+	Cancels      uint64 `json:"cancels"`
+	Queries      uint64 `json:"queries"`
+	LateResults  uint64 `json:"late_results"`
+	Duplicates   uint64 `json:"duplicates"` // starts at upstreams beyond one per task
+	// Reasons counts the refused starts by the agent's reason.
+	Reasons map[string]uint64 `json:"reasons,omitempty"`
+	PerTask float64           `json:"per_task"` // sum over tasks that succeeded, of whatever job
 }
 
 // Result is the outcome of one run.
--- /dev/null
+++ b/internal/load/result_test.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/internal/observer"
+)
+
+// Guards against a measure that leaves out a kind of wasted message, or counts
+// a refusal without its start.
+func TestEveryKindOfWastedMessageCounts(t *testing.T) {
+	s := entry.Stats{Starts: 14, Results: 10, Refused: 2, Cancels: 3, Queries: 4, Late: 5, Heartbeats: 100}
+	assert.Equal(t, wasted(s, 1).PerTask, float64(2*2+3+4+5+1)/10)
+	assert.Equal(t, wasted(entry.Stats{Refused: 1}, 0).PerTask, 0.0)
+}
+
+// Guards against figures that count jobs which ended otherwise as answered.
+func TestOnlyCompleteJobsHaveResponseTimes(t *testing.T) {
+	o := Options{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", Within: 250 * time.Millisecond}}}}
+	o.Duration = time.Second
+	o = o.WithDefaults()
+	job := &Job{Class: "c", Runs: []time.Duration{100 * time.Millisecond}}
+	late := &Job{Class: "c", At: 900 * time.Millisecond, Runs: job.Runs}
+	r := &Result{Slots: 1}
+	r.summarise([]Outcome{
+		{Job: job, Ending: observer.Complete, Response: 200 * time.Millisecond},
+		{Job: late, Ending: observer.Complete, Response: 400 * time.Millisecond},
+		{Job: job, Ending: observer.NotRun, Response: time.Millisecond},
+		{Job: job, Ending: observer.Abandoned, Response: time.Millisecond},
+	}, o, 0)
+	assert.Equal(t, r.All.Ratio.Count, int64(2))
+	assert.Equal(t, r.All.Refused, 1)
+	assert.Equal(t, r.All.Abandoned, 1)
+	assert.Equal(t, r.All.WithinTarget, 1.0/3)
+	assert.Assert(t, r.All.Ratio.Mean > 2.99 && r.All.Ratio.Mean < 3.01)
+	assert.Assert(t, r.All.Goodput > 0.099 && r.All.Goodput < 0.101, "work after the arrivals must not count")
+}
+
+// Guards against an ideal that counts slots which cannot serve.
+func TestIdealLeavesOutSlotsOfDeadUpstreams(t *testing.T) {
+	o := Options{Faults: Faults{Bad: 1, Kill: 2}}
+	o.Duration = 3 * time.Second
+	o = o.WithDefaults()
+	assert.Equal(t, o.slotsAt(0), 80)
+	assert.Equal(t, o.slotsAt(2*time.Second), 64)
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -99,10 +99,9 @@
 	if s.Entries > 0 {
 		o.Entries = s.Entries
 	}
-	watch := observer.New()
-	var relays relays
-	defer relays.close()
-	sys, err := start(o, s, watch, &relays)
+	p := &probes{watch: observer.New()}
+	defer p.relays.close()
+	sys, err := start(o, s, p)
 	if err != nil {
 		return nil, err
 	}
@@ -116,18 +115,27 @@
 	if err := sys.WaitReady(readyCtx); err != nil {
 		return nil, err
 	}
-	return measure(ctx, o, s, sys, watch, relays)
+	return measure(ctx, o, s, sys, p)
+}
+
+// probes observe one run.
+type probes struct {
+	watch   *observer.Observer
+	relays  relays
+	reasons reasons
 }
 
 // start brings up the system with an observer at every upstream.
-func start(o Options, s Scheme, watch *observer.Observer, r *relays) (*dev.System, error) {
+func start(o Options, s Scheme, p *probes) (*dev.System, error) {
 	opts := dev.Options{
 		Entries: o.Entries, Agents: o.Agents, Slots: o.Slots / o.Agents,
-		Settings:     o.Settings,
-		NewScheduler: func(i int) policy.Scheduler { return s.New(i, o.Seed+uint64(i)) },
+		Settings: o.Settings,
+		NewScheduler: func(i int) policy.Scheduler {
+			return counted{Scheduler: s.New(i, o.Seed+uint64(i)), reasons: &p.reasons}
+		},
 		Upstream: func(i int) upstream.Options {
 			name := fmt.Sprintf(upstreamName, i)
-			u := upstream.Options{OnStart: func(st upstream.Started) { watch.Started(observer.StartOf(name, st)) }}
+			u := upstream.Options{OnStart: func(st upstream.Started) { p.watch.Started(observer.StartOf(name, st)) }}
 			switch {
 			case i < o.Faults.Slow:
 				u.SlowFactor = o.Faults.SlowFactor
@@ -138,18 +146,18 @@
 		},
 	}
 	if o.CountBytes {
-		opts.Relay = r.add
+		opts.Relay = p.relays.add
 	}
 	return dev.Start(opts)
 }
 
-func measure(ctx context.Context, o Options, s Scheme, sys *dev.System, watch *observer.Observer, links relays) (*Result, error) {
-	t := Target{Entries: addresses(sys), Observer: watch, Progress: o.Progress}
+func measure(ctx context.Context, o Options, s Scheme, sys *dev.System, p *probes) (*Result, error) {
+	t := Target{Entries: addresses(sys), Observer: p.watch, Progress: o.Progress}
 	roundTrip, err := RoundTrip(ctx, t.Entries)
 	if err != nil {
 		return nil, err
 	}
-	bytesBefore := links.count()
+	bytesBefore := p.relays.count()
 	before, began := processorTime(), time.Now()
 	stopFaults := scheduleKills(o, sys)
 	defer stopFaults()
@@ -162,12 +170,13 @@
 		Seconds: time.Since(began).Seconds(), Processor: (processorTime() - before).Seconds(),
 	}
 	r.summarise(outcomes, o, roundTrip)
-	r.ControlByte = links.control(bytesBefore, r, o.Agents)
-	r.StartsBy = watch.StartsBy()
+	r.ControlByte = p.relays.control(bytesBefore, r, o.Agents)
+	r.StartsBy = p.watch.StartsBy()
 	messages := sys.Messages()
-	r.Wasted = wasted(messages, watch.Duplicates())
+	r.Wasted = wasted(messages, p.watch.Duplicates())
+	r.Wasted.Reasons = p.reasons.snapshot()
 	r.Heartbeats = messages.Heartbeats
-	r.Violations = watch.Judge()
+	r.Violations = p.watch.Judge()
 	return r, nil
 }
 
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -73,8 +73,8 @@
 			fmt.Fprintf(w, "%s: %d starts at %s, which fails everything\n", res.Name, res.StartsBy[bad], bad)
 		}
 		if m := res.Wasted; m != nil {
-			fmt.Fprintf(w, "%s: refused sends %d, cancels %d, queries %d, late results %d, duplicates %d, heartbeats %d; sends late by p99 %.2f ms\n",
-				res.Name, m.RefusedSends, m.Cancels, m.Queries, m.LateResults, m.Duplicates, res.Heartbeats, res.SendLateMS.P99)
+			fmt.Fprintf(w, "%s: refused sends %d %v, cancels %d, queries %d, late results %d, duplicates %d, heartbeats %d; sends late by p99 %.2f ms\n",
+				res.Name, m.RefusedSends, m.Reasons, m.Cancels, m.Queries, m.LateResults, m.Duplicates, res.Heartbeats, res.SendLateMS.P99)
 		}
 		if c := res.ControlByte; c != nil {
 			fmt.Fprintf(w, "%s: bytes to agents %d, to entries %d, of these payload %d; control %.0f B/s for each agent\n",
