--- a/internal/entryd/stats.go
+++ b/internal/entryd/stats.go
@@ -9,17 +9,8 @@
 	Links    int // agents connected
 }
 
-// statsRequest asks the core goroutine for a snapshot.
-type statsRequest struct{ reply chan<- Stats }
-
-// Stats returns a snapshot, or false if the entry has ended.
+// Stats returns a snapshot, or false if the entry has ended or does not answer.
 func (e *Entry) Stats() (Stats, bool) {
-	reply := make(chan Stats, 1)
-	e.send(statsRequest{reply: reply})
-	select {
-	case s := <-reply:
-		return s, true
-	case <-e.ctx.Done():
-		return Stats{}, false
-	}
+	s, ok := e.coreAnswers()
+	return Stats{Messages: s.Stats, Jobs: s.Jobs, Links: len(s.Agents)}, ok
 }
