dev: relays stand at the entries' advertised addresses

Cause: agents now learn entries' addresses from lists, so a relay before a seed address only would be bypassed. Ruled out: a relay for each pair of agent and entry; an entry advertises one address. Conclusion: link faults hit the only path.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -47,13 +47,20 @@
 	Operators bool
 	// Upstream returns the behaviour of each upstream; nil means the default.
 	Upstream func(agent int) upstream.Options
-	// Relay, if set, returns an address that leads to an entry's peer address;
-	// agents connect there instead.
-	Relay func(peer string) (string, error)
-	// UpstreamRelay does the same for an agent's connections to its upstream.
+	// Relay, if set, makes a relay for each entry. Agents and other entries
+	// connect to its address instead of the entry's peer address.
+	Relay func(entry int) (Relay, error)
+	// UpstreamRelay, if set, returns an address that leads to an upstream; its
+	// agent connects there instead.
 	UpstreamRelay func(upstream string) (string, error)
 }
 
+// Relay passes connections on to a target that is set once it is known.
+type Relay interface {
+	Addr() string
+	SetTarget(addr string)
+}
+
 const (
 	defaultEntries = 3
 	defaultAgents  = 11
@@ -72,6 +79,7 @@
 	// Operators are the operators' addresses, entries first.
 	Operators []string
 	servers   []*http.Server
+	peers     []string // addresses that agents connect to
 }
 
 // Start brings up the system. The caller stops it with Stop.
@@ -132,11 +140,16 @@
 	if err != nil {
 		return err
 	}
-	client := s.logClient()
+	return Publish(s.Log.URL(), opts.Settings)
+}
+
+// Publish publishes settings in the log at that URL.
+func Publish(logURL string, settings policy.Settings) error {
+	client := platformlog.NewClient(platformlog.ClientOptions{BaseURL: logURL})
 	defer client.Close()
 	var report strings.Builder
 	c := operator.Client{Log: client, Out: &report}
-	result := c.Apply(context.Background(), "settings", []byte(settingsTOML(opts.Settings)), false)
+	result := c.Apply(context.Background(), "settings", []byte(settingsTOML(settings)), false)
 	if result.ExitCode() != operator.ExitOK {
 		return fmt.Errorf("dev: publish settings: %s", report.String())
 	}
@@ -174,11 +187,10 @@
 		if opts.Operators {
 			o.OperatorListen = loopback
 		}
-		n, err := entrynode.Start(entrynode.Options{Entry: o, Log: s.logClient(), Retention: opts.LogRetention})
-		if err != nil {
+		if err := s.startEntry(opts, i, o); err != nil {
 			return err
 		}
-		s.Entries = append(s.Entries, n)
+		n := s.Entries[i]
 		if opts.Operators {
 			s.Operators = append(s.Operators, n.OperatorAddr())
 		}
@@ -186,11 +198,33 @@
 	return nil
 }
 
-func (s *System) startAgents(opts Options) error {
-	peers, err := s.peers(opts)
+// startEntry starts one entry and leads its peer address through a relay if
+// one is wanted.
+func (s *System) startEntry(opts Options, i int, o entryd.Options) error {
+	node := entrynode.Options{Entry: o, Log: s.logClient(), Retention: opts.LogRetention}
+	var relay Relay
+	if opts.Relay != nil {
+		var err error
+		if relay, err = opts.Relay(i); err != nil {
+			return err
+		}
+		node.Advertise = relay.Addr()
+	}
+	n, err := entrynode.Start(node)
 	if err != nil {
 		return err
 	}
+	s.Entries = append(s.Entries, n)
+	peer := n.PeerAddr()
+	if relay != nil {
+		relay.SetTarget(peer)
+		peer = relay.Addr()
+	}
+	s.peers = append(s.peers, peer)
+	return nil
+}
+
+func (s *System) startAgents(opts Options) error {
 	for i := range opts.Agents {
 		up, err := upstream.Start(loopback, opts.Upstream(i))
 		if err != nil {
@@ -205,7 +239,7 @@
 			Incarnation: wire.Incarnation(rand.Uint64() | 1),
 			Name:        fmt.Sprintf("worker-%02d", i), Zone: Zone(i),
 			Rack: fmt.Sprintf("rack-%d", i/rackSize), Slots: opts.Slots,
-			Upstream: "http://" + addr + "/", Entries: peers,
+			Upstream: "http://" + addr + "/", Entries: s.peers,
 		}
 		o.Log = eventlog.New(opts.Logger, o.Name, uint64(o.Incarnation))
 		a := agentd.Start(o)
@@ -232,19 +266,6 @@
 	return nil
 }
 
-// peers returns the addresses that agents connect to.
-func (s *System) peers(opts Options) ([]string, error) {
-	var addrs []string
-	for _, e := range s.Entries {
-		addr, err := relayed(opts.Relay, e.PeerAddr())
-		if err != nil {
-			return nil, err
-		}
-		addrs = append(addrs, addr)
-	}
-	return addrs, nil
-}
-
 func relayed(relay func(string) (string, error), addr string) (string, error) {
 	if relay == nil {
 		return addr, nil
--- a/internal/harness/matrix_test.go
+++ b/internal/harness/matrix_test.go
@@ -67,27 +67,52 @@
 // fault at or before it must have happened.
 const certainOffset = 200
 
-// startInProcess starts one entry and two agents. set puts the relay in its place
-// and may inject a fault before anything connects.
-func startInProcess(t *testing.T, set func(o *dev.Options, relay func(string) (string, error)), arm func(*faultproxy.Proxy) <-chan struct{}) *inProcess {
+// newRelay starts the relay and injects its fault.
+func (p *inProcess) newRelay(target string, arm armFunc) (*faultproxy.Proxy, error) {
+	relay, err := faultproxy.Start(target)
+	if err == nil {
+		p.relay = relay
+		p.fired = arm(relay)
+	}
+	return relay, err
+}
+
+// armFunc injects a fault before anything connects.
+type armFunc func(*faultproxy.Proxy) <-chan struct{}
+
+// startWithLinkRelay starts a system whose agents reach the entry through the
+// relay.
+func startWithLinkRelay(t *testing.T, arm armFunc) *inProcess {
 	t.Helper()
-	p := &inProcess{watch: observer.New()}
-	o := dev.Options{Entries: 1, Agents: 2, Slots: 8, Upstream: func(i int) upstream.Options {
-		name := fmt.Sprintf("upstream-%d", i)
-		return upstream.Options{OnStart: func(s upstream.Started) { p.watch.Started(observer.StartOf(name, s)) }}
-	}}
-	set(&o, func(target string) (string, error) {
+	p := &inProcess{}
+	p.start(t, dev.Options{Relay: func(int) (dev.Relay, error) { return p.newRelay("", arm) }})
+	return p
+}
+
+// startWithUpstreamRelay starts a system whose first agent reaches its upstream
+// through the relay.
+func startWithUpstreamRelay(t *testing.T, arm armFunc) *inProcess {
+	t.Helper()
+	p := &inProcess{}
+	p.start(t, dev.Options{UpstreamRelay: func(target string) (string, error) {
 		if p.relay != nil {
-			return target, nil // only the first link is relayed
+			return target, nil
 		}
-		relay, err := faultproxy.Start(target)
-		if err != nil {
-			return "", err
-		}
-		p.relay = relay
-		p.fired = arm(relay)
-		return relay.Addr(), nil
-	})
+		relay, err := p.newRelay(target, arm)
+		return relay.Addr(), err
+	}})
+	return p
+}
+
+// start starts one entry and two agents.
+func (p *inProcess) start(t *testing.T, o dev.Options) {
+	t.Helper()
+	p.watch = observer.New()
+	o.Entries, o.Agents, o.Slots = 1, 2, 8
+	o.Upstream = func(i int) upstream.Options {
+		name := fmt.Sprintf("upstream-%d", i)
+		return upstream.Options{OnStart: func(s upstream.Started) { p.watch.Started(observer.StartOf(name, s)) }}
+	}
 	sys, err := dev.Start(o)
 	assert.NilError(t, err)
 	p.sys = sys
@@ -97,7 +122,6 @@
 		assert.NilError(t, sys.Stop(ctx))
 		p.relay.Close()
 	})
-	return p
 }
 
 // run drives short jobs and fails the test for each broken promise.
@@ -143,11 +167,9 @@
 // frame or between two.
 func TestLinkFaultAtEachPosition(t *testing.T) {
 	eachFault(t, func(t *testing.T, in inject, d faultproxy.Direction, at uint64) {
-		p := startInProcess(t,
-			func(o *dev.Options, relay func(string) (string, error)) { o.Relay = relay },
-			func(r *faultproxy.Proxy) <-chan struct{} {
-				return r.At(d, at, func(c *faultproxy.Conn) { in.do(c, d) })
-			})
+		p := startWithLinkRelay(t, func(r *faultproxy.Proxy) <-chan struct{} {
+			return r.At(d, at, func(c *faultproxy.Conn) { in.do(c, d) })
+		})
 		ends := p.run(t, time.Minute)
 		p.checkFired(t, at)
 		assert.Equal(t, ends[observer.Complete], 30, "a link fault must cost no job: %v", ends)
@@ -159,11 +181,9 @@
 // their deadline.
 func TestUpstreamConnectionFaultAtEachPosition(t *testing.T) {
 	eachFault(t, func(t *testing.T, in inject, d faultproxy.Direction, at uint64) {
-		p := startInProcess(t,
-			func(o *dev.Options, relay func(string) (string, error)) { o.UpstreamRelay = relay },
-			func(r *faultproxy.Proxy) <-chan struct{} {
-				return r.At(d, at, func(c *faultproxy.Conn) { in.do(c, d) })
-			})
+		p := startWithUpstreamRelay(t, func(r *faultproxy.Proxy) <-chan struct{} {
+			return r.At(d, at, func(c *faultproxy.Conn) { in.do(c, d) })
+		})
 		ends := p.run(t, 3*time.Second)
 		p.checkFired(t, at)
 		lost := 30 - ends[observer.Complete]
@@ -195,11 +215,9 @@
 	for replies := range uint64(5) {
 		t.Run(fmt.Sprintf("after %d replies", replies), func(t *testing.T) {
 			t.Parallel()
-			p := startInProcess(t,
-				func(o *dev.Options, relay func(string) (string, error)) { o.UpstreamRelay = relay },
-				func(r *faultproxy.Proxy) <-chan struct{} {
-					return r.At(faultproxy.ToClient, replies*size, (*faultproxy.Conn).Cut)
-				})
+			p := startWithUpstreamRelay(t, func(r *faultproxy.Proxy) <-chan struct{} {
+				return r.At(faultproxy.ToClient, replies*size, (*faultproxy.Conn).Cut)
+			})
 			ends := p.run(t, 10*time.Second)
 			select {
 			case <-p.fired:
--- a/internal/load/relays.go
+++ b/internal/load/relays.go
@@ -1,18 +1,21 @@
 package load
 
-import "github.com/limpettrail/limpettrail/internal/faultproxy"
+import (
+	"github.com/limpettrail/limpettrail/internal/dev"
+	"github.com/limpettrail/limpettrail/internal/faultproxy"
+)
 
 // relays count the bytes between agents and entries.
 type relays []*faultproxy.Proxy
 
-// add starts a relay to the address and returns its own.
-func (r *relays) add(target string) (string, error) {
-	p, err := faultproxy.Start(target)
+// add starts the relay of one entry.
+func (r *relays) add(int) (dev.Relay, error) {
+	p, err := faultproxy.Start("")
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	*r = append(*r, p)
-	return p.Addr(), nil
+	return p, nil
 }
 
 func (r relays) close() {
