--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -52,12 +52,14 @@
 
 // Wasted counts messages beyond one start and one result per task.
 type Wasted struct {
-	RefusedSends uint64  `json:"refused_sends"` // a refused start counts twice: itself and the refusal
-	Cancels      uint64  `json:"cancels"`
-	Queries      uint64  `json:"queries"`
-	LateResults  uint64  `json:"late_results"`
-	Duplicates   uint64  `json:"duplicates"` // starts at upstreams beyond one per task
-	PerTask      float64 `json:"per_task"`   // sum over tasks that succeeded, of whatever job
+	RefusedSends uint64 `json:"refused_sends"` // a refused start counts twice: itself and the refusal
+	Cancels      uint64 `json:"cancels"`
+	Queries      uint64 `json:"queries"`
+	LateResults  uint64 `json:"late_results"`
+	Duplicates   uint64 `json:"duplicates"` // starts at upstreams beyond one per task
+	// Reasons counts the refused starts by the agent's reason.
+	Reasons map[string]uint64 `json:"reasons,omitempty"`
+	PerTask float64           `json:"per_task"` // sum over tasks that succeeded, of whatever job
 }
 
 // Result is the outcome of one run.
@@ -165,7 +167,8 @@
 }
 
 // summarise fills in everything that follows from the outcomes alone.
-func (r *Result) summarise(outcomes []Outcome, classes []policy.Class, duration, roundTrip time.Duration) {
+func (r *Result) summarise(outcomes []Outcome, opts Options, roundTrip time.Duration) {
+	classes, duration := opts.Settings.Classes, opts.Duration
 	all := newTally("all")
 	lateness := hdrhistogram.New(1, maxResponse, significant)
 	byClass := make(map[string]*tally)
@@ -173,7 +176,7 @@
 		byClass[c.Name] = newTally(c.Name)
 	}
 	for _, o := range outcomes {
-		ideal := o.Job.Ideal(r.Slots, roundTrip)
+		ideal := o.Job.Ideal(opts.slotsAt(o.Job.At), roundTrip)
 		within := target(classes, o.Job.Class)
 		all.add(o, ideal, within, duration)
 		if t := byClass[o.Job.Class]; t != nil {
