--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/limpettrail/limpettrail/internal/experiment"
 	"github.com/limpettrail/limpettrail/internal/load"
 )
 
@@ -17,6 +18,7 @@
 	Compare       bool          `help:"run the chosen policy beside the baselines on the same workload"`
 	Ablate        bool          `help:"run the chosen scheduler beside copies that lack one part each"`
 	Scenario      string        `help:"run a named experiment; an unknown name lists them"`
+	ConfigChanges int           `arg:"--config-changes" help:"measure that many configuration changes, restarts and a log outage"`
 	Overhead      bool          `help:"measure what the path adds to calling upstreams directly"`
 	Short         bool          `help:"a run that ends within 45 seconds"`
 	Scheme        string        `default:"chosen" help:"scheduler of a single run"`
@@ -69,6 +71,9 @@
 	if a.Overhead {
 		return a.runOverhead(ctx, stdout, stderr)
 	}
+	if a.ConfigChanges > 0 {
+		return a.runConfigChanges(stdout, stderr)
+	}
 	rep, err := a.report(ctx, a.options(stderr))
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -94,6 +99,18 @@
 	return ExitOK
 }
 
+func (a *loadArgs) runConfigChanges(stdout, stderr io.Writer) int {
+	r, err := experiment.Run(experiment.Options{
+		Entries: a.Entries, Agents: a.Agents, Changes: a.ConfigChanges, Seed: a.Seed,
+	})
+	r.Write(stdout)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
 func (a *loadArgs) report(ctx context.Context, o load.Options) (load.Report, error) {
 	switch {
 	case len(a.Targets) > 0:
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -274,6 +274,9 @@
 	e.send(entry.Entries{List: list})
 }
 
+// ConfigVersion returns the version of the configuration in force.
+func (e *Entry) ConfigVersion() int64 { return e.config.Load().Version }
+
 // KnownEntries returns the list that SetEntries gave.
 func (e *Entry) KnownEntries() []wire.EntryAddr { return *e.known.Load() }
 
