claims: a reader after a gap does not judge a key at exactly the skew

Cause: found in review. A missed record and the first one read may have the same log time, and a claim is accepted for a key created exactly the skew after it, so two entries could both read their claim of that key as won. The comparison is now strict. The earlier test asserted the win at this edge, which was wrong; its replacement shows both readers side by side and is as strict. Made to fail: with >= the late reader wins a key that the full reader sees as lost.

--- a/core/claims/table.go
+++ b/core/claims/table.go
@@ -143,9 +143,10 @@
 }
 
 // Judgeable reports whether this reader has seen every claim that a key of
-// this creation time can have.
+// this creation time can have. A missed record at the horizon may have claimed
+// a key created exactly the skew later, so the comparison is strict.
 func (t *Table) Judgeable(created time.Duration) bool {
-	return t.horizon == 0 || created >= t.horizon+t.opts.Skew
+	return t.horizon == 0 || created > t.horizon+t.opts.Skew
 }
 
 // Lookup returns the holder of a live claim.
