Queue: small jobs first at equal slack within a class

Cause: the response time relative to the ideal of a small job suffers most from a large one ahead of it, and a difference in slack far below the target says nothing about which is late. Slack within a class now counts as equal up to an eighth of the target; started jobs and then small ones go first.

--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -3,8 +3,12 @@
 import "time"
 
 const (
-	// slackBucket is the difference in slack below which tasks count as equal.
+	// slackBucket is the difference in slack below which classes count as equal.
 	slackBucket = 10 * time.Millisecond
+	// slackShare: within a class, slack counts as equal up to this part of the
+	// target. Started jobs and small ones go first there, since waiting for a
+	// large job multiplies a small one's response time.
+	slackShare = 8
 	// lateShare: one start in lateShare goes to a job that already missed its
 	// target, if one waits, so that nothing starves.
 	lateShare = 10
@@ -118,15 +122,21 @@
 }
 
 func lessJob(a, b *jobState) bool {
-	if ab, bb := a.due/slackBucket, b.due/slackBucket; ab != bb {
+	if ab, bb := a.due/a.class.bucket(), b.due/a.class.bucket(); ab != bb {
 		return ab < bb
 	}
 	if a.started != b.started {
 		return a.started
 	}
+	if a.job.Tasks != b.job.Tasks {
+		return a.job.Tasks < b.job.Tasks
+	}
 	return a.due < b.due
 }
 
+// bucket is the difference in slack below which the class's jobs count as equal.
+func (c *classState) bucket() time.Duration { return max(slackBucket, c.class.Within/slackShare) }
+
 func lessLateJob(a, b *jobState) bool {
 	if a.started != b.started {
 		return a.started
