Admission: classes above their share wait for equal shares of each other

Cause: at 2x load of two classes the backlog of the other class was counted as zero for the class with less work, although both get equal shares of the slots; a quarter of the admitted jobs of the tighter class were late.

--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -80,16 +80,12 @@
 // wait is the expected delay before a new job of the class gets its first start.
 func (s *Adaptive) wait(c *classState, team string) time.Duration {
 	contended := s.backlog() > contentionShare*float64(c.class.Within)
-	var work float64
+	own := s.aheadInClass(c, team) * float64(s.mean(c, 0))
+	work := own
 	for _, other := range s.classList {
-		if other.waiting == 0 {
-			continue
+		if other != c && other.waiting > 0 {
+			work += s.ahead(c, other, own, contended)
 		}
-		tasks := float64(other.waiting)
-		if other == c {
-			tasks = s.aheadInClass(c, team)
-		}
-		work += s.ahead(c, other, contended) * tasks * float64(s.mean(other, 0))
 	}
 	if s.queue.late.len() > 0 {
 		work *= lateShare / (lateShare - 1.0) // starts given to late jobs
@@ -115,20 +111,20 @@
 	return min(float64(c.waiting), float64(t.waiting)*quotas/t.quota)
 }
 
-// ahead estimates the share of the other class's waiting tasks that is served
-// before a new task of class c. Under contention the class with more work is
-// the one that yields.
-func (s *Adaptive) ahead(c, other *classState, contended bool) float64 {
+// ahead estimates the work of another class that is served before a new task
+// of class c, which has the work own ahead of it in its own class.
+func (s *Adaptive) ahead(c, other *classState, own float64, contended bool) float64 {
+	work := float64(other.waiting) * float64(s.mean(other, 0))
 	switch {
-	case other == c || !s.on.slackOrder:
-		return 1
-	case contended && other.tasks() > c.tasks():
-		return 0
+	case !s.on.slackOrder:
+		return work
+	case contended:
+		return min(work, own) // equal shares
 	case other.class.Within <= c.class.Within:
-		return 1
+		return work
 	}
 	// The waiting tasks' slack is spread over the class's target time.
-	return float64(c.class.Within) / float64(other.class.Within)
+	return work * float64(c.class.Within) / float64(other.class.Within)
 }
 
 // backlog is the expected time in nanoseconds to serve all waiting tasks.
