Health: hold an agent after two failures in a row

Cause: a hold for 600 ms costs little if it is wrong, but each task sent while a third failure is awaited is lost.

Ruled out: judging by counters alone, because a job of another entry that fails everywhere would eject healthy agents.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -182,15 +182,18 @@
 	if !s.on.health || h.ejected || h.held && now < h.heldAt+holdPeriod {
 		return
 	}
-	guilty := h.blamed > 0 && h.suspicion() >= ejectStreak && h.guilty(s.peers(now, a))
+	if !h.held && (h.blamed == 0 || h.suspicion() < holdStreak || !mayEject(s.ejected, len(s.up))) {
+		return
+	}
+	share, failing := s.peers(now, a)
 	switch {
-	case h.held && guilty:
+	case h.held && h.guilty(share, failing, ejectStreak, ejectChance):
 		h.held = false
 		h.eject(now, s.rand.float())
 	case h.held:
 		h.held = false
 		s.ejected--
-	case guilty && mayEject(s.ejected, len(s.up)):
+	case h.guilty(share, failing, holdStreak, holdChance):
 		h.held = true
 		h.heldAt = now
 		s.ejected++
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -18,6 +18,10 @@
 	// ejectChance is the probability, given the peers' failure share, below
 	// which a streak is taken for a fault of the agent.
 	ejectChance = 1e-5
+	// holdStreak and holdChance are the same for a hold, which costs little if
+	// it is wrong.
+	holdStreak = 2
+	holdChance = 1e-3
 	// limitChance is the same for a limit to one attempt at a time.
 	limitChance = 0.02
 	// failureFloor is the failure share that is assumed at least.
@@ -228,13 +232,13 @@
 // the share of tasks that fail at its peers and the number of peers that had a
 // failure lately. Several failing peers point to faulty jobs, which this entry
 // cannot tell from a faulty agent when another entry accepted them.
-func (h *health) guilty(peerFailures float64, failingPeers int) bool {
+func (h *health) guilty(peerFailures float64, failingPeers, streak int, limit float64) bool {
 	n := h.suspicion()
-	need := ejectStreak + failingPeerWeight*failingPeers*failingPeers + max(0, h.mixed-h.first)
+	need := streak + failingPeerWeight*failingPeers*failingPeers + max(0, h.mixed-h.first)
 	if h.blamed == 0 || n < need {
 		return false
 	}
-	return math.Pow(max(peerFailures, failureFloor), float64(n)) < ejectChance
+	return math.Pow(max(peerFailures, failureFloor), float64(n)) < limit
 }
 
 // mayEject reports whether one more of total agents may be ejected.
