harness: entries from the real binary over the log stand-in

Cause: the entry's sub-command now takes its classes from the platform's log. Ruled out: keeping the node program's entry; it skipped claims, configuration and discovery. Conclusion: links, jobs and readiness of an entry are read from its /status.

--- a/internal/harness/agent_faults_test.go
+++ b/internal/harness/agent_faults_test.go
@@ -55,9 +55,9 @@
 			ctx, c := start(t, harness.ClusterOptions{Entries: 1, Agents: 2, Slots: 8, Relay: true})
 			wait := c.Drive(ctx, t.Name(), jobs(100))
 			assert.NilError(t, c.AwaitStarts(ctx, 0, 10))
-			relay := c.Relays[0][0]
+			relay := c.Relays[0]
 			before := relay.Accepted()
-			relay.Silence(d)
+			relay.Open()[0].Silence(d)
 			assert.NilError(t, relay.WaitAccepted(ctx, before+1))
 			ends := verdict(t, c, wait)
 			assert.Equal(t, ends[observer.Complete], 100, "a silent link must cost no job: %v", ends)
--- a/internal/harness/bench_test.go
+++ b/internal/harness/bench_test.go
@@ -96,10 +96,8 @@
 }
 
 func linkBytes(c *harness.Cluster) (sum uint64) {
-	for _, relays := range c.Relays {
-		for _, r := range relays {
-			sum += r.Bytes(faultproxy.ToServer) + r.Bytes(faultproxy.ToClient)
-		}
+	for _, r := range c.Relays {
+		sum += r.Bytes(faultproxy.ToServer) + r.Bytes(faultproxy.ToClient)
 	}
 	return sum
 }
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,7 +20,7 @@
 	Entries int
 	Agents  int
 	Slots   int
-	// Relay leads each link of an agent to an entry through a faultproxy.
+	// Relay leads all links of an entry through a faultproxy.
 	Relay bool
 	// NoRace starts programs without the race detector, for benchmarks.
 	NoRace bool
@@ -27,12 +28,12 @@
 
 // Cluster is a system of real processes with an observer.
 type Cluster struct {
+	Log       *Process
 	Entries   []*Process
 	Agents    []*Process
 	Upstreams []*Process
-	// Relays[agent][entry] carries the link of one agent to one entry.
-	Relays   [][]*faultproxy.Proxy
-	Observer *observer.Observer
+	Relays    []*faultproxy.Proxy // of each entry
+	Observer  *observer.Observer
 
 	launcher      Launcher
 	dir           string
@@ -49,25 +50,41 @@
 		return nil, err
 	}
 	c := &Cluster{launcher: l, dir: dir, Observer: observer.New()}
-	err = errors.Join(c.startEntries(ctx, o), c.startUpstreams(ctx, o))
+	if err := c.startAll(ctx, o); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) startAll(ctx context.Context, o ClusterOptions) error {
+	logProcess, ready, err := c.launcher.Log(ctx)
+	if err != nil {
+		return err
+	}
+	c.Log = logProcess
+	err = errors.Join(c.startEntries(ctx, o, ready.Addr), c.startUpstreams(ctx, o))
 	if err == nil {
 		err = c.startAgents(o)
 	}
 	if err == nil {
 		err = c.AwaitLinks(ctx, o.Agents)
 	}
-	if err != nil {
-		c.Close()
-		return nil, err
-	}
-	return c, nil
+	return err
 }
 
-func isReady(e Event) bool { return e.Kind == Ready }
-
-func (c *Cluster) startEntries(ctx context.Context, o ClusterOptions) error {
+func (c *Cluster) startEntries(ctx context.Context, o ClusterOptions, logURL string) error {
 	for i := range o.Entries {
-		c.entrySpecs = append(c.entrySpecs, EntrySpec{Name: fmt.Sprintf("entry-%d", i), Zone: "zone-0"})
+		spec := EntrySpec{Name: fmt.Sprintf("entry-%d", i), Zone: "zone-0", LogURL: logURL}
+		if o.Relay {
+			relay, err := faultproxy.Start("")
+			if err != nil {
+				return err
+			}
+			c.Relays = append(c.Relays, relay)
+			spec.Advertise = relay.Addr()
+		}
+		c.entrySpecs = append(c.entrySpecs, spec)
 		c.Entries = append(c.Entries, nil)
 		if err := c.StartEntry(ctx, i); err != nil {
 			return err
@@ -78,14 +95,16 @@
 
 // StartEntry starts entry i, again on the addresses it had before.
 func (c *Cluster) StartEntry(ctx context.Context, i int) error {
-	p, err := c.launcher.Entry(c.entrySpecs[i])
+	p, ready, err := c.launcher.Entry(ctx, c.entrySpecs[i])
 	if err != nil {
 		return err
 	}
 	c.Entries[i] = p
-	ready, err := p.Await(ctx, 0, isReady)
 	c.entrySpecs[i].Listen, c.entrySpecs[i].Peer = ready.Addr, ready.Peer
-	return err
+	if len(c.Relays) > 0 {
+		c.Relays[i].SetTarget(ready.Peer)
+	}
+	return nil
 }
 
 func (c *Cluster) startUpstreams(ctx context.Context, o ClusterOptions) error {
@@ -103,25 +122,20 @@
 // StartUpstream starts upstream i, again on the address it had before. Its
 // record goes on.
 func (c *Cluster) StartUpstream(ctx context.Context, i int) error {
-	p, err := c.launcher.Upstream(c.upstreamSpecs[i])
+	p, ready, err := c.launcher.Upstream(ctx, c.upstreamSpecs[i])
 	if err != nil {
 		return err
 	}
 	c.Upstreams[i] = p
-	ready, err := p.Await(ctx, 0, isReady)
 	c.upstreamSpecs[i].Listen = ready.Addr
-	return err
+	return nil
 }
 
 func (c *Cluster) startAgents(o ClusterOptions) error {
 	for i := range o.Agents {
-		peers, err := c.peers(o)
-		if err != nil {
-			return err
-		}
 		c.agentSpecs = append(c.agentSpecs, AgentSpec{
 			Name: fmt.Sprintf("worker-%d", i), Zone: "zone-0", Rack: fmt.Sprintf("rack-%d", i),
-			Upstream: c.upstreamSpecs[i].Listen, Entries: peers, Slots: o.Slots,
+			Upstream: c.upstreamSpecs[i].Listen, Entries: c.peers(), Slots: o.Slots,
 		})
 		c.Agents = append(c.Agents, nil)
 		if err := c.StartAgent(i); err != nil {
@@ -131,25 +145,13 @@
 	return nil
 }
 
-// peers returns the entries' peer addresses for one agent, through relays of
-// its own if they are wanted.
-func (c *Cluster) peers(o ClusterOptions) ([]string, error) {
+// peers returns the addresses at which agents reach the entries.
+func (c *Cluster) peers() []string {
 	var addrs []string
-	var relays []*faultproxy.Proxy
 	for _, e := range c.entrySpecs {
-		if !o.Relay {
-			addrs = append(addrs, e.Peer)
-			continue
-		}
-		p, err := faultproxy.Start(e.Peer)
-		if err != nil {
-			return nil, err
-		}
-		relays = append(relays, p)
-		addrs = append(addrs, p.Addr())
+		addrs = append(addrs, cmp.Or(e.Advertise, e.Peer))
 	}
-	c.Relays = append(c.Relays, relays)
-	return addrs, nil
+	return addrs
 }
 
 // StartAgent starts agent i, again under its name.
@@ -162,13 +164,16 @@
 	return nil
 }
 
-// AwaitLinks returns when every running entry reported that number of links.
+// AwaitLinks returns when every running entry has reported that number of
+// links, and that it serves.
 func (c *Cluster) AwaitLinks(ctx context.Context, n int) error {
 	for _, e := range c.Entries {
 		if !e.Running() {
 			continue
 		}
-		if _, err := e.Await(ctx, 0, func(ev Event) bool { return ev.Kind == Links && ev.Count == n }); err != nil {
+		_, linked := e.Await(ctx, 0, func(ev Event) bool { return ev.Kind == Links && ev.Count == n })
+		_, serving := e.Await(ctx, 0, func(ev Event) bool { return ev.Kind == Serving })
+		if err := errors.Join(linked, serving); err != nil {
 			return err
 		}
 	}
@@ -241,16 +246,14 @@
 
 // Close kills every process that still runs and closes the relays.
 func (c *Cluster) Close() {
-	for _, list := range [][]*Process{c.Agents, c.Entries, c.Upstreams} {
+	for _, list := range [][]*Process{c.Agents, c.Entries, c.Upstreams, {c.Log}} {
 		for _, p := range list {
 			if p != nil {
 				p.Kill()
 			}
 		}
 	}
-	for _, relays := range c.Relays {
-		for _, r := range relays {
-			r.Close()
-		}
+	for _, r := range c.Relays {
+		r.Close()
 	}
 }
--- a/internal/harness/launch.go
+++ b/internal/harness/launch.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -10,6 +11,8 @@
 type EntrySpec struct {
 	Name, Zone   string
 	Listen, Peer string
+	Advertise    string // peer address that others are told; empty means Peer
+	LogURL       string
 }
 
 // AgentSpec describes an agent process.
@@ -25,17 +28,17 @@
 	Name, Listen, Record string
 }
 
-// Launcher starts processes of each role. An entry and an upstream must print
-// a Ready event.
+// Launcher starts processes of each role and returns when they listen.
 type Launcher interface {
-	Entry(EntrySpec) (*Process, error)
-	Agent(AgentSpec) (*Process, error)
-	Upstream(UpstreamSpec) (*Process, error)
+	Log(ctx context.Context) (*Process, Event, error)
+	Entry(ctx context.Context, s EntrySpec) (*Process, Event, error)
+	Upstream(ctx context.Context, s UpstreamSpec) (*Process, Event, error)
+	// Agent does not wait: an agent listens nowhere.
+	Agent(s AgentSpec) (*Process, error)
 }
 
-// processLauncher starts agents from the real binary. Entries come from the
-// node program as long as the classes of the real entry's configuration cannot
-// be set without the platform's log.
+// processLauncher starts entries and agents from the real binary, stand-ins
+// from the node program.
 type processLauncher struct {
 	bin Binaries
 	dir string // for settings files
@@ -53,16 +56,58 @@
 
 const loopback = "127.0.0.1:0"
 
+// awaitReady returns the process with the event that says where it listens. A
+// process that does not get there is killed.
+func awaitReady(ctx context.Context, p *Process, err error) (*Process, Event, error) {
+	if err != nil {
+		return nil, Event{}, err
+	}
+	ready, err := p.Await(ctx, 0, func(e Event) bool { return e.Kind == Ready })
+	if err != nil {
+		p.Kill()
+		return nil, Event{}, err
+	}
+	return p, ready, nil
+}
+
+// Log implements Launcher.
+func (l *processLauncher) Log(ctx context.Context) (*Process, Event, error) {
+	p, err := startProcess("log", parseJSON, l.bin.Node, "log")
+	return awaitReady(ctx, p, err)
+}
+
+const entrySettings = `name = %q
+zone = %q
+listen = %q
+peer_listen = %q
+operator_listen = %q
+log_url = %q
+log_level = "warn"
+`
+
 // Entry implements Launcher.
-func (l *processLauncher) Entry(s EntrySpec) (*Process, error) {
-	return startProcess(s.Name, l.bin.Node, "entry", "--name", s.Name, "--zone", s.Zone,
-		"--listen", orLoopback(s.Listen), "--peer", orLoopback(s.Peer))
+func (l *processLauncher) Entry(ctx context.Context, s EntrySpec) (*Process, Event, error) {
+	text := fmt.Sprintf(entrySettings, s.Name, s.Zone, orLoopback(s.Listen), orLoopback(s.Peer), loopback, s.LogURL)
+	if s.Advertise != "" {
+		text += fmt.Sprintf("peer_advertise = %q\n", s.Advertise)
+	}
+	path, err := l.writeSettings(s.Name, text)
+	if err != nil {
+		return nil, Event{}, err
+	}
+	p, err := startProcess(s.Name, parseEntryLine, l.bin.Limpettrail, "entry", path)
+	p, ready, err := awaitReady(ctx, p, err)
+	if err == nil {
+		go watchStatus(p, ready.Operator)
+	}
+	return p, ready, err
 }
 
 // Upstream implements Launcher.
-func (l *processLauncher) Upstream(s UpstreamSpec) (*Process, error) {
-	return startProcess(s.Name, l.bin.Node, "upstream", "--name", s.Name,
+func (l *processLauncher) Upstream(ctx context.Context, s UpstreamSpec) (*Process, Event, error) {
+	p, err := startProcess(s.Name, parseJSON, l.bin.Node, "upstream", "--name", s.Name,
 		"--listen", orLoopback(s.Listen), "--record", s.Record)
+	return awaitReady(ctx, p, err)
 }
 
 const agentSettings = `name = %q
@@ -71,6 +116,7 @@
 entries = [%s]
 upstream = "http://%s/"
 slots = %d
+log_level = "warn"
 `
 
 // Agent implements Launcher.
@@ -79,12 +125,17 @@
 	for _, e := range s.Entries {
 		entries += fmt.Sprintf("%q, ", e)
 	}
-	path := filepath.Join(l.dir, s.Name+".toml")
 	text := fmt.Sprintf(agentSettings, s.Name, s.Zone, s.Rack, entries, s.Upstream, s.Slots)
-	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+	path, err := l.writeSettings(s.Name, text)
+	if err != nil {
 		return nil, err
 	}
-	return startProcess(s.Name, l.bin.Limpettrail, "agent", path)
+	return startProcess(s.Name, parseJSON, l.bin.Limpettrail, "agent", path)
+}
+
+func (l *processLauncher) writeSettings(name, text string) (string, error) {
+	path := filepath.Join(l.dir, name+".toml")
+	return path, os.WriteFile(path, []byte(text), 0o644)
 }
 
 func orLoopback(addr string) string {
--- a/internal/harness/node/main.go
+++ b/internal/harness/node/main.go
@@ -1,6 +1,6 @@
-// Command node runs one role of the system for tests: an entry with sample
-// classes, or a sample upstream that records its starts. It prints its events
-// as JSON lines on standard output. Tests start agents from the real binary.
+// Command node runs a stand-in for tests in a process of its own: the
+// platform's log with sample classes published in it, or an upstream that
+// records its starts. It prints its events as JSON lines on standard output.
 package main
 
 import (
@@ -10,33 +10,24 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/internal/dev"
-	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/harness"
 	"github.com/limpettrail/limpettrail/internal/observer"
+	"github.com/limpettrail/limpettrail/internal/standin/logserver"
 	"github.com/limpettrail/limpettrail/internal/standin/upstream"
 )
 
-const (
-	statsInterval = 10 * time.Millisecond
-	drainTimeout  = 2 * time.Minute
-)
-
 type args struct {
-	Entry    *entryArgs    `arg:"subcommand:entry"`
+	Log      *logArgs      `arg:"subcommand:log"`
 	Upstream *upstreamArgs `arg:"subcommand:upstream"`
 }
 
-type entryArgs struct {
-	Name   string `arg:"required"`
-	Zone   string `arg:"required"`
+type logArgs struct {
 	Listen string `default:"127.0.0.1:0"`
-	Peer   string `default:"127.0.0.1:0"`
 }
 
 type upstreamArgs struct {
@@ -52,8 +43,8 @@
 	defer stop()
 	var err error
 	switch {
-	case a.Entry != nil:
-		err = runEntry(ctx, a.Entry)
+	case a.Log != nil:
+		err = runLog(ctx, a.Log)
 	case a.Upstream != nil:
 		err = runUpstream(ctx, a.Upstream)
 	}
@@ -65,41 +56,17 @@
 
 func emit(e harness.Event) { json.NewEncoder(os.Stdout).Encode(e) }
 
-func runEntry(ctx context.Context, a *entryArgs) error {
-	e, err := entryd.Start(entryd.Options{
-		Name: a.Name, Zone: a.Zone, Listen: a.Listen, PeerListen: a.Peer,
-		Scheduler: policy.New(policy.Options{Seed: uint64(os.Getpid()), Zone: a.Zone}),
-		Settings:  policy.Settings{Classes: dev.SampleClasses()},
-	})
+func runLog(ctx context.Context, a *logArgs) error {
+	s, err := logserver.Start(logserver.Options{Listen: a.Listen})
 	if err != nil {
 		return err
 	}
-	emit(harness.Event{Kind: harness.Ready, Addr: e.Addr(), Peer: e.PeerAddr()})
-	go reportChanges(ctx, e)
-	<-ctx.Done()
-	emit(harness.Event{Kind: harness.Draining})
-	stopCtx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return e.Stop(stopCtx)
-}
-
-// reportChanges emits the number of links and of jobs when they change.
-func reportChanges(ctx context.Context, e *entryd.Entry) {
-	last := entryd.Stats{}
-	for ctx.Err() == nil {
-		now, ok := e.Stats()
-		if !ok {
-			return
-		}
-		if now.Links != last.Links {
-			emit(harness.Event{Kind: harness.Links, Count: now.Links})
-		}
-		if now.Jobs != last.Jobs {
-			emit(harness.Event{Kind: harness.Jobs, Count: now.Jobs})
-		}
-		last = now
-		time.Sleep(statsInterval)
+	if err := dev.Publish(s.URL(), policy.Settings{Classes: dev.SampleClasses()}); err != nil {
+		return err
 	}
+	emit(harness.Event{Kind: harness.Ready, Addr: s.URL()})
+	<-ctx.Done()
+	return s.Close()
 }
 
 func runUpstream(ctx context.Context, a *upstreamArgs) error {
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -19,24 +19,35 @@
 // Kind names an event of a node process.
 type Kind string
 
-// Events that a node prints.
+// Events of processes. A stand-in prints them; those of an entry come from the
+// line that it prints at its start and from its status.
 const (
-	// Ready: the process listens; Addr and Peer are set.
+	// Ready: the process listens; its addresses are set.
 	Ready Kind = "ready"
 	// Links: the number of agents connected to an entry changed.
 	Links Kind = "links"
 	// Jobs: the number of submissions in progress at an entry changed.
 	Jobs Kind = "jobs"
-	// Draining: the graceful shutdown began.
-	Draining Kind = "draining"
+	// Serving: an entry has its configuration and an agent, and accepts jobs.
+	Serving Kind = "serving"
 )
 
-// Event is one line that a node prints.
+// Event is one event of a process.
 type Event struct {
-	Kind  Kind   `json:"kind"`
-	Addr  string `json:"addr,omitempty"`
-	Peer  string `json:"peer,omitempty"`
-	Count int    `json:"count"`
+	Kind     Kind   `json:"kind"`
+	Addr     string `json:"addr,omitempty"`
+	Peer     string `json:"peer,omitempty"`
+	Operator string `json:"operator,omitempty"`
+	Count    int    `json:"count"`
+}
+
+// parseFunc finds the event in one line of output.
+type parseFunc func(line []byte) (Event, bool)
+
+func parseJSON(line []byte) (Event, bool) {
+	var e Event
+	err := json.Unmarshal(line, &e)
+	return e, err == nil && e.Kind != ""
 }
 
 // pollPeriod is how often waits look again at files and tables.
@@ -44,10 +55,11 @@
 
 // Process is a process that the harness started.
 type Process struct {
-	Name string
-	cmd  *exec.Cmd
-	out  sync.WaitGroup
-	done chan struct{}
+	Name  string
+	cmd   *exec.Cmd
+	parse parseFunc
+	out   sync.WaitGroup
+	done  chan struct{}
 
 	mu     sync.Mutex
 	events []Event
@@ -56,9 +68,12 @@
 	err    error         // of Wait
 }
 
-// startProcess starts a binary. Its standard output is read for events.
-func startProcess(name, path string, args ...string) (*Process, error) {
-	p := &Process{Name: name, cmd: exec.Command(path, args...), done: make(chan struct{}), grown: make(chan struct{})}
+// startProcess starts a binary. Its output is read for events.
+func startProcess(name string, parse parseFunc, path string, args ...string) (*Process, error) {
+	p := &Process{
+		Name: name, cmd: exec.Command(path, args...), parse: parse,
+		done: make(chan struct{}), grown: make(chan struct{}),
+	}
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -86,14 +101,18 @@
 }
 
 func (p *Process) line(b []byte) {
-	var e Event
-	isEvent := json.Unmarshal(b, &e) == nil && e.Kind != ""
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !isEvent {
-		p.text = append(append(p.text, b...), '\n')
+	if e, ok := p.parse(b); ok {
+		p.add(e)
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.text = append(append(p.text, b...), '\n')
+}
+
+func (p *Process) add(e Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.events = append(p.events, e)
 	close(p.grown)
 	p.grown = make(chan struct{})
--- a/internal/harness/storm_test.go
+++ b/internal/harness/storm_test.go
@@ -97,7 +97,7 @@
 
 func (s *storm) fault() {
 	agent, entry := s.rng.IntN(len(s.c.Agents)), s.rng.IntN(len(s.c.Entries))
-	relay := s.c.Relays[agent][entry]
+	relay := s.c.Relays[entry]
 	direction := faultproxy.Direction(s.rng.IntN(2))
 	switch kind := s.rng.IntN(7); kind {
 	case 0:
@@ -119,11 +119,18 @@
 		s.t.Log("freeze entry", entry)
 		s.freeze(s.c.Entries[entry])
 	case 5:
-		s.t.Log("cut link", agent, entry)
-		relay.Cut()
+		s.t.Log("cut a link of entry", entry)
+		s.onLink(relay, (*faultproxy.Conn).Cut)
 	case 6:
-		s.t.Log("silence link", agent, entry, "direction", direction)
-		relay.Silence(direction)
+		s.t.Log("silence a link of entry", entry, "direction", direction)
+		s.onLink(relay, func(c *faultproxy.Conn) { c.Silence(direction) })
+	}
+}
+
+// onLink injects a fault into one of the entry's connections, if it has any.
+func (s *storm) onLink(relay *faultproxy.Proxy, fault func(*faultproxy.Conn)) {
+	if open := relay.Open(); len(open) > 0 {
+		fault(open[s.rng.IntN(len(open))])
 	}
 }
 
