--- a/internal/harness/entry_faults_test.go
+++ b/internal/harness/entry_faults_test.go
@@ -1,6 +1,7 @@
 package harness_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,3 +46,24 @@
 	}
 	verdict(t, c, wait)
 }
+
+// Guards against a request that is not idempotent and runs a second time when
+// its caller resubmits it to another entry after the first one died.
+func TestKeyedRequestsResubmittedAfterAnEntryIsKilled(t *testing.T) {
+	for _, starts := range []int{0, 1, 10, 40} {
+		t.Run(fmt.Sprintf("after %d starts", starts), func(t *testing.T) {
+			t.Parallel()
+			ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 2, Slots: 8})
+			list := jobs(100)
+			for i := range list {
+				list[i].Keyed = true
+			}
+			wait := c.Drive(ctx, "keyed", list)
+			assert.NilError(t, c.AwaitStarts(ctx, 0, starts))
+			c.Entries[0].Kill()
+			assert.NilError(t, c.StartEntry(ctx, 0))
+			ends := verdict(t, c, wait)
+			assert.Assert(t, ends[observer.Complete] >= 50, "the other entry must go on: %v", ends)
+		})
+	}
+}
--- a/internal/harness/storm_test.go
+++ b/internal/harness/storm_test.go
@@ -60,6 +60,7 @@
 	list := jobs(stormJobs)
 	for i := range list {
 		list[i].Deadline = 20 * time.Second
+		list[i].Keyed = i%2 == 0
 	}
 	return list
 }
@@ -99,7 +100,7 @@
 	agent, entry := s.rng.IntN(len(s.c.Agents)), s.rng.IntN(len(s.c.Entries))
 	relay := s.c.Relays[entry]
 	direction := faultproxy.Direction(s.rng.IntN(2))
-	switch kind := s.rng.IntN(7); kind {
+	switch kind := s.rng.IntN(8); kind {
 	case 0:
 		s.t.Log("kill agent", agent)
 		s.c.Agents[agent].Kill()
@@ -124,6 +125,9 @@
 	case 6:
 		s.t.Log("silence a link of entry", entry, "direction", direction)
 		s.onLink(relay, func(c *faultproxy.Conn) { c.Silence(direction) })
+	case 7:
+		s.t.Log("freeze the log")
+		s.freeze(s.c.Log)
 	}
 }
 
