--- a/internal/logstate/logstate.go
+++ b/internal/logstate/logstate.go
@@ -74,8 +74,10 @@
 	DefaultMaxLive      = 1_000_000
 	DefaultMaintenance  = time.Second
 
-	// pollWait is the long poll of a follower at rest: 0.1 reads a second.
-	pollWait = 10 * time.Second
+	// pollWait is the long poll of a follower. A read on a connection that went
+	// silent ends after pollWait plus the client's read timeout; the sum must
+	// stay well under the 6 s in which a change is in force (P8).
+	pollWait = 2 * time.Second
 	// timerInterval is the resolution of claim deadlines.
 	timerInterval = 50 * time.Millisecond
 	// releaseRetry is how long a release may stay unread before it is sent again.
@@ -137,6 +139,7 @@
 
 // streamState is what is known of one followed stream.
 type streamState struct {
+	known     bool // reachable was determined at least once
 	reachable bool
 	caughtUp  bool // reached the end of the stream at least once
 	next      int64
@@ -262,16 +265,16 @@
 
 // maintenanceLoop writes presence and snapshots when they are due.
 func (s *State) maintenanceLoop() {
-	rule := config.SnapshotRule{
-		Retention: s.opts.Retention,
-		Rand:      rand.New(rand.NewPCG(uint64(s.opts.Incarnation), 0)),
-	}
+	rnd := rand.New(rand.NewPCG(uint64(s.opts.Incarnation), 0))
+	snapshots := config.SnapshotRule{Retention: s.opts.Retention, Rand: rnd}
+	markers := snapshots
 	p := presenceSchedule{every: s.opts.Retention / presenceShare}
 	t := time.NewTicker(s.opts.Maintenance)
 	defer t.Stop()
 	for {
 		s.writePresence(&p)
-		s.writeSnapshot(&rule)
+		s.writeSnapshot(&snapshots)
+		s.writeMarker(&markers)
 		s.askOnGap()
 		select {
 		case <-s.ctx.Done():
