--- a/internal/harness/storm_test.go
+++ b/internal/harness/storm_test.go
@@ -60,6 +60,7 @@
 	list := jobs(stormJobs)
 	for i := range list {
 		list[i].Deadline = 20 * time.Second
+		list[i].Keyed = i%2 == 0
 	}
 	return list
 }
@@ -97,9 +98,9 @@
 
 func (s *storm) fault() {
 	agent, entry := s.rng.IntN(len(s.c.Agents)), s.rng.IntN(len(s.c.Entries))
-	relay := s.c.Relays[agent][entry]
+	relay := s.c.Relays[entry]
 	direction := faultproxy.Direction(s.rng.IntN(2))
-	switch kind := s.rng.IntN(7); kind {
+	switch kind := s.rng.IntN(8); kind {
 	case 0:
 		s.t.Log("kill agent", agent)
 		s.c.Agents[agent].Kill()
@@ -119,11 +120,21 @@
 		s.t.Log("freeze entry", entry)
 		s.freeze(s.c.Entries[entry])
 	case 5:
-		s.t.Log("cut link", agent, entry)
-		relay.Cut()
+		s.t.Log("cut a link of entry", entry)
+		s.onLink(relay, (*faultproxy.Conn).Cut)
 	case 6:
-		s.t.Log("silence link", agent, entry, "direction", direction)
-		relay.Silence(direction)
+		s.t.Log("silence a link of entry", entry, "direction", direction)
+		s.onLink(relay, func(c *faultproxy.Conn) { c.Silence(direction) })
+	case 7:
+		s.t.Log("freeze the log")
+		s.freeze(s.c.Log)
+	}
+}
+
+// onLink injects a fault into one of the entry's connections, if it has any.
+func (s *storm) onLink(relay *faultproxy.Proxy, fault func(*faultproxy.Conn)) {
+	if open := relay.Open(); len(open) > 0 {
+		fault(open[s.rng.IntN(len(open))])
 	}
 }
 
