--- /dev/null
+++ b/internal/faultmatrix/page_test.go
@@ -0,0 +1,128 @@
+package faultmatrix
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	root      = "../.."
+	pagePath  = root + "/docs/fault-matrix.md"
+	beginMark = "<!-- generated: cells -->\n"
+	endMark   = "<!-- end of generated part -->\n"
+)
+
+var writePage = flag.Bool("writepage", false, "write the generated part of docs/fault-matrix.md")
+
+// processTests names, for each fault, the tests with real sockets or real
+// processes that show it as well, as package.Test.
+var processTests = map[string][]string{
+	"entry-killed":         {"internal/harness.TestEntryKilledWhileTasksRun", "internal/entryd.TestKilledEntryBreaksTheConnection", "internal/logstate.TestKeyOfADeadEntryNeverRunsAgain"},
+	"agent-killed":         {"internal/harness.TestAgentKilledWhileTasksRun"},
+	"upstream-killed":      {"internal/harness.TestUpstreamKilledWhileTasksRun", "internal/agentd.TestUnreachableUpstreamIsNotRunAndFoundAgain"},
+	"log-killed":           {"internal/logstate.TestOutageInTheMiddleEndsTheClaim", "internal/logstate.TestOutageRefusesClaimsAtOnceAndEnds"},
+	"agent-frozen":         {"internal/harness.TestAgentFrozenAndThawed", "core/agent.TestPauseAtEachStep"},
+	"agent-lease-lapsed":   {"internal/harness.TestAgentFrozenAndThawed"},
+	"link-silent-to-entry": {"internal/harness.TestLinkSilentInOneDirection"},
+	"link-silent-to-agent": {"internal/harness.TestLinkSilentInOneDirection"},
+	"link-silent-both":     {"internal/agentd.TestSilentLinkIsReplacedWithoutSecondStart"},
+	"reply-lost":           {"internal/logstate.TestLostAppendReplyIsResolvedByReading", "internal/operator.TestLostReplyIsAcceptedAfterReadBack"},
+	"log-out-of-retention": {"internal/logstate.TestSnapshotLetsAFreshEntryStartAfterExpiry", "internal/logstate.TestReaderThatMissedRecordsDoesNotJudgeTheirKeys"},
+	"operators-race":       {"internal/operator.TestOfRacingOperatorsOneIsAccepted", "internal/operator.TestConfigHistoriesAreLinearizable"},
+	"job-impossible":       {"core/policy.TestAdmissionRefusals"},
+	"cancel-wave":          {"internal/entryd.TestDeleteCancelsQueuedTasks"},
+	"straggler":            {"core/policy.TestStragglerGetsFewTasks"},
+	"upstream-fails-all":   {"core/policy.TestWorkerThatFailsEverythingCostsFewTasks"},
+	"entry-stopped":        {"internal/harness.TestPlannedStopOfAnEntryUnderLoad", "internal/entryd.TestStopFinishesJobsAndRefusesNewOnes"},
+	"agent-stopped":        {"internal/harness.TestPlannedStopOfAnAgentUnderLoad", "internal/agentd.TestStopHandsBackQueueAndDeliversResults"},
+}
+
+// TestPageMatchesTheCells guards against a page that lists other cells, seeds
+// or tests than those that run.
+func TestPageMatchesTheCells(t *testing.T) {
+	data, err := os.ReadFile(pagePath)
+	assert.NilError(t, err)
+	head, rest, ok := strings.Cut(string(data), beginMark)
+	assert.Assert(t, ok, "%s lacks the line %q", pagePath, beginMark)
+	part, tail, ok := strings.Cut(rest, endMark)
+	assert.Assert(t, ok, "%s lacks the line %q", pagePath, endMark)
+	want := generatedPart()
+	if *writePage {
+		assert.NilError(t, os.WriteFile(pagePath, []byte(head+beginMark+want+endMark+tail), 0o644))
+		return
+	}
+	assert.Equal(t, part, want, "run: go test ./internal/faultmatrix -run TestPageMatchesTheCells -writepage")
+}
+
+// TestNamedTestsExist guards against a page that names a test which was
+// renamed or removed.
+func TestNamedTestsExist(t *testing.T) {
+	for fault, names := range processTests {
+		assert.Assert(t, faultByName(fault) != nil, "no fault %s", fault)
+		for _, name := range names {
+			dir, test, _ := strings.Cut(name, ".")
+			assert.Assert(t, testsIn(t, filepath.Join(root, dir))[test], "%s does not exist", name)
+		}
+	}
+}
+
+func faultByName(name string) *fault {
+	for _, f := range allFaults {
+		if f.name == name {
+			return f
+		}
+	}
+	return nil
+}
+
+// testsIn returns the names of the test functions in a directory.
+func testsIn(t *testing.T, dir string) map[string]bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	assert.NilError(t, err)
+	found := make(map[string]bool)
+	for _, path := range files {
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		assert.NilError(t, err)
+		for _, d := range f.Decls {
+			if fn, ok := d.(*ast.FuncDecl); ok && fn.Recv == nil {
+				found[fn.Name.Name] = true
+			}
+		}
+	}
+	return found
+}
+
+func generatedPart() string {
+	var b strings.Builder
+	for _, f := range allFaults {
+		fmt.Fprintf(&b, "\n### %s\n\n", f.name)
+		if f.harmless {
+			b.WriteString("Alone, it must cost no accepted job.")
+		}
+		if names := processTests[f.name]; len(names) > 0 {
+			fmt.Fprintf(&b, " Also outside this package: %s.", strings.Join(names, ", "))
+		}
+		promises := strings.ReplaceAll(f.checks, " ", ", ")
+		b.WriteString("\n\n| step | most threatened | test | seed |\n|---|---|---|---|\n")
+		for _, s := range allSteps {
+			c := cell{f, s}
+			if c.possible() {
+				fmt.Fprintf(&b, "| %s | %s | TestMatrix/%s | %d |\n", s, promises, c.name(), c.seed())
+			} else {
+				fmt.Fprintf(&b, "| %s | | cannot occur: %s | |\n", s, f.why)
+			}
+		}
+	}
+	b.WriteByte('\n')
+	return b.String()
+}
