--- a/internal/logstate/claims.go
+++ b/internal/logstate/claims.go
@@ -77,6 +77,7 @@
 	held     map[claimKey]time.Duration
 	releases map[claimKey]*pendingRelease
 	swept    time.Duration                      // log time
+	newest   time.Duration                      // log time of the newest record read
 	active   map[wire.Incarnation]time.Duration // log time of the last record
 }
 
@@ -196,12 +197,19 @@
 	s.wakeAppender()
 }
 
+// giveUpOverdue ends overdue claims. Their read-back may be stuck on a silent
+// connection, so the read in progress is repeated on a new one.
 func (s *State) giveUpOverdue(now time.Time) {
+	overdue := false
 	for key, p := range s.claim.pending {
 		if now.After(p.deadline) {
 			s.abandon(key, p, unavailable())
+			overdue = true
 		}
 	}
+	if overdue {
+		s.claims.kick()
+	}
 }
 
 // requeueReleases repeats releases that were not read back, and forgets those
@@ -226,6 +234,7 @@
 
 func (s *State) applyClaims(b *platformlog.Batch, from int64) {
 	for _, r := range b.Records {
+		s.claim.newest = r.Time
 		for _, v := range s.table.Apply(r.Offset, r.Time, r.Body) {
 			s.claim.active[v.Entry] = r.Time
 			if v.Entry == s.opts.Incarnation {
--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -187,6 +187,32 @@
 	s.ready(a)
 }
 
+// silentPoll is a Log of which one long poll of the claims stays without answer.
+type silentPoll struct {
+	platformlog.Log
+	armed atomic.Bool
+}
+
+func (p *silentPoll) Read(ctx context.Context, r platformlog.ReadRequest) (platformlog.Batch, error) {
+	b, err := p.Log.Read(ctx, r)
+	if r.Stream == logstate.StreamClaims && r.Wait > 0 && p.armed.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return platformlog.Batch{}, ctx.Err()
+	}
+	return b, err
+}
+
+// Guards against a connection that goes silent and takes every later claim with
+// it while new connections work.
+func TestSilentConnectionCostsOneClaim(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	log := &silentPoll{Log: s.client()}
+	a := s.ready(s.entry(func(o *logstate.Options) { o.Log, o.ClaimTimeout = log, 300*time.Millisecond }))
+	log.armed.Store(true)
+	claim(a, request("k", 0))
+	s.until("claims work again", func() bool { return claim(a, request("l", 0)).Won })
+}
+
 // Guards against a claim that stays open, or wins, when the log falls silent
 // between its append and its read-back.
 func TestOutageInTheMiddleEndsTheClaim(t *testing.T) {
@@ -252,6 +278,27 @@
 	assert.Assert(t, claim(fresh, request("l", -life-time.Minute+claims.DefaultWindow-time.Second)).Won)
 }
 
+// Guards against a fresh entry that cannot judge any key because the log has
+// been quiet for longer than its retention.
+func TestQuietLogLeavesNewKeysJudgeable(t *testing.T) {
+	s := newSystem(t, logserver.Options{})
+	a := s.ready(s.entry(nil))
+	assert.Assert(t, claim(a, request("k", 0)).Won)
+	s.until("a record marks the quiet stream", func() bool {
+		s.server.Advance(time.Hour)
+		r := s.server.Records(logstate.StreamClaims)
+		return len(r) > 0 && r[len(r)-1].Offset > 0
+	})
+	a.Close()
+	s.server.Expire(logstate.StreamClaims, 1)
+	s.server.Advance(life + time.Minute)
+	fresh := s.ready(s.entry(nil))
+	b, err := s.client().Read(t.Context(), platformlog.ReadRequest{Stream: logstate.StreamClaims, From: platformlog.FromOldest})
+	assert.NilError(t, err)
+	ahead := b.Now - time.Duration(time.Now().UnixNano())
+	assert.Assert(t, claim(fresh, request("l", -ahead)).Won)
+}
+
 // Guards against claims on a log that forgets them while their keys are valid.
 func TestTooShortRetentionRefusesKeys(t *testing.T) {
 	s := newSystem(t, logserver.Options{})
