--- a/internal/faultmatrix/callers_test.go
+++ b/internal/faultmatrix/callers_test.go
@@ -189,8 +189,8 @@
 	return m
 }
 
-// operator is a process that never dies.
-var operator proc
+// operatorProc is a process that never dies.
+var operatorProc proc
 
 // publish appends a change based on the current revision, and appends it again
 // with the same identity if the reply is lost.
@@ -202,7 +202,7 @@
 }
 
 func (w *world) appendChange(body []byte, tries int) {
-	w.log.append(&operator, configStream, body, func(r reply) {
+	w.log.append(&operatorProc, configStream, body, func(r reply) {
 		if r != appended && tries > 1 {
 			w.after(time.Second, func() { w.appendChange(body, tries-1) })
 		}
--- a/internal/faultmatrix/property_test.go
+++ b/internal/faultmatrix/property_test.go
@@ -19,7 +19,11 @@
 		}
 	}
 	flag.Parse()
-	os.Exit(m.Run())
+	code := m.Run()
+	if programDir != "" {
+		os.RemoveAll(programDir)
+	}
+	os.Exit(code)
 }
 
 // TestRandomFaults guards against combinations of up to five faults at any
