Capacity: measure what links, tasks, configuration and claims cost

The requirements at the target scale were estimates. The new package internal/capacity and the sub-command capacity measure entry and agent links at rest, tasks through the cores, frames, configuration, claims and placement at three or more sizes and fit lines to the medians.

--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,135 @@
+// Package capacity measures what the parts of the system cost at several sizes
+// and fits straight lines to the results, from which docs/CAPACITY.md works
+// out the requirements at the target scale.
+//
+// The parts run in this process: the shells over loopback against ends that
+// only hold a link and send heartbeats, the state machines at their interfaces.
+// Sizes and counts are exact; times depend on the machine and on what else it
+// runs, so they are repeated and given with their spread.
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Options configure a run. Zero values take the defaults.
+type Options struct {
+	// Only names the experiments to run; empty means all.
+	Only []string
+	// Repeat is how often each size is measured. Default 3.
+	Repeat int
+	// Window is how long links at rest are observed. Default 3 s.
+	Window time.Duration
+	// Sizes replaces the sizes of every experiment, for tests.
+	Sizes []int
+	// Progress receives a line for each measurement. It may be nil.
+	Progress io.Writer
+}
+
+// Defaults of Options.
+const (
+	DefaultRepeat = 3
+	DefaultWindow = 3 * time.Second
+)
+
+// reading is one measured value.
+type reading struct {
+	metric string // with its unit
+	value  float64
+}
+
+// experiment measures one part at several sizes.
+type experiment struct {
+	name    string
+	title   string
+	size    string // what the sizes count
+	sizes   []int
+	log     bool // fit against the binary logarithm of the size
+	measure func(ctx context.Context, o Options, size int) ([]reading, error)
+}
+
+func experiments() []experiment {
+	return []experiment{
+		entryLinks, entryTasks, entryMemory, frames,
+		agentLinks, agentTasks,
+		configChange, claimTable, placement,
+	}
+}
+
+// Names returns the names of the experiments.
+func Names() []string {
+	var out []string
+	for _, e := range experiments() {
+		out = append(out, e.name)
+	}
+	return out
+}
+
+// Run measures and returns the report.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Repeat <= 0 {
+		o.Repeat = DefaultRepeat
+	}
+	if o.Window <= 0 {
+		o.Window = DefaultWindow
+	}
+	if err := checkNames(o.Only); err != nil {
+		return nil, err
+	}
+	r := newReport()
+	for _, e := range experiments() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, e.name) {
+			continue
+		}
+		s, err := e.run(ctx, o)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.name, err)
+		}
+		r.Sections = append(r.Sections, s)
+	}
+	return r, nil
+}
+
+func checkNames(names []string) error {
+	for _, n := range names {
+		if !slices.Contains(Names(), n) {
+			return fmt.Errorf("experiment %q: want one of %v", n, Names())
+		}
+	}
+	return nil
+}
+
+// run measures every size in turn, o.Repeat times, so that a change in the load
+// of the machine meets all sizes alike.
+func (e experiment) run(ctx context.Context, o Options) (Section, error) {
+	s := Section{Name: e.name, Title: e.title, Size: e.size, Log: e.log}
+	sizes := e.sizes
+	if len(o.Sizes) > 0 {
+		sizes = o.Sizes
+	}
+	for _, size := range sizes {
+		s.Points = append(s.Points, Point{Size: size})
+	}
+	for round := range o.Repeat {
+		for i := range s.Points {
+			if err := ctx.Err(); err != nil {
+				return s, err
+			}
+			p := &s.Points[i]
+			readings, err := e.measure(ctx, o, p.Size)
+			if err != nil {
+				return s, fmt.Errorf("%s %d: %w", e.size, p.Size, err)
+			}
+			p.add(readings)
+			if o.Progress != nil {
+				fmt.Fprintf(o.Progress, "%s: %s %d, round %d of %d\n", e.name, e.size, p.Size, round+1, o.Repeat)
+			}
+		}
+	}
+	s.finish()
+	return s, nil
+}
--- /dev/null
+++ b/internal/capacity/tasks.go
@@ -0,0 +1,271 @@
+package capacity
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/agent"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/link"
+)
+
+const (
+	className  = "quote"
+	benchSlots = 8
+	// benchAgents is about an entry's share of the agents at the target: 11,000
+	// with 6 links each, over 48 entries.
+	benchAgents = 1375
+	// benchTasks is the number of tasks in one measurement.
+	benchTasks  = 100_000
+	payloadSize = 200
+	resultSize  = 100
+	// spareAgents is the number of agents for each task where all tasks are to
+	// be in flight: the policy spreads a job over racks and does not fill them.
+	spareAgents = 2
+	longWithin  = 10 * time.Minute
+	// longDeadline admits any backlog.
+	longDeadline = 100 * time.Hour
+)
+
+// bench is an entry's machine whose agents answer at once.
+type bench struct {
+	machine *entry.Machine
+	frame   wire.ToEntry
+	body    []byte
+	sends   []entry.Send
+	frames  int
+	jobs    uint64
+	now     time.Duration
+}
+
+func newBench(agents, slots int, disable policy.Parts) *bench {
+	b := &bench{body: make([]byte, resultSize)}
+	b.machine = entry.New(entry.Options{
+		Incarnation: 1, Scheduler: policy.New(policy.Options{Seed: 1, Zone: "zone-0", Disable: disable}),
+	})
+	b.machine.Step(0, entry.Configured{Settings: policy.Settings{
+		Classes: []policy.Class{{Name: className, Within: longWithin, Success: 0.5}},
+	}})
+	for i := range agents {
+		b.machine.Step(0, entry.LinkUp{Hello: wire.AgentHello{
+			Agent: wire.Incarnation(i + 1), Epoch: 1, Name: fmt.Sprintf("worker-%05d", i),
+			Zone: fmt.Sprintf("zone-%d", i%3), Rack: fmt.Sprintf("rack-%d", i/3), Slots: slots,
+		}})
+	}
+	b.frame.Load = wire.Load{Slots: slots, Limit: slots}
+	return b
+}
+
+// submit offers a job and returns its frames with starts.
+func (b *bench) submit(payloads [][]byte) {
+	b.jobs++
+	b.now += time.Millisecond
+	var id wire.SubmissionID
+	binary.BigEndian.PutUint64(id[:], b.jobs)
+	b.collect(b.machine.Step(b.now, entry.Submit{
+		Submission: id, Class: className, Deadline: longDeadline,
+		Declared: time.Millisecond, Payloads: payloads,
+	}))
+}
+
+func (b *bench) collect(actions []entry.Action) {
+	for _, a := range actions {
+		if s, ok := a.(entry.Send); ok && len(s.Frame.Starts) > 0 {
+			b.sends = append(b.sends, s)
+		}
+	}
+}
+
+// answerAll answers frames until no start is left.
+func (b *bench) answerAll() {
+	for i := 0; i < len(b.sends); i++ {
+		s := b.sends[i]
+		b.frames++
+		b.frame.Results = b.frame.Results[:0]
+		for j := range s.Frame.Starts {
+			b.frame.Load.Successes++
+			b.frame.Results = append(b.frame.Results, wire.Result{
+				Seq: s.Frame.Starts[j].Seq, Outcome: wire.Succeeded, Run: 1000, Body: b.body,
+			})
+		}
+		b.collect(b.machine.Step(b.now, entry.Received{Agent: s.Agent, Epoch: 1, Frame: &b.frame}))
+	}
+	clear(b.sends)
+	b.sends = b.sends[:0]
+}
+
+func payloadsOf(tasks int) [][]byte {
+	out := make([][]byte, tasks)
+	for i := range out {
+		out[i] = make([]byte, payloadSize)
+	}
+	return out
+}
+
+var entryTasks = experiment{
+	name: "entry-tasks", size: "tasks", sizes: []int{1, 8, 64, 570},
+	title: fmt.Sprintf("entry core and policy for one job of that many tasks, %d agents, without HTTP, codec and sockets", benchAgents),
+	measure: func(_ context.Context, _ Options, tasks int) ([]reading, error) {
+		b, payloads := newBench(benchAgents, benchSlots, 0), payloadsOf(tasks)
+		jobs := benchTasks/tasks + 1
+		before := settled()
+		for range jobs {
+			b.submit(payloads)
+			b.answerAll()
+		}
+		d := since(before, sample())
+		if left := b.machine.Jobs(); left > 0 {
+			return nil, fmt.Errorf("%d jobs not answered", left)
+		}
+		n := float64(jobs)
+		return []reading{
+			{"cpu us", d.cpu / n}, {"allocs", d.allocs / n}, {"alloc B", d.bytes / n},
+			{"frames", float64(b.frames) / n},
+		}, nil
+	},
+}
+
+const memoryJobs = 100
+
+var entryMemory = experiment{
+	name: "entry-memory", size: "tasks", sizes: []int{1, 8, 64},
+	title: "heap of the entry for one job of that many tasks, without payloads, one task in flight on an agent",
+	measure: func(_ context.Context, _ Options, tasks int) ([]reading, error) {
+		waiting, placed := jobMemory(tasks, 1, 1)
+		inFlight, open := jobMemory(tasks, spareAgents*memoryJobs*tasks, benchSlots)
+		if placed < 0 || placed > 2*benchSlots || open != memoryJobs*tasks {
+			return nil, fmt.Errorf("%d tasks placed on one agent, %d of %d on many", placed, open, memoryJobs*tasks)
+		}
+		return []reading{{"waiting B", waiting}, {"in flight B", inFlight}}, nil
+	},
+}
+
+// jobMemory returns the heap bytes of one job and how many tasks were placed,
+// -1 if a job was refused. Admission is off, since it would not let such a
+// backlog build up on a few agents.
+func jobMemory(tasks, agents, slots int) (perJob float64, placed int) {
+	b, payloads := newBench(agents, slots, policy.PartAdmission), payloadsOf(tasks)
+	before := settled()
+	for range memoryJobs {
+		b.submit(payloads)
+		for _, s := range b.sends {
+			placed += len(s.Frame.Starts)
+		}
+		b.sends = b.sends[:0]
+	}
+	clear(b.sends[:cap(b.sends)])
+	d := since(before, settled())
+	runtime.KeepAlive(b)
+	if b.machine.Jobs() != memoryJobs {
+		return 0, -1
+	}
+	return d.heap / memoryJobs, placed
+}
+
+var frames = experiment{
+	name: "frames", size: "items", sizes: []int{1, 8, 64},
+	title: fmt.Sprintf("one frame of that many starts (%d B payload) or results (%d B)", payloadSize, resultSize),
+	measure: func(_ context.Context, _ Options, n int) ([]reading, error) {
+		starts, results := sampleFrames(n)
+		out := []reading{
+			{"start frame B", float64(len(frame(starts)))},
+			{"result frame B", float64(len(frame(results)))},
+		}
+		for _, c := range []struct {
+			name string
+			v    any
+			into func() any
+		}{
+			{"start", starts, func() any { return new(wire.ToAgent) }},
+			{"result", results, func() any { return new(wire.ToEntry) }},
+		} {
+			r, err := codecCost(c.name, c.v, c.into, benchTasks/4/n)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, r...)
+		}
+		return out, nil
+	},
+}
+
+func sampleFrames(n int) (*wire.ToAgent, *wire.ToEntry) {
+	starts := &wire.ToAgent{Floor: 1 << 40, Stamp: stampSample}
+	results := &wire.ToEntry{Stamp: stampSample, Load: wire.Load{Slots: 8, Limit: 8, Running: 5, Successes: 1 << 20}}
+	for i := range n {
+		starts.Starts = append(starts.Starts, wire.Start{
+			Seq: wire.Seq(1<<40 + i), Index: i, Class: className, Slack: 800_000, MaxWait: 100_000,
+			Deadline: 5_000_000, Payload: make([]byte, payloadSize),
+		})
+		results.Results = append(results.Results, wire.Result{
+			Seq: wire.Seq(1<<40 + i), Outcome: wire.Succeeded, Wait: 1000, Run: 200_000, Status: 200,
+			Body: make([]byte, resultSize),
+		})
+	}
+	return starts, results
+}
+
+func codecCost(name string, v any, into func() any, rounds int) ([]reading, error) {
+	body, err := link.Encode(v)
+	if err != nil {
+		return nil, err
+	}
+	n := float64(rounds)
+	before := sample()
+	for range rounds {
+		if _, err := link.Encode(v); err != nil {
+			return nil, err
+		}
+	}
+	encode := since(before, sample())
+	before = sample()
+	for range rounds {
+		if err := link.Decode(body, into()); err != nil {
+			return nil, err
+		}
+	}
+	decode := since(before, sample())
+	return []reading{
+		{"encode " + name + " us", encode.cpu / n}, {"decode " + name + " us", decode.cpu / n},
+		{"decode " + name + " allocs", decode.allocs / n},
+	}, nil
+}
+
+var agentTasks = experiment{
+	name: "agent-tasks", size: "starts", sizes: []int{1, 4, 8},
+	title: "agent core for one frame of that many starts and their results, without codec, sockets and upstream",
+	measure: func(_ context.Context, _ Options, n int) ([]reading, error) {
+		m := agent.New(agent.Options{Incarnation: 1, Slots: benchSlots})
+		m.Step(0, agent.LinkUp{Entry: 1, Epoch: 1})
+		f := &wire.ToAgent{Starts: make([]wire.Start, n)}
+		rounds := benchTasks / n
+		var now time.Duration
+		var seq wire.Seq
+		before := settled()
+		for range rounds {
+			now += time.Millisecond
+			f.Floor = seq + 1
+			for i := range f.Starts {
+				f.Starts[i] = wire.Start{Seq: seq + wire.Seq(i) + 1, Class: className, Deadline: 1e6, MaxWait: 1e6}
+			}
+			m.Step(now, agent.Received{Entry: 1, Epoch: 1, Frame: f})
+			for range f.Starts {
+				seq++
+				m.Step(now, agent.Finished{
+					Attempt: agent.AttemptID{Entry: 1, Seq: seq}, Outcome: wire.Succeeded, Run: time.Millisecond,
+				})
+			}
+		}
+		d := since(before, sample())
+		if got := m.Load(now).Successes; got != uint64(seq) {
+			return nil, fmt.Errorf("%d of %d tasks ran", got, seq)
+		}
+		r := float64(rounds)
+		return []reading{{"cpu us", d.cpu / r}, {"allocs", d.allocs / r}, {"alloc B", d.bytes / r}}, nil
+	},
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,7 @@
 	Load     *loadArgs     `arg:"subcommand:load" help:"generate load, measure response time and messages"`
 	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge the time lines of processes"`
 	Check    *checkArgs    `arg:"subcommand:check" help:"check a settings file"`
+	Capacity *capacityArgs `arg:"subcommand:capacity" help:"measure what links, tasks, configuration and claims cost"`
 	Version  *versionArgs  `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -63,6 +64,8 @@
 		return a.Timeline
 	case a.Check != nil:
 		return a.Check
+	case a.Capacity != nil:
+		return a.Capacity
 	case a.Version != nil:
 		return a.Version
 	}
