entryd: shell benchmarks run again

BenchmarkShell1TaskPerJob and BenchmarkShell88TasksPerJob failed with EOF in the handshake: their fake agent stated 65,536 slots, and the wire check allows 4,096 since it was added.

--- a/internal/entryd/bench_test.go
+++ b/internal/entryd/bench_test.go
@@ -12,7 +12,7 @@
 // one agent link; callers and agent share the processor with the entry.
 func benchmarkShell(b *testing.B, tasks int) {
 	e := startEntry(b, entryd.Options{})
-	startAgent(b, e, 1<<16, func(s wire.Start) wire.Result { return echo(s) })
+	startAgent(b, e, wire.MaxSlots, func(s wire.Start) wire.Result { return echo(s) })
 	body := `{"class":"c","tasks":[0` + strings.Repeat(",0", tasks-1) + `]}`
 	b.ReportAllocs()
 	b.SetParallelism(4)
