link: an idle link takes 11 KB instead of 101 KB of heap

Cause: each end of a link held two 32 KB buffers and a channel of 4,096 frames (32 KB), whether or not anything was sent. An entry at the target scale has 1,375 links: 139 MB of heap and 17 MB of stacks against a limit of 64 MB.

The queue now grows with the frames that wait, up to the same 4,096, and is given back after a burst; the buffers are 4 KB. A frame is written with its length in one piece, so a frame above 4 KB still costs one write. A smaller fixed ring was ruled out: at 1,800 frames a second 256 frames are a stall of 140 ms, and a full ring closes the link.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -32,11 +32,13 @@
 	WriteTimeout = 2 * time.Second
 	// HandshakeTimeout bounds the exchange of preface and hellos.
 	HandshakeTimeout = 2 * time.Second
-	// RingFrames is the capacity of the outgoing ring; a full ring closes the
+	// RingFrames is the capacity of the outgoing queue; a full queue closes the
 	// connection, since a peer that does not read is as good as silent.
 	RingFrames  = 4096
 	headerBytes = 4
-	bufferBytes = 32 << 10
+	// bufferBytes is the size of the read and of the write buffer. Larger frames
+	// pass them by, and an entry has both for each of its agents.
+	bufferBytes = 4 << 10
 	// readStep is how much of a frame is awaited, and at most how much memory is
 	// taken beyond the bytes that arrived, at a time.
 	readStep = 64 << 10
@@ -141,20 +143,19 @@
 	if c.out.Cap() > keptBuffer {
 		c.out = bytes.Buffer{}
 	}
+	var header [headerBytes]byte
+	c.out.Write(header[:])
 	if err := encoder.MarshalToBuffer(v, &c.out); err != nil {
 		return err
 	}
-	if c.out.Len() > wire.MaxFrameBytes {
+	size := c.out.Len() - headerBytes
+	if size > wire.MaxFrameBytes {
 		return ErrFrameTooLarge
 	}
 	if err := c.extendWrite(); err != nil {
 		return err
 	}
-	var header [headerBytes]byte
-	binary.BigEndian.PutUint32(header[:], uint32(c.out.Len()))
-	if _, err := c.w.Write(header[:]); err != nil {
-		return err
-	}
+	binary.BigEndian.PutUint32(c.out.Bytes(), uint32(size))
 	_, err := c.w.Write(c.out.Bytes())
 	return err
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -128,6 +128,68 @@
 	assert.Assert(t, !sender.Send(&wire.ToEntry{}))
 }
 
+// Guards against memory that an idle link takes ahead of need: an entry at the
+// target scale has more than a thousand links and 64 MB.
+func TestIdleLinkTakesLittleMemory(t *testing.T) {
+	const links, most = 100, 12 << 10
+	var conns [links]net.Conn
+	for i := range conns {
+		conns[i], _ = net.Pipe()
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	senders := make([]*Sender[*wire.ToAgent], links)
+	for i, c := range conns {
+		senders[i] = NewSender[*wire.ToAgent](NewConn(c))
+	}
+	runtime.ReadMemStats(&after)
+	for _, s := range senders {
+		s.Close()
+	}
+	each := (after.TotalAlloc - before.TotalAlloc) / links
+	assert.Assert(t, each < most, "%d bytes for each link", each)
+}
+
+// Guards against a peer that does not read and for which frames pile up without
+// bound, and against a queue that is shorter than the bound says.
+func TestFullQueueClosesTheConnection(t *testing.T) {
+	conn, _ := pipe(t)
+	conn.SetWriteTimeout(patience)
+	sender := NewSender[*wire.ToAgent](conn)
+	defer sender.Close()
+	// Nothing is read, so the first frame that exceeds the buffer is stuck.
+	large := &wire.ToAgent{Starts: []wire.Start{{Payload: make([]byte, 2*bufferBytes)}}}
+	sent := 0
+	for sent <= RingFrames && sender.Send(large) {
+		sent++
+	}
+	assert.Equal(t, sent, RingFrames)
+	assert.Assert(t, !sender.Send(large))
+}
+
+// Guards against frames that overtake each other or get lost between the
+// queue and its spare memory while the writer is busy.
+func TestFramesArriveInOrder(t *testing.T) {
+	const frames = 3 * RingFrames
+	conn, peer := pipe(t)
+	far := NewConn(peer)
+	sender := NewSender[*wire.ToAgent](conn)
+	defer sender.Close()
+	slots := make(chan struct{}, RingFrames/2)
+	go func() {
+		for i := range frames {
+			slots <- struct{}{}
+			sender.Send(&wire.ToAgent{Floor: wire.Seq(i)})
+		}
+	}()
+	for i := range frames {
+		var f wire.ToAgent
+		assert.NilError(t, far.Read(&f, patience))
+		assert.Equal(t, f.Floor, wire.Seq(i))
+		<-slots
+	}
+}
+
 // fuzzDecoder checks that the decoder of one message never crashes and that
 // what it accepts is within the limits and survives a second round.
 func fuzzDecoder[T any](f *testing.F) {
--- a/internal/link/sender.go
+++ b/internal/link/sender.go
@@ -2,22 +2,32 @@
 
 import "sync"
 
-// Sender writes frames of one connection from a bounded ring.
+// keptQueue is the largest queue of frames that is reused. A longer one, left
+// by a burst, is given back, since an idle link must stay small: an entry at
+// the target scale has more than a thousand.
+const keptQueue = 64
+
+// Sender writes frames of one connection from a bounded queue.
 type Sender[T any] struct {
 	conn *Conn
-	ring chan T
+	wake chan struct{} // the queue is not empty
 	last chan struct{} // closed by Finish
 	done chan struct{} // closed by Close
 	// finish and close guard the channels.
 	finish sync.Once
 	close  sync.Once
+
+	mu      sync.Mutex
+	queue   []T // at most RingFrames
+	spare   []T // empty, the queue's memory in turn
+	writing int // frames taken from the queue and not yet written
 }
 
 // NewSender starts the writing goroutine. Close ends it.
 func NewSender[T any](conn *Conn) *Sender[T] {
 	s := &Sender[T]{
 		conn: conn,
-		ring: make(chan T, RingFrames),
+		wake: make(chan struct{}, 1),
 		last: make(chan struct{}),
 		done: make(chan struct{}),
 	}
@@ -26,7 +36,7 @@
 }
 
 // Send queues a frame. It reports false if the connection is closed or
-// finished, or if the ring is full, which closes the connection.
+// finished, or if the queue is full, which closes the connection.
 func (s *Sender[T]) Send(frame T) bool {
 	select {
 	case <-s.done:
@@ -35,13 +45,53 @@
 		return false
 	default:
 	}
+	if !s.push(frame) {
+		s.Close()
+		return false
+	}
 	select {
-	case s.ring <- frame:
-		return true
+	case s.wake <- struct{}{}:
 	default:
-		s.Close()
+	}
+	return true
+}
+
+func (s *Sender[T]) push(frame T) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue)+s.writing >= RingFrames {
 		return false
 	}
+	s.queue = append(s.queue, frame)
+	return true
+}
+
+// take returns the queued frames and notes that they are being written.
+func (s *Sender[T]) take() []T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frames := s.queue
+	s.queue, s.spare = s.spare, nil
+	s.writing = len(frames)
+	return frames
+}
+
+// wrote notes that one of the taken frames was written.
+func (s *Sender[T]) wrote() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing--
+}
+
+// reuse keeps the memory of written frames for the queue.
+func (s *Sender[T]) reuse(frames []T) {
+	if cap(frames) > keptQueue {
+		return
+	}
+	clear(frames)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spare = frames[:0]
 }
 
 // Close closes the connection and drops frames that were not written.
@@ -65,8 +115,8 @@
 		case <-s.last:
 			s.writeLast()
 			return
-		case frame := <-s.ring:
-			if s.write(frame) != nil {
+		case <-s.wake:
+			if s.write() != nil {
 				s.Close()
 				return
 			}
@@ -75,29 +125,21 @@
 }
 
 func (s *Sender[T]) writeLast() {
-	select {
-	case frame := <-s.ring:
-		if s.write(frame) != nil {
-			s.Close()
-			return
-		}
-	default:
-	}
-	if s.conn.CloseWrite() != nil {
+	if s.write() != nil || s.conn.CloseWrite() != nil {
 		s.Close()
 	}
 }
 
-// write sends one frame and whatever else waits, with one flush.
-func (s *Sender[T]) write(frame T) error {
-	for {
-		if err := s.conn.Write(frame); err != nil {
-			return err
-		}
-		select {
-		case frame = <-s.ring:
-		default:
-			return s.conn.Flush()
+// write sends what is queued, and what is queued meanwhile, with one flush.
+func (s *Sender[T]) write() error {
+	for frames := s.take(); len(frames) > 0; frames = s.take() {
+		for i := range frames {
+			if err := s.conn.Write(frames[i]); err != nil {
+				return err
+			}
+			s.wrote()
 		}
+		s.reuse(frames)
 	}
+	return s.conn.Flush()
 }
