config: agents are sent what changed, not the whole state

Cause: each entry sent its agents the whole encoded configuration for each change.

An entry now sends an agent that had the version before only the items that changed since. Agents that are further behind, and those that report a state older than a delta requires, get the whole state. No delta is made across a dropped memory of a deletion.

Ruled out: a minimum interval between pushes (within the 6 s bound it saves less than half at 0.24 changes a second), compression against the state before (the window of 32 KB ends at about 600 items).

--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/limpettrail/limpettrail/core/config"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -303,6 +304,39 @@
 	assert.Assert(t, s.frames[2].Config == nil)
 }
 
+// Guards against a copy that differs from the entries' configuration after a
+// delta, and against a delta applied to a state that it does not build on.
+func TestDeltaIsMergedOnlyWhereItFollows(t *testing.T) {
+	m := config.New(config.Options{})
+	states := []*wire.ConfigState{configOf(t, m, "a"), configOf(t, m, "b"), configOf(t, m, "c")}
+	delta := func(since int) *wire.ConfigState {
+		body, ok := config.Delta(states[2].State, states[since].Version)
+		assert.Assert(t, ok)
+		return &wire.ConfigState{Version: states[2].Version, State: body, Since: states[since].Version}
+	}
+	s := newScript(Options{Slots: 1})
+	s.step(LinkUp{Entry: entryA, Epoch: 1, ConfigVersion: 3})
+	s.frame(wire.ToAgent{Config: states[0]})
+	s.frames = nil
+	s.frame(wire.ToAgent{Config: delta(1)})
+	assert.Equal(t, s.m.ConfigVersion(), states[0].Version)
+	assert.DeepEqual(t, s.frames[0].Config, states[0]) // which asks for the whole
+	broken := &wire.ConfigState{Version: 3, State: []byte("?"), Since: states[0].Version}
+	s.frame(wire.ToAgent{Config: broken})
+	assert.Equal(t, s.m.ConfigVersion(), states[0].Version)
+	s.frame(wire.ToAgent{Config: delta(0)})
+	assert.DeepEqual(t, s.m.config, states[2])
+}
+
+// configOf adds a class and returns the configuration.
+func configOf(t *testing.T, m *config.Machine, name string) *wire.ConfigState {
+	c := config.Change{Kind: config.KindClass, Name: name, Value: config.Value{WithinMicros: 1000}}
+	body, err := (&config.Record{ID: config.ID{1}, Change: &c}).Encode()
+	assert.NilError(t, err)
+	m.Apply(m.Next(), 0, body)
+	return &wire.ConfigState{Version: m.Version(), State: m.State().Encode()}
+}
+
 // Guards against a frame that exceeds the size limit and breaks every link on
 // which its results are sent.
 func TestLargeResultsAreSplitOverFrames(t *testing.T) {
--- a/core/agent/config.go
+++ b/core/agent/config.go
@@ -1,6 +1,9 @@
 package agent
 
-import "github.com/limpettrail/limpettrail/core/wire"
+import (
+	"github.com/limpettrail/limpettrail/core/config"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
 
 // ConfigVersion returns the version of the newest configuration that an entry
 // sent, or 0 if there is none.
@@ -25,6 +28,13 @@
 	if c.Version <= m.ConfigVersion() {
 		return
 	}
+	if c.Since > 0 {
+		if c = m.merged(c); c == nil {
+			// The entry answers a state that is older than its own with the whole.
+			from.sendConfig = m.config != nil
+			return
+		}
+	}
 	m.config = c
 	for _, p := range m.peerList {
 		if p.up && p.configVersion <= 0 {
@@ -32,3 +42,16 @@
 		}
 	}
 }
+
+// merged returns the whole configuration after a delta, or nil if the delta
+// does not follow what this agent has.
+func (m *Machine) merged(delta *wire.ConfigState) *wire.ConfigState {
+	if m.ConfigVersion() < delta.Since {
+		return nil
+	}
+	state, err := config.Merge(m.config.State, delta.State)
+	if err != nil || len(state) > wire.MaxConfigBytes {
+		return nil
+	}
+	return &wire.ConfigState{Version: delta.Version, State: state}
+}
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -104,6 +104,27 @@
 	assert.Assert(t, f.Config == nil)
 }
 
+// Guards against whole configurations sent for each change, which at the target
+// scale exceed an agent's bytes a second, and against a delta sent to an agent
+// that lacks what it builds on.
+func TestOnlyAgentsThatAreUpToDateGetADelta(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifo{}})
+	whole := entry.Configured{Version: 5, State: []byte("five")}
+	m.Step(0, whole)
+	m.Step(0, up(1, 5))
+	f, _ := frames(m.Step(0, entry.Configured{Version: 7, State: []byte("seven"), Delta: []byte("7"), Since: 5}))
+	assert.DeepEqual(t, *f.Config, wire.ConfigState{Version: 7, State: []byte("7"), Since: 5})
+	f, _ = frames(m.Step(0, up(2, 4)))
+	assert.DeepEqual(t, *f.Config, wire.ConfigState{Version: 7, State: []byte("seven")})
+	f, _ = frames(m.Step(0, up(3, 6)))
+	assert.DeepEqual(t, *f.Config, wire.ConfigState{Version: 7, State: []byte("7"), Since: 5})
+
+	// An agent that could not use a delta says what it has and gets the whole.
+	has := &wire.ToEntry{Config: &wire.ConfigState{Version: 4, State: []byte("four")}}
+	f, _ = frames(m.Step(0, entry.Received{Agent: 1, Epoch: 3, Frame: has}))
+	assert.DeepEqual(t, *f.Config, wire.ConfigState{Version: 7, State: []byte("seven")})
+}
+
 // Guards against agents that are not told of a changed entry list.
 func TestEntryListIsSentWhenItChanges(t *testing.T) {
 	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifo{}})
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -68,6 +68,10 @@
 	Version  int64
 	// State is the encoded configuration for agents, empty if there is none.
 	State []byte
+	// Delta is the part of State that changed after version Since. Agents with
+	// that version or a later one are sent only it. Empty if it is not known.
+	Delta []byte
+	Since int64
 }
 
 // Entries replaces the list of entries that agents are told of.
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -241,11 +241,14 @@
 	Body    []byte
 }
 
-// ConfigState carries a whole configuration to a peer with an older version.
+// ConfigState carries a configuration to a peer with an older version.
 type ConfigState struct {
 	_       struct{} `cbor:",toarray"`
 	Version int64
 	State   []byte
+	// Since is 0 if State is the whole configuration. Otherwise State holds only
+	// what changed after that version, for a peer that has it or a later one.
+	Since int64
 }
 
 // ToAgent is one frame from an entry to an agent. Every list may be empty; an
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/config"
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -253,12 +254,15 @@
 // Configure puts a configuration in force here and at the agents. A lower
 // version than the one in force has no effect.
 func (e *Entry) Configure(settings policy.Settings, version int64, state []byte) {
-	next := &entry.Configured{Settings: settings, Version: version, State: state}
 	for {
 		old := e.config.Load()
 		if version < old.Version {
 			return
 		}
+		next := &entry.Configured{Settings: settings, Version: version, State: state}
+		if delta, ok := config.Delta(state, old.Version); ok && old.Version > 0 {
+			next.Delta, next.Since = delta, old.Version
+		}
 		if e.config.CompareAndSwap(old, next) {
 			e.send(*next)
 			return
