--- a/internal/faultmatrix/system_test.go
+++ b/internal/faultmatrix/system_test.go
@@ -204,6 +204,7 @@
 	Incarnation   string   `json:"incarnation"`
 	Ready         bool     `json:"ready"`
 	ConfigVersion int64    `json:"config_version"`
+	Requests      int      `json:"requests"`
 	Agents        []string `json:"agents"`
 	Log           struct {
 		Reachable bool `json:"log_reachable"`
