entryd: count a request body's bytes as they arrive

Cause: the budget for the bodies of requests in progress (256 MiB) was charged with the stated length, or with 8 MiB for a body without one, before a byte of the body had arrived. 32 callers that sent such a head and then nothing used it up: every other caller was refused as too_many_requests for the body timeout of 30 s, and again after the next 32.

Now each body is charged as it is read and refused when the budget is exceeded. The budget still bounds what is held in memory.

Ruled out: a larger budget, which moves the number of slow callers needed; a shorter body timeout, which would cut off callers with a slow connection.

--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -208,6 +208,18 @@
 	assert.Equal(t, (<-done).status, 200)
 }
 
+// Guards against bodies that take more memory than the budget for all, and
+// against a budget that is not given back.
+func TestBodiesBeyondTheBudgetAreRefused(t *testing.T) {
+	e := startEntry(t, entryd.Options{MaxPendingBytes: 2000})
+	startAgent(t, e, 8, echo)
+	large := `{"class":"c","tasks":["` + strings.Repeat("x", 3000) + `"]}`
+	for range 3 {
+		assert.Equal(t, do(t, "POST", jobs(e), large).body.Reason, "too_many_requests")
+	}
+	assert.Equal(t, do(t, "POST", jobs(e), `{"class":"c","tasks":[1]}`).status, 200)
+}
+
 // Guards against strangers on the peer port that hold a connection.
 func TestWrongPrefaceClosesTheConnection(t *testing.T) {
 	e := startEntry(t, entryd.Options{})
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
@@ -59,22 +60,18 @@
 }
 
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
-	size := r.ContentLength
-	if size < 0 {
-		size = MaxBodyBytes // chunked: assume the largest
-	}
-	size = min(size, MaxBodyBytes+1)
-	defer e.pending.Add(-size)
-	if e.pending.Add(size) > e.opts.MaxPendingBytes {
+	body := &meteredBody{pending: &e.pending, limit: e.opts.MaxPendingBytes}
+	defer body.release()
+	data, reqErr := body.read(w, r, e.opts.BodyTimeout)
+	if body.full {
 		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
-	body, reqErr := readBody(w, r, e.opts.BodyTimeout)
 	if reqErr != nil {
 		writeRequestError(w, reqErr)
 		return
 	}
-	req, reqErr := DecodeJob(body)
+	req, reqErr := DecodeJob(data)
 	if reqErr != nil {
 		writeRequestError(w, reqErr)
 		return
@@ -86,11 +83,38 @@
 	e.accept(w, r, req)
 }
 
-// readBody reads the whole body within timeout. net/http lifts the read
-// deadline once the body has ended, so it does not bound the job.
-func readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
+// errPendingFull ends the reading of a body that exceeds the bodies' budget.
+var errPendingFull = errors.New("entryd: too many bytes of request bodies")
+
+// meteredBody counts the bytes of a body as they arrive. A stated length is not
+// reserved: a few callers that send slowly would use up the budget of all.
+type meteredBody struct {
+	io.Reader
+	pending *atomic.Int64 // bytes of all requests in progress
+	limit   int64
+	taken   int64
+	full    bool
+}
+
+// Read implements io.Reader.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.taken += int64(n)
+	if b.pending.Add(int64(n)) > b.limit {
+		b.full = true
+		return n, errPendingFull
+	}
+	return n, err
+}
+
+func (b *meteredBody) release() { b.pending.Add(-b.taken) }
+
+// read reads the whole body within timeout. net/http lifts the read deadline
+// once the body has ended, so it does not bound the job.
+func (b *meteredBody) read(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	b.Reader = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+	body, err := io.ReadAll(b)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
