Fault matrix: the page, all ordered pairs of cells

Cause: the result must be readable and repeatable: the page lists every cell with its test, seed and promises, generated from the registry that the tests run from; a test compares the two and checks that the tests named elsewhere exist.

TestCellPairs runs every 101st ordered pair of cells; -stride 1 runs all.

--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -1,8 +1,10 @@
 package faultmatrix
 
 import (
+	"flag"
 	"fmt"
 	"hash/fnv"
+	"sync"
 	"testing"
 )
 
@@ -134,3 +136,36 @@
 	}
 	return allSteps[draw%uint64(len(allSteps))]
 }
+
+var stride = flag.Int("stride", 101, "run every nth ordered pair of cells; 1 runs all")
+
+// TestCellPairs guards against two faults at chosen steps: every nth ordered
+// pair of cells, the same cell twice included.
+func TestCellPairs(t *testing.T) {
+	var cells []cell
+	for _, c := range allCells() {
+		if c.possible() {
+			cells = append(cells, c)
+		}
+	}
+	var mu sync.Mutex
+	var n totals
+	t.Cleanup(func() { n.log(t) })
+	for i, first := range cells {
+		t.Run(first.name(), func(t *testing.T) {
+			t.Parallel()
+			for j, second := range cells {
+				if (i*len(cells)+j)%*stride != 0 {
+					continue
+				}
+				w := explore(first.seed()^second.seed(), variant{},
+					&injection{step: first.step, nth: 1 + j%3, fault: first.fault},
+					&injection{step: second.step, nth: 1 + i%4, fault: second.fault})
+				report(t, w, "with %s, occurrences %d and %d", second.name(), 1+j%3, 1+i%4)
+				mu.Lock()
+				n.add(w)
+				mu.Unlock()
+			}
+		})
+	}
+}
--- a/internal/faultmatrix/page_test.go
+++ b/internal/faultmatrix/page_test.go
@@ -26,10 +26,10 @@
 // processTests names, for each fault, the tests with real sockets or real
 // processes that show it as well, as package.Test.
 var processTests = map[string][]string{
-	"entry-killed":         {"internal/harness.TestEntryKilledWhileTasksRun", "internal/entryd.TestKilledEntryBreaksTheConnection", "internal/logstate.TestKeyOfADeadEntryNeverRunsAgain"},
-	"agent-killed":         {"internal/harness.TestAgentKilledWhileTasksRun"},
+	"entry-killed":         {"internal/faultmatrix.TestEntryKilledBetweenClaimAndStart", "internal/faultmatrix.TestConfigurationWhileAThirdRestarts", "internal/harness.TestEntryKilledWhileTasksRun", "internal/entryd.TestKilledEntryBreaksTheConnection", "internal/logstate.TestKeyOfADeadEntryNeverRunsAgain"},
+	"agent-killed":         {"internal/faultmatrix.TestConfigurationWhileAThirdRestarts", "internal/harness.TestAgentKilledWhileTasksRun"},
 	"upstream-killed":      {"internal/harness.TestUpstreamKilledWhileTasksRun", "internal/agentd.TestUnreachableUpstreamIsNotRunAndFoundAgain"},
-	"log-killed":           {"internal/logstate.TestOutageInTheMiddleEndsTheClaim", "internal/logstate.TestOutageRefusesClaimsAtOnceAndEnds"},
+	"log-killed":           {"internal/faultmatrix.TestLogOutageInTheMiddle", "internal/logstate.TestOutageInTheMiddleEndsTheClaim", "internal/logstate.TestOutageRefusesClaimsAtOnceAndEnds"},
 	"agent-frozen":         {"internal/harness.TestAgentFrozenAndThawed", "core/agent.TestPauseAtEachStep"},
 	"agent-lease-lapsed":   {"internal/harness.TestAgentFrozenAndThawed"},
 	"link-silent-to-entry": {"internal/harness.TestLinkSilentInOneDirection"},
@@ -44,6 +44,8 @@
 	"upstream-fails-all":   {"core/policy.TestWorkerThatFailsEverythingCostsFewTasks"},
 	"entry-stopped":        {"internal/harness.TestPlannedStopOfAnEntryUnderLoad", "internal/entryd.TestStopFinishesJobsAndRefusesNewOnes"},
 	"agent-stopped":        {"internal/harness.TestPlannedStopOfAnAgentUnderLoad", "internal/agentd.TestStopHandsBackQueueAndDeliversResults"},
+	"log-stopped":          {"internal/faultmatrix.TestLogOutageInTheMiddle"},
+	"all-restarted":        {"internal/faultmatrix.TestEverythingRestartedAtOnce", "internal/faultmatrix.TestEverythingRestartedInAnOutage"},
 }
 
 // TestPageMatchesTheCells guards against a page that lists other cells, seeds
