cli, eventlog: https with operator certificates, reload is confirmed, errors in one line

A successful SIGHUP printed nothing, so a rotation could not be told from a lost signal. Log lines with an error carried the stack trace that errorx keeps, a kilobyte a line; they carry the message only.

capacity: agent-runs measures a task through the agent's sockets and HTTP.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -55,7 +55,7 @@
 func experiments() []experiment {
 	return []experiment{
 		entryLinks, entryTasks, entryMemory, frames,
-		agentLinks, agentTasks,
+		agentLinks, agentTasks, agentRuns,
 		configChange, claimTable, placement,
 	}
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -124,10 +124,10 @@
 		fmt.Fprintf(t, "\t%s=%d", s.Size, p.Size)
 	}
 	fmt.Fprintf(t, "\tper %s\tat 0\tresidual\n", s.unit())
-	for i, line := range s.Lines {
+	for _, line := range s.Lines {
 		fmt.Fprint(t, line.Metric)
 		for _, p := range s.Points {
-			fmt.Fprintf(t, "\t%s", p.Values[i].text())
+			fmt.Fprintf(t, "\t%s", p.text(line.Metric))
 		}
 		fmt.Fprintf(t, "\t%s\t%s\t%s%%\n", number(line.Slope), number(line.Intercept), number(100*line.Residual))
 	}
@@ -141,6 +141,16 @@
 	return "one"
 }
 
+// text returns the values of a metric, "-" if it was not measured at this size.
+func (p *Point) text(metric string) string {
+	for i := range p.Values {
+		if p.Values[i].Metric == metric {
+			return p.Values[i].text()
+		}
+	}
+	return "-"
+}
+
 func (v *Values) text() string {
 	if len(v.All) < 2 || v.All[0] == v.All[len(v.All)-1] {
 		return number(v.Median)
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -24,7 +24,7 @@
 )
 
 var configChange = experiment{
-	name: "config", size: "items", sizes: []int{100, 1000, 10_000},
+	name: "config", size: "items", sizes: []int{100, 300, 1000, 10_000},
 	title: "configuration with that many classes: whole state, memory, and one change applied and encoded",
 	measure: func(_ context.Context, _ Options, items int) ([]reading, error) {
 		before := settled()
@@ -50,13 +50,43 @@
 			size = len(m.State().Encode())
 		}
 		d := since(started, sample())
+		agents, err := deltaCost(items, m.State().Encode())
+		if err != nil {
+			return nil, err
+		}
 		runtime.KeepAlive(m)
-		return []reading{
+		out := []reading{
 			{"state B", float64(size)}, {"heap B", heap}, {"cpu us/change", d.cpu / configChanges},
-		}, nil
+		}
+		return append(out, agents...), nil
 	},
 }
 
+// deltaCost measures what the last change to an encoded state costs an agent
+// that has the version before it. More items than the system admits have none.
+func deltaCost(items int, state []byte) ([]reading, error) {
+	if items > config.DefaultMaxItems {
+		return nil, nil
+	}
+	s, err := config.DecodeState(state)
+	if err != nil {
+		return nil, err
+	}
+	body, ok := config.Delta(state, s.Version()-1)
+	if !ok {
+		return nil, fmt.Errorf("no delta to version %d", s.Version())
+	}
+	before := sample()
+	for range configChanges {
+		if _, err := config.Merge(state, body); err != nil {
+			return nil, err
+		}
+	}
+	d := since(before, sample())
+	f := frame(&wire.ToAgent{Config: &wire.ConfigState{Version: s.Version(), State: body, Since: s.Version() - 1}, Stamp: stampSample})
+	return []reading{{"delta frame B", float64(len(f))}, {"merge us/change", d.cpu / configChanges}}, nil
+}
+
 func applyClass(m *config.Machine, offset int64, name string, base int64) error {
 	r := config.Record{Change: &config.Change{
 		Kind: config.KindClass, Name: name, Base: base,
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -50,7 +50,7 @@
 }
 
 type configStatus struct {
-	Address []string `arg:"positional,required" help:"operators' addresses, IP:port or https://IP:port"`
+	Address []string `arg:"positional,required" help:"operators' addresses, IP:port (https with --cert or --ca) or a URL"`
 	tlsArgs
 }
 
@@ -159,7 +159,7 @@
 	versions := make(map[int64]bool)
 	code := ExitOK
 	for _, addr := range s.Address {
-		p, err := fetchStatus(client, addr)
+		p, err := fetchStatus(client, s.withScheme(addr))
 		if err != nil {
 			fmt.Fprintf(t, "%s\tunreachable: %v\t\t\n", addr, err)
 			code = ExitFailed
@@ -180,9 +180,6 @@
 	var p processStatus
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	if !strings.Contains(addr, "://") {
-		addr = "http://" + addr
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, addr+"/status", nil)
 	if err != nil {
 		return p, err
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -33,7 +33,9 @@
 		}
 		if err := reload(); err != nil {
 			fmt.Fprintln(stderr, "reload failed, earlier files stay in use:", err)
+			continue
 		}
+		fmt.Fprintln(stderr, "TLS files reloaded")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/limpettrail/limpettrail/core/timeline"
 	"github.com/limpettrail/limpettrail/internal/timelineview"
@@ -53,7 +54,11 @@
 	unreachable := 0
 	query := timelineview.Query{Submission: a.Job, Peer: a.Peer}
 	for _, source := range a.Source {
-		events, err := timelineview.Read(context.Background(), client, source, query)
+		address := source
+		if _, err := os.Stat(source); err != nil {
+			address = a.withScheme(source)
+		}
+		events, err := timelineview.Read(context.Background(), client, address, query)
 		if err != nil {
 			fmt.Fprintf(stderr, "warning: %s left out: %v\n", source, err)
 			unreachable++
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -131,7 +131,8 @@
 		out = append(out, zap.Duration("duration", f.Duration))
 	}
 	if f.Err != nil {
-		out = append(out, zap.Error(f.Err))
+		// zap.Error would add the stack trace that errorx keeps, a kilobyte a line.
+		out = append(out, zap.String("error", f.Err.Error()))
 	}
 	return out
 }
