--- /dev/null
+++ b/internal/cli/docs_test.go
@@ -0,0 +1,153 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/alexflint/go-arg"
+	"gotest.tools/v3/assert"
+)
+
+// command lines shown by the pages, with the file and line that show them.
+type shownCommand struct {
+	where string
+	argv  []string
+}
+
+// Guards against pages that show a command line which the binary refuses. The
+// commands are parsed only, not run.
+func TestCommandLinesInDocsParse(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	if _, err := os.Stat("../../README.md"); err == nil {
+		pages = append(pages, "../../README.md")
+	}
+	found := 0
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, c := range commandsOf(filepath.Base(page), string(data)) {
+			found++
+			var a args
+			p, err := arg.NewParser(arg.Config{Program: "limpettrail"}, &a)
+			assert.NilError(t, err)
+			assert.NilError(t, p.Parse(c.argv), "%s: %v", c.where, c.argv)
+			assert.Assert(t, a.command() != nil, "%s: %v", c.where, c.argv)
+		}
+	}
+	assert.Assert(t, found > 20, "only %d command lines found in %v", found, pages)
+}
+
+// Guards against a test that finds no command because it reads pages wrongly.
+func TestCommandsAreFoundInAPage(t *testing.T) {
+	page := "text `limpettrail version` and `limpettrail`\n```sh\n$ limpettrail config --log $LOG \\\n    list | head # all\nsudo -u x limpettrail check --role entry 'a b.toml' && limpettrail version\n```\nlimpettrail runs\n"
+	var got []string
+	for _, c := range commandsOf("page", page) {
+		got = append(got, c.where+" "+strings.Join(c.argv, ","))
+	}
+	assert.DeepEqual(t, got, []string{
+		"page:1 version",
+		"page:3 config,--log,$LOG,list",
+		"page:5 check,--role,entry,a b.toml",
+		"page:5 version",
+	})
+}
+
+// commandsOf returns the command lines in fenced blocks of sh and in inline
+// code. A line that ends in a backslash goes on.
+func commandsOf(name, page string) []shownCommand {
+	var out []shownCommand
+	fence := ""
+	start, joined := 0, ""
+	for i, line := range strings.Split(page, "\n") {
+		if lang, ok := strings.CutPrefix(strings.TrimSpace(line), "```"); ok {
+			if fence != "" {
+				fence = ""
+			} else {
+				fence = "block " + lang
+			}
+			continue
+		}
+		if joined == "" {
+			start = i + 1
+		}
+		switch {
+		case fence == "":
+			out = append(out, inlineCommands(name, i+1, line)...)
+		case fence != "block sh":
+		case strings.HasSuffix(line, "\\"):
+			joined += strings.TrimSuffix(line, "\\") + " "
+		default:
+			out = append(out, shellCommands(name, start, joined+line)...)
+			joined = ""
+		}
+	}
+	return out
+}
+
+func inlineCommands(name string, line int, text string) []shownCommand {
+	var out []shownCommand
+	for i, span := range strings.Split(text, "`") {
+		if i%2 == 1 && strings.HasPrefix(span, "limpettrail ") {
+			out = append(out, shellCommands(name, line, span)...)
+		}
+	}
+	return out
+}
+
+// shellCommands splits a line into words and returns what follows each word
+// "limpettrail" up to the end of that command.
+func shellCommands(name string, line int, text string) []shownCommand {
+	var out []shownCommand
+	var argv []string
+	inside := false
+	end := func() {
+		if inside {
+			out = append(out, shownCommand{where: name + ":" + strconv.Itoa(line), argv: argv})
+		}
+		inside, argv = false, nil
+	}
+	for _, w := range shellWords(text) {
+		switch {
+		case strings.HasPrefix(w, "#"):
+			end()
+			return out
+		case w == "|" || w == "&&" || w == ";" || w == "&" || w == "||" || strings.HasPrefix(w, ">") || strings.HasPrefix(w, "2>"):
+			end()
+		case !inside && (w == "limpettrail" || strings.HasSuffix(w, "/limpettrail")):
+			inside = true
+		case inside:
+			argv = append(argv, w)
+		}
+	}
+	end()
+	return out
+}
+
+// shellWords splits at blanks outside quotes and removes the quotes.
+func shellWords(text string) []string {
+	var out []string
+	var word strings.Builder
+	quote, open := rune(0), false
+	for _, r := range text + " " {
+		switch {
+		case quote != 0 && r == quote:
+			quote = 0
+		case quote == 0 && (r == '\'' || r == '"'):
+			quote, open = r, true
+		case quote == 0 && (r == ' ' || r == '\t'):
+			if open {
+				out = append(out, word.String())
+			}
+			word.Reset()
+			open = false
+		default:
+			word.WriteRune(r)
+			open = true
+		}
+	}
+	return out
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -281,6 +281,10 @@
 	case NotAccepted:
 		fmt.Fprintf(c.Out, "%s: not accepted: %s\n", r.Key, r.Detail)
 	case Unknown:
-		fmt.Fprintf(c.Out, "%s: unknown: ask again with this id: %s\n", r.Key, r.ID)
+		item := r.Key.String()
+		if r.Key.Kind == 0 { // the log does not tell which item the id concerns
+			item = "change"
+		}
+		fmt.Fprintf(c.Out, "%s: unknown: ask again with this id: %s\n", item, r.ID)
 	}
 }
