Fault matrix: agents get only what changed, and hold the accepted state

Cause: entries now send agents the items that changed since a version. The fake shell gave the core no such part, so that layer 1 tried only the whole state, and the check compared the agents' versions but not what they hold.

The fake now passes the change as the real shell does, and at the end each agent's state must equal the accepted one byte for byte.

--- a/internal/faultmatrix/check_test.go
+++ b/internal/faultmatrix/check_test.go
@@ -169,12 +169,17 @@
 	if v < e.version {
 		e.w.check.fail("P8", fmt.Sprintf("entry %d went from version %d to %d", e.i, e.version, v))
 	}
+	before := e.version
 	e.version = v
 	e.w.reach(stepInForce, e.i, int(v)%agentCount)
 	if e.dead {
 		return
 	}
-	e.step(entry.Configured{Settings: e.cfg.State().Settings(), Version: v, State: e.cfg.State().Encode()})
+	ev := entry.Configured{Settings: e.cfg.State().Settings(), Version: v, State: e.cfg.State().Encode()}
+	if delta, ok := config.Delta(ev.State, before); ok && before > 0 {
+		ev.Delta, ev.Since = delta, before
+	}
+	e.step(ev)
 	e.w.check.inForce(e)
 }
 
@@ -227,7 +232,21 @@
 		if v := a.core.ConfigVersion(); v != want.Version() {
 			c.fail("P8", fmt.Sprintf("agent %d has version %d, accepted is %d", a.k, v, want.Version()))
 		}
+		if !bytes.Equal(configOf(a), want.State().Encode()) {
+			c.fail("P8", fmt.Sprintf("agent %d holds another state than the accepted one", a.k))
+		}
+	}
+}
+
+// configOf returns the state that an agent would give to an entry that has none.
+func configOf(a *agentNode) []byte {
+	const stranger = 1 << 40
+	for _, action := range a.core.Step(a.w.now, agent.LinkUp{Entry: stranger, Epoch: 1}) {
+		if x, ok := action.(*agent.Send); ok && x.Entry == stranger && x.Frame.Config != nil {
+			return x.Frame.Config.State
+		}
 	}
+	return nil
 }
 
 var _ agentCore = (*agent.Machine)(nil)
