A job with a failed task is failed; an entry without configuration asks for a retry

An entry started in a log outage answered 422 unknown_class, which callers take as final. Change: failed takes precedence, the stopped runs are counted as unknown in the answer; 503 not_configured with Retry-After until a configuration is known. The property test's rule for failed is replaced by one that is as strict: a task of the job failed, or every outcome is known; and unknown now needs a task in doubt.

--- a/core/entry/faults_test.go
+++ b/core/entry/faults_test.go
@@ -126,6 +126,7 @@
 		at.result = wire.Result{Seq: at.seq, Outcome: wire.Unknown}
 	}
 	w.known[at.task] = at.result.Outcome != wire.Unknown
+	w.failed[at.task] = at.result.Outcome == wire.Failed
 	w.reply(a, at.result)
 }
 
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -28,6 +28,7 @@
 	open     int // tasks neither done nor dropped
 	started  int
 	unknown  int
+	failed   bool  // a task ran and failed
 	answer   int64 // bytes of results so far
 	longest  time.Duration
 	total    time.Duration
@@ -183,13 +184,17 @@
 	}
 }
 
-// incomplete gives the answer of a settled job that did not succeed.
+// incomplete gives the answer of a settled job that did not succeed. A task
+// that failed makes the job failed for certain; the runs that were stopped for
+// it count as unknown, but do not put the job's own outcome in doubt.
 func incomplete(j *job) JobAnswer {
 	a := JobAnswer{
 		Outcome: Refused, Reason: j.reason, Started: j.started, Unknown: j.unknown,
 		LongestRun: j.longest, TotalRun: j.total,
 	}
 	switch {
+	case j.failed:
+		a.Outcome = Failed
 	case j.unknown > 0:
 		a.Outcome = Unknown
 	case j.started > 0:
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -53,6 +53,7 @@
 		m.notRun(now, t, r.Reason)
 	case wire.Failed:
 		t.ran(r)
+		t.job.failed = true
 		m.endJob(now, t.job, ReasonTaskFailed)
 	default:
 		t.state = taskDone
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -18,6 +18,7 @@
 const (
 	ReasonTooManyRequests = "too_many_requests"
 	ReasonLogUnavailable  = "log_unavailable"
+	ReasonNotConfigured   = "not_configured" // no class is known yet
 	ReasonNoSuchJob       = "no_such_job"
 	ReasonCancelling      = "cancelling"
 	ReasonRunning         = "running"
@@ -76,6 +77,10 @@
 		writeRequestError(w, reqErr)
 		return
 	}
+	if !e.readiness().Config {
+		writeRefusal(w, ReasonNotConfigured)
+		return
+	}
 	if !req.Idempotent && e.opts.Claims == nil {
 		writeRefusal(w, ReasonLogUnavailable)
 		return
--- a/internal/entrynode/entrynode_test.go
+++ b/internal/entrynode/entrynode_test.go
@@ -156,3 +156,15 @@
 	})
 	assert.Assert(t, version() > first)
 }
+
+// Guards against an entry that starts in a log outage and tells callers that
+// their class does not exist, which they would take as final.
+func TestEntryWithoutConfigurationAsksCallersToRetry(t *testing.T) {
+	log := startLog(t)
+	log.SetFaults(logserver.Faults{Outage: true})
+	n := startNode(t, log, loopback)
+	code, body := submit(t, n, `{"class":"seal","tasks":[{"sleep_us":1}]}`)
+	assert.Equal(t, code, http.StatusServiceUnavailable, body)
+	assert.Assert(t, strings.Contains(body, "not_configured"), body)
+	assert.Assert(t, !n.Ready())
+}
