One heap with positions for entry and policy

Cause: core/entry had two heaps of the same shape and core/policy a third one of its own. Change: core/internal/indexheap serves all. Ruled out: keeping container/heap, which needs the same five methods for each item type.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -19,6 +19,7 @@
 	"cmp"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/internal/indexheap"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
@@ -86,8 +87,8 @@
 	agents    map[wire.Incarnation]*agentLink
 	agentList []*agentLink // in order of first contact
 	dirty     []*agentLink // links with content for the next frame
-	retries   retryQueue
-	deadlines deadlineQueue
+	retries   indexheap.Heap[*task]
+	deadlines indexheap.Heap[*job]
 	// abandoned holds the submissions that were answered while their claim was
 	// pending. A claim that is won after that is released.
 	abandoned map[wire.SubmissionID]struct{}
@@ -128,6 +129,8 @@
 		sched:     opts.Scheduler,
 		nextSeq:   1,
 		jobs:      make(map[wire.SubmissionID]*job),
+		retries:   newRetryQueue(),
+		deadlines: newDeadlineQueue(),
 		agents:    make(map[wire.Incarnation]*agentLink),
 		abandoned: make(map[wire.SubmissionID]struct{}),
 	}
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
@@ -33,7 +32,7 @@
 	longest  time.Duration
 	total    time.Duration
 	dueAt    time.Duration
-	duePos   int // position in the deadline queue
+	duePos   int // in the deadline queue
 }
 
 func newJob(now time.Duration, e Submit) *job {
@@ -65,10 +64,10 @@
 	m.jobs[e.Submission] = j
 	m.tasks += len(j.payloads)
 	m.payload += j.bytes
-	heap.Push(&m.deadlines, j)
+	m.deadlines.Put(j)
 	j.tasks = make([]task, len(e.Payloads))
 	for i := range j.tasks {
-		j.tasks[i] = task{job: j, sched: policy.Task{Job: &j.info, Index: i}, retryPos: notQueued}
+		j.tasks[i] = task{job: j, sched: policy.Task{Job: &j.info, Index: i}}
 	}
 	if e.Claimed {
 		j.claim = claimPending
@@ -161,7 +160,7 @@
 		case taskHeld:
 			m.drop(t)
 		case taskBackoff:
-			heap.Remove(&m.retries, t.retryPos)
+			m.retries.Drop(t)
 			m.drop(t)
 		case taskQueued:
 			m.sched.Remove(now, &t.sched)
@@ -219,7 +218,7 @@
 
 func (m *Machine) finish(now time.Duration, j *job, a JobAnswer) {
 	delete(m.jobs, j.info.Submission)
-	heap.Remove(&m.deadlines, j.duePos)
+	m.deadlines.Drop(j)
 	m.tasks -= len(j.tasks)
 	m.payload -= j.bytes
 	// Attempts in doubt keep the job reachable until their agent reports.
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
@@ -27,7 +26,7 @@
 	seq      wire.Seq
 	agent    *agentLink
 	retryAt  time.Duration
-	retryPos int // position in the retry queue
+	retryPos int // in the retry queue
 	result   []byte
 }
 
@@ -112,7 +111,7 @@
 	}
 	t.state = taskBackoff
 	t.retryAt = now + delay
-	heap.Push(&m.retries, t)
+	m.retries.Put(t)
 }
 
 func (m *Machine) drop(t *task) {
--- /dev/null
+++ b/core/internal/indexheap/indexheap.go
@@ -0,0 +1,91 @@
+// Package indexheap is a binary heap whose items know their position, so that
+// any item can be moved or removed in O(log n). The standard library's
+// container/heap needs the same five methods for each type of item.
+package indexheap
+
+// Heap orders items by Less, least first. Less and Pos must be set.
+type Heap[T any] struct {
+	Items []T
+	Less  func(a, b T) bool
+	// Pos returns where an item keeps its position plus one; 0 means that the
+	// item is not in the heap.
+	Pos func(T) *int
+}
+
+// Len returns the number of items.
+func (h *Heap[T]) Len() int { return len(h.Items) }
+
+// Top returns the least item; the heap must not be empty.
+func (h *Heap[T]) Top() T { return h.Items[0] }
+
+// Put inserts the item, or restores the order after its key changed.
+func (h *Heap[T]) Put(x T) {
+	p := h.Pos(x)
+	if *p == 0 {
+		h.Items = append(h.Items, x)
+		*p = len(h.Items)
+	}
+	if !h.down(*p - 1) {
+		h.up(*p - 1)
+	}
+}
+
+// Drop removes the item if it is in the heap.
+func (h *Heap[T]) Drop(x T) {
+	p := h.Pos(x)
+	if *p == 0 {
+		return
+	}
+	i, last := *p-1, len(h.Items)-1
+	h.swap(i, last)
+	var zero T
+	h.Items[last] = zero
+	h.Items = h.Items[:last]
+	*p = 0
+	if i < last && !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *Heap[T]) swap(i, j int) {
+	h.Items[i], h.Items[j] = h.Items[j], h.Items[i]
+	*h.Pos(h.Items[i]) = i + 1
+	*h.Pos(h.Items[j]) = j + 1
+}
+
+func (h *Heap[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.Less(h.Items[i], h.Items[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+// down reports whether the item moved.
+func (h *Heap[T]) down(i int) bool {
+	start := i
+	for {
+		child := 2*i + 1
+		if child >= len(h.Items) {
+			return i > start
+		}
+		if r := child + 1; r < len(h.Items) && h.Less(h.Items[r], h.Items[child]) {
+			child = r
+		}
+		if !h.Less(h.Items[child], h.Items[i]) {
+			return i > start
+		}
+		h.swap(i, child)
+		i = child
+	}
+}
+
+// Reorder restores the order after many keys changed.
+func (h *Heap[T]) Reorder() {
+	for i := len(h.Items)/2 - 1; i >= 0; i-- {
+		h.down(i)
+	}
+}
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -95,10 +95,10 @@
 		for name, t := range c.teams {
 			t.quota = quotaWeight(s.quotas[name])
 		}
-		c.byShare.reorder()
-		c.lateByShare.reorder()
+		c.byShare.Reorder()
+		c.lateByShare.Reorder()
 	}
-	s.queue.classes.reorder()
+	s.queue.classes.Reorder()
 }
 
 // AgentUp implements Scheduler.
@@ -213,8 +213,8 @@
 		met = 1
 	}
 	c.success += (met - c.success) * successWeight
-	if c.byDue.len() > 0 {
-		s.queue.classes.put(c)
+	if c.byDue.Len() > 0 {
+		s.queue.classes.Put(c)
 	}
 	j := s.queue.jobs[job]
 	if j == nil {
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -87,7 +87,7 @@
 			work += s.ahead(c, other, own, contended)
 		}
 	}
-	if s.queue.late.len() > 0 {
+	if s.queue.late.Len() > 0 {
 		work *= lateShare / (lateShare - 1.0) // starts given to late jobs
 	}
 	return time.Duration(work / s.drain())
@@ -102,10 +102,10 @@
 	}
 	t := s.team(c, team)
 	quotas := 0.0
-	if t.viable.len() == 0 {
+	if t.viable.Len() == 0 {
 		quotas = t.quota
 	}
-	for _, other := range c.byShare.items {
+	for _, other := range c.byShare.Items {
 		quotas += other.quota
 	}
 	return min(float64(c.waiting), float64(t.waiting)*quotas/t.quota)
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/limpettrail/limpettrail/core/internal/indexheap"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -142,16 +143,16 @@
 	checkHeap(t, &q.classes)
 	checkHeap(t, &q.late)
 	checkHeap(t, &q.expiry)
-	for _, c := range q.classes.items {
+	for _, c := range q.classes.Items {
 		checkHeap(t, &c.byShare)
 		checkHeap(t, &c.byDue)
 	}
 }
 
-func checkHeap[T any](t *rapid.T, h *indexHeap[T]) {
-	for i, x := range h.items {
-		if *h.pos(x) != i+1 || i > 0 && h.less(x, h.items[(i-1)/2]) {
-			t.Fatalf("item %d of %T is out of place", i, h.items)
+func checkHeap[T any](t *rapid.T, h *indexheap.Heap[T]) {
+	for i, x := range h.Items {
+		if *h.Pos(x) != i+1 || i > 0 && h.Less(x, h.Items[(i-1)/2]) {
+			t.Fatalf("item %d of %T is out of place", i, h.Items)
 		}
 	}
 }
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/internal/indexheap"
+)
 
 const (
 	// slackBucket is the difference in slack below which classes count as equal.
@@ -43,8 +47,8 @@
 	quota     float64
 	inService int
 	waiting   int
-	viable    indexHeap[*jobState]
-	late      indexHeap[*jobState]
+	viable    indexheap.Heap[*jobState]
+	late      indexheap.Heap[*jobState]
 
 	sharePos, duePos, latePos int
 }
@@ -62,18 +66,18 @@
 	waiting     int // tasks
 	inService   int // tasks
 	yields      bool
-	byShare     indexHeap[*teamState]
-	byDue       indexHeap[*teamState]
-	lateByShare indexHeap[*teamState]
+	byShare     indexheap.Heap[*teamState]
+	byDue       indexheap.Heap[*teamState]
+	lateByShare indexheap.Heap[*teamState]
 
 	pos, latePos int
 }
 
 func (c *classState) below() bool { return c.success < c.class.Success }
 
-func (c *classState) due() time.Duration { return c.byDue.top().viable.top().due }
+func (c *classState) due() time.Duration { return c.byDue.Top().viable.Top().due }
 
-func (c *classState) lateDue() time.Duration { return c.lateByShare.top().late.top().due }
+func (c *classState) lateDue() time.Duration { return c.lateByShare.Top().late.Top().due }
 
 // queue orders the waiting tasks. Its unit is the job, since all tasks of a
 // job have the same slack. All operations are O(log n).
@@ -81,9 +85,9 @@
 	fair    bool // shares of teams within a class
 	slack   bool // order by slack; otherwise by arrival
 	jobs    map[*Job]*jobState
-	classes indexHeap[*classState] // with a viable job
-	late    indexHeap[*classState] // with a late job
-	expiry  indexHeap[*jobState]   // viable jobs that have not started
+	classes indexheap.Heap[*classState] // with a viable job
+	late    indexheap.Heap[*classState] // with a late job
+	expiry  indexheap.Heap[*jobState]   // viable jobs that have not started
 	waiting int
 	starts  uint64
 	free    []*jobState
@@ -95,14 +99,14 @@
 
 func newQueue(fair, slack bool) *queue {
 	q := &queue{fair: fair, slack: slack, jobs: make(map[*Job]*jobState)}
-	q.classes = indexHeap[*classState]{less: lessClass, pos: func(c *classState) *int { return &c.pos }}
-	q.late = indexHeap[*classState]{
-		less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
-		pos:  func(c *classState) *int { return &c.latePos },
+	q.classes = indexheap.Heap[*classState]{Less: lessClass, Pos: func(c *classState) *int { return &c.pos }}
+	q.late = indexheap.Heap[*classState]{
+		Less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
+		Pos:  func(c *classState) *int { return &c.latePos },
 	}
-	q.expiry = indexHeap[*jobState]{
-		less: func(a, b *jobState) bool { return a.due < b.due },
-		pos:  func(j *jobState) *int { return &j.expiryPos },
+	q.expiry = indexheap.Heap[*jobState]{
+		Less: func(a, b *jobState) bool { return a.due < b.due },
+		Pos:  func(j *jobState) *int { return &j.expiryPos },
 	}
 	return q
 }
@@ -148,16 +152,16 @@
 	c := &classState{class: class, success: 1, teams: make(map[string]*teamState)}
 	less := func(a, b *teamState) bool { return a.share() < b.share() }
 	if !q.fair {
-		less = func(a, b *teamState) bool { return a.viable.top().due < b.viable.top().due }
+		less = func(a, b *teamState) bool { return a.viable.Top().due < b.viable.Top().due }
 	}
-	c.byShare = indexHeap[*teamState]{less: less, pos: func(t *teamState) *int { return &t.sharePos }}
-	c.byDue = indexHeap[*teamState]{
-		less: func(a, b *teamState) bool { return lessJob(a.viable.top(), b.viable.top()) },
-		pos:  func(t *teamState) *int { return &t.duePos },
+	c.byShare = indexheap.Heap[*teamState]{Less: less, Pos: func(t *teamState) *int { return &t.sharePos }}
+	c.byDue = indexheap.Heap[*teamState]{
+		Less: func(a, b *teamState) bool { return lessJob(a.viable.Top(), b.viable.Top()) },
+		Pos:  func(t *teamState) *int { return &t.duePos },
 	}
-	c.lateByShare = indexHeap[*teamState]{
-		less: func(a, b *teamState) bool { return a.share() < b.share() },
-		pos:  func(t *teamState) *int { return &t.latePos },
+	c.lateByShare = indexheap.Heap[*teamState]{
+		Less: func(a, b *teamState) bool { return a.share() < b.share() },
+		Pos:  func(t *teamState) *int { return &t.latePos },
 	}
 	return c
 }
@@ -167,8 +171,8 @@
 	if t == nil {
 		pos := func(j *jobState) *int { return &j.teamPos }
 		t = &teamState{class: c, quota: quotaWeight(quota)}
-		t.viable = indexHeap[*jobState]{less: lessJob, pos: pos}
-		t.late = indexHeap[*jobState]{less: lessLateJob, pos: pos}
+		t.viable = indexheap.Heap[*jobState]{Less: lessJob, Pos: pos}
+		t.late = indexheap.Heap[*jobState]{Less: lessLateJob, Pos: pos}
 		c.teams[name] = t
 	}
 	return t
@@ -280,20 +284,20 @@
 		return
 	}
 	q.contended = contended
-	for _, c := range q.classes.items {
+	for _, c := range q.classes.Items {
 		c.yields = q.overShare(c)
 	}
-	q.classes.reorder()
+	q.classes.Reorder()
 }
 
 // attach makes a job with waiting tasks eligible.
 func (q *queue) attach(j *jobState) {
 	if j.late {
-		j.team.late.put(j)
+		j.team.late.Put(j)
 	} else {
-		j.team.viable.put(j)
+		j.team.viable.Put(j)
 		if q.slack && !j.started {
-			q.expiry.put(j)
+			q.expiry.Put(j)
 		}
 	}
 	q.refresh(j.team)
@@ -301,38 +305,38 @@
 
 func (q *queue) detach(j *jobState) {
 	if j.late {
-		j.team.late.drop(j)
+		j.team.late.Drop(j)
 	} else {
-		j.team.viable.drop(j)
+		j.team.viable.Drop(j)
 	}
-	q.expiry.drop(j)
+	q.expiry.Drop(j)
 	q.refresh(j.team)
 }
 
 // refresh restores the order of the team and its class after a change.
 func (q *queue) refresh(t *teamState) {
 	c := t.class
-	keep(&c.byShare, t, t.viable.len() > 0)
-	keep(&c.byDue, t, t.viable.len() > 0)
-	keep(&c.lateByShare, t, t.late.len() > 0)
+	keep(&c.byShare, t, t.viable.Len() > 0)
+	keep(&c.byDue, t, t.viable.Len() > 0)
+	keep(&c.lateByShare, t, t.late.Len() > 0)
 	c.yields = q.overShare(c)
-	keep(&q.classes, c, c.byDue.len() > 0)
-	keep(&q.late, c, c.lateByShare.len() > 0)
+	keep(&q.classes, c, c.byDue.Len() > 0)
+	keep(&q.late, c, c.lateByShare.Len() > 0)
 }
 
-func keep[T any](h *indexHeap[T], x T, in bool) {
+func keep[T any](h *indexheap.Heap[T], x T, in bool) {
 	if in {
-		h.put(x)
+		h.Put(x)
 		return
 	}
-	h.drop(x)
+	h.Drop(x)
 }
 
 // expire moves the jobs that can no longer meet their target, unless a task of
 // them has started: finishing those loses no work.
 func (q *queue) expire(now time.Duration) {
-	for q.expiry.len() > 0 && q.expiry.top().due < now {
-		j := q.expiry.top()
+	for q.expiry.Len() > 0 && q.expiry.Top().due < now {
+		j := q.expiry.Top()
 		q.detach(j)
 		j.late = true
 		q.attach(j)
@@ -343,13 +347,13 @@
 func (q *queue) head(now time.Duration) *jobState {
 	q.expire(now)
 	lateTurn := q.starts%lateShare == lateShare-1
-	if q.late.len() > 0 && (lateTurn || q.classes.len() == 0) {
-		return q.late.top().lateByShare.top().late.top()
+	if q.late.Len() > 0 && (lateTurn || q.classes.Len() == 0) {
+		return q.late.Top().lateByShare.Top().late.Top()
 	}
-	if q.classes.len() == 0 {
+	if q.classes.Len() == 0 {
 		return nil
 	}
-	return q.classes.top().byShare.top().viable.top()
+	return q.classes.Top().byShare.Top().viable.Top()
 }
 
 // start removes one task of the job, which is being placed.
@@ -360,7 +364,7 @@
 	q.serve(j, 1)
 	if !j.started {
 		j.started = true
-		q.expiry.drop(j)
+		q.expiry.Drop(j)
 		if len(j.waiting) > 0 {
 			q.attach(j)
 		}
