--- a/internal/harness/storm_test.go
+++ b/internal/harness/storm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -15,8 +16,16 @@
 	"github.com/limpettrail/limpettrail/internal/observer"
 )
 
+// A longer soak outside CI:
+//
+//	go test ./internal/harness -run Storm -storm.first 100 -storm.seeds 20 -storm.jobs 1500 -v
+var (
+	stormFirst = flag.Uint64("storm.first", 0, "first seed of the fault storms")
+	stormSeeds = flag.Uint64("storm.seeds", 3, "number of fault storms, one seed each")
+	stormJobs  = flag.Int("storm.jobs", 300, "jobs of one fault storm")
+)
+
 const (
-	stormJobs = 300
 	// stormStep is the number of starts between two faults.
 	stormStep = 25
 	// maxFreezeMS is above the 2 s after which a silent link is given up.
@@ -36,7 +45,7 @@
 // Guards against promises that hold for one fault at a time but not when
 // faults are combined and repeated.
 func TestStormOfFaults(t *testing.T) {
-	for seed := range uint64(3) {
+	for seed := *stormFirst; seed < *stormFirst+*stormSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			ctx, c := start(t, harness.ClusterOptions{Entries: 2, Agents: 3, Slots: 8, Relay: true})
@@ -57,7 +66,7 @@
 }
 
 func stormWork() []load.Job {
-	list := jobs(stormJobs)
+	list := jobs(*stormJobs)
 	for i := range list {
 		list[i].Deadline = 20 * time.Second
 		list[i].Keyed = i%2 == 0
