Metrics for the platform's log

Cause: the operators' page had to send readers to /status for the alarm that matters most. Change: reachability, lag, gap, claims and known entries as gauges; the outage test waits for the alarm. Ruled out: deriving them from /status in the collector, which has no types.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -78,8 +78,10 @@
 	LearnedConfig func(wire.ConfigState)
 	// ListenFunc opens the listeners. Default net.Listen on TCP.
 	ListenFunc func(role Listener, addr string) (net.Listener, error)
-	// LogStatus returns what /status shows of the platform's log.
+	// LogStatus returns what /status shows of the platform's log, LogGauges what
+	// /metrics does.
 	LogStatus func() any
+	LogGauges func() []Gauge
 	// DialFunc connects to the peer listener of another entry. Default TCP.
 	DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 	// Log receives the process's events. It may be nil.
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -23,6 +23,12 @@
 	otherClass      = "other"
 )
 
+// Gauge is one exported value.
+type Gauge struct {
+	Name  string
+	Value int64
+}
+
 // entryMetrics is the registry of one entry.
 type entryMetrics struct{ registry gometrics.Registry }
 
@@ -71,6 +77,11 @@
 func (e *Entry) collect() {
 	e.metrics.gauge(metricLinks, e.links.Load())
 	e.metrics.gauge(metricVersion, e.config.Load().Version)
+	if e.opts.LogGauges != nil {
+		for _, g := range e.opts.LogGauges() {
+			e.metrics.gauge(g.Name, g.Value)
+		}
+	}
 	s, ok := e.coreAnswers()
 	if !ok {
 		return
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -112,6 +112,7 @@
 	o := opts.Entry
 	o.Claims = n.state
 	o.LogStatus = func() any { return n.state.Status() }
+	o.LogGauges = n.logGauges
 	o.LearnedConfig = func(c wire.ConfigState) {
 		select {
 		case n.learned <- c:
@@ -127,6 +128,28 @@
 	return o
 }
 
+// logGauges are the metrics that an alarm on the platform's log needs.
+func (n *Node) logGauges() []entryd.Gauge {
+	s := n.state.Status()
+	return []entryd.Gauge{
+		{Name: "limpettrail_log_reachable", Value: flag(s.LogReachable)},
+		{Name: "limpettrail_log_lag_milliseconds", Value: s.Lag.Milliseconds()},
+		{Name: "limpettrail_log_records_behind", Value: s.Behind},
+		{Name: "limpettrail_config_gap", Value: flag(s.ConfigGap)},
+		{Name: "limpettrail_claims_live", Value: int64(s.ClaimsLive)},
+		{Name: "limpettrail_claims_held", Value: int64(s.ClaimsHeld)},
+		{Name: "limpettrail_claims_pending", Value: int64(s.ClaimsPending)},
+		{Name: "limpettrail_entries_known", Value: int64(s.Entries)},
+	}
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // started waits until the shell runs. It reports false if it never will.
 func (n *Node) started() bool {
 	<-n.ready
--- a/internal/entrynode/entrynode_test.go
+++ b/internal/entrynode/entrynode_test.go
@@ -50,7 +50,7 @@
 	t.Helper()
 	client := platformlog.NewClient(platformlog.ClientOptions{BaseURL: log.URL()})
 	n, err := entrynode.Start(entrynode.Options{
-		Entry: entryd.Options{Name: "entry", Zone: "z", Listen: loopback, PeerListen: peer, Scheduler: policy.New(policy.Options{Seed: 1, Zone: "z"})},
+		Entry: entryd.Options{Name: "entry", Zone: "z", Listen: loopback, PeerListen: peer, OperatorListen: loopback, Scheduler: policy.New(policy.Options{Seed: 1, Zone: "z"})},
 		Log:   client,
 	})
 	assert.NilError(t, err)
@@ -92,6 +92,23 @@
 	return resp.StatusCode, string(text)
 }
 
+// metric returns the value of a metric without labels, as exported.
+func metric(t *testing.T, n *entrynode.Node, name string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + n.OperatorAddr() + "/metrics")
+	assert.NilError(t, err)
+	defer http.DefaultClient.CloseIdleConnections()
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
 func keyed(text string) string {
 	return fmt.Sprintf(`{"class":"seal","idempotent":false,"key":"%d-%s","tasks":[{"sleep_us":1}]}`, time.Now().UnixMilli(), text)
 }
@@ -111,7 +128,9 @@
 		return ok && s.ConfigVersion > 0
 	})
 
+	await(t, "log is reachable", func() bool { return metric(t, old, "limpettrail_log_reachable") == "1" })
 	log.SetFaults(logserver.Faults{Outage: true})
+	await(t, "alarm on the log", func() bool { return metric(t, old, "limpettrail_log_reachable") == "0" })
 	old.Kill()
 	fresh := startNode(t, log, peer)
 	await(t, "fresh entry is ready", fresh.Ready)
