--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -29,6 +29,13 @@
 	Incarnation wire.Incarnation
 	// Slots is the number of tasks that the upstream runs at once.
 	Slots int
+	// Capacity is what the worker offers. Tasks that state a need take slots by
+	// their share of it; others take one slot.
+	Capacity wire.Capacity
+	// RunLease is how long a run outlives the last sign of its entry that the
+	// agent's own clock proves recent (ToAgent.Echo). 0 lets runs end by
+	// themselves.
+	RunLease time.Duration
 	// QueueCapacity bounds the tasks that wait at the agent. Default 2 x Slots.
 	QueueCapacity int
 	// Window bounds the unsettled attempts of one entry. Default 4096.
@@ -99,6 +106,7 @@
 	retained      int // bytes of results that are not settled
 	queue         runQueue
 	active        []*attempt // running
+	occupied      float64    // slots taken by running tasks
 	order         uint64     // arrival counter, breaks ties in the queue
 	config        *wire.ConfigState
 
@@ -174,10 +182,11 @@
 		Queued:       m.queue.Len(),
 		Slots:        m.opts.Slots,
 		Limit:        m.allowed(),
-		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration())),
+		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration(), 1)),
 		Successes:    m.successes,
 		Failures:     m.failures,
 		Down:         m.down,
+		Occupied:     int(1000 * (m.occupied + m.queue.slots())),
 	}
 }
 
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -84,7 +84,10 @@
 }
 
 // Stop asks the caller to abandon a run. Finished is still expected.
-type Stop struct{ Attempt AttemptID }
+type Stop struct {
+	Attempt AttemptID
+	Orphan  bool // the run's entry was not heard for RunLease
+}
 
 // Probe asks the caller to connect to the upstream without sending anything
 // and to deliver Probed. At most one probe is in progress.
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -29,7 +29,7 @@
 	p.markSent(now, rest)
 	for {
 		n := fitting(rest)
-		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.Load(now)}
+		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.Load(now), Clock: wire.MicrosOf(now)}
 		f.frame.Load.Draining = m.draining || p.retiring
 		if p.sendConfig {
 			f.frame.Config = m.config
--- a/core/agent/limit.go
+++ b/core/agent/limit.go
@@ -88,24 +88,25 @@
 	return c
 }
 
-// expectedWait estimates the queueing delay of a start due at due.
+// expectedWait estimates the queueing delay of a start due at due that takes
+// the given slots.
 //
 // A running task is taken to leave at the rate 1/residual, where the residual
 // is its class's mean or, for a straggler, the time it has run already (run
 // times are heavy-tailed: the longer a task has run, the longer it will). The
 // rates of all running tasks add up; each queued task ahead then takes its
 // class's mean on one of the slots.
-func (m *Machine) expectedWait(now, due time.Duration) time.Duration {
-	limit := m.allowed()
+func (m *Machine) expectedWait(now, due time.Duration, slots float64) time.Duration {
+	limit := float64(m.allowed())
 	ahead, work := m.queue.workAhead(due)
 	hold := max(0, m.holdUntil-now)
-	if len(m.active)+ahead < limit {
+	if m.occupied+ahead+slots <= limit+slotRounding || len(m.active)+m.queue.Len() == 0 {
 		return hold
 	}
-	departures := len(m.active) - limit + 1
-	wait := work / time.Duration(limit)
-	if departures > 0 {
-		wait += time.Duration(float64(departures) / m.departureRate(now))
+	wait := time.Duration(float64(work) / limit)
+	if missing := m.occupied + slots - limit; missing > 0 && len(m.active) > 0 {
+		departures := math.Ceil(missing / (m.occupied / float64(len(m.active))))
+		wait += time.Duration(departures / m.departureRate(now))
 	}
 	return max(hold, wait)
 }
--- a/core/agent/pause_test.go
+++ b/core/agent/pause_test.go
@@ -235,7 +235,7 @@
 			s.step(Finished{Attempt: r.Attempt, Outcome: wire.Succeeded, Run: s.now - began})
 		}
 		s.now = arrival
-		guess[s.nextSeq] = s.m.expectedWait(s.now, s.now)
+		guess[s.nextSeq] = s.m.expectedWait(s.now, s.now, 1)
 		s.frame(wire.ToAgent{Floor: 0})
 		s.start(1, time.Hour)
 	}
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -24,6 +24,8 @@
 	due      time.Duration // arrival plus slack: the queue's order
 	deadline time.Duration
 	order    uint64
+	slots    float64 // of the worker's slots that the task takes
+	stopping bool    // Stop was emitted
 	state    attemptState
 	released bool // settled by the entry while it was running
 	// sentEpoch and sentAt say when the result was last sent.
@@ -61,6 +63,7 @@
 	up       bool
 	downAt   time.Duration
 	sentAt   time.Duration
+	heardAt  time.Duration // this agent's clock as the entry echoed it last
 	floor    wire.Seq
 	maxSeen  wire.Seq // highest seq that was accepted, refused or queried
 	firstSeq wire.Seq // first seq that arrived in a start, 0 if none
@@ -158,6 +161,7 @@
 	p.up = true
 	p.epoch = e.Epoch
 	p.sentAt = now
+	p.heardAt = max(p.heardAt, now) // its hello answered one of this agent's
 	p.discardOutput()
 	p.greet = true
 	p.retiring, p.retired = false, false
@@ -190,6 +194,7 @@
 
 func (m *Machine) tick(now time.Duration) {
 	m.handBack(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
+	m.endOrphans(now)
 	kept := m.peerList[:0]
 	for _, p := range m.peerList {
 		m.tickPeer(now, p)
@@ -223,6 +228,27 @@
 	}
 }
 
+// endOrphans stops the runs of entries that were not heard for RunLease. The
+// entry gives such attempts up as lost, and its caller may send the job again
+// to another entry.
+func (m *Machine) endOrphans(now time.Duration) {
+	if m.opts.RunLease <= 0 {
+		return
+	}
+	for _, a := range m.active {
+		if !a.stopping && now-a.peer.heardAt > m.opts.RunLease {
+			a.stopping = true
+			m.emit(Stop{Attempt: a.id(), Orphan: true})
+		}
+	}
+	m.handBack(wire.ReasonCancelled, func(a *attempt) bool {
+		return now-a.peer.heardAt > m.opts.RunLease
+	})
+}
+
+// hear renews the lease of an entry's runs with the reading that it echoed.
+func (p *peer) hear(echo time.Duration) { p.heardAt = max(p.heardAt, echo) }
+
 // forgettable says that nothing is left of an entry whose link has been down
 // for the retention time. Without this, restarted entries would add up.
 func (m *Machine) forgettable(now time.Duration, p *peer) bool {
--- a/core/agent/queue.go
+++ b/core/agent/queue.go
@@ -37,6 +37,9 @@
 	return len(q)
 }
 
+// top returns the most urgent attempt of a queue that is not empty.
+func (q runQueue) top() *attempt { return q[len(q)-1] }
+
 func (q *runQueue) pop() *attempt {
 	last := len(*q) - 1
 	a := (*q)[last]
@@ -51,16 +54,25 @@
 	}
 }
 
-// workAhead sums the mean run times of the attempts that would start before
+// slots sums the slots that the queued attempts will take.
+func (q runQueue) slots() float64 {
+	sum := 0.0
+	for _, a := range q {
+		sum += a.slots
+	}
+	return sum
+}
+
+// workAhead sums the slots and the mean run times of the attempts that would start before
 // one due at due.
-func (q runQueue) workAhead(due time.Duration) (count int, work time.Duration) {
+func (q runQueue) workAhead(due time.Duration) (slots float64, work time.Duration) {
 	for _, a := range q {
 		if a.due <= due {
-			count++
+			slots += a.slots
 			work += a.class.mean
 		}
 	}
-	return count, work
+	return slots, work
 }
 
 // handBack ends every queued attempt that drop selects as not run.
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -12,6 +12,7 @@
 	if p == nil || !p.up || p.epoch != e.Epoch {
 		return // frame of a replaced connection
 	}
+	p.hear(min(e.Frame.Echo.Duration(), now))
 	m.adoptConfig(p, e.Frame.Config)
 	m.settle(p, e.Frame.Floor)
 	for i := range e.Frame.Starts {
@@ -48,6 +49,7 @@
 		due:      due,
 		deadline: now + s.Deadline.Duration(),
 		order:    m.order,
+		slots:    m.opts.Capacity.SlotsOf(s.Need, m.opts.Slots),
 		state:    stateQueued,
 	}
 	p.attempts[s.Seq] = a
@@ -88,6 +90,10 @@
 		return wire.ReasonDraining
 	case s.Deadline <= 0:
 		return wire.ReasonExpired
+	case m.opts.RunLease > 0 && now-p.heardAt > m.opts.RunLease:
+		return wire.ReasonExpired // the frame was held up; the entry may have given it up
+	case !m.opts.Capacity.Fits(s.Need):
+		return wire.ReasonNoRoom
 	case m.down:
 		return wire.ReasonUpstreamDown
 	case m.suspect() && !m.trialDue(now):
@@ -102,7 +108,7 @@
 	if m.boundRetained(); m.retained > m.opts.MaxRetainedBytes {
 		return wire.ReasonBusy
 	}
-	wait := m.expectedWait(now, due)
+	wait := m.expectedWait(now, due, m.opts.Capacity.SlotsOf(s.Need, m.opts.Slots))
 	if wait == 0 {
 		return wire.ReasonNone
 	}
@@ -128,6 +134,7 @@
 		m.queue.remove(a)
 		m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled})
 	case stateRunning:
+		a.stopping = true
 		m.emit(Stop{Attempt: a.id()})
 	case stateDone:
 	}
@@ -150,8 +157,17 @@
 	}
 }
 
+// hasRoom says whether the attempt may start beside what runs. A task that takes
+// more slots than are allowed runs alone.
+func (m *Machine) hasRoom(a *attempt) bool {
+	return len(m.active) == 0 || m.occupied+a.slots <= float64(m.allowed())+slotRounding
+}
+
+// slotRounding is below the slots of any real task.
+const slotRounding = 1e-6
+
 func (m *Machine) startQueued(now time.Duration) {
-	for m.queue.Len() > 0 && len(m.active) < m.allowed() && now >= m.holdUntil {
+	for m.queue.Len() > 0 && m.hasRoom(m.queue.top()) && now >= m.holdUntil {
 		a := m.queue.pop()
 		if now >= a.deadline {
 			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
@@ -161,6 +177,7 @@
 		a.started = now
 		a.run = Run{Attempt: a.id(), Start: &a.start, Timeout: a.deadline - now}
 		m.active = append(m.active, a)
+		m.occupied += a.slots
 		m.emit(&a.run)
 	}
 }
@@ -176,6 +193,10 @@
 	}
 	i := slices.Index(m.active, a)
 	m.active = slices.Delete(m.active, i, i+1)
+	m.occupied -= a.slots
+	if len(m.active) == 0 {
+		m.occupied = 0 // no rounding error is kept
+	}
 	m.finish(a, wire.Result{
 		Outcome: e.Outcome,
 		Reason:  e.Reason,
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -198,6 +198,7 @@
 	t.state = taskSent
 	t.seq = seq
 	t.agent = link
+	t.run++
 	link.attempts.add(seq, t)
 	m.touch(link)
 	link.out.Starts = append(link.out.Starts, wire.Start{
@@ -209,6 +210,9 @@
 		MaxWait:    wire.MicrosOf(p.MaxWait),
 		Deadline:   wire.MicrosOf(j.info.Deadline - now),
 		Payload:    j.payloads[p.Task.Index],
+		Job:        j.name,
+		Run:        t.run,
+		Need:       j.info.Need,
 	})
 	m.stats.Starts++
 	if m.opts.Observer != nil {
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -23,6 +23,13 @@
 	Need     wire.Capacity
 	Declared time.Duration
 	Payloads [][]byte // one for each task
+	// Job is the caller's name of the job, handed on to the upstreams. Empty if
+	// the caller gave none.
+	Job string
+	// Attempts is how many runs of one task may end as failed before the job
+	// does. A task runs again only after its earlier run is known to have ended.
+	// 0 and 1 both allow a single run, whatever becomes of it.
+	Attempts int
 }
 
 // Claimed tells the machine how the claim of a submission ended. It is
--- a/core/entry/frames.go
+++ b/core/entry/frames.go
@@ -47,6 +47,7 @@
 	for more := true; more; more = !isEmpty(&rest) {
 		frame := &wire.ToAgent{
 			Floor:   link.attempts.floor(m.nextSeq),
+			Echo:    link.clock,
 			Config:  rest.Config,
 			Entries: rest.Entries,
 		}
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -17,6 +17,8 @@
 // job is one submission in progress.
 type job struct {
 	info     policy.Job
+	name     string // the caller's, may be empty
+	attempts int    // failed runs of one task that end the job
 	payloads [][]byte
 	bytes    int64 // sum of payloads
 	tasks    []task
@@ -42,6 +44,8 @@
 			Tasks: len(e.Payloads), Need: e.Need, Declared: e.Declared,
 			Arrived: now, Deadline: now + e.Deadline,
 		},
+		name:     e.Job,
+		attempts: max(1, e.Attempts),
 		payloads: e.Payloads,
 		open:     len(e.Payloads),
 		dueAt:    now + e.Deadline,
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -17,8 +17,9 @@
 	up       bool
 	downAt   time.Duration
 	sentAt   time.Duration
-	config   int64  // version that the agent has or was sent
-	attempts window // sent and not settled
+	clock    wire.Micros // newest reading of the agent's clock that was received
+	config   int64       // version that the agent has or was sent
+	attempts window      // sent and not settled
 	out      wire.ToAgent
 	dirty    bool // out has content
 }
@@ -37,7 +38,7 @@
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.config = h.ConfigVersion
-	m.replaceOlder(now, link)
+	m.replaceOlder(now, link, h.Clean)
 	m.queryInFlight(link)
 	m.offerConfig(link)
 	if len(m.entries) > 0 {
@@ -46,24 +47,28 @@
 	}
 	m.sched.AgentUp(now, policy.AgentInfo{
 		Agent: h.Agent, Name: h.Name, Zone: h.Zone, Rack: h.Rack,
-		Slots: h.Slots, Capacity: h.Capacity,
+		Slots: h.Slots, Capacity: h.Capacity, Pool: h.Pool,
 		Load: wire.Load{Slots: h.Slots, Limit: h.Slots},
 	})
 }
 
 // replaceOlder gives up the other incarnations of the same name whose link is
-// down: a worker has one agent, so a new incarnation proves the old one gone.
-func (m *Machine) replaceOlder(now time.Duration, newer *agentLink) {
+// down: a worker has one agent, so a new incarnation proves the old one gone. A
+// clean one proves that the old one's runs have ended as well.
+func (m *Machine) replaceOlder(now time.Duration, newer *agentLink, clean bool) {
 	if newer.name == "" {
 		return
 	}
 	var older []*agentLink
 	for _, link := range m.agentList {
-		if link.name == newer.name && link != newer && !link.up {
+		if link.name == newer.name && link != newer && (clean || !link.up) {
 			older = append(older, link)
 		}
 	}
 	for _, link := range older {
+		if clean {
+			m.giveUp(now, link, wire.Failed, wire.ReasonRunEnded)
+		}
 		m.agentGone(now, link)
 	}
 }
@@ -129,19 +134,19 @@
 	if link.up {
 		m.markDown(now, link)
 	}
-	m.giveUp(now, link)
+	m.giveUp(now, link, wire.Unknown, wire.ReasonAgentLost)
 	delete(m.agents, link.agent)
 	if i := slices.Index(m.agentList, link); i >= 0 {
 		m.agentList = slices.Delete(m.agentList, i, i+1)
 	}
 }
 
-// giveUp ends every attempt in doubt on the link as unknown.
-func (m *Machine) giveUp(now time.Duration, link *agentLink) {
+// giveUp ends every attempt in doubt on the link.
+func (m *Machine) giveUp(now time.Duration, link *agentLink, o wire.Outcome, reason wire.Reason) {
 	var seqs []wire.Seq
 	link.attempts.each(func(seq wire.Seq, _ *task) { seqs = append(seqs, seq) })
 	for _, seq := range seqs {
-		m.result(now, link, &wire.Result{Seq: seq, Outcome: wire.Unknown, Reason: wire.ReasonAgentLost})
+		m.result(now, link, &wire.Result{Seq: seq, Outcome: o, Reason: reason})
 	}
 }
 
@@ -150,6 +155,7 @@
 	if link == nil || !link.up || link.epoch != e.Epoch {
 		return // a frame of a replaced connection
 	}
+	link.clock = max(link.clock, e.Frame.Clock)
 	for i := range e.Frame.Results {
 		m.result(now, link, &e.Frame.Results[i])
 	}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -24,6 +24,8 @@
 	sched    policy.Task
 	state    taskState
 	seq      wire.Seq
+	run      int // number of the current or last run
+	failures int // runs that ended as failed
 	agent    *agentLink
 	retryAt  time.Duration
 	retryPos int // in the retry queue
@@ -51,9 +53,7 @@
 	case wire.NotRun:
 		m.notRun(now, t, r.Reason)
 	case wire.Failed:
-		t.ran(r)
-		t.job.failed = true
-		m.endJob(now, t.job, ReasonTaskFailed)
+		m.failed(now, t, r)
 	default:
 		t.state = taskDone
 		t.job.open--
@@ -94,6 +94,23 @@
 	}
 }
 
+// failed runs the task again if its job allows that, and else ends the job. A
+// run that ended with its worker is no failure of the task.
+func (m *Machine) failed(now time.Duration, t *task, r *wire.Result) {
+	j := t.job
+	if r.Reason != wire.ReasonRunEnded {
+		t.failures++
+	}
+	if j.attempts > 1 && t.failures < j.attempts && !j.ending {
+		t.state = taskQueued
+		m.sched.Enqueue(now, &t.sched)
+		return
+	}
+	t.ran(r)
+	j.failed = j.failed || !j.ending
+	m.endJob(now, j, ReasonTaskFailed)
+}
+
 // notRun places the task again, unless its job is ending or the scheduler's
 // retry rule forbids it.
 func (m *Machine) notRun(now time.Duration, t *task, reason wire.Reason) {
@@ -103,6 +120,9 @@
 		m.drop(t)
 		return
 	}
+	if reason == wire.ReasonStaleRun {
+		t.run += staleRunStep
+	}
 	delay, ok := m.sched.Retry(now, &t.sched, reason)
 	if !ok {
 		m.drop(t)
@@ -114,6 +134,11 @@
 	m.retries.Put(t)
 }
 
+// staleRunStep is added to the run number when the worker knows a later run of
+// the task: the job was sent before, to another entry, which started it up to
+// that often.
+const staleRunStep = 16
+
 func (m *Machine) drop(t *task) {
 	t.state = taskDropped
 	t.job.open--
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,279 @@
+// Package lease is the state machine that drives the runs of one worker whose
+// tasks live under a lease: a run ends with its lease unless the lease is
+// renewed, and the worker lists what runs and what has ended.
+//
+// The machine does no I/O and has no clock: Step takes the time and one event
+// and returns the actions that the caller must carry out, in order.
+//
+// Invariants:
+//   - Each Start yields exactly one Finished.
+//   - Finished says NotRun only if the worker refused the run, or if its start
+//     can no longer take effect: the worker acknowledged a stop of the run, or
+//     the start's deadline has passed on the worker's clock.
+//   - Finished says Failed with ReasonRunEnded only if the run is listed as
+//     ended, is missing from a list that must hold it, or its lease has passed.
+package lease
+
+import (
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/agent"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// RunID names one run of one task.
+type RunID struct {
+	Job    string // the caller's name of the job
+	Index  int    // of the task in the job
+	Number int    // of the run, from 1
+}
+
+// Options configure a Machine. Zero values take the defaults.
+type Options struct {
+	// Lease is how long a run outlives the last renewal. Default 700 ms.
+	Lease time.Duration
+	// LookWait is how long the worker may hold a look back when nothing ends.
+	// Each look renews the lease. Default 150 ms.
+	LookWait time.Duration
+	// StopRetry separates two stops of one run. Default 150 ms.
+	StopRetry time.Duration
+	// AckDelay is how long the acknowledgement of ends may wait for a look that
+	// is needed anyway. Default 250 ms.
+	AckDelay time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultLease     = 700 * time.Millisecond
+	DefaultLookWait  = 150 * time.Millisecond
+	DefaultStopRetry = 150 * time.Millisecond
+	DefaultAckDelay  = 250 * time.Millisecond
+)
+
+const (
+	// clockSlack divides a duration on the worker's clock, which may be 2% slow.
+	clockSlack = 0.98
+	// lapseMargin is added to a lease before the run counts as ended: the worker
+	// needs a moment to end it.
+	lapseMargin = 60 * time.Millisecond
+	// lookRetry separates looks that fail at once.
+	lookRetry = 50 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.Lease, DefaultLease)
+	orDefault(&o.LookWait, DefaultLookWait)
+	orDefault(&o.StopRetry, DefaultStopRetry)
+	orDefault(&o.AckDelay, DefaultAckDelay)
+	return o
+}
+
+func orDefault(d *time.Duration, def time.Duration) {
+	if *d <= 0 {
+		*d = def
+	}
+}
+
+type runState uint8
+
+const (
+	runStarting runState = iota // the start call is in progress
+	runDoubtful                 // the start call got no answer
+	runRunning                  // accepted, or seen in a list
+)
+
+// run is one run that has not finished.
+type run struct {
+	id       RunID
+	attempt  agent.AttemptID
+	state    runState
+	deadline time.Duration // of the start, on the worker's clock
+	since    time.Duration // when the state was entered
+	stop     bool          // the run is to be stopped
+	orphan   bool          // stopped because its entry was lost
+	stopAt   time.Duration // when the next stop may be sent
+}
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	opts Options
+	runs map[RunID]*run
+	list []*run // in order of start
+	// clock is the newest reading of the worker's clock and readAt the time at
+	// which it was received.
+	clock  time.Duration
+	readAt time.Duration
+	// leaseEnd is when the lease has passed on the slowest clock.
+	leaseEnd time.Duration
+	life     int64 // identity of the worker's incarnation, 0 if not known
+	lastSeen int   // number of the newest end that was seen
+	acked    int   // number that a completed look acknowledged
+	ackAt    time.Duration
+
+	looking  bool
+	lookAt   time.Duration // when the look in progress was sent
+	lookSeen int           // what it acknowledges
+	nextLook time.Duration // earliest time of the next look
+	lookNow  bool          // a run is in doubt: do not wait
+	foreign  map[RunID]time.Duration
+	gone     bool
+
+	actions []Action
+}
+
+// New returns a machine for a worker of which the given view was read at time
+// now. The runs in it are of nobody and are stopped.
+func New(opts Options) *Machine {
+	return &Machine{
+		opts:    opts.withDefaults(),
+		runs:    make(map[RunID]*run),
+		foreign: make(map[RunID]time.Duration),
+	}
+}
+
+// Step applies one event at time now, which must never decrease, and returns
+// the actions to carry out. The slice is valid until the next call.
+func (m *Machine) Step(now time.Duration, ev Event) []Action {
+	clear(m.actions)
+	m.actions = m.actions[:0]
+	switch e := ev.(type) {
+	case Start:
+		m.start(now, e)
+	case Stop:
+		m.stop(now, e)
+	case Started:
+		m.started(now, e)
+	case Stopped:
+		m.stopped(now, e)
+	case Looked:
+		m.looked(now, e)
+	case Tick:
+	}
+	m.lapse(now)
+	m.retryStops(now)
+	m.look(now)
+	return m.actions
+}
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+// Runs returns the number of runs that have not finished.
+func (m *Machine) Runs() int { return len(m.list) }
+
+// Settled reports whether nothing runs at the worker and every end that it
+// listed was acknowledged.
+func (m *Machine) Settled() bool {
+	return len(m.list) == 0 && len(m.foreign) == 0 && m.acked == m.lastSeen && m.readAt > 0
+}
+
+// workerClock estimates the worker's clock, not ahead of it but by its drift.
+func (m *Machine) workerClock(now time.Duration) time.Duration { return m.clock + now - m.readAt }
+
+func (m *Machine) read(now time.Duration, clock time.Duration) {
+	if clock > 0 {
+		m.clock = clock
+		m.readAt = now
+	}
+}
+
+// renew returns the deadline of a lease that begins now.
+func (m *Machine) renew(now time.Duration) time.Duration {
+	m.leaseEnd = max(m.leaseEnd, now+time.Duration(float64(m.opts.Lease)/clockSlack)+lapseMargin)
+	return m.workerClock(now) + m.opts.Lease
+}
+
+func (m *Machine) start(now time.Duration, e Start) {
+	for _, r := range m.list {
+		if r.id.Job == e.Run.Job && r.id.Index == e.Run.Index {
+			// An earlier run of the task, asked for by another entry.
+			m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonStaleRun})
+			return
+		}
+	}
+	r := &run{id: e.Run, attempt: e.Attempt, deadline: m.renew(now), since: now}
+	m.runs[e.Run] = r
+	m.list = append(m.list, r)
+	m.emit(CallStart{Run: e.Run, Spec: e.Spec, Deadline: r.deadline})
+}
+
+func (m *Machine) started(now time.Duration, e Started) {
+	m.read(now, e.Clock)
+	r := m.runs[e.Run]
+	if r == nil || r.state != runStarting {
+		return // a list has told already
+	}
+	switch e.Verdict {
+	case Accepted:
+		r.state = runRunning
+	case Refused:
+		m.finish(now, r, wire.NotRun, e.Reason)
+		return
+	case NoAnswer:
+		r.state = runDoubtful
+		m.lookNow = true
+	}
+	r.since = now
+}
+
+func (m *Machine) stop(now time.Duration, e Stop) {
+	for _, r := range m.list {
+		if r.attempt == e.Attempt && !r.stop {
+			r.stop = true
+			r.orphan = e.Orphan
+			r.stopAt = now
+			return
+		}
+	}
+}
+
+// retryStops sends the stops that are due.
+func (m *Machine) retryStops(now time.Duration) {
+	for _, r := range m.list {
+		if r.stop && r.state != runStarting && now >= r.stopAt {
+			r.stopAt = now + m.opts.StopRetry
+			m.emit(CallStop{Run: r.id})
+		}
+	}
+	for id, at := range m.foreign {
+		if now >= at {
+			m.foreign[id] = now + m.opts.StopRetry
+			m.emit(CallStop{Run: id})
+		}
+	}
+}
+
+// stopped takes the answer to a stop. A run whose start is in doubt was either
+// ended by it, and will be listed, or can never start.
+func (m *Machine) stopped(now time.Duration, e Stopped) {
+	m.read(now, e.Clock)
+	r := m.runs[e.Run]
+	if r == nil || !e.Done {
+		return
+	}
+	if r.state == runDoubtful {
+		m.finish(now, r, wire.NotRun, wire.ReasonNotReceived)
+		return
+	}
+	m.lookNow = true
+}
+
+func (m *Machine) finish(now time.Duration, r *run, o wire.Outcome, reason wire.Reason) {
+	delete(m.runs, r.id)
+	for i := range m.list {
+		if m.list[i] == r {
+			m.list = append(m.list[:i], m.list[i+1:]...)
+			break
+		}
+	}
+	m.emit(Finished{Attempt: r.attempt, Outcome: o, Reason: reason, Run: now - r.since})
+}
+
+// lapse ends every run once the lease has passed without a renewal.
+func (m *Machine) lapse(now time.Duration) {
+	if len(m.list) == 0 || now <= m.leaseEnd {
+		return
+	}
+	for len(m.list) > 0 {
+		m.finish(now, m.list[0], wire.Failed, wire.ReasonRunEnded)
+	}
+}
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -170,7 +170,7 @@
 	c := s.class(Class{Name: job.Class})
 	t := s.team(c, job.Team)
 	work := max(s.high(c, job), s.jobWork(c, job))
-	return s.queue.add(job, c, t, job.Arrived+c.class.Within-work)
+	return s.queue.add(job, c, t, job.Arrived+s.within(c)-work)
 }
 
 // team returns the team's part of the class. Teams that are not published share
@@ -209,7 +209,7 @@
 		return
 	}
 	met := 0.0
-	if complete && now-job.Arrived <= c.class.Within {
+	if complete && now-job.Arrived <= s.within(c) {
 		met = 1
 	}
 	c.success += (met - c.success) * successWeight
@@ -227,6 +227,15 @@
 
 const successWeight = 0.01 // of the newest job in the class's success share
 
+// within is the response time that the class aims for, given what its tasks
+// were observed to take.
+func (s *Adaptive) within(c *classState) time.Duration {
+	if c.class.Stretch == 0 {
+		return c.class.Within
+	}
+	return c.class.Within + time.Duration(c.class.Stretch*float64(s.mean(c, 0)))
+}
+
 func (s *Adaptive) mean(c *classState, declared time.Duration) time.Duration {
 	if !s.on.estimates {
 		return priorOr(declared)
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -62,7 +62,7 @@
 	// expire with work half done; so it stops growing before.
 	allowed := min(
 		time.Duration(completionMargin*float64(left))-s.jobTime(c, job),
-		time.Duration(backlogShare*float64(c.class.Within)),
+		time.Duration(backlogShare*float64(s.within(c))),
 	)
 	if wait <= allowed {
 		return Verdict{}
@@ -79,7 +79,7 @@
 
 // wait is the expected delay before a new job of the class gets its first start.
 func (s *Adaptive) wait(c *classState, team string) time.Duration {
-	contended := s.backlog() > contentionShare*float64(c.class.Within)
+	contended := s.backlog() > contentionShare*float64(s.within(c))
 	own := s.aheadInClass(c, team) * float64(s.mean(c, 0))
 	work := own
 	for _, other := range s.classList {
@@ -120,11 +120,11 @@
 		return work
 	case contended:
 		return min(work, own) // equal shares
-	case other.class.Within <= c.class.Within:
+	case s.within(other) <= s.within(c):
 		return work
 	}
 	// The waiting tasks' slack is spread over the class's target time.
-	return work * float64(c.class.Within) / float64(other.class.Within)
+	return work * float64(s.within(c)) / float64(s.within(other))
 }
 
 // backlog is the expected time in nanoseconds to serve all waiting tasks.
@@ -152,7 +152,7 @@
 	tightest := time.Duration(math.MaxInt64)
 	for _, c := range s.classList {
 		if c.tasks() > 0 {
-			tightest = min(tightest, c.class.Within)
+			tightest = min(tightest, s.within(c))
 		}
 	}
 	limit := contentionShare * float64(tightest)
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -53,7 +53,7 @@
 	t := s.queue.start(j)
 	t.Slot = -int(now) - 1
 	a := c.agent
-	a.sent(now)
+	a.sent(now, a.slotsOf(j.job))
 	s.inFlight++
 	j.racks[a.rack]++
 	if t.Attempts == 0 {
@@ -79,7 +79,7 @@
 	}
 	sentAt := time.Duration(-task.Slot - 1)
 	task.Slot = 0
-	a.placed--
+	a.ended(a.slotsOf(task.Job))
 	s.inFlight--
 	s.noteFreed(a)
 	if r.Reason != wire.ReasonAgentLost {
@@ -151,6 +151,15 @@
 	j.failedOn = append(j.failedOn, failure{agent: a, tasks: 1})
 }
 
+func (j *jobState) failedOnAgent(a *agentState) bool {
+	for i := range j.failedOn {
+		if j.failedOn[i].agent == a {
+			return true
+		}
+	}
+	return false
+}
+
 // judge attributes the failures of a job that ended: to the job if it failed
 // on several agents and succeeded on none, else to the agents.
 func (s *Adaptive) judge(now time.Duration, j *jobState) {
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -6,6 +6,7 @@
 
 const (
 	spreadPenalty = 2 * time.Millisecond // for each task of the job per slot in the rack
+	failedPenalty = time.Second          // for an agent on which the job has failed
 	tieJitter     = time.Millisecond     // random part of the cost, so that entries differ
 	riskShare     = 0.5                  // chance that an agent with one free slot is full
 	freeMargin    = 0.5                  // believed free slots that count as a free slot
@@ -83,12 +84,14 @@
 		return
 	}
 	limit := a.limit()
-	free := limit - a.believed(p.now, p.meanRun, s.on.ageing)
-	if free <= -s.lookAhead()+freeMargin-1e-9 {
+	if !a.offers(p.job) {
+		p.misfit = p.misfit || limit-a.believed(p.now, p.meanRun, s.on.ageing) >= freeMargin
 		return
 	}
-	if !a.info.Capacity.Fits(p.job.job.Need) {
-		p.misfit = true
+	// free counts the slots left beyond what the task needs itself, plus one: a
+	// task of one slot finds the slots that are free.
+	free := limit - a.believed(p.now, p.meanRun, s.on.ageing) - a.slotsOf(p.job.job) + 1
+	if free <= -s.lookAhead()+freeMargin-1e-9 {
 		return
 	}
 	p.free += max(0, free)
@@ -98,6 +101,12 @@
 	}
 }
 
+// offers reports whether the agent's worker can run tasks of the job at all.
+func (a *agentState) offers(j *jobState) bool {
+	pool := j.class.class.Pool
+	return (pool == "" || pool == a.info.Pool) && a.info.Capacity.Fits(j.job.Need)
+}
+
 // lookAhead returns the number of tasks that may queue at each agent.
 func (s *Adaptive) lookAhead() float64 {
 	if !s.on.lookAhead {
@@ -120,6 +129,9 @@
 	if a.remote {
 		cost += 2 * s.opts.ZoneDelay.Seconds()
 	}
+	if p.job.failedOnAgent(a) {
+		cost += failedPenalty.Seconds()
+	}
 	if s.on.spread {
 		cost += spreadPenalty.Seconds() * float64(p.job.racks[a.rack]) / limit
 	}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -19,6 +19,12 @@
 	Within time.Duration
 	// Success is the share of jobs, 0 to 1, that must be complete within it.
 	Success float64
+	// Stretch adds a multiple of the job's own expected run time to Within.
+	Stretch float64
+	// Pool is the group of workers that run the class; empty means all.
+	Pool string
+	// Priority orders classes under contention, lowest first.
+	Priority int
 }
 
 // Team is a group of callers with an optional quota.
@@ -73,6 +79,7 @@
 	Name     string
 	Zone     string
 	Rack     string
+	Pool     string
 	Slots    int
 	Capacity wire.Capacity
 	Load     wire.Load
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -28,11 +28,12 @@
 	index  int // in the list of connected agents
 
 	placed     int     // own attempts in flight
+	taken      float64 // slots that they take
 	others     float64 // tasks of other entries, as of the last report
 	meanOthers float64 // their long-run mean
 	reportedAt time.Duration
 	reported   bool
-	sends      [sendMemory]time.Duration
+	sends      [sendMemory]send
 	nextSend   int
 	rtt        time.Duration
 	waitUnit   time.Duration // the agent's own wait for each queued task
@@ -42,29 +43,59 @@
 	listed bool // in the list of agents that freed a slot
 }
 
+// send is one start that was sent.
+type send struct {
+	at    time.Duration
+	slots float64
+}
+
 // sent records one start at time now.
-func (a *agentState) sent(now time.Duration) {
+func (a *agentState) sent(now time.Duration, slots float64) {
 	a.placed++
-	a.sends[a.nextSend] = now
+	a.taken += slots
+	a.sends[a.nextSend] = send{at: now, slots: slots}
 	a.nextSend = (a.nextSend + 1) % sendMemory
 }
 
-// inTransit counts the starts that a report received now cannot include.
-func (a *agentState) inTransit(now time.Duration) int {
-	n := 0
-	for _, at := range a.sends {
-		if at > 0 && now-at < a.rtt {
-			n++
+// ended records the end of an attempt.
+func (a *agentState) ended(slots float64) {
+	a.placed--
+	a.taken -= slots
+	if a.placed == 0 {
+		a.taken = 0 // no rounding error is kept
+	}
+}
+
+// inTransit sums the slots of the starts that a report received now cannot
+// include.
+func (a *agentState) inTransit(now time.Duration) float64 {
+	sum := 0.0
+	for _, s := range a.sends {
+		if s.at > 0 && now-s.at < a.rtt {
+			sum += s.slots
 		}
 	}
-	return min(n, a.placed)
+	return min(sum, a.taken)
+}
+
+// slotsOf returns how many of the agent's slots a task of the job takes.
+func (a *agentState) slotsOf(job *Job) float64 {
+	return a.info.Capacity.SlotsOf(job.Need, a.info.Slots)
+}
+
+// occupied returns the slots that tasks of all entries take, by the report.
+func occupied(load *wire.Load) float64 {
+	if load.Occupied > 0 {
+		return float64(load.Occupied) / 1000
+	}
+	return float64(load.Running + load.Queued)
 }
 
 // observe takes a load report.
 func (a *agentState) observe(now time.Duration, load wire.Load) {
 	a.info.Load = load
-	own := a.placed - a.inTransit(now)
-	a.others = float64(max(0, load.Running+load.Queued-own))
+	own := a.taken - a.inTransit(now)
+	a.others = max(0, occupied(&load)-own)
 	if !a.reported {
 		a.meanOthers = a.others
 	}
@@ -101,7 +132,7 @@
 	return float64(a.info.Slots)
 }
 
-// believed returns the number of tasks believed to be at the agent. The load
+// believed returns the slots believed to be taken at the agent. The load
 // of other entries moves from the last report towards its long-run mean as
 // tasks of about meanRun end and others are placed.
 func (a *agentState) believed(now, meanRun time.Duration, ageing bool) float64 {
@@ -110,7 +141,7 @@
 		age := float64(now-a.reportedAt) / float64(meanRun)
 		others = a.meanOthers + (a.others-a.meanOthers)/(1+age+age*age/2)
 	}
-	return float64(a.placed) + others
+	return a.taken + others
 }
 
 // open reports whether the agent takes starts at all.
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -15,7 +15,7 @@
 	if h.Slots < 0 || h.Slots > MaxSlots {
 		return fmt.Errorf("wire: agent states %d slots, allowed are 0 to %d", h.Slots, MaxSlots)
 	}
-	if err := checkNames(h.Name, h.Zone, h.Rack); err != nil {
+	if err := checkNames(h.Name, h.Zone, h.Rack, h.Pool); err != nil {
 		return err
 	}
 	return checkEntries(h.Entries)
@@ -36,7 +36,7 @@
 		if s.Index < 0 || s.Index >= MaxTasksPerJob {
 			return fmt.Errorf("wire: start of task %d, allowed are 0 to %d", s.Index, MaxTasksPerJob-1)
 		}
-		if err := checkNames(s.Class); err != nil {
+		if err := checkNames(s.Class, s.Job); err != nil {
 			return err
 		}
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol that this code speaks.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Limits that both ends enforce on decoded messages.
 const (
@@ -133,12 +133,20 @@
 	ReasonStopped
 	// ReasonResultLost: the run ended, but its result was dropped to bound memory.
 	ReasonResultLost
+	// ReasonNoRoom: the worker has not enough free capacity for the task.
+	ReasonNoRoom
+	// ReasonStaleRun: the worker knows a later run of the task. The next attempt
+	// needs a higher run number.
+	ReasonStaleRun
+	// ReasonRunEnded: the run ended with its worker or its lease, and is known
+	// not to run any more.
+	ReasonRunEnded
 )
 
 var reasonNames = [...]string{
 	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
 	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
-	"agent_lost", "stopped", "result_lost",
+	"agent_lost", "stopped", "result_lost", "no_room", "stale_run", "run_ended",
 }
 
 // String returns the reason's machine-readable name.
@@ -167,6 +175,30 @@
 
 func fits(offer, need int64) bool { return offer == 0 || need <= offer }
 
+// Share returns the largest share, 0 to 1 and above, that need takes of any
+// dimension of c, and false if no dimension is stated on both sides.
+func (c Capacity) Share(need Capacity) (share float64, ok bool) {
+	for _, d := range [...][2]int64{
+		{c.MilliCores, need.MilliCores}, {c.MemoryMB, need.MemoryMB}, {c.Accelerators, need.Accelerators},
+	} {
+		if d[0] > 0 && d[1] > 0 {
+			share = max(share, float64(d[1])/float64(d[0]))
+			ok = true
+		}
+	}
+	return share, ok
+}
+
+// SlotsOf returns how many of the worker's slots a task takes: its share of the
+// worker's capacity, or one slot if its need or the capacity is not stated.
+func (c Capacity) SlotsOf(need Capacity, slots int) float64 {
+	share, ok := c.Share(need)
+	if !ok {
+		return 1
+	}
+	return share * float64(slots)
+}
+
 // EntryAddr is how peers reach an entry.
 type EntryAddr struct {
 	_           struct{} `cbor:",toarray"`
@@ -188,6 +220,11 @@
 	Capacity      Capacity
 	ConfigVersion int64
 	Entries       []EntryAddr
+	// Pool names the group of workers that the agent's belongs to.
+	Pool string
+	// Clean says that no run of an earlier incarnation of this agent is left at
+	// the worker.
+	Clean bool
 }
 
 // EntryHello answers an AgentHello.
@@ -213,6 +250,12 @@
 	MaxWait    Micros // refuse as busy if the expected queueing delay exceeds this
 	Deadline   Micros // time left until the caller's deadline
 	Payload    []byte
+	// Job is the caller's name of the job, the same in every resubmission; empty
+	// if the caller gave none.
+	Job string
+	// Run numbers the runs of the task, from 1.
+	Run  int
+	Need Capacity
 }
 
 // Load is an agent's own state, sent on every frame.
@@ -227,6 +270,9 @@
 	Failures     uint64 // runs that failed since the agent started
 	Draining     bool
 	Down         bool // the upstream refuses connections
+	// Occupied is the part of the slots that running and queued tasks take, in
+	// thousandths of a slot.
+	Occupied int
 }
 
 // Result reports the final outcome of one attempt.
@@ -262,6 +308,9 @@
 	Config  *ConfigState
 	Entries []EntryAddr
 	Stamp   uint64 // sender's hybrid logical time, filled in by the shell
+	// Echo is the newest Clock that the entry received from this agent. It
+	// renews the lease under which the agent runs the entry's tasks.
+	Echo Micros
 }
 
 // ToEntry is one frame from an agent to an entry.
@@ -271,4 +320,5 @@
 	Load    Load
 	Config  *ConfigState
 	Stamp   uint64 // sender's hybrid logical time, filled in by the shell
+	Clock   Micros // agent's process time when the frame was made
 }
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
@@ -40,6 +41,13 @@
 	// MaxUpstreamConns, since each running task holds a connection.
 	Slots    int
 	Capacity wire.Capacity
+	// Pool names the group of workers that this one belongs to, Clean says that
+	// no run of an earlier incarnation is left there. See wire.AgentHello.
+	Pool  string
+	Clean bool
+	// NewUpstream makes the connection to the upstream; nil posts tasks to the
+	// URL Upstream. report delivers Finished and Probed to the core.
+	NewUpstream func(report func(agent.Event)) Upstream
 	// Upstream is the URL that tasks are posted to.
 	Upstream string
 	// Entries are the peer addresses to start from. One may be the address of
@@ -53,6 +61,8 @@
 	DialUpstream DialFunc
 	// SilenceTimeout replaces link.SilenceTimeout, for tests.
 	SilenceTimeout time.Duration
+	// MaxRedial is the longest delay between two dials of an entry. Default 5 s.
+	MaxRedial time.Duration
 	// ShedInterval replaces the interval at which superfluous links are given
 	// up, for tests.
 	ShedInterval time.Duration
@@ -75,11 +85,15 @@
 	if o.SilenceTimeout <= 0 {
 		o.SilenceTimeout = link.SilenceTimeout
 	}
+	if o.MaxRedial <= 0 {
+		o.MaxRedial = maxRedial
+	}
 	if o.ShedInterval <= 0 {
 		o.ShedInterval = shedInterval
 	}
 	o.Core.Incarnation = o.Incarnation
 	o.Core.Slots = o.Slots
+	o.Core.Capacity = o.Capacity
 	return o
 }
 
@@ -90,9 +104,9 @@
 // Agent is a running agent.
 type Agent struct {
 	opts          Options
-	start         time.Time
+	clock         bootclock.Clock
 	events        chan any
-	runner        *runner
+	upstream      Upstream
 	finder        *finder
 	epoch         atomic.Uint64 // last epoch used, over all links
 	configVersion atomic.Int64  // of the core's configuration
@@ -121,13 +135,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		opts:    opts,
-		start:   time.Now(),
+		clock:   bootclock.New(),
 		events:  make(chan any, ringEvents),
 		ctx:     ctx,
 		cancel:  cancel,
 		drained: make(chan struct{}),
 	}
-	a.runner = newRunner(a)
+	a.upstream = a.newUpstream()
 	a.finder = newFinder(a)
 	a.emit(eventlog.AgentStarted, eventlog.Fields{Detail: opts.Name, Count: int64(opts.Slots)})
 	a.goDuty(a.coreLoop)
@@ -174,7 +188,37 @@
 	}
 	a.cancel()
 	a.wg.Wait()
-	a.runner.closeIdle()
+	a.upstream.Close()
+}
+
+// Drain begins the graceful shutdown without ending the process: the agent
+// takes no more work and delivers what it has.
+func (a *Agent) Drain() { a.send(agent.Drain{}) }
+
+// Learn adds entries to those that the agent may link to.
+func (a *Agent) Learn(entries []wire.EntryAddr) { a.finder.learn(entries) }
+
+// Links returns the number of entries that are connected.
+func (a *Agent) Links() int { return a.finder.linkCount() }
+
+// Upstream is how an agent has tasks run. Its methods must not block for long.
+type Upstream interface {
+	// Run starts a run and reports agent.Finished exactly once when it has ended.
+	Run(x *agent.Run)
+	// Stop abandons a run, which is still reported.
+	Stop(x agent.Stop)
+	// Probe reports agent.Probed.
+	Probe()
+	// Close gives up every connection. Nothing is reported after it.
+	Close()
+}
+
+func (a *Agent) newUpstream() Upstream {
+	report := func(ev agent.Event) { a.send(ev) }
+	if a.opts.NewUpstream != nil {
+		return a.opts.NewUpstream(report)
+	}
+	return newRunner(a)
 }
 
 // send delivers an event to the core unless the agent ends first.
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -1,8 +1,6 @@
 package agentd
 
 import (
-	"time"
-
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/timeline"
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -96,7 +94,7 @@
 
 func (c *core) step(event agent.Event) {
 	c.tracer.event(event)
-	for _, action := range c.machine.Step(time.Since(c.start), event) {
+	for _, action := range c.machine.Step(c.clock.Now(), event) {
 		c.apply(action)
 	}
 	if v := c.machine.ConfigVersion(); v != c.configVersion.Load() {
@@ -111,12 +109,12 @@
 		c.sendFrame(x)
 	case *agent.Run:
 		c.tracer.run(x)
-		c.runner.run(x)
+		c.upstream.Run(x)
 	case agent.Stop:
 		c.tracer.stop(x)
-		c.runner.stop(x.Attempt)
+		c.upstream.Stop(x)
 	case agent.Probe:
-		c.runner.probe()
+		c.upstream.Probe()
 	case agent.Retired:
 		c.retired(x)
 	case agent.Drained:
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -32,7 +32,7 @@
 			if !connected && !a.finder.dialFailed(addr, time.Now(), err) {
 				return
 			}
-			delay = min(2*delay, maxRedial)
+			delay = min(2*delay, a.opts.MaxRedial)
 			if time.Since(began) >= steadyLink && connected {
 				delay = minRedial
 			}
@@ -107,6 +107,7 @@
 		Protocol: wire.ProtocolVersion, Agent: a.opts.Incarnation, Epoch: epoch,
 		Name: a.opts.Name, Zone: a.opts.Zone, Rack: a.opts.Rack,
 		Slots: a.opts.Slots, Capacity: a.opts.Capacity,
+		Pool: a.opts.Pool, Clean: a.opts.Clean,
 		ConfigVersion: a.configVersion.Load(), Entries: a.finder.entries(),
 	}), conn.Flush())
 	if err != nil {
--- a/internal/agentd/finder.go
+++ b/internal/agentd/finder.go
@@ -146,6 +146,12 @@
 	return slices.Clone(f.known)
 }
 
+func (f *finder) linkCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.links)
+}
+
 func (f *finder) linkedLocked(entry wire.Incarnation) bool {
 	_, ok := f.links[entry]
 	return ok
--- a/internal/agentd/operator.go
+++ b/internal/agentd/operator.go
@@ -38,7 +38,7 @@
 type statusQuery struct{ reply chan<- coreStatus }
 
 func (c *core) status() coreStatus {
-	s := coreStatus{load: c.machine.Load(time.Since(c.start))}
+	s := coreStatus{load: c.machine.Load(c.clock.Now())}
 	for _, l := range c.links {
 		s.entries = append(s.entries, l.hello.Name)
 	}
@@ -73,7 +73,7 @@
 	return Status{
 		Name: a.opts.Name, Zone: a.opts.Zone, Rack: a.opts.Rack,
 		Incarnation:   strconv.FormatUint(uint64(a.opts.Incarnation), 16),
-		UptimeMS:      time.Since(a.start).Milliseconds(),
+		UptimeMS:      a.clock.Now().Milliseconds(),
 		Ready:         len(s.entries) > 0 && !s.load.Draining && !s.load.Down,
 		ConfigVersion: a.configVersion.Load(),
 		Entries:       s.entries,
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -88,7 +88,8 @@
 
 type dialError struct{ error }
 
-func (r *runner) run(x *agent.Run) {
+// Run implements Upstream.
+func (r *runner) Run(x *agent.Run) {
 	ctx, cancel := context.WithTimeout(r.agent.ctx, x.Timeout)
 	r.mu.Lock()
 	r.stops[x.Attempt] = cancel
@@ -106,17 +107,18 @@
 	})
 }
 
-func (r *runner) stop(id agent.AttemptID) {
+// Stop implements Upstream.
+func (r *runner) Stop(x agent.Stop) {
 	r.mu.Lock()
-	cancel := r.stops[id]
+	cancel := r.stops[x.Attempt]
 	r.mu.Unlock()
 	if cancel != nil {
 		cancel()
 	}
 }
 
-// probe connects to the upstream and sends nothing.
-func (r *runner) probe() {
+// Probe implements Upstream: it connects and sends nothing.
+func (r *runner) Probe() {
 	r.agent.goDuty(func() {
 		c, err := r.dial(r.agent.ctx, "tcp", r.addr)
 		if err == nil {
@@ -126,7 +128,8 @@
 	})
 }
 
-func (r *runner) closeIdle() { r.client.CloseIdleConnections() }
+// Close implements Upstream.
+func (r *runner) Close() { r.client.CloseIdleConnections() }
 
 // call makes the one request of a run. GetBody is cleared and no idempotency
 // header is set, so that the transport never sends the request again by itself.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,6 +21,7 @@
 type args struct {
 	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serves callers, places tasks"`
 	Agent    *agentArgs    `arg:"subcommand:agent" help:"run an agent beside one upstream"`
+	Node     *nodeArgs     `arg:"subcommand:node" help:"run a role of a VM by the platform's settings file"`
 	Config   *configArgs   `arg:"subcommand:config" help:"publish and inspect classes and targets"`
 	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole system on loopback"`
 	Load     *loadArgs     `arg:"subcommand:load" help:"generate load, measure response time and messages"`
@@ -54,6 +55,8 @@
 		return a.Entry
 	case a.Agent != nil:
 		return a.Agent
+	case a.Node != nil:
+		return a.Node
 	case a.Config != nil:
 		return a.Config
 	case a.Dev != nil:
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -38,10 +38,9 @@
 }
 
 func (e *Entry) coreLoop() {
-	opts := entry.Options{
-		Incarnation: e.opts.Incarnation, Scheduler: e.opts.Scheduler,
-		MaxJobs: e.opts.MaxJobs, MaxTasks: e.opts.MaxTasks,
-	}
+	opts := e.opts.Core
+	opts.Incarnation, opts.Scheduler = e.opts.Incarnation, e.opts.Scheduler
+	opts.MaxJobs, opts.MaxTasks = e.opts.MaxJobs, e.opts.MaxTasks
 	if e.log != nil {
 		opts.Observer = observer{e.log}
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -19,8 +19,10 @@
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/claimapi"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/link"
 )
 
 const (
@@ -68,6 +70,13 @@
 	PeerListen     string
 	OperatorListen string
 	Scheduler      policy.Scheduler
+	// Front replaces the JSON interface on the callers' listener.
+	Front func(Submitter) http.Handler
+	// Core overrides the machine's durations. Its Incarnation, Scheduler,
+	// Observer and bounds are ignored.
+	Core entry.Options
+	// SilenceTimeout replaces link.SilenceTimeout.
+	SilenceTimeout time.Duration
 	// Settings are the targets in force until Configure is called.
 	Settings policy.Settings
 	// Claims obtains claims for requests that are not idempotent. With nil they
@@ -116,6 +125,7 @@
 	if o.Incarnation == 0 {
 		o.Incarnation = wire.Incarnation(rand.Uint64() | 1)
 	}
+	o.SilenceTimeout = cmp.Or(o.SilenceTimeout, link.SilenceTimeout)
 	o.MaxRequests = cmp.Or(o.MaxRequests, DefaultMaxRequests)
 	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
 	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPending)
@@ -128,7 +138,7 @@
 // Entry is a running entry.
 type Entry struct {
 	opts      Options
-	start     time.Time
+	clock     bootclock.Clock
 	events    chan any
 	callers   net.Listener
 	peers     net.Listener
@@ -180,7 +190,7 @@
 	opts = opts.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
-		opts: opts, start: time.Now(), log: opts.Log, metrics: newEntryMetrics(),
+		opts: opts, clock: bootclock.New(), log: opts.Log, metrics: newEntryMetrics(),
 		events: make(chan any, ringEvents),
 		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
 		ctx:    ctx, cancel: cancel, drained: make(chan struct{}),
@@ -222,7 +232,7 @@
 	e.duties.run(e.coreLoop)
 	e.duties.run(e.tickLoop)
 	e.duties.run(e.acceptLoop)
-	e.serveHTTP(limitConnections(e.callers, e.opts.MaxConnections), e.callerHandler())
+	e.serveHTTP(limitConnections(e.callers, e.opts.MaxConnections), e.frontHandler())
 	if e.operators != nil {
 		e.serveHTTP(limitConnections(e.operators, maxOperatorConnections), e.operatorHandler())
 	}
@@ -329,7 +339,7 @@
 	e.duties.stop()
 }
 
-func (e *Entry) now() time.Duration { return time.Since(e.start) }
+func (e *Entry) now() time.Duration { return e.clock.Now() }
 
 // send hands an event to the core goroutine. It reports false if the process
 // ended first.
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -81,6 +81,7 @@
 // returns an error only if the handshake failed.
 func (e *Entry) serveAgent(raw net.Conn) error {
 	conn := link.NewConn(raw)
+	conn.SetWriteTimeout(e.opts.SilenceTimeout)
 	defer conn.Close()
 	hello, err := e.handshake(conn)
 	if err != nil {
@@ -92,7 +93,7 @@
 	defer e.send(entry.LinkDown{Agent: hello.Agent, Epoch: hello.Epoch})
 	for {
 		frame := new(wire.ToEntry)
-		if err := conn.Read(frame, link.SilenceTimeout); err != nil {
+		if err := conn.Read(frame, e.opts.SilenceTimeout); err != nil {
 			return nil
 		}
 		e.send(entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame})
--- a/internal/entryd/table.go
+++ b/internal/entryd/table.go
@@ -109,6 +109,15 @@
 	return r.waiters == 0 && r.key.key == "" && !r.finished()
 }
 
+// abandon is leave for a job whose name does not keep it running: it is to be
+// cancelled as soon as nobody waits for it.
+func (t *jobTable) abandon(r *record) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.waiters--
+	return r.waiters == 0 && !r.finished()
+}
+
 // find returns the record of a submission id or key, nil if there is none.
 func (t *jobTable) find(name string, team string) *record {
 	t.mu.Lock()
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -10,6 +10,8 @@
 	AgentLinkUp    = define(1010, "agent_link_up", zapcore.InfoLevel, false)
 	AgentLinkDown  = define(1011, "agent_link_down", zapcore.WarnLevel, false)
 	PeerRejected   = define(1012, "peer_rejected", zapcore.WarnLevel, false)
+	EntryLeaving   = define(1003, "entry_leaving", zapcore.InfoLevel, false)
+	JobTurnedAway  = define(1103, "job_turned_away", zapcore.WarnLevel, false)
 	JobAccepted    = define(1100, "job_accepted", zapcore.DebugLevel, true)
 	JobAnswered    = define(1101, "job_answered", zapcore.DebugLevel, true)
 	ClaimForwarded = define(1102, "claim_forwarded", zapcore.DebugLevel, true)
--- /dev/null
+++ b/internal/fleet/entry.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/entryd"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+)
+
+const (
+	// configWait is the longest wait of one read of the configuration. A read
+	// over a connection that went silent ends about a second later.
+	configWait = 1500 * time.Millisecond
+	// sourceRetry separates reads that fail.
+	sourceRetry = 200 * time.Millisecond
+	// listInterval is how often an entry reads the directory.
+	listInterval = 2 * time.Second
+	// balancerNotice is how long the balancer takes to send new connections
+	// elsewhere once the entry says that it is not ready: two checks a second apart.
+	balancerNotice = 2200 * time.Millisecond
+	maxJobs        = 4000
+)
+
+// EntryOptions configure an EntryNode.
+type EntryOptions struct {
+	Name        string
+	Zone        string
+	Listen      string // for callers
+	ReadyListen string // for the balancer's check
+	PeerListen  string
+	// Operators is the operators' address, empty for none.
+	Operators   string
+	Front       func(entryd.Submitter) http.Handler
+	Configs     ConfigSource
+	Directory   Directory
+	Log         *eventlog.Log
+	Incarnation wire.Incarnation
+}
+
+// EntryNode is the entry process of one VM.
+type EntryNode struct {
+	opts   EntryOptions
+	entry  *entryd.Entry
+	ready  *http.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	version int64 // of the configuration in force
+	leaving bool
+}
+
+// StartEntry listens and serves until Stop or Kill.
+func StartEntry(opts EntryOptions) (*EntryNode, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &EntryNode{opts: opts, ctx: ctx, cancel: cancel}
+	e, err := entryd.Start(entryd.Options{
+		Name: opts.Name, Zone: opts.Zone,
+		Listen: opts.Listen, PeerListen: opts.PeerListen, OperatorListen: opts.Operators,
+		Scheduler:      policy.New(policy.Options{Seed: uint64(opts.Incarnation), Zone: opts.Zone}),
+		Front:          func(s entryd.Submitter) http.Handler { return opts.Front(leavingSubmitter{s, n}) },
+		LearnedConfig:  n.learned,
+		Log:            opts.Log,
+		Incarnation:    opts.Incarnation,
+		MaxJobs:        maxJobs,
+		SilenceTimeout: silenceTimeout,
+		Core:           entry.Options{HeartbeatInterval: heartbeatInterval, AgentLease: agentLease},
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	n.entry = e
+	if err := n.serveReady(); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	n.wg.Go(n.followConfig)
+	n.wg.Go(n.followDirectory)
+	return n, nil
+}
+
+// followConfig keeps the newest published configuration in force.
+func (n *EntryNode) followConfig() {
+	failing := false
+	for n.ctx.Err() == nil {
+		c, err := n.opts.Configs.Next(n.ctx, configWait)
+		if c != nil {
+			n.apply(c, "store")
+		}
+		if err != nil && n.ctx.Err() == nil {
+			if !failing {
+				n.opts.Log.Emit(eventlog.ConfigSourceLost, eventlog.Fields{Err: err})
+			}
+			failing = true
+			sleep(n.ctx, sourceRetry)
+			continue
+		}
+		if failing && err == nil {
+			failing = false
+			n.opts.Log.Emit(eventlog.ConfigSourceBack, eventlog.Fields{})
+		}
+	}
+}
+
+// learned takes a configuration that an agent handed on.
+func (n *EntryNode) learned(c wire.ConfigState) {
+	conf, err := n.opts.Configs.Decode(c.State)
+	if err != nil {
+		n.opts.Log.Emit(eventlog.ConfigUnreadable, eventlog.Fields{Count: c.Version, Err: err})
+		return
+	}
+	// The core goroutine calls this and must not wait for its own ring.
+	n.wg.Go(func() { n.apply(conf, "agent") })
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (n *EntryNode) apply(c *Config, from string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.Version <= n.version {
+		return
+	}
+	n.version = c.Version
+	n.entry.Configure(c.Settings, c.Version, c.State)
+	c.Activate()
+	n.opts.Log.Emit(eventlog.ConfigInForce, eventlog.Fields{Count: c.Version, Detail: from})
+}
+
+// followDirectory publishes this entry's address and tells agents of the others.
+func (n *EntryNode) followDirectory() {
+	self := EntryAddr{Incarnation: n.entry.Incarnation(), Peer: n.entry.PeerAddr(), Zone: n.opts.Zone}
+	known := []EntryAddr{self}
+	n.entry.SetEntries(known)
+	published := false
+	for n.ctx.Err() == nil {
+		if !published {
+			err := n.opts.Directory.Publish(n.ctx, n.opts.Name, self)
+			published = err == nil
+			if err != nil {
+				n.opts.Log.Emit(eventlog.DirectoryFailed, eventlog.Fields{Detail: "publish", Err: err})
+				sleep(n.ctx, sourceRetry)
+				continue
+			}
+		}
+		if list, err := n.opts.Directory.List(n.ctx); err != nil {
+			n.opts.Log.Emit(eventlog.DirectoryFailed, eventlog.Fields{Detail: "list", Err: err})
+		} else {
+			n.entry.SetEntries(withSelf(list, self))
+		}
+		sleep(n.ctx, listInterval)
+	}
+}
+
+// withSelf replaces the record of this entry's address, which may be of an
+// earlier incarnation.
+func withSelf(list []EntryAddr, self EntryAddr) []EntryAddr {
+	out := []EntryAddr{self}
+	for _, e := range list {
+		if e.Peer != self.Peer {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (n *EntryNode) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// leavingSubmitter has callers connect elsewhere as soon as the entry leaves.
+type leavingSubmitter struct {
+	entryd.Submitter
+	node *EntryNode
+}
+
+// Draining implements entryd.Submitter.
+func (s leavingSubmitter) Draining() bool { return s.node.isLeaving() || s.Submitter.Draining() }
+
+// Stop tells the balancer first, serves on until it has noticed, and then ends
+// as entryd.Entry.Stop does.
+func (n *EntryNode) Stop(ctx context.Context) error {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.opts.Log.Emit(eventlog.EntryLeaving, eventlog.Fields{})
+	sleep(ctx, balancerNotice)
+	err := n.entry.Stop(ctx)
+	n.Kill()
+	return err
+}
+
+// Kill ends the entry at once.
+func (n *EntryNode) Kill() {
+	n.cancel()
+	if n.ready != nil {
+		n.ready.Close()
+	}
+	n.entry.Kill()
+	n.wg.Wait()
+}
--- /dev/null
+++ b/internal/fleet/ready.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+const readyTimeout = 5 * time.Second
+
+// serveReady answers the balancer's check on any path: 200 while the entry takes
+// jobs, 503 otherwise.
+func (n *EntryNode) serveReady() error {
+	l, err := net.Listen("tcp", n.opts.ReadyListen)
+	if err != nil {
+		return err
+	}
+	n.ready = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !n.entry.Ready() || n.isLeaving() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}),
+		ReadHeaderTimeout: readyTimeout, IdleTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0),
+	}
+	n.wg.Go(func() { n.ready.Serve(l) })
+	return nil
+}
