Scheduler: long tasks go to fast workers

The speed of an agent counted only when it was slower than usual by a quarter.

Change: the speed is kept relative to the mean agent, class estimates are taken on a worker of mean speed, and placement weighs the speed by the share of the job's time that a slow run takes. Short tasks leave fast workers free.

Ruled out: workers' kinds from their labels; they do not tell the speed.

The tasks that remain late need a forecast for each job.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -28,6 +28,7 @@
 	inFlight  int
 	service   float64 // own tasks in service under backlog
 	waitScale float64
+	meanSpeed float64 // mean of the agents' speed.log
 
 	forgetAt     time.Duration // next search for agents that left
 	contentionAt time.Duration // next comparison of the backlog with the targets
@@ -118,6 +119,7 @@
 		a.up = true
 		a.index = len(s.up)
 		s.up = append(s.up, a)
+		s.resetMeanSpeed()
 	}
 }
 
@@ -135,6 +137,7 @@
 	s.up[a.index].index = a.index
 	s.up[last] = nil
 	s.up = s.up[:last]
+	s.resetMeanSpeed()
 }
 
 // forget drops the agents that left long ago and have nothing in flight.
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -128,9 +129,11 @@
 func (s *Adaptive) succeeded(a *agentState, j *jobState, sentAt, run time.Duration) {
 	c := j.class
 	if c.est.known() {
-		a.speed.observe(run, c.est.logMean())
+		s.observeSpeed(a, run, c.est.logMean())
 	}
-	c.est.observe(run)
+	// Tasks that run longest go to the fastest workers. Their class is judged by
+	// what they would take on a worker of mean speed.
+	c.est.observe(time.Duration(float64(run) * math.Exp(-a.speed.relative(s.meanSpeed))))
 	s.runs.observe(run)
 	c.outcomes.add(true)
 	j.succeeded++
@@ -141,6 +144,22 @@
 	}
 }
 
+// observeSpeed adds one run to the agent's speed and keeps the mean over all
+// connected agents, each weighing the same.
+func (s *Adaptive) observeSpeed(a *agentState, run time.Duration, expectedLog float64) {
+	before := a.speed.log
+	a.speed.observe(run, expectedLog)
+	s.meanSpeed += (a.speed.log - before) / float64(max(len(s.up), 1))
+}
+
+// resetMeanSpeed computes the mean anew after an agent came or went.
+func (s *Adaptive) resetMeanSpeed() {
+	s.meanSpeed = 0
+	for _, a := range s.up {
+		s.meanSpeed += a.speed.log / float64(len(s.up))
+	}
+}
+
 func (j *jobState) blame(a *agentState) {
 	for i := range j.failedOn {
 		if j.failedOn[i].agent == a {
--- a/core/policy/estimate.go
+++ b/core/policy/estimate.go
@@ -139,9 +139,15 @@
 	s.log += (dev - s.log) / s.runs
 }
 
+// relative returns the logarithm of the agent's run times over those of the
+// mean agent, drawn to zero while it rests on few runs.
+func (s *speed) relative(mean float64) float64 {
+	return (s.log - mean) * s.runs / (s.runs + speedPrior)
+}
+
 // factor returns by how much longer tasks run at the agent, at least 1.
-func (s *speed) factor() float64 {
-	shrunk := s.log * s.runs / (s.runs + speedPrior)
+func (s *speed) factor(mean float64) float64 {
+	shrunk := s.relative(mean)
 	if shrunk < speedDeadBand {
 		return 1
 	}
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -1,22 +1,25 @@
 package policy
 
 import (
+	"math"
 	"time"
 )
 
 const (
-	spreadPenalty = 2 * time.Millisecond // for each task of the job per slot in the rack
-	failedPenalty = time.Second          // for an agent on which the job has failed
-	tieJitter     = time.Millisecond     // random part of the cost, so that entries differ
-	riskShare     = 0.5                  // chance that an agent with one free slot is full
-	freeMargin    = 0.5                  // believed free slots that count as a free slot
-	lookAhead     = 2.0                  // tasks queued at each agent under backlog
-	freeMaxWait   = 4 * time.Millisecond // accepted queueing while others are believed free
-	unbounded     = time.Hour            // accepted queueing without PartMaxWait
-	fullMaxWait   = 8                    // accepted queueing in waits per queued task while all are believed full
-	minRun        = 5 * time.Millisecond // least mean run time used for rates
-	freedMemory   = 64                   // agents remembered as having freed a slot
-	freedSample   = 8                    // of them, examined for one decision
+	spreadPenalty    = 2 * time.Millisecond  // for each task of the job per slot in the rack
+	failedPenalty    = time.Second           // for an agent on which the job has failed
+	speedWeightTight = 1.0                   // of the run time that a fast worker saves a tight job
+	fastReserve      = 10 * time.Millisecond // cost of a worker twice as fast, to a job that does not need it
+	tieJitter        = time.Millisecond      // random part of the cost, so that entries differ
+	riskShare        = 0.5                   // chance that an agent with one free slot is full
+	freeMargin       = 0.5                   // believed free slots that count as a free slot
+	lookAhead        = 2.0                   // tasks queued at each agent under backlog
+	freeMaxWait      = 4 * time.Millisecond  // accepted queueing while others are believed free
+	unbounded        = time.Hour             // accepted queueing without PartMaxWait
+	fullMaxWait      = 8                     // accepted queueing in waits per queued task while all are believed full
+	minRun           = 5 * time.Millisecond  // least mean run time used for rates
+	freedMemory      = 64                    // agents remembered as having freed a slot
+	freedSample      = 8                     // of them, examined for one decision
 )
 
 // choice is the outcome of the search for an agent.
@@ -36,7 +39,7 @@
 // choose finds the agent with the least expected cost for a task of the job.
 func (s *Adaptive) choose(now time.Duration, j *jobState) choice {
 	run := s.meanRun(j)
-	p := pick{now: now, job: j, run: run, meanRun: max(s.runs.mean(0), minRun)}
+	p := pick{tight: s.tightness(now, j), now: now, job: j, run: run, meanRun: max(s.runs.mean(0), minRun)}
 	if len(s.up) <= s.opts.SampleAgents {
 		for _, a := range s.up {
 			s.consider(&p, a)
@@ -56,6 +59,7 @@
 	job     *jobState
 	run     time.Duration // expected run time of the task
 	meanRun time.Duration // over all classes
+	tight   float64       // how much the job depends on a fast worker, 0 to 1
 	best    candidate
 	free    float64 // believed free slots at the agents seen
 	misfit  bool
@@ -136,11 +140,31 @@
 		cost += spreadPenalty.Seconds() * float64(p.job.racks[a.rack]) / limit
 	}
 	if s.on.speed {
-		cost += (a.speed.factor() - 1) * p.run.Seconds()
+		cost += (a.speed.factor(s.meanSpeed) - 1) * p.run.Seconds()
+		cost += s.speedCost(p, a)
 	}
 	return cost
 }
 
+// speedCost weighs an agent's speed by how much the job depends on it: the share
+// of its time that a slow run of its class takes. Long tasks that would miss
+// their deadline on a mean worker go to the fast ones, and short tasks leave
+// those free for them.
+func (s *Adaptive) speedCost(p *pick, a *agentState) float64 {
+	relative := math.Exp(a.speed.relative(s.meanSpeed)) - 1
+	return relative*p.run.Seconds()*p.tight*speedWeightTight - relative*fastReserve.Seconds()*(1-p.tight)
+}
+
+// tightness returns the share, 0 to 1, of the job's time that a slow run takes.
+func (s *Adaptive) tightness(now time.Duration, j *jobState) float64 {
+	left := j.job.Deadline - now
+	if left <= 0 {
+		return 1
+	}
+	share := float64(s.high(j.class, j.job)) / float64(left)
+	return min(1, share*share)
+}
+
 // maxWait returns the queueing delay that the entry accepts at the agent.
 func (s *Adaptive) maxWait(p *pick) time.Duration {
 	if !s.on.maxWait {
--- a/internal/entryd/submit.go
+++ b/internal/entryd/submit.go
@@ -47,6 +47,7 @@
 		if e.log != nil {
 			e.log.Emit(eventlog.JobAccepted, eventlog.Fields{
 				Submission: rec.id.String(), Detail: j.Class + " " + j.Name, Count: int64(len(j.Payloads)),
+				Duration: j.Declared,
 			})
 		}
 		e.send(j.submit(rec.id))
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -26,18 +26,19 @@
 	Code  Code
 	Name  string // snake_case, stable
 	Level zapcore.Level
-	// TimelineOnly keeps the event out of the log: it is recorded per task.
-	TimelineOnly bool
+	// PerTask events are recorded for each task or job. Their level is debug, so
+	// that they appear in the time line always and in the log only on demand.
+	PerTask bool
 }
 
 var catalog = map[Code]Def{}
 
 // define registers an event. Defining a code twice breaks an invariant.
-func define(code Code, name string, level zapcore.Level, timelineOnly bool) Code {
+func define(code Code, name string, level zapcore.Level, perTask bool) Code {
 	if _, dup := catalog[code]; dup {
 		panic("eventlog: code defined twice: " + strconv.Itoa(int(code)))
 	}
-	catalog[code] = Def{Code: code, Name: name, Level: level, TimelineOnly: timelineOnly}
+	catalog[code] = Def{Code: code, Name: name, Level: level, PerTask: perTask}
 	return code
 }
 
@@ -102,9 +103,6 @@
 		Peer:        f.Peer,
 		Detail:      f.Detail,
 	})
-	if def.TimelineOnly {
-		return
-	}
 	if entry := l.zap.Check(def.Level, def.Name); entry != nil {
 		entry.Write(zapFields(code, f)...)
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -38,7 +38,7 @@
 		row := page[int(d.Code)]
 		assert.Assert(t, row != nil, "event %d %s has no row", d.Code, d.Name)
 		where := "log"
-		if d.TimelineOnly {
+		if d.PerTask {
 			where = "timeline"
 		}
 		assert.Equal(t, strings.TrimSpace(row[2]), d.Name)
