--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -33,7 +33,8 @@
 	// Lease is how long a run outlives the last renewal. Default 700 ms.
 	Lease time.Duration
 	// LookWait is how long the worker may hold a look back when nothing ends.
-	// Each look renews the lease. Default 150 ms.
+	// Each look renews the lease, and a look that is lost delays the news of
+	// ended runs by it. Default 30 ms.
 	LookWait time.Duration
 	// StopRetry separates two stops of one run. Default 150 ms.
 	StopRetry time.Duration
@@ -45,7 +46,7 @@
 // Defaults of Options.
 const (
 	DefaultLease     = 700 * time.Millisecond
-	DefaultLookWait  = 150 * time.Millisecond
+	DefaultLookWait  = 30 * time.Millisecond
 	DefaultStopRetry = 150 * time.Millisecond
 	DefaultAckDelay  = 250 * time.Millisecond
 )
@@ -56,8 +57,11 @@
 	// lapseMargin is added to a lease before the run counts as ended: the worker
 	// needs a moment to end it.
 	lapseMargin = 60 * time.Millisecond
+	// startTries is how often a start without an answer is sent. Sending it again
+	// is safe: the worker knows the run by its number.
+	startTries = 3
 	// lookRetry separates looks that fail at once.
-	lookRetry = 50 * time.Millisecond
+	lookRetry = 10 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -86,6 +90,8 @@
 type run struct {
 	id       RunID
 	attempt  agent.AttemptID
+	spec     []byte // while the start may be sent again
+	tries    int    // starts that were sent
 	state    runState
 	deadline time.Duration // of the start, on the worker's clock
 	since    time.Duration // when the state was entered
@@ -190,10 +196,17 @@
 			return
 		}
 	}
-	r := &run{id: e.Run, attempt: e.Attempt, deadline: m.renew(now), since: now}
+	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec}
 	m.runs[e.Run] = r
 	m.list = append(m.list, r)
-	m.emit(CallStart{Run: e.Run, Spec: e.Spec, Deadline: r.deadline})
+	m.sendStart(now, r)
+}
+
+func (m *Machine) sendStart(now time.Duration, r *run) {
+	r.tries++
+	r.since = now
+	r.deadline = m.renew(now)
+	m.emit(CallStart{Run: r.id, Spec: r.spec, Deadline: r.deadline})
 }
 
 func (m *Machine) started(now time.Duration, e Started) {
@@ -209,6 +222,10 @@
 		m.finish(now, r, wire.NotRun, e.Reason)
 		return
 	case NoAnswer:
+		if r.tries < startTries && !r.stop {
+			m.sendStart(now, r)
+			return
+		}
 		r.state = runDoubtful
 		m.lookNow = true
 	}
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -243,14 +243,22 @@
 	if !s.on.estimates {
 		return priorOr(declared)
 	}
-	return c.est.mean(s.prior(declared))
+	mean := c.est.mean(s.prior(declared))
+	if !c.est.known() {
+		return mean
+	}
+	return time.Duration(float64(mean) * c.forecast.scale(declared))
 }
 
 func (s *Adaptive) high(c *classState, job *Job) time.Duration {
 	if !s.on.estimates {
 		return priorOr(job.Declared)
 	}
-	return c.est.high(s.prior(job.Declared))
+	high := c.est.high(s.prior(job.Declared))
+	if !c.est.known() {
+		return high
+	}
+	return time.Duration(float64(high) * c.forecast.scale(job.Declared))
 }
 
 // prior is the declared run time, or else that of all classes together.
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -43,6 +43,9 @@
 	if !s.on.admission {
 		return Verdict{}
 	}
+	if s.on.estimates && s.chance(c, job, left) < leastChance {
+		return Verdict{Refusal: RefusedDeadline}
+	}
 	if s.overQuota(c, job) {
 		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c, job.Team))}
 	}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -133,7 +133,9 @@
 	}
 	// Tasks that run longest go to the fastest workers. Their class is judged by
 	// what they would take on a worker of mean speed.
-	c.est.observe(time.Duration(float64(run) * math.Exp(-a.speed.relative(s.meanSpeed))))
+	usual := time.Duration(float64(run) * math.Exp(-a.speed.relative(s.meanSpeed)))
+	c.est.observe(usual)
+	c.forecast.observe(j.job.Declared, usual)
 	s.runs.observe(run)
 	c.outcomes.add(true)
 	j.succeeded++
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -60,6 +60,7 @@
 	class       Class
 	published   bool
 	est         estimate
+	forecast    forecast
 	success     float64 // moving average of jobs complete within the target
 	outcomes    ratio   // of tasks
 	teams       map[string]*teamState
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -61,6 +61,8 @@
 	DialUpstream DialFunc
 	// SilenceTimeout replaces link.SilenceTimeout, for tests.
 	SilenceTimeout time.Duration
+	// DialTimeout bounds one dial of an entry. Default 1 s.
+	DialTimeout time.Duration
 	// MaxRedial is the longest delay between two dials of an entry. Default 5 s.
 	MaxRedial time.Duration
 	// ShedInterval replaces the interval at which superfluous links are given
@@ -85,6 +87,9 @@
 	if o.SilenceTimeout <= 0 {
 		o.SilenceTimeout = link.SilenceTimeout
 	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = dialTimeout
+	}
 	if o.MaxRedial <= 0 {
 		o.MaxRedial = maxRedial
 	}
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -64,7 +64,7 @@
 // whether the handshake succeeded. Frames of a connection that was replaced in
 // the meantime carry its epoch, by which the core drops them.
 func (a *Agent) serveLink(addr string) (connected bool, err error) {
-	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, a.opts.DialTimeout)
 	raw, err := a.opts.Dial(ctx, addr)
 	cancel()
 	if err != nil {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -150,7 +150,7 @@
 		Name: n.opts.Name, Zone: n.opts.Zone, Rack: a.Rack, Pool: a.Pool, Clean: true,
 		Slots: max(minSlots, a.Slots), Capacity: a.Capacity,
 		Entries: n.entries, Log: n.opts.Log,
-		SilenceTimeout: silenceTimeout, MaxRedial: maxRedial,
+		SilenceTimeout: silenceTimeout, MaxRedial: maxRedial, DialTimeout: dialTimeout,
 		NewUpstream: leased.New(leased.Options{
 			Worker: worker,
 			Gone:   func() { n.gone(a) },
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,5 +78,8 @@
 	runLease          = 500 * time.Millisecond
 	silenceTimeout    = 800 * time.Millisecond
 	agentLease        = 400 * time.Millisecond
-	maxRedial         = time.Second
+	maxRedial         = 300 * time.Millisecond
+	// dialTimeout is short because a VM without power does not answer, and the
+	// first dial after it is back should not be one that began before.
+	dialTimeout = 250 * time.Millisecond
 )
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -19,8 +19,11 @@
 	// agent's core, which holds back its entries.
 	ringEvents = 1024
 	// callTimeout bounds a call to the worker, which is on the same machine. A
-	// look may take its wait in addition.
-	callTimeout = 200 * time.Millisecond
+	// look may take its wait in addition. A call that is given up too early is
+	// only sent again.
+	callTimeout = 25 * time.Millisecond
+	// probeTimeout bounds the look that tells whether the worker is there.
+	probeTimeout = 300 * time.Millisecond
 )
 
 // Worker is the protocol that a worker speaks. The calls are not repeated by
@@ -167,7 +170,7 @@
 }
 
 func (u *Upstream) probe() {
-	ctx, cancel := context.WithTimeout(u.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(u.ctx, probeTimeout)
 	defer cancel()
 	_, err := u.opts.Worker.Look(ctx, lease.CallLook{})
 	u.report(agent.Probed{Reachable: err == nil})
