No false refusal after an ended run; a leaving entry serves out; logs of each decision

A run that is to be repeated did not count as having run.

Change: such a job ends as failed. core/lease takes no answer to a second copy of a start, or to a stop, for proof that a run never was: a later list decides. Calls carry the worker's life as fencing token, so that a late call of an earlier life has no effect. A leaving entry takes jobs until no request is in progress or the time is needed for those it has.

--- /dev/null
+++ b/core/agent/lease_test.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+func leased(t *testing.T, opts Options) *Machine {
+	m := New(opts)
+	m.Step(0, LinkUp{Entry: 7, Epoch: 1})
+	return m
+}
+
+func frame(m *Machine, now time.Duration, f *wire.ToAgent) []Action {
+	return m.Step(now, Received{Entry: 7, Epoch: 1, Frame: f})
+}
+
+func count[T Action](actions []Action) (n int) {
+	for _, a := range actions {
+		if _, ok := a.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func startOf(seq wire.Seq, cpu int64) wire.Start {
+	return wire.Start{
+		Seq: seq, Deadline: wire.MaxMicros, MaxWait: wire.MaxMicros, Need: wire.Capacity{MilliCores: cpu},
+	}
+}
+
+// Guards against runs that outlive their entry: its caller may have the job run
+// again by another one.
+func TestRunsOfASilentEntryAreStopped(t *testing.T) {
+	m := leased(t, Options{Slots: 4, RunLease: 500 * time.Millisecond})
+	assert.Equal(t, count[*Run](frame(m, 1, &wire.ToAgent{Starts: []wire.Start{startOf(1, 0)}})), 1)
+	echo := 300 * time.Millisecond
+	frame(m, 400*time.Millisecond, &wire.ToAgent{Echo: wire.MicrosOf(echo)})
+	assert.Equal(t, count[Stop](m.Step(echo+500*time.Millisecond, Tick{})), 0)
+	actions := m.Step(echo+501*time.Millisecond, Tick{})
+	assert.Equal(t, count[Stop](actions), 1)
+	assert.Equal(t, count[Stop](m.Step(echo+600*time.Millisecond, Tick{})), 0, "stopped once")
+}
+
+// Guards against a start that was held up on its way, for instance while this
+// process was suspended, and takes effect after its entry gave it up.
+func TestStartThatWasHeldUpIsRefused(t *testing.T) {
+	m := leased(t, Options{Slots: 4, RunLease: 500 * time.Millisecond})
+	actions := frame(m, 5*time.Second, &wire.ToAgent{Starts: []wire.Start{startOf(1, 0)}, Echo: 1000})
+	assert.Equal(t, count[*Run](actions), 0)
+}
+
+// Guards against tasks that together exceed the worker's capacity, and against
+// room that is left empty because tasks are counted and not weighed.
+func TestTasksTakeSlotsByTheirShareOfTheWorker(t *testing.T) {
+	m := leased(t, Options{Slots: 8, Capacity: wire.Capacity{MilliCores: 64000}})
+	var starts []wire.Start
+	for seq := wire.Seq(1); seq <= 12; seq++ {
+		starts = append(starts, startOf(seq, 6200))
+	}
+	assert.Equal(t, count[*Run](frame(m, 1, &wire.ToAgent{Starts: starts})), 10)
+	actions := m.Step(2, Finished{Attempt: AttemptID{Entry: 7, Seq: 1}, Outcome: wire.Succeeded})
+	assert.Equal(t, count[*Run](actions), 1)
+	big := frame(m, 3, &wire.ToAgent{Starts: []wire.Start{startOf(20, 70000)}})
+	assert.Equal(t, count[*Run](big), 0)
+}
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -185,6 +185,8 @@
 	Outcome JobOutcome
 	// Reason is a machine-readable word, empty for Complete.
 	Reason string
+	// Detail gives the figures that decided a refusal, for the log.
+	Detail string
 	// RetryAfter is set on Refused if a retry is safe and may succeed.
 	RetryAfter time.Duration
 	// Results holds one body for each task, in order, for Complete only.
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -30,6 +30,7 @@
 	started  int
 	unknown  int
 	failed   bool  // a task ran and failed
+	ran      bool  // a run of a task ended that is to be repeated
 	answer   int64 // bytes of results so far
 	longest  time.Duration
 	total    time.Duration
@@ -95,7 +96,7 @@
 	}
 	v := m.sched.Admit(now, &j.info)
 	if v.Refusal != policy.Admitted {
-		return JobAnswer{Outcome: Refused, Reason: v.Refusal.String(), RetryAfter: v.RetryAfter}, true
+		return JobAnswer{Outcome: Refused, Reason: v.Refusal.String(), Detail: v.Detail, RetryAfter: v.RetryAfter}, true
 	}
 	return JobAnswer{}, false
 }
@@ -200,7 +201,7 @@
 		a.Outcome = Failed
 	case j.unknown > 0:
 		a.Outcome = Unknown
-	case j.started > 0:
+	case j.started > 0 || j.ran:
 		a.Outcome = Failed
 	case j.reason != ReasonCancelled: // a retry would undo the caller's cancel
 		a.RetryAfter = overloadRetryAfter
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -102,6 +102,7 @@
 		t.failures++
 	}
 	if j.attempts > 1 && t.failures < j.attempts && !j.ending {
+		j.ran = true
 		t.state = taskQueued
 		m.sched.Enqueue(now, &t.sched)
 		return
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -119,8 +119,8 @@
 	Run     time.Duration // since the run was accepted
 }
 
-// WorkerGone says that the worker has started anew. The machine takes no more
-// starts; every run has finished.
+// WorkerGone says that the worker has started anew. No further run should be
+// asked for; those that reached the new life are followed to their end.
 type WorkerGone struct{}
 
 func (CallStart) isAction()  {}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -8,8 +8,9 @@
 // Invariants:
 //   - Each Start yields exactly one Finished.
 //   - Finished says NotRun only if the worker refused the run, or if its start
-//     can no longer take effect: the worker acknowledged a stop of the run, or
-//     the start's deadline has passed on the worker's clock.
+//     can no longer take effect (the worker acknowledged a stop of the run, or
+//     the start's deadline has passed on the worker's clock) and a later list
+//     shows that it had not.
 //   - Finished says Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must hold it, or its lease has passed.
 package lease
@@ -60,6 +61,9 @@
 	// startTries is how often a start without an answer is sent. Sending it again
 	// is safe: the worker knows the run by its number.
 	startTries = 3
+	// clockRefresh bounds the age of the reading of the worker's clock: at 2% it
+	// is off by 40 ms then.
+	clockRefresh = 2 * time.Second
 	// lookRetry separates looks that fail at once.
 	lookRetry = 10 * time.Millisecond
 )
@@ -83,6 +87,7 @@
 const (
 	runStarting runState = iota // the start call is in progress
 	runDoubtful                 // the start call got no answer
+	runVoided                   // it can start no more; a list tells whether it did
 	runRunning                  // accepted, or seen in a list
 )
 
@@ -90,16 +95,25 @@
 type run struct {
 	id       RunID
 	attempt  agent.AttemptID
-	spec     []byte // while the start may be sent again
-	tries    int    // starts that were sent
+	spec     []byte      // while the start may be sent again
+	tries    int         // starts that were sent
+	refusal  wire.Reason // why the worker turned the last of them down
 	state    runState
 	deadline time.Duration // of the start, on the worker's clock
 	since    time.Duration // when the state was entered
 	stop     bool          // the run is to be stopped
+	crossed  bool          // the worker started anew after the start was sent
 	orphan   bool          // stopped because its entry was lost
 	stopAt   time.Duration // when the next stop may be sent
 }
 
+// foreignRun is a run at the worker that this machine did not ask for, for
+// instance one of an earlier process. It is stopped.
+type foreignRun struct {
+	id     RunID
+	stopAt time.Duration // when the next stop may be sent
+}
+
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct {
 	opts Options
@@ -116,25 +130,20 @@
 	acked    int   // number that a completed look acknowledged
 	ackAt    time.Duration
 
+	heardAt  time.Duration // of the last look that was answered
 	looking  bool
 	lookAt   time.Duration // when the look in progress was sent
 	lookSeen int           // what it acknowledges
 	nextLook time.Duration // earliest time of the next look
 	lookNow  bool          // a run is in doubt: do not wait
-	foreign  map[RunID]time.Duration
-	gone     bool
-
-	actions []Action
+	foreign  []foreignRun  // at the worker, of nobody here
+	actions  []Action
 }
 
-// New returns a machine for a worker of which the given view was read at time
-// now. The runs in it are of nobody and are stopped.
+// New returns a machine that knows nothing of its worker yet. Its first step
+// asks for a look.
 func New(opts Options) *Machine {
-	return &Machine{
-		opts:    opts.withDefaults(),
-		runs:    make(map[RunID]*run),
-		foreign: make(map[RunID]time.Duration),
-	}
+	return &Machine{opts: opts.withDefaults(), runs: make(map[RunID]*run)}
 }
 
 // Step applies one event at time now, which must never decrease, and returns
@@ -219,8 +228,14 @@
 	case Accepted:
 		r.state = runRunning
 	case Refused:
-		m.finish(now, r, wire.NotRun, e.Reason)
-		return
+		if r.tries == 1 {
+			m.finish(now, r, wire.NotRun, e.Reason)
+			return
+		}
+		// An earlier copy of the start may have been carried out.
+		r.state = runVoided
+		r.refusal = e.Reason
+		m.lookNow = true
 	case NoAnswer:
 		if r.tries < startTries && !r.stop {
 			m.sendStart(now, r)
@@ -251,10 +266,10 @@
 			m.emit(CallStop{Run: r.id})
 		}
 	}
-	for id, at := range m.foreign {
-		if now >= at {
-			m.foreign[id] = now + m.opts.StopRetry
-			m.emit(CallStop{Run: id})
+	for i := range m.foreign {
+		if f := &m.foreign[i]; now >= f.stopAt {
+			f.stopAt = now + m.opts.StopRetry
+			m.emit(CallStop{Run: f.id})
 		}
 	}
 }
@@ -268,8 +283,9 @@
 		return
 	}
 	if r.state == runDoubtful {
-		m.finish(now, r, wire.NotRun, wire.ReasonNotReceived)
-		return
+		r.state = runVoided
+		r.refusal = wire.ReasonNotReceived
+		r.since = now
 	}
 	m.lookNow = true
 }
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -9,7 +10,7 @@
 // look asks for the worker's lists when something is to be learned or renewed.
 // One look is in progress at a time.
 func (m *Machine) look(now time.Duration) {
-	if m.looking || m.gone || now < m.nextLook {
+	if m.looking || now < m.nextLook {
 		return
 	}
 	req := CallLook{LastSeen: m.lastSeen}
@@ -21,10 +22,13 @@
 	case len(m.foreign) > 0:
 		req.Wait = m.opts.LookWait
 	case m.acked < m.lastSeen && now >= m.ackAt:
+	case now-m.readAt >= clockRefresh:
 	default:
 		return
 	}
-	if len(m.list) > 0 {
+	if len(m.list) > 0 && now-m.heardAt < m.opts.Lease/2 {
+		// A worker that stays silent must not be renewed: its runs have to end at
+		// a time that is known.
 		req.Deadline = m.renew(now)
 	}
 	m.lookNow = false
@@ -51,29 +55,31 @@
 		return
 	}
 	v := e.View
+	m.heardAt = now
 	m.read(now, v.Clock)
 	if m.life != 0 && v.Life != 0 && v.Life != m.life {
-		m.reborn(now)
-		return
+		m.reborn()
+	} else {
+		m.acked = max(m.acked, m.lookSeen)
 	}
 	m.life = v.Life
-	m.acked = max(m.acked, m.lookSeen)
 	m.ended(now, v.Ended)
 	m.listed(now, v.Running)
 }
 
-// reborn handles a worker that started anew: nothing of before runs there.
-func (m *Machine) reborn(now time.Duration) {
-	m.gone = true
-	for len(m.list) > 0 {
-		m.finish(now, m.list[0], wire.Failed, wire.ReasonRunEnded)
+// reborn handles a worker that started anew, with numbers that start anew. A
+// run of before has ended with the earlier life, unless its start reached the
+// new one: the lists of the new life tell.
+func (m *Machine) reborn() {
+	m.lastSeen, m.acked = 0, 0
+	for _, r := range m.list {
+		r.crossed = true
 	}
 	m.emit(WorkerGone{})
 }
 
 func (m *Machine) ended(now time.Duration, ends []End) {
 	for _, end := range ends {
-		delete(m.foreign, end.Run)
 		if end.N > m.lastSeen {
 			m.lastSeen = end.N
 			m.ackAt = now + m.opts.AckDelay
@@ -109,19 +115,15 @@
 		r := m.runs[id]
 		switch {
 		case r == nil:
-			if _, known := m.foreign[id]; !known {
-				m.foreign[id] = now
-			}
+			m.noteForeign(now, id)
+		case r.state == runVoided: // started before it was voided
+			r.stop = true
 		case r.state != runRunning:
 			r.state = runRunning
 			r.since = now
 		}
 	}
-	for id := range m.foreign {
-		if !seen[id] {
-			delete(m.foreign, id)
-		}
-	}
+	m.foreign = slices.DeleteFunc(m.foreign, func(f foreignRun) bool { return !seen[f.id] })
 	for i := 0; i < len(m.list); {
 		if r := m.list[i]; !seen[r.id] && m.missing(now, r) {
 			continue // finished and removed
@@ -130,6 +132,12 @@
 	}
 }
 
+func (m *Machine) noteForeign(now time.Duration, id RunID) {
+	if !slices.ContainsFunc(m.foreign, func(f foreignRun) bool { return f.id == id }) {
+		m.foreign = append(m.foreign, foreignRun{id: id, stopAt: now})
+	}
+}
+
 // missing handles a run that the list does not hold. It reports whether the
 // run has finished.
 func (m *Machine) missing(now time.Duration, r *run) bool {
@@ -141,12 +149,25 @@
 		m.finish(now, r, wire.Failed, wire.ReasonRunEnded)
 		return true
 	case runDoubtful:
-		if m.clock > r.deadline {
-			m.finish(now, r, wire.NotRun, wire.ReasonNotReceived)
+		if m.clock > r.deadline && !r.crossed {
+			m.finishVoided(now, r, wire.ReasonNotReceived)
 			return true
 		}
 		r.stop = true // so that it cannot start any more
+	case runVoided:
+		m.finishVoided(now, r, r.refusal)
+		return true
 	case runStarting:
 	}
 	return false
 }
+
+// finishVoided ends a run that no list shows and that can start no more. If the
+// worker started anew in between, the run may have been part of its earlier life.
+func (m *Machine) finishVoided(now time.Duration, r *run, reason wire.Reason) {
+	if r.crossed {
+		m.finish(now, r, wire.Failed, wire.ReasonRunEnded)
+		return
+	}
+	m.finish(now, r, wire.NotRun, reason)
+}
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -43,8 +44,13 @@
 	if !s.on.admission {
 		return Verdict{}
 	}
-	if s.on.estimates && s.chance(c, job, left) < leastChance {
-		return Verdict{Refusal: RefusedDeadline}
+	if s.on.estimates {
+		if chance := s.chance(c, job, left); chance < leastChance {
+			return Verdict{
+				Refusal: RefusedDeadline,
+				Detail:  fmt.Sprintf("chance %.2f to end within %v", chance, left.Round(time.Millisecond)),
+			}
+		}
 	}
 	if s.overQuota(c, job) {
 		return Verdict{Refusal: RefusedQuota, RetryAfter: s.jittered(s.wait(c, job.Team))}
@@ -70,7 +76,11 @@
 	if wait <= allowed {
 		return Verdict{}
 	}
-	return Verdict{Refusal: RefusedOverload, RetryAfter: s.jittered(wait - allowed)}
+	return Verdict{
+		Refusal: RefusedOverload, RetryAfter: s.jittered(wait - allowed),
+		Detail: fmt.Sprintf("wait %v of %v allowed, %d tasks waiting, %.1f in service",
+			wait.Round(time.Millisecond), allowed.Round(time.Millisecond), s.queue.waiting, s.service),
+	}
 }
 
 // jobTime is the expected time from a job's first start to its completion.
--- /dev/null
+++ b/core/policy/forecast_test.go
@@ -0,0 +1,77 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// roughly declared jobs: run times of 0.9 s with a spread of 0.4, declared with
+// an error of 0.4, both in logarithms.
+func declaredJobs(f *forecast, n int) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range n {
+		run := 0.9 * math.Exp(0.4*r.NormFloat64())
+		f.observe(seconds(run*math.Exp(0.4*r.NormFloat64())), seconds(run))
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Guards against declared run times that are ignored, or taken at their word.
+func TestForecastWeighsDeclaredRunTimes(t *testing.T) {
+	f := new(forecast)
+	assert.Equal(t, f.scale(time.Second), 1.0)
+	declaredJobs(f, 2000)
+	twice := f.scale(1800*time.Millisecond) / f.scale(900*time.Millisecond)
+	assert.Assert(t, twice > 1.25 && twice < 1.6, "twice as long declared: %.2f", twice)
+	sd, ok := f.spread()
+	assert.Assert(t, ok && sd > 0.23 && sd < 0.33, "spread %.2f", sd)
+}
+
+// Guards against admitting jobs that can hardly end in time, which take the
+// room of others, and against refusing those that can.
+func TestJobThatCannotEndInTimeIsRefused(t *testing.T) {
+	s := newTest(4, Options{Seed: 1})
+	c := s.classes["c"]
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 300 {
+		run := 0.9 * math.Exp(0.4*r.NormFloat64())
+		c.est.observe(seconds(run))
+		c.forecast.observe(seconds(run), seconds(run))
+	}
+	job := &Job{Class: "c", Tasks: 4, Declared: 3 * time.Second, Deadline: 1500 * time.Millisecond}
+	assert.Equal(t, s.Admit(0, job).Refusal, RefusedDeadline)
+	job.Declared = 700 * time.Millisecond
+	assert.Equal(t, s.Admit(0, job).Refusal, Admitted)
+}
+
+// Guards against long tasks on slow workers while fast ones are free, and
+// against short tasks that take the fast ones first.
+func TestLongTasksGoToFastWorkers(t *testing.T) {
+	s := newTest(3, Options{Seed: 1})
+	for i, a := range s.up {
+		a.speed = speed{log: []float64{0.2, 0, -0.2}[i], runs: 1 / speedWeight}
+	}
+	s.resetMeanSpeed()
+	slow, fast := s.up[0], s.up[2]
+	place := func(class string, run, left time.Duration) wire.Incarnation {
+		c := s.classes[class]
+		c.est = estimate{}
+		for range 50 {
+			c.est.observe(run)
+		}
+		s.Enqueue(0, &Task{Job: &Job{Class: class, Tasks: 1, Deadline: left}})
+		p, ok := s.Next(0)
+		assert.Assert(t, ok)
+		s.Done(0, p.Agent, p.Task, &wire.Result{Outcome: wire.Succeeded, Run: wire.MicrosOf(run)})
+		return p.Agent
+	}
+	assert.Equal(t, place("c", time.Second, 1200*time.Millisecond), fast.info.Agent)
+	assert.Equal(t, place("d", 50*time.Millisecond, 2*time.Second), slow.info.Agent)
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -117,6 +117,7 @@
 type Verdict struct {
 	Refusal    Refusal
 	RetryAfter time.Duration // 0 if a retry cannot succeed
+	Detail     string        // the figures that decided a refusal, for the log
 }
 
 // Placement is one decision: start the task on the agent.
--- a/internal/agentd/trace.go
+++ b/internal/agentd/trace.go
@@ -11,6 +11,7 @@
 // traced is what the time line says about a task.
 type traced struct {
 	submission string
+	job        string
 	task       int // index plus 1
 }
 
@@ -43,7 +44,11 @@
 		f := t.fields(e.Attempt)
 		f.Detail = e.Outcome.String() + " " + e.Reason.String()
 		f.Duration = e.Run
-		t.log.Emit(eventlog.TaskFinished, f)
+		code := eventlog.TaskFinished
+		if e.Outcome != wire.Succeeded {
+			code = eventlog.RunFailed
+		}
+		t.log.Emit(code, f)
 	}
 }
 
@@ -52,7 +57,7 @@
 		clear(t.tasks)
 	}
 	id := agent.AttemptID{Entry: entry, Seq: s.Seq}
-	t.tasks[id] = traced{submission: s.Submission.String(), task: s.Index + 1}
+	t.tasks[id] = traced{submission: s.Submission.String(), job: s.Job, task: s.Index + 1}
 	t.log.Emit(eventlog.StartReceived, t.fields(id))
 }
 
@@ -90,6 +95,7 @@
 	known := t.tasks[id]
 	return eventlog.Fields{
 		Submission: known.submission,
+		Job:        known.job,
 		Task:       known.task,
 		Peer:       strconv.FormatUint(uint64(id.Entry), 16),
 		Count:      int64(id.Seq),
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -59,16 +59,14 @@
 }
 
 // newLogger writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) { return newLoggerTo(level, "stderr") }
-
-func newLoggerTo(level, path string) (*zap.Logger, error) {
+func newLogger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	c := zap.NewProductionConfig()
 	c.Level = zap.NewAtomicLevelAt(l)
-	c.OutputPaths = []string{path}
+	c.OutputPaths = []string{"stderr"}
 	c.EncoderConfig.TimeKey = "time"
 	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	return c.Build(zap.WithCaller(false))
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -180,7 +180,14 @@
 	if x.Answer.Reason != "" {
 		detail += " " + x.Answer.Reason
 	}
-	e.log.Emit(eventlog.JobAnswered, eventlog.Fields{Submission: x.Submission.String(), Detail: detail})
+	if x.Answer.Detail != "" {
+		detail += ": " + x.Answer.Detail
+	}
+	f := eventlog.Fields{Submission: x.Submission.String(), Detail: detail, Count: int64(x.Answer.Started), Version: e.ConfigVersion()}
+	if rec := e.table.get(x.Submission); rec != nil {
+		f.Job, f.Class, f.Duration = rec.key.key, rec.class, time.Since(rec.accepted)
+	}
+	e.log.Emit(eventlog.JobAnswered, f)
 }
 
 // observer writes the machine's task-level events to the time line.
@@ -197,7 +204,11 @@
 	if r != wire.ReasonNone {
 		detail += " " + r.String()
 	}
-	o.log.Emit(eventlog.TaskResult, eventlog.Fields{
+	code := eventlog.TaskResult
+	if out != wire.Succeeded {
+		code = eventlog.AttemptFailed
+	}
+	o.log.Emit(code, eventlog.Fields{
 		Submission: s.String(), Task: index + 1, Peer: agent, Detail: detail,
 	})
 }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -146,7 +146,8 @@
 	if rec == fresh {
 		if e.log != nil {
 			e.log.Emit(eventlog.JobAccepted, eventlog.Fields{
-				Submission: rec.id.String(), Detail: req.Class, Count: int64(len(req.Tasks)),
+				Submission: rec.id.String(), Job: req.Key, Class: req.Class, Count: int64(len(req.Tasks)),
+				Age: req.Deadline, Version: e.ConfigVersion(),
 			})
 		}
 		e.send(req.submit(rec.id))
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -94,6 +94,12 @@
 	return r
 }
 
+// Requests returns the number of callers' requests in progress.
+func (e *Entry) Requests() int { return int(e.requests.Load()) }
+
+// Links returns the number of agents that are connected.
+func (e *Entry) Links() int { return int(e.links.Load()) }
+
 // Ready reports whether the entry can take work now.
 func (e *Entry) Ready() bool { return e.readiness().Ready }
 
--- a/internal/entryd/submit.go
+++ b/internal/entryd/submit.go
@@ -46,8 +46,8 @@
 	if rec == fresh {
 		if e.log != nil {
 			e.log.Emit(eventlog.JobAccepted, eventlog.Fields{
-				Submission: rec.id.String(), Detail: j.Class + " " + j.Name, Count: int64(len(j.Payloads)),
-				Duration: j.Declared,
+				Submission: rec.id.String(), Job: j.Name, Class: j.Class, Count: int64(len(j.Payloads)),
+				Duration: j.Declared, Age: j.Deadline, Version: e.ConfigVersion(),
 			})
 		}
 		e.send(j.submit(rec.id))
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -55,11 +55,15 @@
 // Fields are the typed fields of an event. Zero fields are left out.
 type Fields struct {
 	Submission string
+	Job        string // the caller's name of the job
+	Class      string
 	Task       int // index plus 1, so that the zero value means "no task"
 	Peer       string
 	Detail     string
 	Count      int64
 	Duration   time.Duration
+	Version    int64         // of the configuration that the decision rests on
+	Age        time.Duration // of the input that decided
 	Err        error
 }
 
@@ -113,6 +117,12 @@
 	if f.Submission != "" {
 		out = append(out, zap.String("submission", f.Submission))
 	}
+	if f.Job != "" {
+		out = append(out, zap.String("job", f.Job))
+	}
+	if f.Class != "" {
+		out = append(out, zap.String("class", f.Class))
+	}
 	if f.Task > 0 {
 		out = append(out, zap.Int("task", f.Task-1))
 	}
@@ -128,6 +138,12 @@
 	if f.Duration != 0 {
 		out = append(out, zap.Duration("duration", f.Duration))
 	}
+	if f.Version != 0 {
+		out = append(out, zap.Int64("config", f.Version))
+	}
+	if f.Age != 0 {
+		out = append(out, zap.Duration("age", f.Age))
+	}
 	if f.Err != nil {
 		// zap.Error would add the stack trace that errorx keeps, a kilobyte a line.
 		out = append(out, zap.String("error", f.Err.Error()))
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -33,8 +33,8 @@
 	Seeds []string // peer addresses of entries
 	// Directory lists further entries; nil means none.
 	Directory Directory
-	// NewWorker returns a client of the worker's life of that name.
-	NewWorker func(worker string) leased.Worker
+	// NewWorker returns a client of one life of the worker.
+	NewWorker func(worker string, life int64) leased.Worker
 	Log       *eventlog.Log
 }
 
@@ -134,7 +134,7 @@
 // begin clears the worker of what an earlier incarnation of this process left
 // there and then starts the agent.
 func (n *AgentNode) begin(ctx context.Context, a Announcement) {
-	worker := n.opts.NewWorker(a.Worker)
+	worker := n.opts.NewWorker(a.Worker, a.Life)
 	if !n.clear(ctx, worker) {
 		worker.Close()
 		return
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -24,7 +24,14 @@
 	// balancerNotice is how long the balancer takes to send new connections
 	// elsewhere once the entry says that it is not ready: two checks a second apart.
 	balancerNotice = 2200 * time.Millisecond
-	maxJobs        = 4000
+	// jobReserve is kept of the time that a leaving entry has, for the jobs that
+	// it took last: most end within it.
+	jobReserve = 2200 * time.Millisecond
+	// quietSpell is how long no job may have been in progress for a leaving entry
+	// to end before its time.
+	quietSpell = 300 * time.Millisecond
+	leaveStep  = 50 * time.Millisecond
+	maxJobs    = 4000
 )
 
 // EntryOptions configure an EntryNode.
@@ -177,6 +184,15 @@
 	return n.leaving
 }
 
+// Links returns the number of agents that are connected.
+func (n *EntryNode) Links() int { return n.entry.Links() }
+
+// Ready reports whether the entry takes jobs.
+func (n *EntryNode) Ready() bool { return n.entry.Ready() && !n.isLeaving() }
+
+// ConfigVersion returns the version in force.
+func (n *EntryNode) ConfigVersion() int64 { return n.entry.ConfigVersion() }
+
 // leavingSubmitter has callers connect elsewhere as soon as the entry leaves.
 type leavingSubmitter struct {
 	entryd.Submitter
@@ -194,11 +210,29 @@
 	n.mu.Unlock()
 	n.opts.Log.Emit(eventlog.EntryLeaving, eventlog.Fields{})
 	sleep(ctx, balancerNotice)
+	n.serveOut(ctx)
 	err := n.entry.Stop(ctx)
 	n.Kill()
 	return err
 }
 
+// serveOut takes jobs over the connections that are left until none comes any
+// more, or until the time is needed for those in progress. Each reply asks its
+// caller to connect elsewhere.
+func (n *EntryNode) serveOut(ctx context.Context) {
+	deadline, bounded := ctx.Deadline()
+	busyAt := time.Now()
+	for ctx.Err() == nil && time.Since(busyAt) < quietSpell {
+		if bounded && time.Until(deadline) < jobReserve {
+			return
+		}
+		if n.entry.Requests() > 0 {
+			busyAt = time.Now()
+		}
+		sleep(ctx, leaveStep)
+	}
+}
+
 // Kill ends the entry at once.
 func (n *EntryNode) Kill() {
 	n.cancel()
--- a/internal/fleet/ready.go
+++ b/internal/fleet/ready.go
@@ -19,7 +19,7 @@
 	}
 	n.ready = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if !n.entry.Ready() || n.isLeaving() {
+			if !n.Ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		}),
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,75 @@
+// Package node joins the processes of internal/fleet with the platform's
+// adapter: it starts the role of one VM from the platform's settings.
+package node
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/fleet"
+	"github.com/limpettrail/limpettrail/internal/leased"
+	"github.com/limpettrail/limpettrail/platform"
+)
+
+const (
+	announceIdle    = time.Minute
+	announceHeaders = 2 * time.Second
+	announceBytes   = 16 << 10
+)
+
+// StartEntry runs the entry of a VM.
+func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation) (*fleet.EntryNode, error) {
+	store := platform.NewStore(s.StoreAddr)
+	front := platform.NewFront(func(job, reason string) {
+		events.Emit(eventlog.JobTurnedAway, eventlog.Fields{Job: job, Detail: reason})
+	})
+	return fleet.StartEntry(fleet.EntryOptions{
+		Name: s.Name, Zone: s.Zone,
+		Listen: s.CallerAddr, ReadyListen: s.ReadyAddr, PeerListen: s.PeerAddr, Operators: s.OperatorAddr,
+		Front: front.Handler, Configs: platform.NewConfigs(store, front), Directory: platform.NewDirectory(store),
+		Log: events, Incarnation: incarnation,
+	})
+}
+
+// Agent is the agent of a VM with the listener for its worker.
+type Agent struct {
+	*fleet.AgentNode
+	server *http.Server
+}
+
+// StartAgent runs the agent of a VM.
+func StartAgent(s *platform.Settings, events *eventlog.Log) (*Agent, error) {
+	l, err := net.Listen("tcp", s.AnnounceAddr)
+	if err != nil {
+		return nil, err
+	}
+	n := fleet.StartAgent(fleet.AgentOptions{
+		Name: s.Name, Zone: s.Zone, Seeds: s.Seeds,
+		Directory: platform.NewDirectory(platform.NewStore(s.StoreAddr)),
+		NewWorker: func(worker string, life int64) leased.Worker {
+			return platform.NewWorker(s.WorkerAddr, worker, life)
+		},
+		Log: events,
+	})
+	server := &http.Server{
+		Handler: platform.AnnounceHandler(n.Hear, n.Leave, func(err error) {
+			events.Emit(eventlog.AnnounceInvalid, eventlog.Fields{Err: err})
+		}),
+		ReadHeaderTimeout: announceHeaders, IdleTimeout: announceIdle, MaxHeaderBytes: announceBytes,
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	// Serve returns when the server is closed; there is nobody to tell.
+	go func() { _ = server.Serve(l) }()
+	return &Agent{AgentNode: n, server: server}, nil
+}
+
+// Kill ends the agent at once.
+func (a *Agent) Kill() {
+	a.server.Close()
+	a.AgentNode.Kill()
+}
