--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -84,8 +84,9 @@
 	}
 	return Verdict{
 		Refusal: RefusedOverload, RetryAfter: s.jittered(wait - allowed),
-		Detail: fmt.Sprintf("wait %v of %v allowed, %d tasks waiting, %.1f in service",
-			wait.Round(time.Millisecond), allowed.Round(time.Millisecond), s.queue.waiting, s.service),
+		Detail: fmt.Sprintf("wait %v of %v allowed, %d tasks waiting, %d sent of %.0f at most, %.1f in service, %.1f free",
+			wait.Round(time.Millisecond), allowed.Round(time.Millisecond), s.queue.waiting,
+			s.inFlight, s.window.size, s.service, s.freeSlots()),
 	}
 }
 
