--- /dev/null
+++ b/core/policy/window_test.go
@@ -0,0 +1,29 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an entry that sends ever more through a link that is full, and
+// against a bound that outlives the congestion.
+func TestWindowFollowsRoundTrips(t *testing.T) {
+	w := newWindow()
+	now := time.Second
+	observe := func(n int, trip time.Duration, inFlight int) {
+		for range n {
+			now += 5 * time.Millisecond
+			w.observe(now, now-trip, trip, inFlight)
+		}
+	}
+	observe(100, 5*time.Millisecond, 200)
+	assert.Assert(t, !w.full(10_000), "no bound without congestion")
+	observe(100, 300*time.Millisecond, 200)
+	assert.Assert(t, w.full(200), "bound %.0f", w.size)
+	assert.Assert(t, !w.full(windowMinimum-1))
+	low := w.size
+	observe(200, 5*time.Millisecond, int(low))
+	assert.Assert(t, w.size > 2*low, "bound %.0f after %.0f", w.size, low)
+}
