Admission learns from the jobs that it admitted

Change: while more than a tenth of the completed jobs miss their target, the backlog that a new job may find shrinks. The window cuts only on an attempt that was itself slow.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -22,6 +22,7 @@
 	queue     *queue
 	budget    budget
 	window    window
+	patience  float64  // part of the usual backlog that new jobs may find
 	runs      estimate // over all classes
 	outcomes  ratio    // of tasks at all agents, all entries
 	parked    []*jobState
@@ -60,6 +61,7 @@
 		queue:     newQueue(o.on(PartFairness), o.on(PartSlackOrder)),
 		budget:    budget{tokens: retryBurst},
 		window:    newWindow(),
+		patience:  1,
 		waitScale: waitScaleStart,
 	}
 }
@@ -219,6 +221,9 @@
 		met = 1
 	}
 	c.success += (met - c.success) * successWeight
+	if complete {
+		s.learnPatience(met == 1)
+	}
 	if c.byDue.Len() > 0 {
 		s.queue.classes.Put(c)
 	}
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -15,6 +15,10 @@
 	backlogShare = 0.5
 	// quotaWaiting bounds a team's waiting tasks, as a multiple of its quota.
 	quotaWaiting = 16
+	// A tenth of late jobs holds the patience: 0.93^0.1 x 1.008^0.9 is 1.
+	patienceLoss  = 0.93
+	patienceGain  = 1.008
+	patienceFloor = 0.05
 	// slackFloor divides the target of a class whose jobs take all of it.
 	slackFloor     = 8
 	minRetryAfter  = 100 * time.Millisecond
@@ -77,7 +81,7 @@
 	// expire with work half done; so it stops growing before.
 	allowed := min(
 		time.Duration(completionMargin*float64(left))-s.jobTime(c, job),
-		time.Duration(backlogShare*float64(s.slack(c))),
+		time.Duration(backlogShare*s.patience*float64(s.slack(c))),
 	)
 	if wait <= allowed {
 		return Verdict{}
@@ -90,6 +94,19 @@
 	}
 }
 
+// learnPatience adapts the backlog that new jobs may find to what became of the
+// jobs that were admitted: while more than a tenth of them miss their target,
+// fewer are admitted. It answers a load above capacity that lasts: estimates of
+// the wait are too low then, since other entries' tasks fill the workers as well,
+// and every job would be late.
+func (s *Adaptive) learnPatience(met bool) {
+	if met {
+		s.patience = min(1, s.patience*patienceGain)
+		return
+	}
+	s.patience = max(patienceFloor, s.patience*patienceLoss)
+}
+
 // slack is the delay that a usual job of the class can bear within its target.
 func (s *Adaptive) slack(c *classState) time.Duration {
 	return max(s.within(c)-s.mean(c, 0), s.within(c)/slackFloor)
--- a/core/policy/window.go
+++ b/core/policy/window.go
@@ -33,7 +33,7 @@
 func (w *window) observe(now, sentAt, trip time.Duration, inFlight int) {
 	w.trip += time.Duration(tripWeight * float64(trip-w.trip))
 	switch {
-	case w.trip > congestedTrip && sentAt >= w.cutAt:
+	case w.trip > congestedTrip && trip > congestedTrip && sentAt >= w.cutAt:
 		w.size = max(windowMinimum, min(w.size, float64(inFlight))*windowCut)
 		w.cutAt = now
 	case w.trip <= congestedTrip/2:
