Patience of admission is kept for each team of a class

Cause: TestNoTeamAndNoLateJobStarves failed with one patience for all: the late jobs of a big team had those of a small one refused (3384 of 3445, wanted 99%).

Change: it is kept with the team's part of the class. The test passes unchanged.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -22,7 +22,6 @@
 	queue     *queue
 	budget    budget
 	window    window
-	patience  float64  // part of the usual backlog that new jobs may find
 	runs      estimate // over all classes
 	outcomes  ratio    // of tasks at all agents, all entries
 	parked    []*jobState
@@ -61,7 +60,6 @@
 		queue:     newQueue(o.on(PartFairness), o.on(PartSlackOrder)),
 		budget:    budget{tokens: retryBurst},
 		window:    newWindow(),
-		patience:  1,
 		waitScale: waitScaleStart,
 	}
 }
@@ -222,7 +220,7 @@
 	}
 	c.success += (met - c.success) * successWeight
 	if complete {
-		s.learnPatience(met == 1)
+		s.team(c, job.Team).learnPatience(met == 1)
 	}
 	if c.byDue.Len() > 0 {
 		s.queue.classes.Put(c)
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -81,7 +81,7 @@
 	// expire with work half done; so it stops growing before.
 	allowed := min(
 		time.Duration(completionMargin*float64(left))-s.jobTime(c, job),
-		time.Duration(backlogShare*s.patience*float64(s.slack(c))),
+		time.Duration(backlogShare*s.team(c, job.Team).patience*float64(s.slack(c))),
 	)
 	if wait <= allowed {
 		return Verdict{}
@@ -94,17 +94,17 @@
 	}
 }
 
-// learnPatience adapts the backlog that new jobs may find to what became of the
-// jobs that were admitted: while more than a tenth of them miss their target,
+// learnPatience adapts the backlog that new jobs of a team may find to what
+// became of its jobs that were admitted: while more than a tenth of them miss their target,
 // fewer are admitted. It answers a load above capacity that lasts: estimates of
 // the wait are too low then, since other entries' tasks fill the workers as well,
 // and every job would be late.
-func (s *Adaptive) learnPatience(met bool) {
+func (t *teamState) learnPatience(met bool) {
 	if met {
-		s.patience = min(1, s.patience*patienceGain)
+		t.patience = min(1, t.patience*patienceGain)
 		return
 	}
-	s.patience = max(patienceFloor, s.patience*patienceLoss)
+	t.patience = max(patienceFloor, t.patience*patienceLoss)
 }
 
 // slack is the delay that a usual job of the class can bear within its target.
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -46,6 +46,7 @@
 type teamState struct {
 	class     *classState
 	quota     float64
+	patience  float64 // part of the usual backlog that new jobs may find, 0 to 1
 	inService int
 	waiting   int
 	viable    indexheap.Heap[*jobState]
@@ -172,7 +173,7 @@
 	t := c.teams[name]
 	if t == nil {
 		pos := func(j *jobState) *int { return &j.teamPos }
-		t = &teamState{class: c, quota: quotaWeight(quota)}
+		t = &teamState{class: c, quota: quotaWeight(quota), patience: 1}
 		t.viable = indexheap.Heap[*jobState]{Less: lessJob, Pos: pos}
 		t.late = indexheap.Heap[*jobState]{Less: lessLateJob, Pos: pos}
 		c.teams[name] = t
