--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 	Entry    *entryArgs    `arg:"subcommand:entry" help:"run an entry: serves callers, places tasks"`
 	Agent    *agentArgs    `arg:"subcommand:agent" help:"run an agent beside one upstream"`
 	Node     *nodeArgs     `arg:"subcommand:node" help:"run a role of a VM by the platform's settings file"`
+	Emulate  *emulateArgs  `arg:"subcommand:emulate" help:"run the roles of VMs against an emulated platform"`
 	Config   *configArgs   `arg:"subcommand:config" help:"publish and inspect classes and targets"`
 	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole system on loopback"`
 	Load     *loadArgs     `arg:"subcommand:load" help:"generate load, measure response time and messages"`
@@ -57,6 +58,8 @@
 		return a.Agent
 	case a.Node != nil:
 		return a.Node
+	case a.Emulate != nil:
+		return a.Emulate
 	case a.Config != nil:
 		return a.Config
 	case a.Dev != nil:
