Jobs of several steps, required labels, bounds for each worker

Cause: jobs that need not be stored but have several steps, require a label or bound their tasks on a worker were refused.

Change: a submission may divide its tasks into steps that depend on earlier ones; each step is a job of its own to the scheduler, with need, declared run time, label and bound. The start names the step. Gangs, same rack, recurring, lasting and stored jobs are still refused.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -69,6 +69,7 @@
 	ReasonDeadline       = "deadline"
 	ReasonCancelled      = "cancelled"
 	ReasonNoTasks        = "no_tasks"
+	ReasonBadSteps       = "bad_steps"
 	ReasonNoRetry        = "retries_exhausted"
 	ReasonTaskFailed     = "task_failed"
 	ReasonTaskUnknown    = "task_outcome_unknown"
@@ -204,7 +205,8 @@
 	link.out.Starts = append(link.out.Starts, wire.Start{
 		Seq:        seq,
 		Submission: j.info.Submission,
-		Index:      p.Task.Index,
+		Index:      p.Task.Index - j.steps[t.step].first,
+		Step:       t.step,
 		Class:      j.info.Class,
 		Slack:      wire.MicrosOf(p.Slack),
 		MaxWait:    wire.MicrosOf(p.MaxWait),
@@ -212,7 +214,7 @@
 		Payload:    j.payloads[p.Task.Index],
 		Job:        j.name,
 		Run:        t.run,
-		Need:       j.info.Need,
+		Need:       p.Task.Job.Need,
 	})
 	m.stats.Starts++
 	if m.opts.Observer != nil {
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -23,6 +23,9 @@
 	Need     wire.Capacity
 	Declared time.Duration
 	Payloads [][]byte // one for each task
+	// Steps divides the tasks, in their order, into groups of like tasks that may
+	// depend on each other. Empty means one step with Need and Declared.
+	Steps []Step
 	// Job is the caller's name of the job, handed on to the upstreams. Empty if
 	// the caller gave none.
 	Job string
@@ -32,6 +35,21 @@
 	Attempts int
 }
 
+// Step is a group of like tasks of a job.
+type Step struct {
+	Tasks    int
+	Need     wire.Capacity // of each task
+	Declared time.Duration // run time of the longest task, 0 if not known
+	// After lists the earlier steps, from 0, all of whose tasks must have
+	// succeeded before a task of this step may start.
+	After []int
+	// Label is what the worker must be labelled with, empty for any.
+	Label string
+	// PerWorker bounds the step's tasks that run on one worker at a time, 0 for
+	// no bound.
+	PerWorker int
+}
+
 // Claimed tells the machine how the claim of a submission ended. It is
 // delivered exactly once for each Claim action.
 type Claimed struct {
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -15,9 +15,19 @@
 	claimWon                       // held by this submission
 )
 
+// step is a group of like tasks of a job, which is one job to the scheduler.
+type step struct {
+	info    policy.Job
+	after   []int
+	first   int  // index of its first task
+	left    int  // tasks that have not succeeded
+	started bool // its tasks were given to the scheduler
+}
+
 // job is one submission in progress.
 type job struct {
-	info     policy.Job
+	info     policy.Job // of the first step
+	steps    []step
 	name     string // the caller's, may be empty
 	attempts int    // failed runs of one task that end the job
 	payloads [][]byte
@@ -58,13 +68,54 @@
 			j.info.PayloadBytes += len(p)
 		}
 	}
+	j.addSteps(e)
 	return j
 }
 
+// addSteps divides the tasks. A submission without steps has one.
+func (j *job) addSteps(e Submit) {
+	if len(e.Steps) == 0 {
+		j.steps = []step{{info: j.info, left: len(e.Payloads)}}
+		return
+	}
+	first := 0
+	j.steps = make([]step, len(e.Steps))
+	for i, s := range e.Steps {
+		info := j.info
+		info.Tasks, info.Need, info.Declared = s.Tasks, s.Need, s.Declared
+		info.Label, info.PerWorker = s.Label, s.PerWorker
+		j.steps[i] = step{info: info, after: s.After, first: first, left: s.Tasks}
+		first += s.Tasks
+	}
+	j.info = j.steps[0].info
+}
+
+// validSteps reports whether the steps divide the tasks and depend on earlier
+// steps only, so that every step's turn comes.
+func (e *Submit) validSteps() bool {
+	tasks := 0
+	for i, s := range e.Steps {
+		tasks += s.Tasks
+		for _, d := range s.After {
+			if d < 0 || d >= i {
+				return false
+			}
+		}
+		if s.Tasks < 1 {
+			return false
+		}
+	}
+	return len(e.Steps) == 0 || tasks == len(e.Payloads)
+}
+
 func (m *Machine) submit(now time.Duration, e Submit) {
 	if _, dup := m.jobs[e.Submission]; dup {
 		panic("entry: submission id used twice")
 	}
+	if !e.validSteps() {
+		m.emit(Answer{Submission: e.Submission, Answer: JobAnswer{Outcome: Refused, Reason: ReasonBadSteps}})
+		return
+	}
 	j := newJob(now, e)
 	if answer, refused := m.refusal(now, j); refused {
 		m.emit(Answer{Submission: e.Submission, Answer: answer})
@@ -75,8 +126,11 @@
 	m.payload += j.bytes
 	m.deadlines.Put(j)
 	j.tasks = make([]task, len(e.Payloads))
-	for i := range j.tasks {
-		j.tasks[i] = task{job: j, sched: policy.Task{Job: &j.info, Index: i}}
+	for i := range j.steps {
+		s := &j.steps[i]
+		for n := range s.left {
+			j.tasks[s.first+n] = task{job: j, step: i, sched: policy.Task{Job: &s.info, Index: s.first + n}}
+		}
 	}
 	if e.Claimed {
 		j.claim = claimPending
@@ -112,11 +166,30 @@
 		m.payload+j.bytes > m.opts.MaxPayloadBytes
 }
 
+// enqueueAll gives the tasks of every step whose turn has come to the scheduler.
 func (m *Machine) enqueueAll(now time.Duration, j *job) {
-	for i := range j.tasks {
-		j.tasks[i].state = taskQueued
-		m.sched.Enqueue(now, &j.tasks[i].sched)
+	for i := range j.steps {
+		s := &j.steps[i]
+		if s.started || !j.due(s) {
+			continue
+		}
+		s.started = true
+		s.info.Arrived = now
+		for n := s.first; n < s.first+s.left; n++ {
+			j.tasks[n].state = taskQueued
+			m.sched.Enqueue(now, &j.tasks[n].sched)
+		}
+	}
+}
+
+// due reports whether every step that s comes after has succeeded.
+func (j *job) due(s *step) bool {
+	for _, d := range s.after {
+		if j.steps[d].left > 0 {
+			return false
+		}
 	}
+	return true
 }
 
 // claimed applies the outcome of a claim. Only the first outcome of a pending
@@ -232,7 +305,9 @@
 	m.payload -= j.bytes
 	// Attempts in doubt keep the job reachable until their agent reports.
 	j.payloads = nil
-	m.sched.JobDone(now, &j.info, a.Outcome == Complete)
+	for i := range j.steps {
+		m.sched.JobDone(now, &j.steps[i].info, a.Outcome == Complete)
+	}
 	if j.claim == claimWon && a.Outcome == Refused {
 		m.emit(Release{Submission: j.info.Submission})
 	}
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -47,7 +47,7 @@
 	}
 	m.sched.AgentUp(now, policy.AgentInfo{
 		Agent: h.Agent, Name: h.Name, Zone: h.Zone, Rack: h.Rack,
-		Slots: h.Slots, Capacity: h.Capacity, Pool: h.Pool,
+		Slots: h.Slots, Capacity: h.Capacity, Pool: h.Pool, Labels: h.Labels,
 		Load: wire.Load{Slots: h.Slots, Limit: h.Slots},
 	})
 }
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -21,6 +21,7 @@
 // task is one task of a job and its current attempt.
 type task struct {
 	job      *job
+	step     int
 	sched    policy.Task
 	state    taskState
 	seq      wire.Seq
@@ -87,6 +88,10 @@
 	if j.ending {
 		return
 	}
+	j.steps[t.step].left--
+	if j.steps[t.step].left == 0 && len(j.steps) > 1 {
+		m.enqueueAll(now, j)
+	}
 	t.result = r.Body
 	j.answer += int64(len(r.Body))
 	if j.answer > m.opts.MaxAnswerBytes {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -25,7 +25,8 @@
 // RunID names one run of one task.
 type RunID struct {
 	Job    string // the caller's name of the job
-	Index  int    // of the task in the job
+	Step   int    // of the task's step in the job
+	Index  int    // of the task in the step
 	Number int    // of the run, from 1
 }
 
@@ -199,7 +200,7 @@
 
 func (m *Machine) start(now time.Duration, e Start) {
 	for _, r := range m.list {
-		if r.id.Job == e.Run.Job && r.id.Index == e.Run.Index {
+		if r.id.Job == e.Run.Job && r.id.Step == e.Run.Step && r.id.Index == e.Run.Index {
 			// An earlier run of the task, asked for by another entry.
 			m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonStaleRun})
 			return
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -247,12 +247,11 @@
 	return free * float64(len(s.up)) / float64(max(1, len(agents)))
 }
 
+// fitsSomewhere reports whether some worker can run tasks of the job at all.
 func (s *Adaptive) fitsSomewhere(job *Job) bool {
-	if job.Need.MilliCores == 0 && job.Need.MemoryMB == 0 && job.Need.Accelerators == 0 {
-		return true
-	}
+	pool := s.classes[job.Class].class.Pool
 	for _, a := range s.up {
-		if a.info.Capacity.Fits(job.Need) {
+		if a.suits(pool, job) {
 			return true
 		}
 	}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -59,6 +59,12 @@
 	s.inFlight++
 	j.racks[a.rack]++
 	j.last = a
+	if j.job.PerWorker > 0 {
+		if j.at == nil {
+			j.at = make(map[*agentState]int)
+		}
+		j.at[a]++
+	}
 	if t.Attempts == 0 {
 		s.budget.started(now)
 	}
@@ -95,6 +101,9 @@
 	if j == nil {
 		return
 	}
+	if j.job.PerWorker > 0 {
+		j.at[a]--
+	}
 	s.outcome(now, sentAt, a, j, r)
 	s.queue.finish(j)
 }
--- a/core/policy/forecast_test.go
+++ b/core/policy/forecast_test.go
@@ -90,3 +90,29 @@
 	}
 	assert.Equal(t, s.drain(), 2.0)
 }
+
+// Guards against tasks on workers without the label that they require, and
+// against more of them on one worker than their step allows.
+func TestLabelsAndBoundsOfAWorkerAreKept(t *testing.T) {
+	s := newTest(3, Options{Seed: 1})
+	for _, a := range s.up[1:] {
+		a.info.Labels = []string{"big"}
+	}
+	job := &Job{Class: "c", Tasks: 4, Label: "big", PerWorker: 1, Deadline: time.Minute}
+	for i := range 4 {
+		s.Enqueue(0, &Task{Job: job, Index: i})
+	}
+	seen := make(map[wire.Incarnation]int)
+	var placed []Placement
+	for p, ok := s.Next(0); ok; p, ok = s.Next(0) {
+		seen[p.Agent]++
+		placed = append(placed, p)
+	}
+	assert.Equal(t, len(seen), 2)
+	assert.Equal(t, seen[s.up[0].info.Agent], 0)
+	assert.Equal(t, len(placed), 2)
+	s.Done(0, placed[0].Agent, placed[0].Task, &wire.Result{Outcome: wire.Succeeded, Run: 1000})
+	p, ok := s.Next(0)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Agent, placed[0].Agent)
+}
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -108,8 +109,15 @@
 
 // offers reports whether the agent's worker can run tasks of the job at all.
 func (a *agentState) offers(j *jobState) bool {
-	pool := j.class.class.Pool
-	return (pool == "" || pool == a.info.Pool) && a.info.Capacity.Fits(j.job.Need)
+	return a.suits(j.class.class.Pool, j.job) && (j.job.PerWorker == 0 || j.at[a] < j.job.PerWorker)
+}
+
+// suits reports whether the agent's worker offers what the job asks for.
+func (a *agentState) suits(pool string, job *Job) bool {
+	if pool != "" && pool != a.info.Pool || !a.info.Capacity.Fits(job.Need) {
+		return false
+	}
+	return job.Label == "" || slices.Contains(a.info.Labels, job.Label)
 }
 
 // lookAhead returns the number of tasks that may queue at each agent.
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -59,10 +59,14 @@
 	Tasks      int
 	// PayloadBytes is what is sent to each agent that runs tasks of the job.
 	PayloadBytes int
-	Need         wire.Capacity // largest need of any of its tasks
-	Declared     time.Duration // declared run time of the longest task, 0 if none
-	Arrived      time.Duration // process time
-	Deadline     time.Duration // process time
+	// Label is what the worker must be labelled with, empty for any.
+	Label string
+	// PerWorker bounds the job's tasks on one worker, 0 for no bound.
+	PerWorker int
+	Need      wire.Capacity // largest need of any of its tasks
+	Declared  time.Duration // declared run time of the longest task, 0 if none
+	Arrived   time.Duration // process time
+	Deadline  time.Duration // process time
 }
 
 // Task is one task that waits to be placed or has been placed.
@@ -82,6 +86,7 @@
 	Zone     string
 	Rack     string
 	Pool     string
+	Labels   []string
 	Slots    int
 	Capacity wire.Capacity
 	Load     wire.Load
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -38,6 +38,7 @@
 
 	racks     [rackBuckets]uint16 // tasks placed by rack
 	last      *agentState         // of the task that was placed last
+	at        map[*agentState]int // tasks in flight, for a job with Job.PerWorker
 	succeeded int
 	failedOn  []failure
 }
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -8,6 +8,8 @@
 	MaxNameBytes = 256
 	// MaxSlots bounds the slots of one upstream.
 	MaxSlots = 4096
+	// MaxLabels bounds the labels of one worker.
+	MaxLabels = 32
 )
 
 // Check reports whether a received hello is within the limits.
@@ -18,6 +20,12 @@
 	if err := checkNames(h.Name, h.Zone, h.Rack, h.Pool); err != nil {
 		return err
 	}
+	if len(h.Labels) > MaxLabels {
+		return fmt.Errorf("wire: agent states %d labels, allowed are %d", len(h.Labels), MaxLabels)
+	}
+	if err := checkNames(h.Labels...); err != nil {
+		return err
+	}
 	return checkEntries(h.Entries)
 }
 
@@ -33,6 +41,9 @@
 func (f *ToAgent) Check() error {
 	for i := range f.Starts {
 		s := &f.Starts[i]
+		if s.Step < 0 || s.Step >= MaxTasksPerJob {
+			return fmt.Errorf("wire: start in step %d, allowed are 0 to %d", s.Step, MaxTasksPerJob-1)
+		}
 		if s.Index < 0 || s.Index >= MaxTasksPerJob {
 			return fmt.Errorf("wire: start of task %d, allowed are 0 to %d", s.Index, MaxTasksPerJob-1)
 		}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -222,6 +222,8 @@
 	Entries       []EntryAddr
 	// Pool names the group of workers that the agent's belongs to.
 	Pool string
+	// Labels are what tasks may require of the worker.
+	Labels []string
 	// Clean says that no run of an earlier incarnation of this agent is left at
 	// the worker.
 	Clean bool
@@ -244,7 +246,7 @@
 	_          struct{} `cbor:",toarray"`
 	Seq        Seq
 	Submission SubmissionID
-	Index      int    // position of the task in its job, from 0
+	Index      int    // position of the task in its step, from 0
 	Class      string // class name, for run-time statistics and the upstream's log
 	Slack      Micros // time left until the class target; lower is more urgent
 	MaxWait    Micros // refuse as busy if the expected queueing delay exceeds this
@@ -258,6 +260,7 @@
 	// Run numbers the runs of the task, from 1.
 	Run  int
 	Need Capacity
+	Step int // position of the task's step in its job, from 0
 }
 
 // Load is an agent's own state, sent on every frame.
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -43,8 +43,9 @@
 	Capacity wire.Capacity
 	// Pool names the group of workers that this one belongs to, Clean says that
 	// no run of an earlier incarnation is left there. See wire.AgentHello.
-	Pool  string
-	Clean bool
+	Pool   string
+	Labels []string
+	Clean  bool
 	// NewUpstream makes the connection to the upstream; nil posts tasks to the
 	// URL Upstream. report delivers Finished and Probed to the core.
 	NewUpstream func(report func(agent.Event)) Upstream
--- a/internal/entryd/submit.go
+++ b/internal/entryd/submit.go
@@ -21,6 +21,7 @@
 	Declared time.Duration // run time of the longest task, 0 if not known
 	Attempts int           // see entry.Submit
 	Payloads [][]byte      // one for each task
+	Steps    []entry.Step  // see entry.Submit
 }
 
 // Submitter is what a front end needs of an entry.
@@ -84,7 +85,7 @@
 func (j *Job) submit(id wire.SubmissionID) entry.Submit {
 	return entry.Submit{
 		Submission: id, Class: j.Class, Deadline: j.Deadline, Need: j.Need, Declared: j.Declared,
-		Payloads: j.Payloads, Job: j.Name, Attempts: j.Attempts,
+		Payloads: j.Payloads, Job: j.Name, Attempts: j.Attempts, Steps: j.Steps,
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,7 @@
 	Sequence int64  // rises with each announcement of one life
 	Pool     string
 	Rack     string
+	Labels   []string // what tasks may require
 	Slots    int
 	Capacity wire.Capacity
 	Draining bool
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -80,7 +80,7 @@
 func (u *Upstream) Run(x *agent.Run) {
 	u.send(lease.Start{
 		Attempt: x.Attempt,
-		Run:     lease.RunID{Job: x.Start.Job, Index: x.Start.Index, Number: x.Start.Run},
+		Run:     lease.RunID{Job: x.Start.Job, Step: x.Start.Step, Index: x.Start.Index, Number: x.Start.Run},
 		Spec:    x.Start.Payload,
 	})
 }
