Stuck runs are stopped and repeated; stops for a silent entry blame no worker

After an entry froze, its agents counted the runs that they stopped for its silence as failures of their workers and held starts of the other entries.

Runs that were stopped for their entry's silence, or ended with their worker, are no sign against the worker.

--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -108,11 +108,11 @@
 	}
 }
 
-// ranBadly counts a failed run. A run that was stopped by a cancel or by the
-// task's own deadline says nothing about the upstream's health: under overload
-// deadlines pass everywhere.
+// ranBadly counts a failed run. A run that was stopped by a cancel, for its
+// entry's silence or by the task's own deadline says nothing about the upstream's
+// health: under overload deadlines pass everywhere.
 func (m *Machine) ranBadly(now time.Duration, a *attempt, e *Finished) {
-	if e.Reason == wire.ReasonStopped {
+	if e.Reason == wire.ReasonStopped || a.stopping && e.Reason == wire.ReasonRunEnded {
 		return
 	}
 	m.failures++
--- a/core/agent/lease_test.go
+++ b/core/agent/lease_test.go
@@ -45,6 +45,10 @@
 	actions := m.Step(echo+501*time.Millisecond, Tick{})
 	assert.Equal(t, count[Stop](actions), 1)
 	assert.Equal(t, count[Stop](m.Step(echo+600*time.Millisecond, Tick{})), 0, "stopped once")
+	m.Step(echo+610*time.Millisecond, Finished{
+		Attempt: AttemptID{Entry: 7, Seq: 1}, Outcome: wire.Failed, Reason: wire.ReasonRunEnded,
+	})
+	assert.Equal(t, m.Load(echo+610*time.Millisecond).Failures, uint64(0), "the worker is not to blame")
 }
 
 // Guards against a start that was held up on its way, for instance while this
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -81,6 +81,8 @@
 type Machine struct {
 	opts      Options
 	sched     policy.Scheduler
+	stuck     policy.StuckDetector // nil if the scheduler is none
+	stuckAt   time.Duration        // next search for stuck runs
 	nextSeq   wire.Seq
 	jobs      map[wire.SubmissionID]*job
 	tasks     int   // tasks of jobs
@@ -125,8 +127,10 @@
 
 // New returns a machine without links or jobs.
 func New(opts Options) *Machine {
+	stuck, _ := opts.Scheduler.(policy.StuckDetector)
 	return &Machine{
 		opts:      opts.withDefaults(),
+		stuck:     stuck,
 		sched:     opts.Scheduler,
 		nextSeq:   1,
 		jobs:      make(map[wire.SubmissionID]*job),
@@ -170,6 +174,7 @@
 		m.draining = true
 	case Tick:
 		m.tickLinks(now)
+		m.giveUpStuck(now)
 	}
 	m.dueRetries(now)
 	m.dueDeadlines(now)
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -134,3 +134,42 @@
 	}
 	t.Fatal("no frame was sent")
 }
+
+// slowJudge takes every run that is older than a tenth of a second for stuck.
+type slowJudge struct {
+	oneAgent
+	told []wire.Reason
+}
+
+func (s *slowJudge) Stuck(now time.Duration, _ *policy.Task) bool { return now > 100*time.Millisecond }
+
+func (s *slowJudge) Done(_ time.Duration, _ wire.Incarnation, _ *policy.Task, r *wire.Result) {
+	s.told = append(s.told, r.Reason)
+}
+
+// Guards against a task that waits for its deadline on a worker where it stands
+// still, against a second run before the first has ended, and against repeating
+// a task that may run only once.
+func TestStuckRunIsStoppedAndRepeated(t *testing.T) {
+	for _, attempts := range []int{1, 3} {
+		s := new(slowJudge)
+		m := entry.New(entry.Options{Incarnation: 1, Scheduler: s})
+		m.Step(0, up(1, 0))
+		m.Step(0, entry.Submit{
+			Submission: testJob, Deadline: time.Second, Attempts: attempts, Payloads: make([][]byte, 1),
+		})
+		f, _ := frames(m.Step(200*time.Millisecond, entry.Tick{}))
+		if attempts == 1 {
+			assert.Equal(t, len(f.Cancels), 0)
+			continue
+		}
+		assert.DeepEqual(t, f.Cancels, []wire.Seq{1})
+		assert.Equal(t, len(f.Starts), 0)
+		f, _ = frames(m.Step(210*time.Millisecond, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+			Results: []wire.Result{{Seq: 1, Outcome: wire.Failed, Reason: wire.ReasonStopped}},
+		}}))
+		assert.Equal(t, len(f.Starts), 1)
+		assert.Equal(t, f.Starts[0].Run, 2)
+		assert.DeepEqual(t, s.told, []wire.Reason{wire.ReasonStuck})
+	}
+}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -25,8 +25,9 @@
 	sched    policy.Task
 	state    taskState
 	seq      wire.Seq
-	run      int // number of the current or last run
-	failures int // runs that ended as failed
+	run      int  // number of the current or last run
+	failures int  // runs that ended as failed
+	stuck    bool // the current run was told to stop because it stands still
 	agent    *agentLink
 	retryAt  time.Duration
 	retryPos int // in the retry queue
@@ -42,6 +43,9 @@
 		return
 	}
 	m.observeResult(t, link, r)
+	if t.stuck {
+		r = stuckResult(t, r)
+	}
 	m.sched.Done(now, link.agent, &t.sched, r)
 	if t.state != taskSent || t.seq != r.Seq {
 		m.stats.Late++
@@ -99,11 +103,44 @@
 	}
 }
 
+// stuckInterval separates the searches for runs that stand still.
+const stuckInterval = 50 * time.Millisecond
+
+// giveUpStuck stops the runs that stand still, of tasks that may run again. The
+// task is placed anew once its run is known to have ended.
+func (m *Machine) giveUpStuck(now time.Duration) {
+	if m.stuck == nil || now < m.stuckAt {
+		return
+	}
+	m.stuckAt = now + stuckInterval
+	for _, link := range m.agentList {
+		link.attempts.each(func(seq wire.Seq, t *task) {
+			if t.state != taskSent || t.stuck || t.job.ending || t.job.attempts < 2 || !m.stuck.Stuck(now, &t.sched) {
+				return
+			}
+			t.stuck = true
+			m.cancelAttempt(link, seq)
+		})
+	}
+}
+
+// stuckResult is what the scheduler and the job are told of a run that was
+// stopped for standing still: the worker's fault, not the task's.
+func stuckResult(t *task, r *wire.Result) *wire.Result {
+	t.stuck = false
+	if r.Outcome != wire.Failed || r.Reason != wire.ReasonStopped {
+		return r
+	}
+	told := *r
+	told.Reason = wire.ReasonStuck
+	return &told
+}
+
 // failed runs the task again if its job allows that, and else ends the job. A
 // run that ended with its worker is no failure of the task.
 func (m *Machine) failed(now time.Duration, t *task, r *wire.Result) {
 	j := t.job
-	if r.Reason != wire.ReasonRunEnded {
+	if r.Reason != wire.ReasonRunEnded && r.Reason != wire.ReasonStuck {
 		t.failures++
 	}
 	if j.attempts > 1 && t.failures < j.attempts && !j.ending {
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -250,7 +250,7 @@
 func agentFault(r *wire.Result) bool {
 	switch r.Outcome {
 	case wire.Failed:
-		return r.Reason != wire.ReasonStopped
+		return r.Reason != wire.ReasonStopped && r.Reason != wire.ReasonRunEnded
 	case wire.Unknown:
 		return r.Reason == wire.ReasonConnectionLost
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -141,12 +141,15 @@
 	// ReasonRunEnded: the run ended with its worker or its lease, and is known
 	// not to run any more.
 	ReasonRunEnded
+	// ReasonStuck: the run was stopped because it stood still. Entries use it; it
+	// is not sent.
+	ReasonStuck
 )
 
 var reasonNames = [...]string{
 	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
 	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
-	"agent_lost", "stopped", "result_lost", "no_room", "stale_run", "run_ended",
+	"agent_lost", "stopped", "result_lost", "no_room", "stale_run", "run_ended", "stuck",
 }
 
 // String returns the reason's machine-readable name.
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -31,14 +31,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), emulateBound)
 	defer cancel()
 	c, err := emulator.StartCluster(emulator.ClusterOptions{Entries: a.Entries, Workers: a.Workers, Seed: a.Seed})
-	defer c.Close()
-	if err == nil {
-		err = c.Ready(ctx)
-	}
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
+	defer c.Close()
+	if err := c.Ready(ctx); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
 	faults, stop := context.WithCancel(ctx)
 	faulted := make(chan error, 1)
 	go func() { faulted <- a.disturb(faults, c) }()
