entryd: the version is not ahead of the core's events

Change: the event is in the ring before the version and readiness show it. TestVersionIsNotAheadOfTheCore fails without the change and passes with it.

Ruled out: the machine's load as such; the order of the two steps is the fault.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -154,11 +154,13 @@
 	agents    atomic.Int64 // connections on the peer listener
 	draining  atomic.Bool
 	config    atomic.Pointer[entry.Configured]
-	known     atomic.Pointer[[]wire.EntryAddr]
-	ctx       context.Context
-	cancel    context.CancelFunc
-	drained   chan struct{}
-	duties    duties
+	// configuring is held while config is replaced.
+	configuring sync.Mutex
+	known       atomic.Pointer[[]wire.EntryAddr]
+	ctx         context.Context
+	cancel      context.CancelFunc
+	drained     chan struct{}
+	duties      duties
 }
 
 // duties counts the goroutines of the process. None starts after stop.
@@ -266,21 +268,22 @@
 
 // Configure puts a configuration in force here and at the agents. A lower
 // version than the one in force has no effect.
+//
+// The event is in the core's ring before readiness and version show the
+// configuration: a job that is submitted because of them finds its class.
 func (e *Entry) Configure(settings policy.Settings, version int64, state []byte) {
-	for {
-		old := e.config.Load()
-		if version < old.Version {
-			return
-		}
-		next := &entry.Configured{Settings: settings, Version: version, State: state}
-		if delta, ok := config.Delta(state, old.Version); ok && old.Version > 0 {
-			next.Delta, next.Since = delta, old.Version
-		}
-		if e.config.CompareAndSwap(old, next) {
-			e.send(*next)
-			return
-		}
+	e.configuring.Lock()
+	defer e.configuring.Unlock()
+	old := e.config.Load()
+	if version < old.Version {
+		return
+	}
+	next := &entry.Configured{Settings: settings, Version: version, State: state}
+	if delta, ok := config.Delta(state, old.Version); ok && old.Version > 0 {
+		next.Delta, next.Since = delta, old.Version
 	}
+	e.send(*next)
+	e.config.Store(next)
 }
 
 // SetEntries replaces the list of entries that agents are told of and that are
