--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -56,6 +56,8 @@
 	// DeliveryBound is how long a draining agent waits, after its last run, for
 	// entries to settle its results. Default 5 s.
 	DeliveryBound time.Duration
+	// Held are the ends that an earlier incarnation left at the worker.
+	Held []wire.RunEnd
 }
 
 // Defaults of Options.
@@ -106,8 +108,9 @@
 	retained      int // bytes of results that are not settled
 	queue         runQueue
 	active        []*attempt // running
-	occupied      float64    // slots taken by running tasks
-	order         uint64     // arrival counter, breaks ties in the queue
+	held          heldEnds
+	occupied      float64 // slots taken by running tasks
+	order         uint64  // arrival counter, breaks ties in the queue
 	config        *wire.ConfigState
 
 	limiter      limiter
@@ -137,13 +140,17 @@
 // New returns a machine with no links and every slot free.
 func New(opts Options) *Machine {
 	opts = opts.withDefaults()
-	return &Machine{
+	m := &Machine{
 		opts:         opts,
 		peers:        make(map[wire.Incarnation]*peer),
 		limiter:      newLimiter(opts.Slots),
 		classes:      make(map[string]*classStats),
 		otherClasses: classStats{mean: initialMeanRun},
 	}
+	for _, end := range opts.Held {
+		m.held.add(0, 0, end)
+	}
+	return m
 }
 
 // Step applies one event at time now, which must never decrease, and returns
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -89,6 +89,10 @@
 	Orphan  bool // the run's entry was not heard for RunLease
 }
 
+// Settle says that the end of a stored job's run need not be kept at the worker
+// any more.
+type Settle struct{ Run wire.RunRef }
+
 // Probe asks the caller to connect to the upstream without sending anything
 // and to deliver Probed. At most one probe is in progress.
 type Probe struct{}
@@ -109,6 +113,7 @@
 func (*Send) isAction()   {}
 func (*Run) isAction()    {}
 func (Stop) isAction()    {}
+func (Settle) isAction()  {}
 func (Probe) isAction()   {}
 func (Retired) isAction() {}
 func (Drained) isAction() {}
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -31,6 +31,7 @@
 		n := fitting(rest)
 		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.Load(now), Clock: wire.MicrosOf(now)}
 		f.frame.Load.Draining = m.draining || p.retiring
+		f.frame.Ends, p.ends = p.ends, nil
 		if p.sendConfig {
 			f.frame.Config = m.config
 			p.configVersion = m.config.Version
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -76,10 +76,11 @@
 	delivered     map[wire.Seq]struct{} // ended, result delivered, record released early
 	roomAt        time.Duration         // when makeRoom may search again
 	out           []wire.Result
-	frame         *outFrame // frame under construction
-	greet         bool      // send a frame even if there is nothing to report
-	retiring      bool      // starts are refused until the next LinkUp
-	retired       bool      // Retired was emitted
+	ends          []wire.RunEnd // for the next frame
+	frame         *outFrame     // frame under construction
+	greet         bool          // send a frame even if there is nothing to report
+	retiring      bool          // starts are refused until the next LinkUp
+	retired       bool          // Retired was emitted
 	retireAt      time.Duration
 	configVersion int64 // newest version that the entry is known to have
 	sendConfig    bool
@@ -164,6 +165,7 @@
 	p.heardAt = max(p.heardAt, now) // its hello answered one of this agent's
 	p.discardOutput()
 	p.greet = true
+	m.tellPeer(now, p)
 	p.retiring, p.retired = false, false
 	p.configVersion = e.ConfigVersion
 	p.sendConfig = m.config != nil && e.ConfigVersion < m.config.Version
@@ -189,12 +191,14 @@
 	}
 	p.up = false
 	p.downAt = now
+	p.ends = nil
 	p.discardOutput()
 }
 
 func (m *Machine) tick(now time.Duration) {
 	m.handBack(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
 	m.endOrphans(now)
+	m.tellHeld(now)
 	kept := m.peerList[:0]
 	for _, p := range m.peerList {
 		m.tickPeer(now, p)
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -25,6 +25,8 @@
 	for _, seq := range e.Frame.Queries {
 		m.query(p, seq)
 	}
+	m.settled(e.Frame.Settled)
+	m.voided(e.Frame.Voided)
 }
 
 func (m *Machine) start(now time.Duration, p *peer, s *wire.Start) {
@@ -106,7 +108,7 @@
 	if len(p.attempts) >= m.opts.Window {
 		return wire.ReasonBusy
 	}
-	if m.boundRetained(); m.retained > m.opts.MaxRetainedBytes {
+	if m.boundRetained(); m.retained > m.opts.MaxRetainedBytes || len(m.held.list) >= wire.MaxHeldEnds {
 		return wire.ReasonBusy
 	}
 	wait := m.expectedWait(now, due, m.opts.Capacity.SlotsOf(s.Need, m.opts.Slots))
@@ -198,6 +200,7 @@
 	if len(m.active) == 0 {
 		m.occupied = 0 // no rounding error is kept
 	}
+	m.holdEnd(now, a, e.Outcome, e.Reason)
 	m.finish(a, wire.Result{
 		Outcome: e.Outcome,
 		Reason:  e.Reason,
--- /dev/null
+++ b/core/durable/durable_test.go
@@ -0,0 +1,90 @@
+package durable_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/limpettrail/limpettrail/core/durable"
+)
+
+// settleTime is enough for every lease to lapse and every job to end once the
+// faults are over.
+const settleTime = 30 * time.Second
+
+// Guards against a task that runs twice at a time or after it was done, and
+// against an accepted job that is lost, while processes are killed, paused and cut
+// from a log that loses answers and carries appends out late.
+func TestJobsRunOnceAndAreNeverLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, durable.Options{}, rapid.IntRange(1, 3).Draw(t, "processes"))
+		w.advance(100 * time.Millisecond)
+		jobs := 0
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			i := rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")
+			p := w.processes[i]
+			span := time.Duration(rapid.IntRange(100, 6000).Draw(t, "span")) * time.Millisecond
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0:
+				w.restart(i)
+			case 1:
+				w.lose(p)
+				p.paused = w.now + span
+			case 2:
+				p.cut = w.now + span
+			case 3:
+				w.down = !w.down
+			case 4: // the same job at another process
+				if jobs > 0 {
+					job := fmt.Sprintf("j%d", rapid.IntRange(1, jobs).Draw(t, "again"))
+					w.submit(p, job, w.tasks[job])
+				}
+			default:
+				jobs++
+				w.submit(p, fmt.Sprintf("j%d", jobs), rapid.IntRange(1, 4).Draw(t, "tasks"))
+			}
+			w.advance(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+		}
+		w.calm()
+		w.advance(settleTime)
+		w.allCompleted()
+	})
+}
+
+// calm ends every fault.
+func (w *world) calm() {
+	w.down = false
+	for _, p := range w.processes {
+		p.cut, p.paused = 0, min(p.paused, w.now)
+	}
+}
+
+// allCompleted checks that each accepted job is completed in every view.
+func (w *world) allCompleted() {
+	for job := range w.accepted {
+		for _, p := range w.processes {
+			s, ok := p.machine.State(job)
+			if !ok || s != durable.Completed {
+				w.t.Fatalf("%s: %s was accepted and is %v (known: %v)", p.name, job, s, ok)
+			}
+		}
+	}
+	if len(w.kept) > 0 {
+		w.t.Fatalf("%d ends are kept for good, the first of %v", len(w.kept), w.kept[0].end.Run)
+	}
+}
+
+// Guards against a caller who is told that a job is stored before it is.
+func TestJobIsStoredBeforeTheCallerIsTold(t *testing.T) {
+	m := durable.New(durable.Options{Self: durable.Owner{Incarnation: 7, Name: "vm"}})
+	m.Step(1, durable.Read{Whole: true, Asked: 1})
+	actions := m.Step(2, durable.Submit{Token: 1, Spec: durable.Spec{ID: "j"}})
+	assert.Equal(t, len(actions), 1)
+	_, appends := actions[0].(durable.Append)
+	assert.Assert(t, appends)
+	actions = m.Step(3, durable.Appended{Outcome: durable.NotRecorded, Sent: 2})
+	assert.Equal(t, actions[0].(durable.Reply).Verdict, durable.Unavailable)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -99,8 +99,11 @@
 	entries   []wire.EntryAddr
 	draining  bool
 	drained   bool
-	actions   []Action
-	stats     Stats
+	// stored counts the stored jobs in progress, which may run until storedUntil.
+	stored      int
+	storedUntil time.Duration
+	actions     []Action
+	stats       Stats
 }
 
 // Stats counts messages by kind since the machine was created.
@@ -151,6 +154,7 @@
 // the actions to carry out. The slice is valid until the next call.
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
 	m.actions = m.actions[:0]
+	m.endUnleased(now)
 	switch e := ev.(type) {
 	case Submit:
 		m.submit(now, e)
@@ -168,6 +172,10 @@
 		m.agentGone(now, m.agents[e.Agent])
 	case Configured:
 		m.configured(now, e)
+	case StoredLease:
+		m.storedUntil = max(m.storedUntil, e.Until)
+	case Settled:
+		m.settled(e)
 	case Entries:
 		m.setEntries(e.List)
 	case Drain:
@@ -220,7 +228,12 @@
 		Job:        j.name,
 		Run:        t.run,
 		Need:       p.Task.Job.Need,
+		Stored:     j.stored,
 	})
+	if j.stored && !j.began {
+		j.began = true
+		m.emit(Began{Job: j.name})
+	}
 	m.stats.Starts++
 	if m.opts.Observer != nil {
 		m.opts.Observer.Placed(j.info.Submission, p.Task.Index, link.name)
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -33,6 +33,21 @@
 	// does. A task runs again only after its earlier run is known to have ended.
 	// 0 and 1 both allow a single run, whatever becomes of it.
 	Attempts int
+	// Stored jobs were accepted and recorded before: they are not refused, have no
+	// deadline, and their tasks are repeated until they succeed or fail Attempts
+	// times. Job must be set.
+	Stored bool
+	// Progress is what earlier owners of a stored job recorded of its tasks, in
+	// their order; empty for none.
+	Progress []TaskProgress
+	// RunBase is added to the numbers of the runs, which must rise across owners.
+	RunBase int
+}
+
+// TaskProgress is what is recorded of one task of a stored job.
+type TaskProgress struct {
+	Done     bool
+	Failures int // runs that ended as failed
 }
 
 // Step is a group of like tasks of a job.
@@ -99,6 +114,18 @@
 	Since int64
 }
 
+// StoredLease says until when the entry may start tasks of stored jobs. Those in
+// progress are ended once it is over: another entry may own them by then.
+type StoredLease struct{ Until time.Duration }
+
+// Settled names runs of stored jobs whose ends were recorded, or need not be.
+type Settled struct {
+	Agent wire.Incarnation
+	Runs  []wire.RunRef
+	// Void says that the ends came too late to count, see wire.ToAgent.Voided.
+	Void bool
+}
+
 // Entries replaces the list of entries that agents are told of.
 type Entries struct{ List []wire.EntryAddr }
 
@@ -108,17 +135,19 @@
 // Drain begins the graceful shutdown: new jobs are refused as not run.
 type Drain struct{}
 
-func (Submit) isEvent()     {}
-func (Claimed) isEvent()    {}
-func (CancelJob) isEvent()  {}
-func (LinkUp) isEvent()     {}
-func (LinkDown) isEvent()   {}
-func (Received) isEvent()   {}
-func (Replaced) isEvent()   {}
-func (Configured) isEvent() {}
-func (Entries) isEvent()    {}
-func (Tick) isEvent()       {}
-func (Drain) isEvent()      {}
+func (Submit) isEvent()      {}
+func (Claimed) isEvent()     {}
+func (CancelJob) isEvent()   {}
+func (LinkUp) isEvent()      {}
+func (LinkDown) isEvent()    {}
+func (Received) isEvent()    {}
+func (Replaced) isEvent()    {}
+func (Configured) isEvent()  {}
+func (StoredLease) isEvent() {}
+func (Settled) isEvent()     {}
+func (Entries) isEvent()     {}
+func (Tick) isEvent()        {}
+func (Drain) isEvent()       {}
 
 // Observer is told of task-level events as they happen, for a time line. It
 // must not call the machine. The agent is given by its name.
@@ -151,6 +180,16 @@
 	Answer     JobAnswer
 }
 
+// Began says that the first task of a stored job was sent to an agent.
+type Began struct{ Job string }
+
+// TaskEnded tells of an end that is to be recorded with its stored job. The
+// agent keeps it until Settled.
+type TaskEnded struct {
+	Agent wire.Incarnation
+	End   wire.RunEnd
+}
+
 // LearnedConfig says that an agent has a newer configuration. The caller
 // decodes it and delivers Configured.
 type LearnedConfig struct {
@@ -165,6 +204,8 @@
 func (Claim) isAction()         {}
 func (Release) isAction()       {}
 func (Answer) isAction()        {}
+func (Began) isAction()         {}
+func (TaskEnded) isAction()     {}
 func (LearnedConfig) isAction() {}
 func (Drained) isAction()       {}
 
--- a/core/entry/frames.go
+++ b/core/entry/frames.go
@@ -50,8 +50,10 @@
 			Echo:    link.clock,
 			Config:  rest.Config,
 			Entries: rest.Entries,
+			Settled: rest.Settled,
+			Voided:  rest.Voided,
 		}
-		rest.Config, rest.Entries = nil, nil
+		rest.Config, rest.Entries, rest.Settled, rest.Voided = nil, nil, nil, nil
 		frame.Starts, rest.Starts = splitStarts(rest.Starts)
 		frame.SharePayloads()
 		frame.Cancels, rest.Cancels = splitSeqs(rest.Cancels)
@@ -62,7 +64,7 @@
 
 func isEmpty(f *wire.ToAgent) bool {
 	return len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 &&
-		f.Config == nil && len(f.Entries) == 0
+		f.Config == nil && len(f.Entries) == 0 && len(f.Settled) == 0 && len(f.Voided) == 0
 }
 
 func splitStarts(s []wire.Start) (now, later []wire.Start) {
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -40,6 +40,8 @@
 	open     int // tasks neither done nor dropped
 	started  int
 	unknown  int
+	stored   bool  // see Submit.Stored
+	began    bool  // a task was sent
 	failed   bool  // a task ran and failed
 	ran      bool  // a run of a task ended that is to be repeated
 	answer   int64 // bytes of results so far
@@ -49,7 +51,13 @@
 	duePos   int // in the deadline queue
 }
 
+// storedDeadline stands for no deadline in the places that need one.
+const storedDeadline = 30 * 24 * time.Hour
+
 func newJob(now time.Duration, e Submit) *job {
+	if e.Stored {
+		e.Deadline = storedDeadline
+	}
 	j := &job{
 		info: policy.Job{
 			Submission: e.Submission, Class: e.Class, Team: e.Team,
@@ -57,6 +65,7 @@
 			Arrived: now, Deadline: now + e.Deadline,
 		},
 		name:     e.Job,
+		stored:   e.Stored,
 		attempts: max(1, e.Attempts),
 		payloads: e.Payloads,
 		open:     len(e.Payloads),
@@ -125,19 +134,37 @@
 	m.tasks += len(j.payloads)
 	m.payload += j.bytes
 	m.deadlines.Put(j)
+	if j.stored {
+		m.stored++
+	}
 	j.tasks = make([]task, len(e.Payloads))
 	for i := range j.steps {
 		s := &j.steps[i]
 		for n := range s.left {
-			j.tasks[s.first+n] = task{job: j, step: i, sched: policy.Task{Job: &s.info, Index: s.first + n}}
+			j.tasks[s.first+n] = task{job: j, step: i, run: e.RunBase, sched: policy.Task{Job: &s.info, Index: s.first + n}}
 		}
 	}
+	j.resume(e.Progress)
 	if e.Claimed {
 		j.claim = claimPending
 		m.emit(Claim{Submission: e.Submission})
 		return
 	}
 	m.enqueueAll(now, j)
+	m.settle(now, j)
+}
+
+// resume takes over what is recorded of the tasks.
+func (j *job) resume(progress []TaskProgress) {
+	for i, p := range progress[:min(len(progress), len(j.tasks))] {
+		t := &j.tasks[i]
+		t.failures = p.Failures
+		if p.Done {
+			t.state = taskDone
+			j.open--
+			j.steps[t.step].left--
+		}
+	}
 }
 
 // refusal decides whether a new job is turned away before anything is done.
@@ -145,6 +172,10 @@
 	switch {
 	case len(j.payloads) == 0:
 		return JobAnswer{Outcome: Refused, Reason: ReasonNoTasks}, true
+	case j.stored && (m.draining || now >= m.storedUntil):
+		return JobAnswer{Outcome: Refused, Reason: ReasonDraining}, true
+	case j.stored: // was accepted before
+		return JobAnswer{}, false
 	case j.info.Deadline <= now:
 		return JobAnswer{Outcome: Refused, Reason: ReasonDeadline}, true
 	case m.draining:
@@ -175,9 +206,11 @@
 		}
 		s.started = true
 		s.info.Arrived = now
-		for n := s.first; n < s.first+s.left; n++ {
-			j.tasks[n].state = taskQueued
-			m.sched.Enqueue(now, &j.tasks[n].sched)
+		for n := s.first; n < s.first+s.info.Tasks; n++ {
+			if j.tasks[n].state == taskHeld {
+				j.tasks[n].state = taskQueued
+				m.sched.Enqueue(now, &j.tasks[n].sched)
+			}
 		}
 	}
 }
@@ -242,6 +275,9 @@
 		case taskHeld:
 			m.drop(t)
 		case taskBackoff:
+			if t.lost {
+				continue // dueRetries drops it once its run must have ended
+			}
 			m.retries.Drop(t)
 			m.drop(t)
 		case taskQueued:
@@ -300,6 +336,9 @@
 
 func (m *Machine) finish(now time.Duration, j *job, a JobAnswer) {
 	delete(m.jobs, j.info.Submission)
+	if j.stored {
+		m.stored--
+	}
 	m.deadlines.Drop(j)
 	m.tasks -= len(j.tasks)
 	m.payload -= j.bytes
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -39,6 +39,7 @@
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.config = h.ConfigVersion
+	m.adoptEnds(now, link, h.Ends)
 	m.replaceOlder(now, link, h.Clean)
 	m.queryInFlight(link)
 	m.offerConfig(link)
@@ -160,6 +161,7 @@
 	for i := range e.Frame.Results {
 		m.result(now, link, &e.Frame.Results[i])
 	}
+	m.adoptEnds(now, link, e.Frame.Ends)
 	m.sched.Observe(now, e.Agent, e.Frame.Load)
 	if e.Frame.Config != nil {
 		m.learnConfig(link, e.Frame.Config)
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -36,6 +36,12 @@
 	for m.retries.Len() > 0 && m.retries.Top().retryAt <= now {
 		t := m.retries.Top()
 		m.retries.Drop(t)
+		t.lost = false
+		if t.job.ending {
+			m.drop(t)
+			m.settle(now, t.job)
+			continue
+		}
 		t.state = taskQueued
 		m.sched.Enqueue(now, &t.sched)
 	}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -27,6 +27,7 @@
 	seq      wire.Seq
 	run      int  // number of the current or last run
 	failures int  // runs that ended as failed
+	lost     bool // waits until a run that was lost must have ended
 	stuck    bool // the current run was told to stop because it stands still
 	agent    *agentLink
 	retryAt  time.Duration
@@ -52,6 +53,15 @@
 		return // the job was answered without waiting for this attempt
 	}
 	t.agent = nil
+	if t.job.stored {
+		m.storedResult(now, link, t, r)
+		return
+	}
+	m.apply(now, t, r)
+}
+
+// apply takes the outcome of the task's current attempt.
+func (m *Machine) apply(now time.Duration, t *task, r *wire.Result) {
 	switch r.Outcome {
 	case wire.Succeeded:
 		m.succeeded(now, t, r)
@@ -143,7 +153,7 @@
 	if r.Reason != wire.ReasonRunEnded && r.Reason != wire.ReasonStuck {
 		t.failures++
 	}
-	if j.attempts > 1 && t.failures < j.attempts && !j.ending {
+	if (j.attempts > 1 || j.stored) && t.failures < j.attempts && !j.ending {
 		j.ran = true
 		t.state = taskQueued
 		m.sched.Enqueue(now, &t.sched)
@@ -167,6 +177,9 @@
 		t.run += staleRunStep
 	}
 	delay, ok := m.sched.Retry(now, &t.sched, reason)
+	if !ok && t.job.stored {
+		delay, ok = storedRetry, true
+	}
 	if !ok {
 		m.drop(t)
 		m.endJob(now, t.job, ReasonNoRetry)
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -15,8 +15,14 @@
 	Attempt agent.AttemptID
 	Run     RunID
 	Spec    []byte // what the worker is to run
+	// Stored says that the end, if it tells of the task, is left unacknowledged
+	// at the worker until Settle or until the lease has passed.
+	Stored bool
 }
 
+// Settle releases an end that was kept.
+type Settle struct{ Run RunID }
+
 // Stop asks for the end of a run. A run that has finished is left alone.
 type Stop struct {
 	Attempt agent.AttemptID
@@ -87,6 +93,7 @@
 func (Stop) isEvent()    {}
 func (Started) isEvent() {}
 func (Stopped) isEvent() {}
+func (Settle) isEvent()  {}
 func (Looked) isEvent()  {}
 func (Tick) isEvent()    {}
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -43,6 +43,9 @@
 	// AckDelay is how long the acknowledgement of ends may wait for a look that
 	// is needed anyway. Default 250 ms.
 	AckDelay time.Duration
+	// Held are ends of an earlier process that are not to be acknowledged until
+	// they are settled.
+	Held []End
 }
 
 // Defaults of Options.
@@ -67,6 +70,9 @@
 	clockRefresh = 2 * time.Second
 	// lookRetry separates looks that fail at once.
 	lookRetry = 10 * time.Millisecond
+	// heldLookGap separates looks while ends are kept: the worker lists them again
+	// each time and may answer without waiting for a new one.
+	heldLookGap = 15 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -97,6 +103,7 @@
 	id       RunID
 	attempt  agent.AttemptID
 	spec     []byte      // while the start may be sent again
+	stored   bool        // its end is kept until it is settled
 	tries    int         // starts that were sent
 	refusal  wire.Reason // why the worker turned the last of them down
 	state    runState
@@ -128,8 +135,11 @@
 	leaseEnd time.Duration
 	life     int64 // identity of the worker's incarnation, 0 if not known
 	lastSeen int   // number of the newest end that was seen
-	acked    int   // number that a completed look acknowledged
-	ackAt    time.Duration
+	// held are the numbers of ends that must not be acknowledged yet.
+	held  map[RunID]int
+	begun bool // the first step was made
+	acked int  // number that a completed look acknowledged
+	ackAt time.Duration
 
 	heardAt  time.Duration // of the last look that was answered
 	looking  bool
@@ -144,7 +154,12 @@
 // New returns a machine that knows nothing of its worker yet. Its first step
 // asks for a look.
 func New(opts Options) *Machine {
-	return &Machine{opts: opts.withDefaults(), runs: make(map[RunID]*run)}
+	m := &Machine{opts: opts.withDefaults(), runs: make(map[RunID]*run), held: make(map[RunID]int)}
+	for _, end := range opts.Held {
+		m.held[end.Run] = end.N
+		m.lastSeen = max(m.lastSeen, end.N)
+	}
+	return m
 }
 
 // Step applies one event at time now, which must never decrease, and returns
@@ -152,6 +167,7 @@
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
 	clear(m.actions)
 	m.actions = m.actions[:0]
+	m.begin(now)
 	switch e := ev.(type) {
 	case Start:
 		m.start(now, e)
@@ -163,6 +179,8 @@
 		m.stopped(now, e)
 	case Looked:
 		m.looked(now, e)
+	case Settle:
+		delete(m.held, e.Run)
 	case Tick:
 	}
 	m.lapse(now)
@@ -171,6 +189,15 @@
 	return m.actions
 }
 
+// begin keeps the ends of an earlier process for as long as its last renewal may
+// hold.
+func (m *Machine) begin(now time.Duration) {
+	if !m.begun && len(m.held) > 0 {
+		m.leaseEnd = m.leaseFrom(now)
+	}
+	m.begun = true
+}
+
 func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
 
 // Runs returns the number of runs that have not finished.
@@ -182,6 +209,16 @@
 	return len(m.list) == 0 && len(m.foreign) == 0 && m.acked == m.lastSeen && m.readAt > 0
 }
 
+// settledUpTo is the newest end that may be acknowledged: the worker forgets
+// every end up to it.
+func (m *Machine) settledUpTo() int {
+	n := m.lastSeen
+	for _, held := range m.held {
+		n = min(n, held-1)
+	}
+	return n
+}
+
 // workerClock estimates the worker's clock, not ahead of it but by its drift.
 func (m *Machine) workerClock(now time.Duration) time.Duration { return m.clock + now - m.readAt }
 
@@ -194,10 +231,15 @@
 
 // renew returns the deadline of a lease that begins now.
 func (m *Machine) renew(now time.Duration) time.Duration {
-	m.leaseEnd = max(m.leaseEnd, now+time.Duration(float64(m.opts.Lease)/clockSlack)+lapseMargin)
+	m.leaseEnd = max(m.leaseEnd, m.leaseFrom(now))
 	return m.workerClock(now) + m.opts.Lease
 }
 
+// leaseFrom is when a lease that begins at now has passed on the slowest clock.
+func (m *Machine) leaseFrom(now time.Duration) time.Duration {
+	return now + time.Duration(float64(m.opts.Lease)/clockSlack) + lapseMargin
+}
+
 func (m *Machine) start(now time.Duration, e Start) {
 	for _, r := range m.list {
 		if r.id.Job == e.Run.Job && r.id.Step == e.Run.Step && r.id.Index == e.Run.Index {
@@ -206,7 +248,7 @@
 			return
 		}
 	}
-	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec}
+	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec, stored: e.Stored}
 	m.runs[e.Run] = r
 	m.list = append(m.list, r)
 	m.sendStart(now, r)
@@ -302,11 +344,14 @@
 	m.emit(Finished{Attempt: r.attempt, Outcome: o, Reason: reason, Run: now - r.since})
 }
 
-// lapse ends every run once the lease has passed without a renewal.
+// lapse ends every run once the lease has passed without a renewal. The ends
+// that were kept until then count for nothing any more: their tasks may be
+// repeated, as those of a worker that was cut off.
 func (m *Machine) lapse(now time.Duration) {
-	if len(m.list) == 0 || now <= m.leaseEnd {
+	if now <= m.leaseEnd {
 		return
 	}
+	clear(m.held)
 	for len(m.list) > 0 {
 		m.finish(now, m.list[0], wire.Failed, wire.ReasonRunEnded)
 	}
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -13,7 +13,7 @@
 	if m.looking || now < m.nextLook {
 		return
 	}
-	req := CallLook{LastSeen: m.lastSeen}
+	req := CallLook{LastSeen: m.settledUpTo()}
 	switch {
 	case m.readAt == 0: // nothing is known of the worker yet
 	case m.lookNow:
@@ -21,7 +21,7 @@
 		req.Wait = m.opts.LookWait
 	case len(m.foreign) > 0:
 		req.Wait = m.opts.LookWait
-	case m.acked < m.lastSeen && now >= m.ackAt:
+	case m.acked < req.LastSeen && now >= m.ackAt:
 	case now-m.readAt >= clockRefresh:
 	default:
 		return
@@ -34,7 +34,7 @@
 	m.lookNow = false
 	m.looking = true
 	m.lookAt = now
-	m.lookSeen = m.lastSeen
+	m.lookSeen = req.LastSeen
 	m.emit(req)
 }
 
@@ -65,6 +65,9 @@
 	m.life = v.Life
 	m.ended(now, v.Ended)
 	m.listed(now, v.Running)
+	if len(m.held) > 0 {
+		m.nextLook = now + heldLookGap
+	}
 }
 
 // reborn handles a worker that started anew, with numbers that start anew. A
@@ -72,6 +75,7 @@
 // new one: the lists of the new life tell.
 func (m *Machine) reborn() {
 	m.lastSeen, m.acked = 0, 0
+	clear(m.held)
 	for _, r := range m.list {
 		r.crossed = true
 	}
@@ -88,6 +92,9 @@
 		if r == nil {
 			continue
 		}
+		if r.stored && (end.How == EndedDone || end.How == EndedFailed) {
+			m.held[end.Run] = end.N
+		}
 		outcome, reason := r.outcome(end.How)
 		m.finish(now, r, outcome, reason)
 	}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -26,9 +26,31 @@
 	if err := checkNames(h.Labels...); err != nil {
 		return err
 	}
+	if err := checkEnds(h.Ends); err != nil {
+		return err
+	}
 	return checkEntries(h.Entries)
 }
 
+func checkEnds(ends []RunEnd) error {
+	if len(ends) > MaxHeldEnds {
+		return fmt.Errorf("wire: %d kept ends, allowed are %d", len(ends), MaxHeldEnds)
+	}
+	for i := range ends {
+		if err := ends[i].Run.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *RunRef) check() error {
+	if r.Step < 0 || r.Step >= MaxTasksPerJob || r.Index < 0 || r.Index >= MaxTasksPerJob {
+		return fmt.Errorf("wire: run of task %d in step %d, allowed are 0 to %d", r.Index, r.Step, MaxTasksPerJob-1)
+	}
+	return checkNames(r.Job)
+}
+
 // Check reports whether a received hello is within the limits.
 func (h *EntryHello) Check() error {
 	if err := checkNames(h.Name, h.Zone); err != nil {
@@ -51,6 +73,13 @@
 			return err
 		}
 	}
+	for _, runs := range [...][]RunRef{f.Settled, f.Voided} {
+		for i := range runs {
+			if err := runs[i].check(); err != nil {
+				return err
+			}
+		}
+	}
 	if err := f.Config.check(); err != nil {
 		return err
 	}
@@ -64,6 +93,9 @@
 			return fmt.Errorf("wire: result with %v", o)
 		}
 	}
+	if err := checkEnds(f.Ends); err != nil {
+		return err
+	}
 	l := &f.Load
 	for _, n := range [...]int{l.Running, l.Queued, l.Slots, l.Limit} {
 		if n < 0 || n > MaxSlots {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol that this code speaks.
-const ProtocolVersion = 2
+const ProtocolVersion = 3
 
 // Limits that both ends enforce on decoded messages.
 const (
@@ -23,6 +23,8 @@
 	MaxFrameBytes = 4 << 20
 	// MaxKnownEntries bounds the entry list carried in a hello.
 	MaxKnownEntries = 64
+	// MaxHeldEnds bounds the ends of runs that an agent keeps for stored jobs.
+	MaxHeldEnds = 4096
 	// MaxConfigBytes bounds the encoded state in a ConfigState.
 	MaxConfigBytes = 1 << 20
 	// MaxMicros bounds a duration on the wire to about a year, so that adding
@@ -233,6 +235,28 @@
 	// Life rises with each start of the worker, 0 if it is not known. The agent of
 	// an earlier life may connect again after that of a later one.
 	Life int64
+	// Ends are the ends of runs that an earlier incarnation of this agent left
+	// at the worker. They are sent with the hello because Clean has the entry
+	// repeat the earlier incarnation's runs.
+	Ends []RunEnd
+}
+
+// RunRef names one run of one task by the caller's name of its job.
+type RunRef struct {
+	_     struct{} `cbor:",toarray"`
+	Job   string
+	Step  int // of the task in the job, from 0
+	Index int // of the task in the step, from 0
+	Run   int // from 1
+}
+
+// RunEnd is how a run of a stored job ended. Its agent keeps it, and leaves it
+// unacknowledged at the worker, until an entry has settled it: an entry that takes
+// the job over must not repeat a task that has succeeded.
+type RunEnd struct {
+	_      struct{} `cbor:",toarray"`
+	Run    RunRef
+	Failed bool // by the task's own fault; otherwise the run succeeded
 }
 
 // EntryHello answers an AgentHello.
@@ -267,6 +291,8 @@
 	Run  int
 	Need Capacity
 	Step int // position of the task's step in its job, from 0
+	// Stored says that the end of the run is to be kept until it is settled.
+	Stored bool
 }
 
 // Load is an agent's own state, sent on every frame.
@@ -322,6 +348,12 @@
 	// Echo is the newest Clock that the entry received from this agent. It
 	// renews the lease under which the agent runs the entry's tasks.
 	Echo Micros
+	// Settled names runs of stored jobs whose ends need not be kept any more.
+	Settled []RunRef
+	// Voided names runs whose ends came too late to count: their tasks were started
+	// again. The worker must not be told that they were noted before the lease under
+	// which they ran has passed.
+	Voided []RunRef
 }
 
 // ToEntry is one frame from an agent to an entry.
@@ -332,6 +364,8 @@
 	Config  *ConfigState
 	Stamp   uint64 // sender's hybrid logical time, filled in by the shell
 	Clock   Micros // agent's process time when the frame was made
+	// Ends are kept ends of runs whose entry is lost.
+	Ends []RunEnd
 }
 
 // SharePayloads drops each payload that repeats the one of the start before, as
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -214,6 +214,8 @@
 	Run(x *agent.Run)
 	// Stop abandons a run, which is still reported.
 	Stop(x agent.Stop)
+	// Settle releases the end of a stored job's run, which is kept until then.
+	Settle(x agent.Settle)
 	// Probe reports agent.Probed.
 	Probe()
 	// Close gives up every connection. Nothing is reported after it.
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -113,6 +113,8 @@
 	case agent.Stop:
 		c.tracer.stop(x)
 		c.upstream.Stop(x)
+	case agent.Settle:
+		c.upstream.Settle(x)
 	case agent.Probe:
 		c.upstream.Probe()
 	case agent.Retired:
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -117,6 +117,9 @@
 	}
 }
 
+// Settle implements Upstream. An HTTP upstream keeps no ends.
+func (r *runner) Settle(agent.Settle) {}
+
 // Probe implements Upstream: it connects and sends nothing.
 func (r *runner) Probe() {
 	r.agent.goDuty(func() {
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -130,7 +130,16 @@
 			x.Frame.Stamp = uint64(c.e.log.Stamp())
 			l.sender.Send(x.Frame)
 		}
+	case entry.Began:
+		c.e.opts.Stored.Began(x.Job)
+	case entry.TaskEnded:
+		if c.e.opts.Stored != nil {
+			c.e.opts.Stored.TaskEnded(x.Agent, x.End)
+		}
 	case entry.Answer:
+		if c.e.storedAnswer(&x) {
+			return
+		}
 		c.e.emitAnswer(x)
 		c.e.countAnswer(&x)
 		c.e.table.resolve(x.Submission, x.Answer)
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -82,6 +82,9 @@
 	// Claims obtains claims for requests that are not idempotent. With nil they
 	// are refused as not run.
 	Claims claimapi.Claims
+	// Stored takes what became of the jobs that DriveStored runs; nil if there are
+	// none.
+	Stored StoredEvents
 	// LearnedConfig is called with a newer configuration that an agent has. It
 	// must not block.
 	LearnedConfig func(wire.ConfigState)
@@ -145,6 +148,7 @@
 	operators net.Listener // nil if there is none
 	servers   []*http.Server
 	table     *jobTable
+	stored    *storedJobs
 	log       *eventlog.Log
 	metrics   *entryMetrics
 	requests  atomic.Int64 // caller requests in progress
@@ -195,6 +199,7 @@
 		opts: opts, clock: bootclock.New(), log: opts.Log, metrics: newEntryMetrics(),
 		events: make(chan any, ringEvents),
 		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
+		stored: newStoredJobs(),
 		ctx:    ctx, cancel: cancel, drained: make(chan struct{}),
 	}
 	e.known.Store(new([]wire.EntryAddr))
@@ -263,6 +268,9 @@
 	return e.operators.Addr().String()
 }
 
+// Clock returns the clock of the core.
+func (e *Entry) Clock() bootclock.Clock { return e.clock }
+
 // Incarnation returns the identity of this run of the process.
 func (e *Entry) Incarnation() wire.Incarnation { return e.opts.Incarnation }
 
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -21,3 +21,18 @@
 	AttemptFailed   = define(1113, "attempt_failed", zapcore.InfoLevel, false)
 	AttemptQueried  = define(1112, "attempt_queried", zapcore.DebugLevel, true)
 )
+
+// Events of stored jobs.
+var (
+	StoredJobAccepted   = define(1200, "stored_job_accepted", zapcore.InfoLevel, false)
+	StoredJobDriven     = define(1201, "stored_job_driven", zapcore.InfoLevel, false)
+	StoredJobEnded      = define(1202, "stored_job_ended", zapcore.InfoLevel, false)
+	StoredJobCancelled  = define(1203, "stored_job_cancelled", zapcore.InfoLevel, false)
+	StoredJobsTakenOver = define(1204, "stored_jobs_taken_over", zapcore.WarnLevel, false)
+	KeeperSuperseded    = define(1205, "keeper_superseded", zapcore.WarnLevel, false)
+	JobLogLost          = define(1206, "job_log_lost", zapcore.WarnLevel, false)
+	JobLogBack          = define(1207, "job_log_back", zapcore.InfoLevel, false)
+	JobAppendRejected   = define(1208, "job_append_rejected", zapcore.WarnLevel, false)
+	JobFenceFailed      = define(1209, "job_fence_failed", zapcore.WarnLevel, false)
+	JobRecordUnreadable = define(1210, "job_record_unreadable", zapcore.ErrorLevel, false)
+)
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -135,7 +135,8 @@
 // there and then starts the agent.
 func (n *AgentNode) begin(ctx context.Context, a Announcement) {
 	worker := n.opts.NewWorker(a.Worker, a.Life)
-	if !n.clear(ctx, worker) {
+	held, ok := n.clear(ctx, worker)
+	if !ok {
 		worker.Close()
 		return
 	}
@@ -153,12 +154,13 @@
 		SilenceTimeout: silenceTimeout, MaxRedial: maxRedial, DialTimeout: dialTimeout,
 		NewUpstream: leased.New(leased.Options{
 			Worker: worker,
+			Lease:  lease.Options{Held: held},
 			Gone:   func() { n.gone(a) },
 			LookFailed: func(err error) {
 				n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Peer: a.Worker, Err: err})
 			},
 		}),
-		Core: agent.Options{HeartbeatInterval: heartbeatInterval, RunLease: runLease, LinkLease: runLease},
+		Core: agent.Options{HeartbeatInterval: heartbeatInterval, RunLease: runLease, LinkLease: runLease, Held: runEnds(held)},
 	})
 }
 
@@ -172,20 +174,18 @@
 	}
 }
 
-// clear stops every run at the worker. It reports false if ctx ended first.
-func (n *AgentNode) clear(ctx context.Context, worker leased.Worker) bool {
-	lastSeen := 0
+// clear stops every run at the worker and returns the ends that tell of a task.
+// They are not acknowledged: the worker's jobs may be stored ones whose owner has
+// not recorded them. It reports false if ctx ended first.
+func (n *AgentNode) clear(ctx context.Context, worker leased.Worker) ([]lease.End, bool) {
 	for ; ctx.Err() == nil; sleep(ctx, clearRetry) {
-		view, err := n.lookOnce(ctx, worker, lastSeen)
+		view, err := n.lookOnce(ctx, worker)
 		if err != nil {
 			n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Err: err})
 			continue
 		}
-		for _, end := range view.Ended {
-			lastSeen = max(lastSeen, end.N)
-		}
 		if len(view.Running) == 0 {
-			return true
+			return telling(view.Ended), true
 		}
 		for _, id := range view.Running {
 			n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: id.Job, Task: id.Index + 1, Count: int64(id.Number)})
@@ -194,13 +194,36 @@
 			cancel()
 		}
 	}
-	return false
+	return nil, false
+}
+
+// telling returns the ends that say something of their tasks.
+func telling(ends []lease.End) []lease.End {
+	var out []lease.End
+	for _, e := range ends {
+		if e.How == lease.EndedDone || e.How == lease.EndedFailed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// runEnds translates ends for the entries.
+func runEnds(ends []lease.End) []wire.RunEnd {
+	out := make([]wire.RunEnd, 0, len(ends))
+	for _, e := range ends[:min(len(ends), wire.MaxHeldEnds)] {
+		out = append(out, wire.RunEnd{
+			Run:    wire.RunRef{Job: e.Run.Job, Step: e.Run.Step, Index: e.Run.Index, Run: e.Run.Number},
+			Failed: e.How == lease.EndedFailed,
+		})
+	}
+	return out
 }
 
-func (n *AgentNode) lookOnce(ctx context.Context, worker leased.Worker, lastSeen int) (*lease.View, error) {
+func (n *AgentNode) lookOnce(ctx context.Context, worker leased.Worker) (*lease.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
 	defer cancel()
-	return worker.Look(ctx, lease.CallLook{LastSeen: lastSeen})
+	return worker.Look(ctx, lease.CallLook{})
 }
 
 // followDirectory looks for entries while the agent has no link.
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -12,6 +12,7 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/keeper"
 )
 
 const (
@@ -47,8 +48,10 @@
 	ReadyListen string // for the balancer's check
 	PeerListen  string
 	// Operators is the operators' address, empty for none.
-	Operators   string
-	Front       func(entryd.Submitter) http.Handler
+	Operators string
+	Front     func(entryd.Submitter, StoredJobs) http.Handler
+	// JobLog keeps the stored jobs.
+	JobLog      keeper.Log
 	Configs     ConfigSource
 	Directory   Directory
 	Log         *eventlog.Log
@@ -62,6 +65,7 @@
 	opts    EntryOptions
 	started time.Time
 	entry   *entryd.Entry
+	keeper  *keeper.Keeper
 	serving chan struct{} // closed once entry is set
 	ready   *http.Server
 	ctx     context.Context
@@ -82,8 +86,9 @@
 		Listen: opts.Listen, PeerListen: opts.PeerListen, OperatorListen: opts.Operators,
 		Scheduler: policy.New(policy.Options{Seed: uint64(opts.Incarnation), Zone: opts.Zone, LinkBytes: opts.LinkBytes}),
 		Front: func(s entryd.Submitter) http.Handler {
-			return n.whileStarting(opts.Front(leavingSubmitter{s, n}))
+			return n.whileStarting(opts.Front(leavingSubmitter{s, n}, storedJobs{n}))
 		},
+		Stored:         storedEvents{n},
 		LearnedConfig:  n.learned,
 		Log:            opts.Log,
 		Incarnation:    opts.Incarnation,
@@ -96,6 +101,7 @@
 		return nil, err
 	}
 	n.entry = e
+	n.keeper = keeper.Start(keeper.Options{Name: opts.Name, Log: opts.JobLog, Driver: e, Clock: e.Clock(), Events: opts.Log})
 	close(n.serving)
 	if err := n.serveReady(); err != nil {
 		n.Kill()
@@ -222,6 +228,11 @@
 // every caller of a restarted entry away.
 func (n *EntryNode) whileStarting(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-n.serving:
+		case <-r.Context().Done():
+			return
+		}
 		for time.Since(n.started) < startGrace && !n.Ready() && r.Context().Err() == nil {
 			sleep(r.Context(), startStep)
 		}
@@ -247,6 +258,7 @@
 	n.opts.Log.Emit(eventlog.EntryLeaving, eventlog.Fields{})
 	sleep(ctx, balancerNotice)
 	n.serveOut(ctx)
+	n.leaveJobs(ctx)
 	err := n.entry.Stop(ctx)
 	n.Kill()
 	return err
@@ -275,6 +287,9 @@
 	if n.ready != nil {
 		n.ready.Close()
 	}
+	if n.keeper != nil {
+		n.keeper.Close()
+	}
 	n.entry.Kill()
 	n.wg.Wait()
 }
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,317 @@
+// Package keeper is the shell round the machine in core/durable: it follows and
+// appends to the log of stored jobs, and joins the machine with the entry that
+// runs them.
+package keeper
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/durable"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/bootclock"
+	"github.com/limpettrail/limpettrail/internal/eventlog"
+)
+
+const (
+	tickInterval = 25 * time.Millisecond
+	// followWait is the longest wait of one read. A silent connection delays the
+	// view by it and the call's own timeout.
+	followWait = time.Second
+	// followGap separates two reads: what is appended meanwhile shares one.
+	followGap = 20 * time.Millisecond
+	// callRetry separates calls of the log that fail.
+	callRetry = 100 * time.Millisecond
+)
+
+// AppendResult is what became of one attempt of an append.
+type AppendResult uint8
+
+// Values of AppendResult.
+const (
+	// Appended: the records are in the log, by this attempt or an earlier one.
+	Appended AppendResult = iota + 1
+	// Rejected: this attempt did nothing.
+	Rejected
+	// Superseded: the writer was fenced off.
+	Superseded
+	// NoAnswer: the attempt may have been carried out, or may be later.
+	NoAnswer
+)
+
+// Log is the shared log of stored jobs.
+type Log interface {
+	// Newest returns the newest record of each key and the offset to read on from.
+	Newest(ctx context.Context) ([]durable.Record, int64, error)
+	// Read returns the records from an offset on and the offset to go on with. It
+	// waits up to wait for the first. errors.Is(err, ErrRemoved) says that the log
+	// no longer holds them.
+	Read(ctx context.Context, from int64, wait time.Duration) ([]durable.Record, int64, error)
+	// Append adds records in one piece. The appends of a writer are numbered from
+	// 0; a repeated number is carried out once.
+	Append(ctx context.Context, writer wire.Incarnation, number int64, records []durable.Record) (AppendResult, error)
+	// Fence has every later append of a writer be refused.
+	Fence(ctx context.Context, writer wire.Incarnation) error
+}
+
+// Driver runs jobs. Its methods may block for a short time.
+type Driver interface {
+	DriveStored(d durable.Drive)
+	HaltStored(job string)
+	// LeaseStored says until when tasks may be started, on the clock of Options.
+	LeaseStored(until time.Duration)
+	SettleStored(s durable.Settle)
+}
+
+// Options configure a Keeper.
+type Options struct {
+	Name   string // of the VM
+	Log    Log
+	Driver Driver
+	Clock  bootclock.Clock // of the driver as well
+	Events *eventlog.Log
+	Core   durable.Options // Self is filled in
+}
+
+// Keeper keeps the stored jobs of one entry.
+type Keeper struct {
+	opts   Options
+	clock  bootclock.Clock
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	left   chan struct{}
+
+	mu      sync.Mutex
+	machine *durable.Machine
+	self    durable.Owner
+	number  int64 // of the next append
+	next    uint64
+	replies map[uint64]chan durable.Verdict
+	driven  map[string]bool
+	// inbox holds the events of the entry's core, which must not wait for a
+	// keeper that waits for the core. It is bounded by the runs of stored jobs.
+	inbox  []durable.Event
+	notify chan struct{}
+}
+
+// Start runs a keeper until Close.
+func Start(opts Options) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{
+		opts: opts, clock: opts.Clock, ctx: ctx, cancel: cancel, left: make(chan struct{}),
+		replies: make(map[uint64]chan durable.Verdict), notify: make(chan struct{}, 1),
+	}
+	k.reset()
+	k.wg.Go(k.follow)
+	k.wg.Go(k.loop)
+	return k
+}
+
+// reset begins a new incarnation without jobs.
+func (k *Keeper) reset() {
+	k.self = durable.Owner{Incarnation: wire.Incarnation(rand.Uint64() | 1), Name: k.opts.Name}
+	core := k.opts.Core
+	core.Self = k.self
+	k.machine = durable.New(core)
+	k.number = 0
+	k.driven = make(map[string]bool)
+}
+
+// Close ends the keeper at once. Its jobs are taken over once its lease is over.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.wg.Wait()
+}
+
+// Leave hands the jobs over and returns when that is recorded or ctx ends.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.post(durable.Leave{})
+	select {
+	case <-k.left:
+	case <-ctx.Done():
+	case <-k.ctx.Done():
+	}
+}
+
+// Submit records a job. Without an answer before ctx ends it returns 0: the job
+// may have been recorded.
+func (k *Keeper) Submit(ctx context.Context, spec durable.Spec) durable.Verdict {
+	return k.ask(ctx, func(token uint64) durable.Event { return durable.Submit{Token: token, Spec: spec} })
+}
+
+// Cancel records the cancellation of a job, as Submit does.
+func (k *Keeper) Cancel(ctx context.Context, job string) durable.Verdict {
+	return k.ask(ctx, func(token uint64) durable.Event { return durable.Cancel{Token: token, Job: job} })
+}
+
+func (k *Keeper) ask(ctx context.Context, event func(token uint64) durable.Event) durable.Verdict {
+	reply := make(chan durable.Verdict, 1)
+	k.mu.Lock()
+	k.next++
+	token := k.next
+	k.replies[token] = reply
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.replies, token)
+	}()
+	k.post(event(token))
+	select {
+	case v := <-reply:
+		return v
+	case <-ctx.Done():
+	case <-k.ctx.Done():
+	}
+	return 0
+}
+
+// State returns the state of a job and how old the answer may be. ok is false if
+// the job is not known.
+func (k *Keeper) State(job string) (s durable.State, age time.Duration, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok = k.machine.State(job)
+	return s, k.age(), ok
+}
+
+// Pending returns the number of the class's jobs of which no task has started.
+// loaded is false before the log was read for the first time.
+func (k *Keeper) Pending(class string) (n int, loaded bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Pending(class), k.machine.Loaded()
+}
+
+func (k *Keeper) age() time.Duration {
+	if !k.machine.Loaded() {
+		return math.MaxInt64
+	}
+	return k.machine.Age(k.clock.Now())
+}
+
+// Began, TaskEnded and Ended take what became of driven jobs.
+func (k *Keeper) Began(job string) { k.post(durable.Began{Job: job}) }
+
+// TaskEnded takes the end of a run.
+func (k *Keeper) TaskEnded(agent wire.Incarnation, end wire.RunEnd) {
+	k.post(durable.TaskEnded{Agent: agent, End: end})
+}
+
+// Ended takes the end of a drive.
+func (k *Keeper) Ended(job string, outcome entry.JobOutcome, reason string) {
+	k.post(durable.Ended{Job: job, Outcome: outcome, Reason: reason})
+}
+
+// post hands an event to the loop without waiting.
+func (k *Keeper) post(ev durable.Event) {
+	k.mu.Lock()
+	k.inbox = append(k.inbox, ev)
+	k.mu.Unlock()
+	select {
+	case k.notify <- struct{}{}:
+	default:
+	}
+}
+
+// loop steps the machine.
+func (k *Keeper) loop() {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-tick.C:
+			k.post(durable.Tick{})
+		case <-k.notify:
+			k.stepAll()
+		}
+	}
+}
+
+func (k *Keeper) stepAll() {
+	k.mu.Lock()
+	events := k.inbox
+	k.inbox = nil
+	var actions []durable.Action
+	for _, ev := range events {
+		if e, ok := ev.(durable.Ended); ok {
+			delete(k.driven, e.Job)
+		}
+		actions = append(actions, k.machine.Step(k.clock.Now(), ev)...)
+	}
+	for _, a := range actions {
+		if d, ok := a.(durable.Drive); ok {
+			k.driven[d.Spec.ID] = true
+		}
+	}
+	halted := k.replaceSuperseded()
+	k.mu.Unlock()
+	for _, a := range actions {
+		k.apply(a)
+	}
+	for _, job := range halted {
+		k.opts.Driver.HaltStored(job)
+	}
+}
+
+// replaceSuperseded begins anew after another process took the jobs. It returns
+// the jobs whose runs must stop.
+func (k *Keeper) replaceSuperseded() []string {
+	if !k.machine.Superseded() {
+		return nil
+	}
+	k.opts.Events.Emit(eventlog.KeeperSuperseded, eventlog.Fields{Count: int64(len(k.driven))})
+	var jobs []string
+	for job := range k.driven {
+		jobs = append(jobs, job)
+	}
+	for _, end := range k.machine.Unsettled() {
+		k.inbox = append(k.inbox, end)
+	}
+	k.reset()
+	return jobs
+}
+
+func (k *Keeper) apply(action durable.Action) {
+	switch x := action.(type) {
+	case durable.Append:
+		k.append(x)
+	case durable.Fence:
+		k.wg.Go(func() { k.fence(x) })
+	case durable.Drive:
+		k.opts.Events.Emit(eventlog.StoredJobDriven, eventlog.Fields{
+			Job: x.Spec.ID, Class: x.Spec.Class, Count: int64(len(x.Progress)), Version: int64(x.RunBase),
+		})
+		k.opts.Driver.DriveStored(x)
+	case durable.Halt:
+		k.opts.Driver.HaltStored(x.Job)
+	case durable.Leased:
+		k.opts.Driver.LeaseStored(x.Until)
+	case durable.Settle:
+		k.opts.Driver.SettleStored(x)
+	case durable.Reply:
+		k.reply(x)
+	case durable.Left:
+		close(k.left)
+	case durable.Unreadable:
+		k.opts.Events.Emit(eventlog.JobRecordUnreadable, eventlog.Fields{Err: x.Err})
+	case durable.Moved:
+		k.opts.Events.Emit(eventlog.StoredJobsTakenOver, eventlog.Fields{Peer: x.From.Name, Count: int64(x.Jobs)})
+	}
+}
+
+func (k *Keeper) reply(x durable.Reply) {
+	k.mu.Lock()
+	reply := k.replies[x.Token]
+	k.mu.Unlock()
+	if reply != nil {
+		reply <- x.Verdict
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,8 @@
 		Name: s.Name, Zone: s.Zone,
 		Listen: s.CallerAddr, ReadyListen: s.ReadyAddr, PeerListen: s.PeerAddr, Operators: s.OperatorAddr,
 		Front: front.Handler, Configs: platform.NewConfigs(store, front), Directory: platform.NewDirectory(store),
-		Log: events, Incarnation: incarnation, LinkBytes: s.LinkBytes,
+		JobLog: platform.NewJobLog(store),
+		Log:    events, Incarnation: incarnation, LinkBytes: s.LinkBytes,
 	})
 }
 
