--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -70,6 +70,13 @@
 	clockRefresh = 2 * time.Second
 	// lookRetry separates looks that fail at once.
 	lookRetry = 10 * time.Millisecond
+	// silentRetry separates looks at a worker that does not answer while nothing is
+	// known to run there. A start of before that is carried out late in the worker's
+	// next life is found and stopped within about that time.
+	silentRetry = 50 * time.Millisecond
+	// lifeDoubt is how long after an answer the worker is taken to be in the same
+	// life: a worker that starts anew takes longer.
+	lifeDoubt = 300 * time.Millisecond
 	// heldLookGap separates looks while ends are kept: the worker lists them again
 	// each time and may answer without waiting for a new one.
 	heldLookGap = 15 * time.Millisecond
@@ -141,14 +148,16 @@
 	acked int  // number that a completed look acknowledged
 	ackAt time.Duration
 
-	heardAt  time.Duration // of the last look that was answered
-	looking  bool
-	lookAt   time.Duration // when the look in progress was sent
-	lookSeen int           // what it acknowledges
-	nextLook time.Duration // earliest time of the next look
-	lookNow  bool          // a run is in doubt: do not wait
-	foreign  []foreignRun  // at the worker, of nobody here
-	actions  []Action
+	heardAt time.Duration // of the last look that was answered
+	looking bool
+	// lookFailed says that the last look was not answered.
+	lookFailed bool
+	lookAt     time.Duration // when the look in progress was sent
+	lookSeen   int           // what it acknowledges
+	nextLook   time.Duration // earliest time of the next look
+	lookNow    bool          // a run is in doubt: do not wait
+	foreign    []foreignRun  // at the worker, of nobody here
+	actions    []Action
 }
 
 // New returns a machine that knows nothing of its worker yet. Its first step
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -13,15 +13,16 @@
 	if m.looking || now < m.nextLook {
 		return
 	}
-	req := CallLook{LastSeen: m.settledUpTo()}
+	req := CallLook{LastSeen: m.acknowledge(now)}
 	switch {
 	case m.readAt == 0: // nothing is known of the worker yet
+	case m.lookFailed: // it may start anew, and a late start may reach its new life
 	case m.lookNow:
 	case m.live():
 		req.Wait = m.opts.LookWait
 	case len(m.foreign) > 0:
 		req.Wait = m.opts.LookWait
-	case m.acked < req.LastSeen && now >= m.ackAt:
+	case m.acked < m.settledUpTo() && now >= m.ackAt:
 	case now-m.readAt >= clockRefresh:
 	default:
 		return
@@ -38,6 +39,17 @@
 	m.emit(req)
 }
 
+// acknowledge returns the number up to which the look acknowledges ends. After a
+// call that failed or a pause, the worker may have started anew: its numbers then
+// begin again, and a number of before would have it forget ends that nobody saw.
+// The first look after that acknowledges nothing.
+func (m *Machine) acknowledge(now time.Duration) int {
+	if m.lookFailed || now-m.heardAt > lifeDoubt {
+		return 0
+	}
+	return m.settledUpTo()
+}
+
 // live reports whether some run may be at the worker.
 func (m *Machine) live() bool {
 	for _, r := range m.list {
@@ -50,8 +62,12 @@
 
 func (m *Machine) looked(now time.Duration, e Looked) {
 	m.looking = false
+	m.lookFailed = e.View == nil
 	if e.View == nil {
 		m.nextLook = now + lookRetry
+		if len(m.list) == 0 {
+			m.nextLook = now + silentRetry
+		}
 		return
 	}
 	v := e.View
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -310,3 +310,118 @@
 	}})
 	assert.Equal(t, actions[0].(lease.Finished).Outcome, wire.Succeeded)
 }
+
+// Guards against an end that a worker's new life forgets unseen, because it is
+// acknowledged by a number of the earlier life.
+func TestNumbersOfAnEarlierLifeAreNotAcknowledged(t *testing.T) {
+	m := lease.New(lease.Options{})
+	m.Step(0, lease.Tick{})
+	first, second := lease.RunID{Job: "j", Number: 1}, lease.RunID{Job: "k", Number: 1}
+	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
+	m.Step(2, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: first})
+	m.Step(3, lease.Started{Run: first, Verdict: lease.Accepted})
+	m.Step(4, lease.Looked{View: &lease.View{Life: 1, Clock: 4, Ended: []lease.End{{N: 7, Run: first, How: lease.EndedDone}}}})
+	m.Step(5, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 2}, Run: second})
+	actions := m.Step(6, lease.Started{Run: second, Verdict: lease.Accepted})
+	assert.Equal(t, actions[0].(lease.CallLook).LastSeen, 7, "the worker answered a moment ago")
+	m.Step(7, lease.Looked{}) // the worker starts anew
+	actions = m.Step(7+20*time.Millisecond, lease.Tick{})
+	assert.Equal(t, actions[0].(lease.CallLook).LastSeen, 0)
+}
+
+// lister answers looks at a worker with one end and records what they acknowledge.
+type lister struct {
+	m    *lease.Machine
+	end  lease.End
+	now  time.Duration
+	seen []int
+}
+
+func (l *lister) step(ev lease.Event) {
+	for _, a := range slices.Clone(l.m.Step(l.now, ev)) {
+		look, ok := a.(lease.CallLook)
+		if !ok {
+			continue
+		}
+		l.seen = append(l.seen, look.LastSeen)
+		l.now += time.Millisecond
+		view := &lease.View{Life: 1, Clock: l.now}
+		if look.LastSeen < l.end.N {
+			view.Ended = []lease.End{l.end}
+		}
+		l.step(lease.Looked{View: view})
+	}
+}
+
+func (l *lister) until(end time.Duration) {
+	for ; l.now < end; l.now += 10 * time.Millisecond {
+		l.step(lease.Tick{})
+	}
+}
+
+// Guards against the end of a stored job's run that is acknowledged before it is
+// recorded, and against one that is kept although it is.
+func TestEndsOfStoredJobsAreKeptUntilSettled(t *testing.T) {
+	run := lease.RunID{Job: "j", Number: 1}
+	l := &lister{m: lease.New(lease.Options{})}
+	l.step(lease.Tick{})
+	l.step(lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: run, Stored: true})
+	l.end = lease.End{N: 1, Run: run, How: lease.EndedDone}
+	l.step(lease.Started{Run: run, Verdict: lease.Accepted})
+	l.until(lease.DefaultLease / 2)
+	assert.Assert(t, !slices.Contains(l.seen, 1), "%v", l.seen)
+	l.step(lease.Settle{Run: run})
+	l.until(lease.DefaultLease)
+	assert.Assert(t, slices.Contains(l.seen, 1), "%v", l.seen)
+}
+
+// Guards against ends that an earlier process left at the worker and that its
+// successor acknowledges before their owner has recorded them, while the lease
+// under which they ended may still hold.
+func TestEndsOfAnEarlierProcessAreKeptForTheirLease(t *testing.T) {
+	end := lease.End{N: 3, Run: lease.RunID{Job: "j", Number: 1}, How: lease.EndedDone}
+	l := &lister{m: lease.New(lease.Options{Held: []lease.End{end}}), end: end}
+	l.until(lease.DefaultLease)
+	assert.Assert(t, !slices.Contains(l.seen, 3), "%v", l.seen)
+	l.until(2 * lease.DefaultLease)
+	assert.Assert(t, slices.Contains(l.seen, 3), "%v", l.seen)
+}
+
+// Guards against a start that is carried out in a worker's next life, after its
+// task was started elsewhere, and that goes on until the next agent comes.
+func TestLateStartInTheNextLifeIsStopped(t *testing.T) {
+	m := lease.New(lease.Options{})
+	m.Step(0, lease.Tick{})
+	run := lease.RunID{Job: "j", Number: 1}
+	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
+	m.Step(2, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: run})
+	for range 3 {
+		m.Step(3, lease.Started{Run: run, Verdict: lease.NoAnswer})
+	}
+	m.Step(4, lease.Looked{}) // the worker is down
+	const lapsed = 2 * lease.DefaultLease
+	looks := func(now time.Duration) (looks, stops int) {
+		for _, a := range m.Step(now, lease.Tick{}) {
+			switch x := a.(type) {
+			case lease.CallLook:
+				looks++
+			case lease.CallStop:
+				assert.Equal(t, x.Run, run)
+				stops++
+			}
+		}
+		return looks, stops
+	}
+	looks(lapsed)
+	m.Step(lapsed+1, lease.Looked{})
+	assert.Equal(t, m.Runs(), 0)
+	n, _ := looks(lapsed + 60*time.Millisecond)
+	assert.Equal(t, n, 1, "the worker is asked although nothing is known to run")
+	stops := 0
+	for _, a := range m.Step(lapsed+61*time.Millisecond, lease.Looked{View: &lease.View{Life: 2, Clock: 1, Running: []lease.RunID{run}}}) {
+		if _, ok := a.(lease.CallStop); ok {
+			stops++
+		}
+	}
+	assert.Equal(t, stops, 1)
+}
