--- a/core/durable/durable_test.go
+++ b/core/durable/durable_test.go
@@ -13,7 +13,7 @@
 
 // settleTime is enough for every lease to lapse and every job to end once the
 // faults are over.
-const settleTime = 30 * time.Second
+const settleTime = 45 * time.Second
 
 // Guards against a task that runs twice at a time or after it was done, and
 // against an accepted job that is lost, while processes are killed, paused and cut
@@ -27,14 +27,17 @@
 			i := rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")
 			p := w.processes[i]
 			span := time.Duration(rapid.IntRange(100, 6000).Draw(t, "span")) * time.Millisecond
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, 13).Draw(t, "event") {
 			case 0:
 				w.restart(i)
 			case 1:
-				w.lose(p)
-				p.paused = w.now + span
+				w.pause(p, span)
 			case 2:
 				p.cut = w.now + span
+			case 12: // cut off until its lease is nearly over, then it stands still
+				p.cut = w.now + 2*span
+				w.advance(min(span, 2400*time.Millisecond))
+				w.pause(p, span)
 			case 3:
 				w.down = !w.down
 			case 4: // the same job at another process
@@ -54,6 +57,12 @@
 	})
 }
 
+// pause stops a process for a time.
+func (w *world) pause(p *process, span time.Duration) {
+	w.lose(p)
+	p.paused = w.now + span
+}
+
 // calm ends every fault.
 func (w *world) calm() {
 	w.down = false
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -33,7 +33,8 @@
 	Class    string
 	Payload  []byte // of every task
 	Steps    []entry.Step
-	Attempts int // failed runs of one task that end the job
+	Attempts int  // failed runs of one task that end the job
+	Lasting  bool // the tasks run until the job is cancelled
 }
 
 // widths returns the number of tasks of each step.
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -350,7 +350,11 @@
 	}
 	w.t.Logf("%v %s: run %d of %s starts", w.now, p.name, ref.Run, name(ref))
 	d.running++
-	length := time.Duration(rapid.IntRange(5, 1500).Draw(w.t, "length")) * time.Millisecond
+	longest := 1500
+	if rapid.IntRange(0, 2).Draw(w.t, "long") == 2 { // longer than a lease
+		longest = 8000
+	}
+	length := time.Duration(rapid.IntRange(5, longest).Draw(w.t, "length")) * time.Millisecond
 	w.runs = append(w.runs, &run{ref: ref, owner: p, end: w.now + length})
 }
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -228,7 +228,7 @@
 		Job:        j.name,
 		Run:        t.run,
 		Need:       p.Task.Job.Need,
-		Stored:     j.stored,
+		Stored:     j.stored && !j.lasting,
 	})
 	if j.stored && !j.began {
 		j.began = true
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -37,6 +37,9 @@
 	// deadline, and their tasks are repeated until they succeed or fail Attempts
 	// times. Job must be set.
 	Stored bool
+	// Lasting jobs are stored ones that run until they are cancelled: each task is
+	// started again however its run ends.
+	Lasting bool
 	// Progress is what earlier owners of a stored job recorded of its tasks, in
 	// their order; empty for none.
 	Progress []TaskProgress
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -41,6 +41,7 @@
 	started  int
 	unknown  int
 	stored   bool  // see Submit.Stored
+	lasting  bool  // see Submit.Lasting
 	began    bool  // a task was sent
 	failed   bool  // a task ran and failed
 	ran      bool  // a run of a task ended that is to be repeated
@@ -66,6 +67,7 @@
 		},
 		name:     e.Job,
 		stored:   e.Stored,
+		lasting:  e.Lasting,
 		attempts: max(1, e.Attempts),
 		payloads: e.Payloads,
 		open:     len(e.Payloads),
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -23,6 +23,10 @@
 // the task is recorded; an attempt that is lost is repeated once its run must
 // have ended.
 func (m *Machine) storedResult(now time.Duration, link *agentLink, t *task, r *wire.Result) {
+	if t.job.lasting && !t.job.ending && (r.Outcome == wire.Succeeded || r.Outcome == wire.Failed) {
+		m.startAgain(now, t)
+		return
+	}
 	failed := r.Outcome == wire.Failed && r.Reason == wire.ReasonUpstreamError
 	if r.Outcome == wire.Succeeded || failed {
 		m.emit(TaskEnded{Agent: link.agent, End: wire.RunEnd{Run: t.ref(), Failed: failed}})
@@ -54,6 +58,14 @@
 	}
 }
 
+// startAgain repeats a task of a lasting job, whose end says nothing of the job.
+// The delay bounds the starts of one that fails at once, again and again.
+func (m *Machine) startAgain(now time.Duration, t *task) {
+	t.state = taskBackoff
+	t.retryAt = now + storedRetry
+	m.retries.Put(t)
+}
+
 // ref names the task's current run.
 func (t *task) ref() wire.RunRef {
 	j := t.job
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -125,7 +125,7 @@
 	m.stuckAt = now + stuckInterval
 	for _, link := range m.agentList {
 		link.attempts.each(func(seq wire.Seq, t *task) {
-			if t.state != taskSent || t.stuck || t.job.ending || t.job.attempts < 2 || !m.stuck.Stuck(now, &t.sched) {
+			if t.state != taskSent || t.stuck || t.job.ending || t.job.lasting || t.job.attempts < 2 || !m.stuck.Stuck(now, &t.sched) {
 				return
 			}
 			t.stuck = true
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -81,7 +81,7 @@
 	ev := entry.Submit{
 		Submission: id, Class: d.Spec.Class, Job: d.Spec.ID, Attempts: d.Spec.Attempts, Steps: d.Spec.Steps,
 		Need: d.Spec.Steps[0].Need, Declared: d.Spec.Steps[0].Declared,
-		Stored: true, Progress: d.Progress, RunBase: d.RunBase,
+		Stored: true, Lasting: d.Spec.Lasting, Progress: d.Progress, RunBase: d.RunBase,
 	}
 	for range d.Progress {
 		ev.Payloads = append(ev.Payloads, d.Spec.Payload)
