--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
 
@@ -37,7 +38,7 @@
 				delay = minRedial
 			}
 		}
-		a.sleep(delay/2 + rand.N(delay/2))
+		ctxsleep.For(a.ctx, delay/2+rand.N(delay/2))
 	}
 }
 
@@ -51,15 +52,6 @@
 	}
 }
 
-func (a *Agent) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-a.ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // serveLink opens one connection and reads it until it fails. It reports
 // whether the handshake succeeded. Frames of a connection that was replaced in
 // the meantime carry its epoch, by which the core drops them.
--- a/internal/agentd/shed.go
+++ b/internal/agentd/shed.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 )
 
 // shedInterval is how often a superfluous link may be given up. Links are
@@ -15,7 +16,7 @@
 
 func (a *Agent) shedLoop() {
 	for a.ctx.Err() == nil {
-		a.sleep(a.opts.ShedInterval/2 + rand.N(a.opts.ShedInterval))
+		ctxsleep.For(a.ctx, a.opts.ShedInterval/2+rand.N(a.opts.ShedInterval))
 		if entry, ok := a.finder.superfluous(); ok {
 			a.send(agent.Retire{Entry: entry})
 		}
--- a/internal/entryd/claims.go
+++ b/internal/entryd/claims.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/internal/claimapi"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
@@ -61,7 +61,7 @@
 		switch {
 		case err != nil:
 			attempt++
-			sleep(ctx, rpcPause)
+			ctxsleep.For(ctx, rpcPause)
 		case reply.Entry != owner.Entry:
 			return unknown(ReasonOwnerGone)
 		case !reply.Found:
@@ -79,10 +79,3 @@
 func unknown(reason string) entry.JobAnswer {
 	return entry.JobAnswer{Outcome: entry.Unknown, Reason: reason}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -21,6 +21,7 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/claimapi"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
@@ -333,7 +334,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerGrace)
 	defer cancel()
 	for e.rpcConns.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, tickInterval)
+		ctxsleep.For(ctx, tickInterval)
 	}
 }
 
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
@@ -36,7 +37,7 @@
 			return
 		}
 		if err != nil {
-			sleep(e.ctx, acceptPause) // for instance out of file descriptors
+			ctxsleep.For(e.ctx, acceptPause) // for instance out of file descriptors
 			continue
 		}
 		if e.agents.Load() >= maxPeerConnections || !e.duties.run(func() { e.servePeer(server, raw) }) {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -9,6 +9,7 @@
 	"github.com/limpettrail/limpettrail/core/lease"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/leased"
 )
@@ -178,7 +179,7 @@
 // They are not acknowledged: the worker's jobs may be stored ones whose owner has
 // not recorded them. It reports false if ctx ended first.
 func (n *AgentNode) clear(ctx context.Context, worker leased.Worker) ([]lease.End, bool) {
-	for ; ctx.Err() == nil; sleep(ctx, clearRetry) {
+	for ; ctx.Err() == nil; ctxsleep.For(ctx, clearRetry) {
 		view, err := n.lookOnce(ctx, worker)
 		if err != nil {
 			n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Err: err})
@@ -235,7 +236,7 @@
 		if !n.linked() {
 			n.readDirectory()
 		}
-		sleep(n.ctx, directoryInterval)
+		ctxsleep.For(n.ctx, directoryInterval)
 	}
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -10,6 +10,7 @@
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/keeper"
@@ -125,7 +126,7 @@
 				n.opts.Log.Emit(eventlog.ConfigSourceLost, eventlog.Fields{Err: err})
 			}
 			failing = true
-			sleep(n.ctx, sourceRetry)
+			ctxsleep.For(n.ctx, sourceRetry)
 			continue
 		}
 		if failing && err == nil {
@@ -176,7 +177,7 @@
 			published = err == nil
 			if err != nil {
 				n.opts.Log.Emit(eventlog.DirectoryFailed, eventlog.Fields{Detail: "publish", Err: err})
-				sleep(n.ctx, sourceRetry)
+				ctxsleep.For(n.ctx, sourceRetry)
 				continue
 			}
 		}
@@ -185,7 +186,7 @@
 		} else {
 			n.entry.SetEntries(withSelf(list, self))
 		}
-		sleep(n.ctx, listInterval)
+		ctxsleep.For(n.ctx, listInterval)
 	}
 }
 
@@ -234,7 +235,7 @@
 			return
 		}
 		for time.Since(n.started) < startGrace && !n.Ready() && r.Context().Err() == nil {
-			sleep(r.Context(), startStep)
+			ctxsleep.For(r.Context(), startStep)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -256,7 +257,7 @@
 	n.leaving = true
 	n.mu.Unlock()
 	n.opts.Log.Emit(eventlog.EntryLeaving, eventlog.Fields{})
-	sleep(ctx, balancerNotice)
+	ctxsleep.For(ctx, balancerNotice)
 	n.serveOut(ctx)
 	n.leaveJobs(ctx)
 	err := n.entry.Stop(ctx)
@@ -277,7 +278,7 @@
 		if n.entry.Requests() > 0 {
 			busyAt = time.Now()
 		}
-		sleep(ctx, leaveStep)
+		ctxsleep.For(ctx, leaveStep)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,16 +59,6 @@
 	Draining bool
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Timing of the links between entries and agents, and of the leases on runs. A
 // caller whose connection broke may send its job to another entry 1.3 s later.
 // Until then the runs of the first entry must have ended: the agent stops them
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/limpettrail/limpettrail/core/durable"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
@@ -31,11 +31,11 @@
 			k.logState(failing, err)
 		}
 		if err != nil {
-			sleep(k.ctx, callRetry)
+			ctxsleep.For(k.ctx, callRetry)
 			continue
 		}
 		k.delivered(self, durable.Read{Records: records, Asked: asked, Whole: whole})
-		sleep(k.ctx, followGap)
+		ctxsleep.For(k.ctx, followGap)
 	}
 }
 
@@ -121,7 +121,7 @@
 			return durable.NotRecorded
 		}
 		doubt = doubt || result == NoAnswer
-		sleep(k.ctx, callRetry)
+		ctxsleep.For(k.ctx, callRetry)
 	}
 	return 0
 }
@@ -130,16 +130,7 @@
 	err := k.opts.Log.Fence(k.ctx, x.From)
 	if err != nil {
 		k.opts.Events.Emit(eventlog.JobFenceFailed, eventlog.Fields{Err: err})
-		sleep(k.ctx, callRetry)
+		ctxsleep.For(k.ctx, callRetry)
 	}
 	k.post(durable.Fenced{From: x.From, Done: err == nil})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
