--- a/core/durable/durable_test.go
+++ b/core/durable/durable_test.go
@@ -97,3 +97,12 @@
 	actions = m.Step(3, durable.Appended{Outcome: durable.NotRecorded, Sent: 2})
 	assert.Equal(t, actions[0].(durable.Reply).Verdict, durable.Unavailable)
 }
+
+// Guards against a machine that takes the records since some moment for all.
+func TestPartOfTheLogIsNotTakenForAll(t *testing.T) {
+	m := durable.New(durable.Options{Self: durable.Owner{Incarnation: 7, Name: "vm"}})
+	m.Step(1, durable.Read{Asked: 1})
+	assert.Assert(t, !m.Loaded())
+	actions := m.Step(2, durable.Cancel{Token: 1, Job: "j"})
+	assert.Equal(t, len(actions), 0, "nothing is known of the job yet")
+}
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -11,6 +11,9 @@
 
 // read applies records in the order of the log.
 func (m *Machine) read(now time.Duration, e Read) {
+	if !e.Whole && !m.loaded {
+		return // of a read that began before this machine did
+	}
 	if e.Whole {
 		// The newest records come by key.
 		slices.SortFunc(e.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
