--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -66,6 +66,7 @@
 type TaskEnded struct {
 	Agent wire.Incarnation
 	End   wire.RunEnd
+	Late  bool // the task was started again before the end was told of
 }
 
 // Ended says that a driven job has ended or was halted, and runs no more.
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -80,6 +80,8 @@
 func (m *Machine) taskEnded(now time.Duration, e TaskEnded) {
 	j := m.jobs[e.End.Run.Job]
 	switch {
+	case e.Late:
+		m.void(e)
 	case j == nil:
 		m.strays = append(m.strays, stray{at: now, event: e})
 	case j.state.Final() || j.spec == nil:
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -99,8 +99,9 @@
 	entries   []wire.EntryAddr
 	draining  bool
 	drained   bool
-	// stored counts the stored jobs in progress, which may run until storedUntil.
-	stored      int
+	// storedJobs are the stored jobs in progress, by name, which may run until
+	// storedUntil.
+	storedJobs  map[string]*job
 	storedUntil time.Duration
 	actions     []Action
 	stats       Stats
@@ -140,7 +141,7 @@
 		retries:   newRetryQueue(),
 		deadlines: newDeadlineQueue(),
 		agents:    make(map[wire.Incarnation]*agentLink),
-		abandoned: make(map[wire.SubmissionID]struct{}),
+		abandoned: make(map[wire.SubmissionID]struct{}), storedJobs: make(map[string]*job),
 	}
 }
 
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -191,6 +191,8 @@
 type TaskEnded struct {
 	Agent wire.Incarnation
 	End   wire.RunEnd
+	// Late says that the task was started again before the end was told of.
+	Late bool
 }
 
 // LearnedConfig says that an agent has a newer configuration. The caller
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -137,7 +137,7 @@
 	m.payload += j.bytes
 	m.deadlines.Put(j)
 	if j.stored {
-		m.stored++
+		m.storedJobs[j.name] = j
 	}
 	j.tasks = make([]task, len(e.Payloads))
 	for i := range j.steps {
@@ -339,7 +339,7 @@
 func (m *Machine) finish(now time.Duration, j *job, a JobAnswer) {
 	delete(m.jobs, j.info.Submission)
 	if j.stored {
-		m.stored--
+		delete(m.storedJobs, j.name)
 	}
 	m.deadlines.Drop(j)
 	m.tasks -= len(j.tasks)
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -13,7 +13,8 @@
 type agentLink struct {
 	agent    wire.Incarnation
 	name     string
-	life     int64 // of the agent's worker
+	life     int64       // of the agent's worker
+	took     wire.Micros // see wire.AgentHello
 	epoch    wire.Epoch
 	up       bool
 	downAt   time.Duration
@@ -25,10 +26,18 @@
 	dirty    bool // out has content
 }
 
+// after reports whether the link's agent took its worker over later than the other.
+func (l *agentLink) after(other *agentLink) bool {
+	if l.life != other.life {
+		return l.life > other.life
+	}
+	return l.took > other.took
+}
+
 func (m *Machine) linkUp(now time.Duration, h wire.AgentHello) {
 	link := m.agents[h.Agent]
 	if link == nil {
-		link = &agentLink{agent: h.Agent, name: h.Name, life: h.Life}
+		link = &agentLink{agent: h.Agent, name: h.Name, life: h.Life, took: h.Took}
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
@@ -63,7 +72,7 @@
 	}
 	var older []*agentLink
 	for _, link := range m.agentList {
-		if link.name == newer.name && link != newer && link.life <= newer.life && (clean || !link.up) {
+		if link.name == newer.name && link != newer && !link.after(newer) && (clean || !link.up) {
 			older = append(older, link)
 		}
 	}
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -190,3 +190,21 @@
 	f, _ = frames(m.Step(2, hello(1, 2, 100)))
 	assert.Equal(t, len(f.Starts), 0, "the run at the later life goes on")
 }
+
+// Guards against the same with two incarnations of an agent in one life of its
+// worker: an entry that stood still takes up their connections in any order.
+func TestReconnectOfAnEarlierIncarnationEndsNoRunOfALaterOne(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: new(newestAgent)})
+	hello := func(agent wire.Incarnation, took time.Duration) entry.LinkUp {
+		return entry.LinkUp{Hello: wire.AgentHello{
+			Agent: agent, Epoch: 1, Name: "w", Slots: 8, Clean: true, Life: 100, Took: wire.MicrosOf(took),
+		}}
+	}
+	m.Step(0, hello(2, 5*time.Second))
+	f, _ := frames(m.Step(1, entry.Submit{
+		Submission: testJob, Deadline: time.Second, Attempts: 3, Payloads: make([][]byte, 1),
+	}))
+	assert.Equal(t, len(f.Starts), 1)
+	f, _ = frames(m.Step(2, hello(1, time.Second)))
+	assert.Equal(t, len(f.Starts), 0, "the run at the later incarnation goes on")
+}
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -43,12 +43,12 @@
 
 // endUnleased ends the stored jobs in progress once the lease on them is over.
 func (m *Machine) endUnleased(now time.Duration) {
-	if m.stored == 0 || now < m.storedUntil {
+	if len(m.storedJobs) == 0 || now < m.storedUntil {
 		return
 	}
 	var over []*job
-	for _, j := range m.jobs {
-		if j.stored && !j.ending {
+	for _, j := range m.storedJobs {
+		if !j.ending {
 			over = append(over, j)
 		}
 	}
@@ -87,30 +87,36 @@
 	m.touch(link)
 }
 
-// adoptEnds applies ends that an agent kept to attempts that are in doubt at an
-// earlier incarnation of it, and passes all on.
+// adoptEnds applies ends that an agent kept to what is in doubt of stored jobs, and
+// passes all of them on.
 func (m *Machine) adoptEnds(now time.Duration, link *agentLink, ends []wire.RunEnd) {
 	for _, end := range ends {
-		if older, seq, ok := m.attemptOf(link, end.Run); ok {
-			m.result(now, older, endResult(seq, end))
+		t := m.storedTask(end.Run)
+		late := false
+		switch {
+		case t == nil:
+		case t.state == taskSent && t.run == end.Run.Run && t.agent != link:
+			m.result(now, t.agent, endResult(t.seq, end))
+		case t.state == taskBackoff && t.lost && t.run == end.Run.Run:
+			m.retries.Drop(t)
+			t.lost = false
+			m.apply(now, t, endResult(t.seq, end))
+		default:
+			// A later run was started: what is told of this one must not count.
+			late = t.run > end.Run.Run && t.state != taskDone
 		}
-		m.emit(TaskEnded{Agent: link.agent, End: end})
+		m.emit(TaskEnded{Agent: link.agent, End: end, Late: late})
 	}
 }
 
-// attemptOf finds the attempt of a run at an earlier incarnation of the agent.
-func (m *Machine) attemptOf(link *agentLink, run wire.RunRef) (older *agentLink, seq wire.Seq, ok bool) {
-	for _, l := range m.agentList {
-		if l == link || l.name != link.name {
-			continue
-		}
-		l.attempts.each(func(s wire.Seq, t *task) {
-			if t.job.stored && t.state == taskSent && t.ref() == run {
-				older, seq, ok = l, s, true
-			}
-		})
+// storedTask returns the task of a run of a stored job in progress, nil if there
+// is none.
+func (m *Machine) storedTask(run wire.RunRef) *task {
+	j := m.storedJobs[run.Job]
+	if j == nil || run.Step >= len(j.steps) || run.Index >= j.steps[run.Step].info.Tasks {
+		return nil
 	}
-	return older, seq, ok
+	return &j.tasks[j.steps[run.Step].first+run.Index]
 }
 
 func endResult(seq wire.Seq, end wire.RunEnd) *wire.Result {
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -111,3 +111,29 @@
 	assert.Equal(t, len(f.Starts), 1)
 	assert.Equal(t, f.Starts[0].Run, 1002)
 }
+
+// Guards against a task that runs again although a new agent found its run's end,
+// when the earlier agent was given up before the new one came; and against an end
+// that counts although its task was started again.
+func TestEndFoundAfterTheAgentWasGivenUp(t *testing.T) {
+	for _, tc := range []struct {
+		found    time.Duration
+		complete bool
+	}{{600 * time.Millisecond, true}, {3 * time.Second, false}} {
+		m := stored(t, false)
+		m.Step(1, entry.LinkDown{Agent: 1, Epoch: 1})
+		m.Step(500*time.Millisecond, entry.Tick{})
+		// Another agent takes what is repeated in the meantime.
+		m.Step(550*time.Millisecond, entry.LinkUp{Hello: wire.AgentHello{Agent: 1, Epoch: 5, Name: "other", Slots: 8}})
+		m.Step(tc.found-1, entry.Tick{})
+		actions := m.Step(tc.found, entry.LinkUp{Hello: wire.AgentHello{
+			Agent: 2, Epoch: 1, Name: "w", Slots: 8, Clean: true,
+			Ends: []wire.RunEnd{{Run: wire.RunRef{Job: "j", Index: 1, Run: 1001}}},
+		}})
+		assert.Equal(t, len(answers(actions)) == 1, tc.complete)
+		ends := taskEnds(actions)
+		assert.Equal(t, ends[len(ends)-1].Late, !tc.complete)
+		m.Step(5*time.Second, entry.Tick{})
+		assert.Equal(t, m.Stats().Starts == 1, tc.complete)
+	}
+}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -235,6 +235,10 @@
 	// Life rises with each start of the worker, 0 if it is not known. The agent of
 	// an earlier life may connect again after that of a later one.
 	Life int64
+	// Took is the worker's clock when this incarnation took the worker over. Of two
+	// incarnations in one life it orders them: their connections may arrive in any
+	// order at an entry that stood still.
+	Took Micros
 	// Ends are the ends of runs that an earlier incarnation of this agent left
 	// at the worker. They are sent with the hello because Clean has the entry
 	// repeat the earlier incarnation's runs.
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -47,6 +47,7 @@
 	Labels []string
 	Clean  bool
 	Life   int64
+	Took   time.Duration // see wire.AgentHello
 	// NewUpstream makes the connection to the upstream; nil posts tasks to the
 	// URL Upstream. report delivers Finished and Probed to the core.
 	NewUpstream func(report func(agent.Event)) Upstream
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -100,6 +100,7 @@
 		Name: a.opts.Name, Zone: a.opts.Zone, Rack: a.opts.Rack,
 		Slots: a.opts.Slots, Capacity: a.opts.Capacity,
 		Pool: a.opts.Pool, Labels: a.opts.Labels, Clean: a.opts.Clean, Life: a.opts.Life,
+		Took:          wire.MicrosOf(a.opts.Took),
 		Ends:          a.opts.Core.Held,
 		ConfigVersion: a.configVersion.Load(), Entries: a.finder.entries(),
 	}), conn.Flush())
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -134,7 +134,7 @@
 		c.e.opts.Stored.Began(x.Job)
 	case entry.TaskEnded:
 		if c.e.opts.Stored != nil {
-			c.e.opts.Stored.TaskEnded(x.Agent, x.End)
+			c.e.opts.Stored.TaskEnded(x)
 		}
 	case entry.Answer:
 		if c.e.storedAnswer(&x) {
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -15,7 +15,7 @@
 // methods must not block.
 type StoredEvents interface {
 	Began(job string)
-	TaskEnded(agent wire.Incarnation, end wire.RunEnd)
+	TaskEnded(x entry.TaskEnded)
 	Ended(job string, outcome entry.JobOutcome, reason string)
 }
 
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -136,11 +136,12 @@
 // there and then starts the agent.
 func (n *AgentNode) begin(ctx context.Context, a Announcement) {
 	worker := n.opts.NewWorker(a.Worker, a.Life)
-	held, ok := n.clear(ctx, worker)
-	if !ok {
+	view := n.clear(ctx, worker)
+	if view == nil {
 		worker.Close()
 		return
 	}
+	held := telling(view.Ended)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if ctx.Err() != nil || n.stopped {
@@ -149,7 +150,7 @@
 	}
 	n.starting = nil
 	n.current = agentd.Start(agentd.Options{
-		Name: n.opts.Name, Zone: n.opts.Zone, Rack: a.Rack, Pool: a.Pool, Labels: a.Labels, Clean: true, Life: a.Life,
+		Name: n.opts.Name, Zone: n.opts.Zone, Rack: a.Rack, Pool: a.Pool, Labels: a.Labels, Clean: true, Life: a.Life, Took: view.Clock,
 		Slots: max(minSlots, a.Slots), Capacity: a.Capacity,
 		Entries: n.entries, Log: n.opts.Log,
 		SilenceTimeout: silenceTimeout, MaxRedial: maxRedial, DialTimeout: dialTimeout,
@@ -175,10 +176,10 @@
 	}
 }
 
-// clear stops every run at the worker and returns the ends that tell of a task.
-// They are not acknowledged: the worker's jobs may be stored ones whose owner has
-// not recorded them. It reports false if ctx ended first.
-func (n *AgentNode) clear(ctx context.Context, worker leased.Worker) ([]lease.End, bool) {
+// clear stops every run at the worker and returns what the worker told then. No
+// end is acknowledged: the worker's jobs may be stored ones whose owner has not
+// recorded them. It returns nil if ctx ended first.
+func (n *AgentNode) clear(ctx context.Context, worker leased.Worker) *lease.View {
 	for ; ctx.Err() == nil; ctxsleep.For(ctx, clearRetry) {
 		view, err := n.lookOnce(ctx, worker)
 		if err != nil {
@@ -186,7 +187,7 @@
 			continue
 		}
 		if len(view.Running) == 0 {
-			return telling(view.Ended), true
+			return view
 		}
 		for _, id := range view.Running {
 			n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: id.Job, Task: id.Index + 1, Count: int64(id.Number)})
@@ -195,7 +196,7 @@
 			cancel()
 		}
 	}
-	return nil, false
+	return nil
 }
 
 // telling returns the ends that say something of their tasks.
--- a/internal/fleet/stored.go
+++ b/internal/fleet/stored.go
@@ -6,7 +6,6 @@
 
 	"github.com/limpettrail/limpettrail/core/durable"
 	"github.com/limpettrail/limpettrail/core/entry"
-	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
@@ -75,9 +74,9 @@
 
 // TaskEnded implements entryd.StoredEvents. An agent that connects while the
 // entry starts tells again when it connects next.
-func (s storedEvents) TaskEnded(agent wire.Incarnation, end wire.RunEnd) {
+func (s storedEvents) TaskEnded(x entry.TaskEnded) {
 	if s.ready() {
-		s.node.keeper.TaskEnded(agent, end)
+		s.node.keeper.TaskEnded(x)
 	}
 }
 
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -68,10 +68,22 @@
 	err    error         // of Wait
 }
 
+// StartPlain starts a binary with variables added to the environment. Its output
+// is kept as text.
+func StartPlain(name string, env []string, path string, args ...string) (*Process, error) {
+	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), env...)
+	return startCommand(name, func([]byte) (Event, bool) { return Event{}, false }, cmd)
+}
+
 // startProcess starts a binary. Its output is read for events.
 func startProcess(name string, parse parseFunc, path string, args ...string) (*Process, error) {
+	return startCommand(name, parse, exec.Command(path, args...))
+}
+
+func startCommand(name string, parse parseFunc, cmd *exec.Cmd) (*Process, error) {
 	p := &Process{
-		Name: name, cmd: exec.Command(path, args...), parse: parse,
+		Name: name, cmd: cmd, parse: parse,
 		done: make(chan struct{}), grown: make(chan struct{}),
 	}
 	stdout, err := p.cmd.StdoutPipe()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -199,8 +199,8 @@
 func (k *Keeper) Began(job string) { k.post(durable.Began{Job: job}) }
 
 // TaskEnded takes the end of a run.
-func (k *Keeper) TaskEnded(agent wire.Incarnation, end wire.RunEnd) {
-	k.post(durable.TaskEnded{Agent: agent, End: end})
+func (k *Keeper) TaskEnded(x entry.TaskEnded) {
+	k.post(durable.TaskEnded{Agent: x.Agent, End: x.End, Late: x.Late})
 }
 
 // Ended takes the end of a drive.
