Agents hand a configuration on in time; restarted processes keep their ports

An agent now sends it to entries that have not shown it after 0.3 to 0.8 s, staggered by agent.

Processes that are started again listen on a loopback address of their own.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -112,6 +112,7 @@
 	occupied      float64 // slots taken by running tasks
 	order         uint64  // arrival counter, breaks ties in the queue
 	config        *wire.ConfigState
+	configDue     time.Duration // when entries that have not shown config get it
 
 	limiter      limiter
 	classes      map[string]*classStats
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -318,6 +318,23 @@
 	assert.Assert(t, s.frames[2].Config == nil)
 }
 
+// Guards against an entry that the log turns away and that keeps an older
+// version although its agents have the newer one, and against agents that send
+// it to entries which have it.
+func TestEntryThatShowsNoNewVersionGetsItFromAgents(t *testing.T) {
+	s := newScript(Options{Slots: 1, HeartbeatInterval: time.Minute})
+	s.step(LinkUp{Entry: entryB, Epoch: 2, ConfigVersion: 6})
+	s.frame(wire.ToAgent{Config: &wire.ConfigState{Version: 7}})
+	s.frames = nil
+	s.pass(configPatience / 2)
+	assert.Equal(t, len(s.frames), 0, "the entry reads the log itself")
+	s.pass(configPatience + configSpread)
+	assert.Equal(t, len(s.frames), 1)
+	assert.Equal(t, s.frames[0].Config.Version, int64(7))
+	s.pass(configPatience + configSpread)
+	assert.Equal(t, len(s.frames), 1, "it was sent")
+}
+
 // Guards against a copy that differs from the entries' configuration after a
 // delta, and against a delta applied to a state that it does not build on.
 func TestDeltaIsMergedOnlyWhereItFollows(t *testing.T) {
--- a/core/agent/config.go
+++ b/core/agent/config.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/limpettrail/limpettrail/core/config"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
@@ -14,13 +16,23 @@
 	return m.config.Version
 }
 
+const (
+	// configPatience is how long an entry may take to show a new version by
+	// itself before an agent hands it on: some reads of a slow store.
+	configPatience = 300 * time.Millisecond
+	// configSpread staggers the agents, so that the first of them serves an
+	// entry that the store turns away and the others see that it has the version.
+	configSpread = 500 * time.Millisecond
+)
+
 // adoptConfig keeps the newest configuration for entries that start while the
 // platform log is unavailable. A lower version never replaces a higher one.
 //
-// Entries follow the log themselves, so the state is sent only to an entry
-// whose hello stated a lower version, and to one that is not known to have any
-// at all: it may have connected before this agent learned of a configuration.
-func (m *Machine) adoptConfig(from *peer, c *wire.ConfigState) {
+// Entries follow the log themselves, so the state is sent at once only to an
+// entry whose hello stated a lower version, and to one that is not known to have
+// any at all: it may have connected before this agent learned of a
+// configuration. The others get it if they do not show it in time (handOnConfig).
+func (m *Machine) adoptConfig(now time.Duration, from *peer, c *wire.ConfigState) {
 	if c == nil || c.Version <= 0 || len(c.State) > wire.MaxConfigBytes {
 		return
 	}
@@ -36,6 +48,7 @@
 		}
 	}
 	m.config = c
+	m.configDue = now + configPatience + time.Duration(m.opts.Incarnation%wire.Incarnation(configSpread))
 	for _, p := range m.peerList {
 		if p.up && p.configVersion <= 0 {
 			p.sendConfig = true
@@ -43,6 +56,19 @@
 	}
 }
 
+// handOnConfig sends the configuration to entries that have not shown it in
+// time: the log may turn them away while it serves others.
+func (m *Machine) handOnConfig(now time.Duration) {
+	if m.config == nil || now < m.configDue {
+		return
+	}
+	for _, p := range m.peerList {
+		if p.up && p.configVersion < m.config.Version {
+			p.sendConfig = true
+		}
+	}
+}
+
 // merged returns the whole configuration after a delta, or nil if the delta
 // does not follow what this agent has.
 func (m *Machine) merged(delta *wire.ConfigState) *wire.ConfigState {
--- a/core/agent/peer.go
+++ b/core/agent/peer.go
@@ -199,6 +199,7 @@
 	m.handBack(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
 	m.endOrphans(now)
 	m.tellHeld(now)
+	m.handOnConfig(now)
 	kept := m.peerList[:0]
 	for _, p := range m.peerList {
 		m.tickPeer(now, p)
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -13,7 +13,7 @@
 		return // frame of a replaced connection
 	}
 	p.hear(min(e.Frame.Echo.Duration(), now))
-	m.adoptConfig(p, e.Frame.Config)
+	m.adoptConfig(now, p, e.Frame.Config)
 	m.settle(p, e.Frame.Floor)
 	e.Frame.FillPayloads()
 	for i := range e.Frame.Starts {
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -19,6 +19,7 @@
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/entrynode"
+	"github.com/limpettrail/limpettrail/internal/loopback"
 	"github.com/limpettrail/limpettrail/internal/operator"
 	"github.com/limpettrail/limpettrail/internal/standin/logserver"
 	"github.com/limpettrail/limpettrail/internal/standin/upstream"
@@ -26,9 +27,8 @@
 )
 
 const (
-	loopback = "127.0.0.1:0"
-	slots    = 8
-	poll     = 2 * time.Millisecond
+	slots = 8
+	poll  = 2 * time.Millisecond
 	// giveUp bounds every wait; a measurement that reaches it has failed.
 	giveUp = time.Minute
 )
@@ -46,15 +46,15 @@
 func startSystem(entries, agents int) (*system, error) {
 	s := &system{entries: make([]*entrynode.Node, entries), agents: make([]*agentd.Agent, agents)}
 	var err error
-	if s.log, err = logserver.Start(logserver.Options{Listen: loopback}); err != nil {
+	if s.log, err = logserver.Start(logserver.Options{Listen: loopback.Any}); err != nil {
 		return nil, err
 	}
 	s.client = platformlog.NewClient(platformlog.ClientOptions{BaseURL: s.log.URL()})
-	if s.upstream, err = upstream.Start(loopback, upstream.Options{}); err != nil {
+	if s.upstream, err = upstream.Start(loopback.Any, upstream.Options{}); err != nil {
 		return nil, err
 	}
 	for range entries {
-		s.peers = append(s.peers, loopback)
+		s.peers = append(s.peers, loopback.Own())
 	}
 	for i := range entries {
 		if err := s.startEntry(i); err != nil {
@@ -72,7 +72,7 @@
 	zone := fmt.Sprintf("zone-%d", i%3)
 	n, err := entrynode.Start(entrynode.Options{
 		Entry: entryd.Options{
-			Name: fmt.Sprintf("entry-%d", i), Zone: zone, Listen: loopback, PeerListen: s.peers[i],
+			Name: fmt.Sprintf("entry-%d", i), Zone: zone, Listen: loopback.Any, PeerListen: s.peers[i],
 			Scheduler: policy.New(policy.Options{Seed: uint64(i), Zone: zone}),
 		},
 		Log: s.client,
--- a/internal/faultmatrix/system_test.go
+++ b/internal/faultmatrix/system_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/limpettrail/limpettrail/internal/load"
+	"github.com/limpettrail/limpettrail/internal/loopback"
 	"github.com/limpettrail/limpettrail/internal/observer"
 	"github.com/limpettrail/limpettrail/internal/operator"
 	"github.com/limpettrail/limpettrail/internal/standin/logserver"
@@ -33,7 +34,6 @@
 	// so that only a missing event fails a test.
 	patience = 3 * time.Minute
 	poll     = 10 * time.Millisecond
-	loopback = "127.0.0.1:0"
 	classes  = "[[class]]\nname = \"render\"\nwithin_ms = %d\nsuccess = 0.9\n"
 )
 
@@ -72,6 +72,7 @@
 	t       *testing.T
 	ctx     context.Context
 	dir     string
+	listen  string // where programs listen at first
 	log     *logserver.Server
 	ups     []*upstream.Server
 	entries []*program
@@ -83,9 +84,9 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
-	s := &system{t: t, ctx: ctx, dir: t.TempDir(), watch: observer.New()}
+	s := &system{t: t, ctx: ctx, dir: t.TempDir(), listen: loopback.Own(), watch: observer.New()}
 	var err error
-	s.log, err = logserver.Start(logserver.Options{Listen: loopback})
+	s.log, err = logserver.Start(logserver.Options{Listen: loopback.Any})
 	assert.NilError(t, err)
 	t.Cleanup(func() { s.log.Close() })
 	t.Cleanup(s.killAll)
@@ -97,7 +98,7 @@
 	}
 	for k := range agents {
 		name := fmt.Sprint("upstream-", k)
-		up, err := upstream.Start(loopback, upstream.Options{OnStart: func(st upstream.Started) {
+		up, err := upstream.Start(loopback.Any, upstream.Options{OnStart: func(st upstream.Started) {
 			s.watch.Started(observer.StartOf(name, st))
 		}})
 		assert.NilError(t, err)
@@ -150,7 +151,7 @@
 // startEntry starts entry i, again on the addresses that it had before.
 func (s *system) startEntry(i int) {
 	s.t.Helper()
-	listen, peers, operators := loopback, loopback, loopback
+	listen, peers, operators := s.listen, s.listen, s.listen
 	if old := s.entries[i]; old != nil {
 		listen, peers, operators = old.callers, old.peers, old.operators
 	}
@@ -167,7 +168,7 @@
 	}
 	s.agents[k] = s.start("agent", fmt.Sprintf(
 		"name = \"worker-%d\"\nzone = \"z\"\nrack = \"r%d\"\nlog_level = \"error\"\nentries = [%s]\nupstream = \"http://%s/\"\nslots = 4\noperator_listen = %q\n",
-		k, k, strings.Join(peers, ", "), s.ups[k].Addr(), loopback))
+		k, k, strings.Join(peers, ", "), s.ups[k].Addr(), s.listen))
 }
 
 func (s *system) start(role, settings string) *program {
--- a/internal/harness/launch.go
+++ b/internal/harness/launch.go
@@ -1,10 +1,13 @@
 package harness
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"github.com/limpettrail/limpettrail/internal/loopback"
 )
 
 // EntrySpec describes an entry process. Empty addresses are chosen freely.
@@ -40,8 +43,9 @@
 // processLauncher starts entries and agents from the real binary, stand-ins
 // from the node program.
 type processLauncher struct {
-	bin Binaries
-	dir string // for settings files
+	bin    Binaries
+	dir    string // for settings files
+	listen string // where processes listen unless told otherwise
 }
 
 // NewLauncher returns the launcher that tests use. dir holds settings files;
@@ -51,11 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &processLauncher{bin: bin, dir: dir}, nil
+	return &processLauncher{bin: bin, dir: dir, listen: loopback.Own()}, nil
 }
 
-const loopback = "127.0.0.1:0"
-
 // awaitReady returns the process with the event that says where it listens. A
 // process that does not get there is killed.
 func awaitReady(ctx context.Context, p *Process, err error) (*Process, Event, error) {
@@ -87,7 +89,7 @@
 
 // Entry implements Launcher.
 func (l *processLauncher) Entry(ctx context.Context, s EntrySpec) (*Process, Event, error) {
-	text := fmt.Sprintf(entrySettings, s.Name, s.Zone, orLoopback(s.Listen), orLoopback(s.Peer), loopback, s.LogURL)
+	text := fmt.Sprintf(entrySettings, s.Name, s.Zone, cmp.Or(s.Listen, l.listen), cmp.Or(s.Peer, l.listen), l.listen, s.LogURL)
 	if s.Advertise != "" {
 		text += fmt.Sprintf("peer_advertise = %q\n", s.Advertise)
 	}
@@ -106,7 +108,7 @@
 // Upstream implements Launcher.
 func (l *processLauncher) Upstream(ctx context.Context, s UpstreamSpec) (*Process, Event, error) {
 	p, err := startProcess(s.Name, parseJSON, l.bin.Node, "upstream", "--name", s.Name,
-		"--listen", orLoopback(s.Listen), "--record", s.Record)
+		"--listen", cmp.Or(s.Listen, l.listen), "--record", s.Record)
 	return awaitReady(ctx, p, err)
 }
 
@@ -137,10 +139,3 @@
 	path := filepath.Join(l.dir, name+".toml")
 	return path, os.WriteFile(path, []byte(text), 0o644)
 }
-
-func orLoopback(addr string) string {
-	if addr == "" {
-		return loopback
-	}
-	return addr
-}
