Recurring stored jobs; one type names a run

A recurring job was refused with 503. It is one stored job whose steps exist once for each occurrence; core/entry holds the tasks of an occurrence until it is due, and runs, ends and recorded progress are named by occurrence. Due times become the entry's own clock when it takes the job up. lease.RunID and wire.RunRef were the same thing with four conversions between them: one type is left.

Ruled out: a job for each occurrence, which needs a second name for its tasks and a record each.

--- a/core/agent/held.go
+++ b/core/agent/held.go
@@ -51,18 +51,13 @@
 	return true
 }
 
-// runRef names the attempt's run.
-func (a *attempt) runRef() wire.RunRef {
-	return wire.RunRef{Job: a.start.Job, Step: a.start.Step, Index: a.start.Index, Run: a.start.Run}
-}
-
 // holdEnd keeps the end of a stored job's run that says something of its task.
 func (m *Machine) holdEnd(now time.Duration, a *attempt, outcome wire.Outcome, reason wire.Reason) {
 	failed := outcome == wire.Failed && reason == wire.ReasonUpstreamError
 	if !a.start.Stored || outcome != wire.Succeeded && !failed {
 		return
 	}
-	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.runRef(), Failed: failed})
+	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.start.Ref(), Failed: failed})
 }
 
 // settled releases ends that an entry has recorded, at the worker as well.
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -52,6 +52,9 @@
 	DefaultMaxJobs   = 4000
 )
 
+// MaxTasks is the largest number of tasks of a stored job over all its occurrences.
+const MaxTasks = 8 * wire.MaxTasksPerJob
+
 const (
 	// renewals is how often a lease is renewed within its time.
 	renewals = 3
@@ -93,17 +96,19 @@
 
 // job is one job of the log.
 type job struct {
-	id        string
-	class     string
-	spec      *Spec // nil if only its end is known
-	owner     Owner
-	accepts   []wire.Incarnation // writers of its acceptances
-	state     State
-	widths    []int // tasks of each step
-	tasks     []task
-	base      int // at or above the numbers of all runs so far
-	cancelled bool
-	finalAt   time.Duration
+	id      string
+	class   string
+	spec    *Spec // nil if only its end is known
+	owner   Owner
+	accepts []wire.Incarnation // writers of its acceptances
+	state   State
+	widths  []int // tasks of each step of one occurrence
+	// occurrences is how often the steps run.
+	occurrences int
+	tasks       []task
+	base        int // at or above the numbers of all runs so far
+	cancelled   bool
+	finalAt     time.Duration
 
 	// What follows is kept for jobs that this process owns.
 	freeAt   time.Duration // not driven before
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -35,6 +36,32 @@
 	Steps    []entry.Step
 	Attempts int  // failed runs of one task that end the job
 	Lasting  bool // the tasks run until the job is cancelled
+	Schedule Schedule
+}
+
+// Schedule says when a recurring job runs. The zero value is a job that runs once,
+// at once.
+type Schedule struct {
+	_        struct{} `cbor:",toarray"`
+	Count    int      // occurrences, 0 for a job that does not recur
+	StartMs  int64    // when the first is due, Unix time in milliseconds
+	PeriodMs int64    // between two of them
+}
+
+// Occurrences returns how often the job's steps run, at least once.
+func (s *Schedule) Occurrences() int { return min(max(1, s.Count), wire.MaxOccurrences) }
+
+// Due returns how long after now, a Unix time in milliseconds, each occurrence is
+// due, negative if it is overdue; nil for a job that does not recur.
+func (s *Schedule) Due(nowMs int64) []time.Duration {
+	if s.Count == 0 {
+		return nil
+	}
+	out := make([]time.Duration, s.Occurrences())
+	for k := range out {
+		out[k] = time.Duration(s.StartMs+int64(k)*s.PeriodMs-nowMs) * time.Millisecond
+	}
+	return out
 }
 
 // widths returns the number of tasks of each step.
@@ -48,12 +75,15 @@
 
 // index returns the position of a run's task in the job, -1 if there is none.
 func (j *job) index(run wire.RunRef) int {
-	if run.Step < 0 || run.Step >= len(j.widths) || run.Index < 0 || run.Index >= j.widths[run.Step] {
+	if run.Step < 0 || run.Step >= len(j.widths) || run.Index < 0 || run.Index >= j.widths[run.Step] || run.Occurrence < 0 {
 		return -1
 	}
 	n := run.Index
-	for _, w := range j.widths[:run.Step] {
-		n += w
+	for i, w := range j.widths {
+		n += run.Occurrence * w
+		if i < run.Step {
+			n += w
+		}
 	}
 	if n >= len(j.tasks) {
 		return -1
@@ -99,9 +129,11 @@
 	By      Owner
 	Class   string
 	State   State
-	Widths  []int        // tasks of each step
+	Widths  []int        // tasks of each step of one occurrence
 	Tasks   []taskStatus // those of which a run has ended
 	RunBase int          // at or above the numbers of all runs so far
+	// Occurrences is how often the steps run.
+	Occurrences int
 }
 
 // taskStatus is what is recorded of one task.
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -87,18 +87,19 @@
 	j.spec = &x.Spec
 	j.class = x.Spec.Class
 	j.accepts = append(j.accepts, by)
-	j.setWidths(x.Spec.widths())
+	j.setWidths(x.Spec.widths(), x.Spec.Schedule.Occurrences())
 	m.setOwner(j, x.By)
 }
 
-// setWidths makes room for the tasks of each step.
-func (j *job) setWidths(widths []int) {
+// setWidths makes room for the tasks of each step in every occurrence.
+func (j *job) setWidths(widths []int, occurrences int) {
 	j.widths = widths
+	j.occurrences = occurrences
 	n := 0
 	for _, w := range widths {
-		n += max(0, w)
+		n += max(0, w) * occurrences
 	}
-	j.tasks = make([]task, min(n, wire.MaxTasksPerJob))
+	j.tasks = make([]task, min(n, MaxTasks))
 }
 
 // setOwner moves an unfinished job to a process.
@@ -131,7 +132,7 @@
 	if j == nil {
 		// Only the end is kept of a job that has ended.
 		j = &job{id: id, class: x.Class}
-		j.setWidths(x.Widths)
+		j.setWidths(x.Widths, min(max(1, x.Occurrences), wire.MaxOccurrences))
 		m.jobs[id] = j
 	}
 	if j.state.Final() {
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -75,6 +75,9 @@
 	lost    []wire.RunRef // runs that ended with their lease
 }
 
+// width is the number of tasks of one occurrence.
+func (d *drive) width() int { return d.spec.Steps[0].Tasks }
+
 // run is one run of a task.
 type run struct {
 	ref    wire.RunRef
@@ -321,7 +324,7 @@
 	}
 }
 
-func name(ref wire.RunRef) string { return fmt.Sprintf("%s.%d", ref.Job, ref.Index) }
+func name(ref wire.RunRef) string { return fmt.Sprintf("%s.%d.%d", ref.Job, ref.Occurrence, ref.Index) }
 
 func (w *world) drive(p *process, x durable.Drive) {
 	d := &drive{spec: x.Spec, base: x.RunBase, left: make([]bool, len(x.Progress))}
@@ -329,7 +332,7 @@
 	for i, task := range x.Progress {
 		d.left[i] = !task.Done
 		if d.left[i] {
-			w.start(p, d, wire.RunRef{Job: x.Spec.ID, Index: i, Run: x.RunBase + 1})
+			w.start(p, d, wire.RunRef{Job: x.Spec.ID, Occurrence: i / d.width(), Index: i % d.width(), Run: x.RunBase + 1})
 		}
 	}
 	p.inbox = append(p.inbox, durable.Began{Job: x.Spec.ID})
@@ -397,7 +400,7 @@
 		return
 	}
 	p.inbox = append(p.inbox, durable.TaskEnded{Agent: 1, End: end})
-	d.left[r.ref.Index] = false
+	d.left[r.ref.Occurrence*d.width()+r.ref.Index] = false
 	d.running--
 	w.ended(p, d)
 }
@@ -485,11 +488,13 @@
 }
 
 // submit offers a job of some tasks to a process.
+// Every third job recurs.
 func (w *world) submit(p *process, job string, tasks int) {
 	w.next++
 	p.tokens[w.next] = job
 	w.tasks[job] = tasks
 	p.inbox = append(p.inbox, durable.Submit{Token: w.next, Spec: durable.Spec{
 		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, Attempts: 3,
+		Schedule: durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
 	}})
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -92,6 +92,7 @@
 	dirty     []*agentLink // links with content for the next frame
 	retries   indexheap.Heap[*task]
 	deadlines indexheap.Heap[*job]
+	recurring indexheap.Heap[*job] // with occurrences that are not due
 	// abandoned holds the submissions that were answered while their claim was
 	// pending. A claim that is won after that is released.
 	abandoned map[wire.SubmissionID]struct{}
@@ -140,6 +141,7 @@
 		jobs:      make(map[wire.SubmissionID]*job),
 		retries:   newRetryQueue(),
 		deadlines: newDeadlineQueue(),
+		recurring: newRecurringQueue(),
 		agents:    make(map[wire.Incarnation]*agentLink),
 		abandoned: make(map[wire.SubmissionID]struct{}), storedJobs: make(map[string]*job),
 	}
@@ -186,6 +188,7 @@
 		m.giveUpStuck(now)
 	}
 	m.dueRetries(now)
+	m.dueOccurrences(now)
 	m.dueDeadlines(now)
 	m.place(now)
 	m.flush(now)
@@ -216,11 +219,13 @@
 	t.run++
 	link.attempts.add(seq, t)
 	m.touch(link)
+	ref := t.ref()
 	link.out.Starts = append(link.out.Starts, wire.Start{
 		Seq:        seq,
 		Submission: j.info.Submission,
-		Index:      p.Task.Index - j.steps[t.step].first,
-		Step:       t.step,
+		Index:      ref.Index,
+		Step:       ref.Step,
+		Occurrence: ref.Occurrence,
 		Class:      j.info.Class,
 		Slack:      wire.MicrosOf(p.Slack),
 		MaxWait:    wire.MicrosOf(p.MaxWait),
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -40,6 +40,11 @@
 	// Lasting jobs are stored ones that run until they are cancelled: each task is
 	// started again however its run ends.
 	Lasting bool
+	// Occurrences are the times, on the machine's clock, before which no task of
+	// each occurrence of a recurring job may start. Every occurrence has all Steps;
+	// Payloads and Progress hold the tasks of one occurrence after the other. Empty
+	// means one occurrence that is due now. Steps must be set.
+	Occurrences []time.Duration
 	// Progress is what earlier owners of a stored job recorded of its tasks, in
 	// their order; empty for none.
 	Progress []TaskProgress
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -22,6 +22,11 @@
 	first   int  // index of its first task
 	left    int  // tasks that have not succeeded
 	started bool // its tasks were given to the scheduler
+	// occurrence and number name the step: the occurrence of a recurring job that
+	// it belongs to and its position there.
+	occurrence int
+	number     int
+	dueAt      time.Duration // of the occurrence
 }
 
 // job is one submission in progress.
@@ -50,6 +55,10 @@
 	total    time.Duration
 	dueAt    time.Duration
 	duePos   int // in the deadline queue
+	// perOccurrence is the number of steps of each occurrence.
+	perOccurrence int
+	nextDue       time.Duration // of the occurrences that are not due
+	nextPos       int           // in the queue of recurring jobs
 }
 
 // storedDeadline stands for no deadline in the places that need one.
@@ -85,18 +94,28 @@
 
 // addSteps divides the tasks. A submission without steps has one.
 func (j *job) addSteps(e Submit) {
+	j.perOccurrence = max(1, len(e.Steps))
 	if len(e.Steps) == 0 {
 		j.steps = []step{{info: j.info, left: len(e.Payloads)}}
 		return
 	}
+	occurrences := e.Occurrences
+	if len(occurrences) == 0 {
+		occurrences = []time.Duration{j.info.Arrived}
+	}
 	first := 0
-	j.steps = make([]step, len(e.Steps))
-	for i, s := range e.Steps {
-		info := j.info
-		info.Tasks, info.Need, info.Declared = s.Tasks, s.Need, s.Declared
-		info.Label, info.PerWorker = s.Label, s.PerWorker
-		j.steps[i] = step{info: info, after: s.After, first: first, left: s.Tasks}
-		first += s.Tasks
+	j.steps = make([]step, 0, len(e.Steps)*len(occurrences))
+	for k, dueAt := range occurrences {
+		for i, s := range e.Steps {
+			info := j.info
+			info.Tasks, info.Need, info.Declared = s.Tasks, s.Need, s.Declared
+			info.Label, info.PerWorker = s.Label, s.PerWorker
+			j.steps = append(j.steps, step{
+				info: info, after: s.After, first: first, left: s.Tasks,
+				occurrence: k, number: i, dueAt: dueAt,
+			})
+			first += s.Tasks
+		}
 	}
 	j.info = j.steps[0].info
 }
@@ -116,7 +135,10 @@
 			return false
 		}
 	}
-	return len(e.Steps) == 0 || tasks == len(e.Payloads)
+	if len(e.Steps) == 0 {
+		return len(e.Occurrences) == 0
+	}
+	return tasks*max(1, len(e.Occurrences)) == len(e.Payloads)
 }
 
 func (m *Machine) submit(now time.Duration, e Submit) {
@@ -199,10 +221,17 @@
 		m.payload+j.bytes > m.opts.MaxPayloadBytes
 }
 
-// enqueueAll gives the tasks of every step whose turn has come to the scheduler.
+// enqueueAll gives the tasks of every step whose turn has come to the scheduler,
+// and notes when the next occurrence is due.
 func (m *Machine) enqueueAll(now time.Duration, j *job) {
+	m.recurring.Drop(j)
 	for i := range j.steps {
 		s := &j.steps[i]
+		if s.dueAt > now {
+			j.nextDue = s.dueAt // occurrences are in the order of their times
+			m.recurring.Put(j)
+			return
+		}
 		if s.started || !j.due(s) {
 			continue
 		}
@@ -220,7 +249,7 @@
 // due reports whether every step that s comes after has succeeded.
 func (j *job) due(s *step) bool {
 	for _, d := range s.after {
-		if j.steps[d].left > 0 {
+		if j.steps[s.occurrence*j.perOccurrence+d].left > 0 {
 			return false
 		}
 	}
@@ -342,6 +371,7 @@
 		delete(m.storedJobs, j.name)
 	}
 	m.deadlines.Drop(j)
+	m.recurring.Drop(j)
 	m.tasks -= len(j.tasks)
 	m.payload -= j.bytes
 	// Attempts in doubt keep the job reachable until their agent reports.
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -23,6 +23,27 @@
 	}
 }
 
+// newRecurringQueue orders the recurring jobs by the time at which their next
+// occurrence is due.
+func newRecurringQueue() indexheap.Heap[*job] {
+	return indexheap.Heap[*job]{
+		Less: func(a, b *job) bool { return a.nextDue < b.nextDue },
+		Pos:  func(j *job) *int { return &j.nextPos },
+	}
+}
+
+// dueOccurrences starts the occurrences whose time has come.
+func (m *Machine) dueOccurrences(now time.Duration) {
+	for m.recurring.Len() > 0 && m.recurring.Top().nextDue <= now {
+		j := m.recurring.Top()
+		if j.ending {
+			m.recurring.Drop(j)
+			continue
+		}
+		m.enqueueAll(now, j)
+	}
+}
+
 // NextRetry returns the time at which the next task ends its retry delay, if
 // one waits. A Tick at that time places it without waiting for the next one.
 func (m *Machine) NextRetry() (at time.Duration, ok bool) {
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -69,7 +69,8 @@
 // ref names the task's current run.
 func (t *task) ref() wire.RunRef {
 	j := t.job
-	return wire.RunRef{Job: j.name, Step: t.step, Index: t.sched.Index - j.steps[t.step].first, Run: t.run}
+	s := &j.steps[t.step]
+	return wire.RunRef{Job: j.name, Occurrence: s.occurrence, Step: s.number, Index: t.sched.Index - s.first, Run: t.run}
 }
 
 // settled tells an agent which ends it need not keep. Without a link nothing is
@@ -113,10 +114,14 @@
 // is none.
 func (m *Machine) storedTask(run wire.RunRef) *task {
 	j := m.storedJobs[run.Job]
-	if j == nil || run.Step >= len(j.steps) || run.Index >= j.steps[run.Step].info.Tasks {
+	if j == nil || run.Step >= j.perOccurrence {
 		return nil
 	}
-	return &j.tasks[j.steps[run.Step].first+run.Index]
+	i := run.Occurrence*j.perOccurrence + run.Step
+	if i >= len(j.steps) || run.Index >= j.steps[i].info.Tasks {
+		return nil
+	}
+	return &j.tasks[j.steps[i].first+run.Index]
 }
 
 func endResult(seq wire.Seq, end wire.RunEnd) *wire.Result {
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -137,3 +137,34 @@
 		assert.Equal(t, m.Stats().Starts == 1, tc.complete)
 	}
 }
+
+// Guards against occurrences that start before their time, all at once, or out of
+// the order of their own steps, and against runs named after another occurrence.
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgent{}})
+	m.Step(0, up(1, 0))
+	m.Step(0, entry.StoredLease{Until: storedLease})
+	const period = 10 * time.Second
+	var refs []wire.RunRef
+	started := func(actions []entry.Action) {
+		f, _ := frames(actions)
+		for i := range f.Starts {
+			refs = append(refs, f.Starts[i].Ref())
+		}
+	}
+	started(m.Step(0, entry.Submit{
+		Submission: testJob, Attempts: 2, Job: "j", Payloads: make([][]byte, 6), Stored: true,
+		Steps:       []entry.Step{{Tasks: 2}, {Tasks: 1, After: []int{0}}},
+		Occurrences: []time.Duration{0, period},
+		Progress:    []entry.TaskProgress{{Done: true}},
+	}))
+	assert.DeepEqual(t, refs, []wire.RunRef{{Job: "j", Index: 1, Run: 1}})
+	started(runEnded(m, 1, wire.Succeeded, wire.ReasonNone))
+	assert.DeepEqual(t, refs[1:], []wire.RunRef{{Job: "j", Step: 1, Run: 1}})
+	ended := runEnded(m, 2, wire.Succeeded, wire.ReasonNone)
+	assert.Equal(t, len(answers(ended)), 0, "an occurrence is left")
+	started(m.Step(period-1, entry.Tick{}))
+	assert.Equal(t, len(refs), 2)
+	started(m.Step(period, entry.Tick{}))
+	assert.DeepEqual(t, refs[2:], []wire.RunRef{{Job: "j", Occurrence: 1, Run: 1}, {Job: "j", Occurrence: 1, Index: 1, Run: 1}})
+}
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -13,7 +13,7 @@
 // Start asks for a run. It is ended by one Finished action.
 type Start struct {
 	Attempt agent.AttemptID
-	Run     RunID
+	Run     wire.RunRef
 	Spec    []byte // what the worker is to run
 	// Stored says that the end, if it tells of the task, is left unacknowledged
 	// at the worker until Settle or until the lease has passed.
@@ -21,7 +21,7 @@
 }
 
 // Settle releases an end that was kept.
-type Settle struct{ Run RunID }
+type Settle struct{ Run wire.RunRef }
 
 // Stop asks for the end of a run. A run that has finished is left alone.
 type Stop struct {
@@ -44,7 +44,7 @@
 
 // Started ends a CallStart.
 type Started struct {
-	Run     RunID
+	Run     wire.RunRef
 	Verdict Verdict
 	Reason  wire.Reason   // with Refused
 	Clock   time.Duration // worker's clock, 0 if not told
@@ -52,7 +52,7 @@
 
 // Stopped ends a CallStop.
 type Stopped struct {
-	Run   RunID
+	Run   wire.RunRef
 	Done  bool          // the worker acknowledged the stop
 	Clock time.Duration // worker's clock, 0 if not told
 }
@@ -71,7 +71,7 @@
 // End is one entry of the worker's list of ended runs.
 type End struct {
 	N   int // position, from 1, rising
-	Run RunID
+	Run wire.RunRef
 	How How
 }
 
@@ -79,7 +79,7 @@
 type View struct {
 	Life    int64         // identity of its incarnation
 	Clock   time.Duration // its own clock
-	Running []RunID
+	Running []wire.RunRef
 	Ended   []End // after CallLook.LastSeen
 }
 
@@ -103,13 +103,13 @@
 // CallStart asks the caller to send a start and to deliver Started. The worker
 // must refuse it once Deadline has passed on its clock.
 type CallStart struct {
-	Run      RunID
+	Run      wire.RunRef
 	Spec     []byte
 	Deadline time.Duration // on the worker's clock; renews the lease as well
 }
 
 // CallStop asks the caller to send a stop and to deliver Stopped.
-type CallStop struct{ Run RunID }
+type CallStop struct{ Run wire.RunRef }
 
 // CallLook asks the caller to read the worker's lists and to deliver Looked.
 type CallLook struct {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -22,14 +22,6 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-// RunID names one run of one task.
-type RunID struct {
-	Job    string // the caller's name of the job
-	Step   int    // of the task's step in the job
-	Index  int    // of the task in the step
-	Number int    // of the run, from 1
-}
-
 // Options configure a Machine. Zero values take the defaults.
 type Options struct {
 	// Lease is how long a run outlives the last renewal. Default 700 ms.
@@ -107,7 +99,7 @@
 
 // run is one run that has not finished.
 type run struct {
-	id       RunID
+	id       wire.RunRef
 	attempt  agent.AttemptID
 	spec     []byte      // while the start may be sent again
 	stored   bool        // its end is kept until it is settled
@@ -125,14 +117,14 @@
 // foreignRun is a run at the worker that this machine did not ask for, for
 // instance one of an earlier process. It is stopped.
 type foreignRun struct {
-	id     RunID
+	id     wire.RunRef
 	stopAt time.Duration // when the next stop may be sent
 }
 
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct {
 	opts Options
-	runs map[RunID]*run
+	runs map[wire.RunRef]*run
 	list []*run // in order of start
 	// clock is the newest reading of the worker's clock and readAt the time at
 	// which it was received.
@@ -143,7 +135,7 @@
 	life     int64 // identity of the worker's incarnation, 0 if not known
 	lastSeen int   // number of the newest end that was seen
 	// held are the numbers of ends that must not be acknowledged yet.
-	held  map[RunID]int
+	held  map[wire.RunRef]int
 	begun bool // the first step was made
 	acked int  // number that a completed look acknowledged
 	ackAt time.Duration
@@ -163,7 +155,7 @@
 // New returns a machine that knows nothing of its worker yet. Its first step
 // asks for a look.
 func New(opts Options) *Machine {
-	m := &Machine{opts: opts.withDefaults(), runs: make(map[RunID]*run), held: make(map[RunID]int)}
+	m := &Machine{opts: opts.withDefaults(), runs: make(map[wire.RunRef]*run), held: make(map[wire.RunRef]int)}
 	for _, end := range opts.Held {
 		m.held[end.Run] = end.N
 		m.lastSeen = max(m.lastSeen, end.N)
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -131,8 +131,8 @@
 
 // listed compares what runs with what should. The list was made after the look
 // was sent, so it holds every run that was accepted before.
-func (m *Machine) listed(now time.Duration, running []RunID) {
-	seen := make(map[RunID]bool, len(running))
+func (m *Machine) listed(now time.Duration, running []wire.RunRef) {
+	seen := make(map[wire.RunRef]bool, len(running))
 	for _, id := range running {
 		seen[id] = true
 		r := m.runs[id]
@@ -155,7 +155,7 @@
 	}
 }
 
-func (m *Machine) noteForeign(now time.Duration, id RunID) {
+func (m *Machine) noteForeign(now time.Duration, id wire.RunRef) {
 	if !slices.ContainsFunc(m.foreign, func(f foreignRun) bool { return f.id == id }) {
 		m.foreign = append(m.foreign, foreignRun{id: id, stopAt: now})
 	}
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -19,21 +19,21 @@
 	life    int64
 	fenceAt time.Duration // when the next agent's first call ends what the old one asked for
 	lease   time.Duration // deadline of everything that runs
-	running map[lease.RunID]time.Duration
+	running map[wire.RunRef]time.Duration
 	closed  map[string]int // highest run stopped or ended, by task
 	ends    []lease.End
-	ran     map[lease.RunID]bool
-	done    map[lease.RunID]bool
+	ran     map[wire.RunRef]bool
+	done    map[wire.RunRef]bool
 }
 
 func newWorker() *worker {
 	return &worker{
-		life: 1, running: make(map[lease.RunID]time.Duration), closed: make(map[string]int),
-		ran: make(map[lease.RunID]bool), done: make(map[lease.RunID]bool),
+		life: 1, running: make(map[wire.RunRef]time.Duration), closed: make(map[string]int),
+		ran: make(map[wire.RunRef]bool), done: make(map[wire.RunRef]bool),
 	}
 }
 
-func taskOf(id lease.RunID) string { return id.Job + string(rune('0'+id.Index)) }
+func taskOf(id wire.RunRef) string { return id.Job + string(rune('0'+id.Index)) }
 
 func (w *worker) advance(d time.Duration) {
 	w.now += d
@@ -51,9 +51,9 @@
 	}
 }
 
-func (w *worker) end(id lease.RunID, how lease.How) {
+func (w *worker) end(id wire.RunRef, how lease.How) {
 	delete(w.running, id)
-	w.closed[taskOf(id)] = max(w.closed[taskOf(id)], id.Number)
+	w.closed[taskOf(id)] = max(w.closed[taskOf(id)], id.Run)
 	w.ends = append(w.ends, lease.End{N: len(w.ends) + 1, Run: id, How: how})
 }
 
@@ -67,7 +67,7 @@
 		out.Verdict, out.Reason = lease.Refused, wire.ReasonUpstreamDown
 	case c.Deadline < w.now:
 		out.Verdict, out.Reason = lease.Refused, wire.ReasonNotReceived
-	case c.Run.Number <= w.closed[taskOf(c.Run)]:
+	case c.Run.Run <= w.closed[taskOf(c.Run)]:
 		out.Verdict, out.Reason = lease.Refused, wire.ReasonStaleRun
 	default:
 		w.running[c.Run] = w.now + length
@@ -88,7 +88,7 @@
 	if _, there := w.running[c.Run]; there {
 		w.end(c.Run, lease.EndedStopped)
 	}
-	w.closed[taskOf(c.Run)] = max(w.closed[taskOf(c.Run)], c.Run.Number)
+	w.closed[taskOf(c.Run)] = max(w.closed[taskOf(c.Run)], c.Run.Run)
 	return lease.Stopped{Run: c.Run, Done: true, Clock: w.now}
 }
 
@@ -103,7 +103,7 @@
 	for id := range w.running {
 		v.Running = append(v.Running, id)
 	}
-	slices.SortFunc(v.Running, func(a, b lease.RunID) int { return a.Number - b.Number })
+	slices.SortFunc(v.Running, func(a, b wire.RunRef) int { return a.Run - b.Run })
 	for _, e := range w.ends {
 		if e.N > c.LastSeen {
 			v.Ended = append(v.Ended, e)
@@ -115,7 +115,7 @@
 func (w *worker) reborn() {
 	w.life++
 	w.fenceAt = w.now + 200*time.Millisecond
-	w.running = make(map[lease.RunID]time.Duration)
+	w.running = make(map[wire.RunRef]time.Duration)
 	w.closed = make(map[string]int)
 	w.ends = nil
 	w.lease = 0
@@ -130,7 +130,7 @@
 	pending  []call // answers and late calls on their way
 	next     uint64
 	finished map[agent.AttemptID]lease.Finished
-	runs     map[agent.AttemptID]lease.RunID
+	runs     map[agent.AttemptID]wire.RunRef
 	gone     bool
 }
 
@@ -246,7 +246,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := &sim{
 			t: t, m: lease.New(lease.Options{}), w: newWorker(),
-			finished: make(map[agent.AttemptID]lease.Finished), runs: make(map[agent.AttemptID]lease.RunID),
+			finished: make(map[agent.AttemptID]lease.Finished), runs: make(map[agent.AttemptID]wire.RunRef),
 		}
 		s.advance(50 * time.Millisecond)
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
@@ -276,8 +276,8 @@
 func (s *sim) startOne() {
 	s.next++
 	id := agent.AttemptID{Entry: 1, Seq: wire.Seq(s.next)}
-	run := lease.RunID{
-		Job: "j", Index: rapid.IntRange(0, 4).Draw(s.t, "index"), Number: int(s.next),
+	run := wire.RunRef{
+		Job: "j", Index: rapid.IntRange(0, 4).Draw(s.t, "index"), Run: int(s.next),
 	}
 	s.runs[id] = run
 	s.step(lease.Start{Attempt: id, Run: run})
@@ -299,7 +299,7 @@
 	m := lease.New(lease.Options{})
 	m.Step(0, lease.Tick{})
 	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
-	run := lease.RunID{Job: "j", Number: 1}
+	run := wire.RunRef{Job: "j", Run: 1}
 	m.Step(2, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: run})
 	m.Step(3, lease.Started{Run: run, Verdict: lease.NoAnswer})
 	actions := m.Step(4, lease.Started{Run: run, Verdict: lease.Refused, Reason: wire.ReasonStaleRun})
@@ -316,7 +316,7 @@
 func TestNumbersOfAnEarlierLifeAreNotAcknowledged(t *testing.T) {
 	m := lease.New(lease.Options{})
 	m.Step(0, lease.Tick{})
-	first, second := lease.RunID{Job: "j", Number: 1}, lease.RunID{Job: "k", Number: 1}
+	first, second := wire.RunRef{Job: "j", Run: 1}, wire.RunRef{Job: "k", Run: 1}
 	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
 	m.Step(2, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: first})
 	m.Step(3, lease.Started{Run: first, Verdict: lease.Accepted})
@@ -362,7 +362,7 @@
 // Guards against the end of a stored job's run that is acknowledged before it is
 // recorded, and against one that is kept although it is.
 func TestEndsOfStoredJobsAreKeptUntilSettled(t *testing.T) {
-	run := lease.RunID{Job: "j", Number: 1}
+	run := wire.RunRef{Job: "j", Run: 1}
 	l := &lister{m: lease.New(lease.Options{})}
 	l.step(lease.Tick{})
 	l.step(lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: run, Stored: true})
@@ -379,7 +379,7 @@
 // successor acknowledges before their owner has recorded them, while the lease
 // under which they ended may still hold.
 func TestEndsOfAnEarlierProcessAreKeptForTheirLease(t *testing.T) {
-	end := lease.End{N: 3, Run: lease.RunID{Job: "j", Number: 1}, How: lease.EndedDone}
+	end := lease.End{N: 3, Run: wire.RunRef{Job: "j", Run: 1}, How: lease.EndedDone}
 	l := &lister{m: lease.New(lease.Options{Held: []lease.End{end}}), end: end}
 	l.until(lease.DefaultLease)
 	assert.Assert(t, !slices.Contains(l.seen, 3), "%v", l.seen)
@@ -392,7 +392,7 @@
 func TestLateStartInTheNextLifeIsStopped(t *testing.T) {
 	m := lease.New(lease.Options{})
 	m.Step(0, lease.Tick{})
-	run := lease.RunID{Job: "j", Number: 1}
+	run := wire.RunRef{Job: "j", Run: 1}
 	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
 	m.Step(2, lease.Start{Attempt: agent.AttemptID{Entry: 1, Seq: 1}, Run: run})
 	for range 3 {
@@ -418,7 +418,7 @@
 	n, _ := looks(lapsed + 60*time.Millisecond)
 	assert.Equal(t, n, 1, "the worker is asked although nothing is known to run")
 	stops := 0
-	for _, a := range m.Step(lapsed+61*time.Millisecond, lease.Looked{View: &lease.View{Life: 2, Clock: 1, Running: []lease.RunID{run}}}) {
+	for _, a := range m.Step(lapsed+61*time.Millisecond, lease.Looked{View: &lease.View{Life: 2, Clock: 1, Running: []wire.RunRef{run}}}) {
 		if _, ok := a.(lease.CallStop); ok {
 			stops++
 		}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -48,6 +48,9 @@
 	if r.Step < 0 || r.Step >= MaxTasksPerJob || r.Index < 0 || r.Index >= MaxTasksPerJob {
 		return fmt.Errorf("wire: run of task %d in step %d, allowed are 0 to %d", r.Index, r.Step, MaxTasksPerJob-1)
 	}
+	if r.Occurrence < 0 || r.Occurrence >= MaxOccurrences {
+		return fmt.Errorf("wire: run in occurrence %d, allowed are 0 to %d", r.Occurrence, MaxOccurrences-1)
+	}
 	return checkNames(r.Job)
 }
 
@@ -62,14 +65,11 @@
 // Check reports whether a received frame is within the limits.
 func (f *ToAgent) Check() error {
 	for i := range f.Starts {
-		s := &f.Starts[i]
-		if s.Step < 0 || s.Step >= MaxTasksPerJob {
-			return fmt.Errorf("wire: start in step %d, allowed are 0 to %d", s.Step, MaxTasksPerJob-1)
-		}
-		if s.Index < 0 || s.Index >= MaxTasksPerJob {
-			return fmt.Errorf("wire: start of task %d, allowed are 0 to %d", s.Index, MaxTasksPerJob-1)
+		run := f.Starts[i].Ref()
+		if err := run.check(); err != nil {
+			return err
 		}
-		if err := checkNames(s.Class, s.Job); err != nil {
+		if err := checkNames(f.Starts[i].Class); err != nil {
 			return err
 		}
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -13,12 +13,14 @@
 )
 
 // ProtocolVersion is the version of the peer protocol that this code speaks.
-const ProtocolVersion = 3
+const ProtocolVersion = 4
 
 // Limits that both ends enforce on decoded messages.
 const (
 	// MaxTasksPerJob is the largest number of tasks in one job.
 	MaxTasksPerJob = 570
+	// MaxOccurrences is the largest number of occurrences of a job that recurs.
+	MaxOccurrences = 4096
 	// MaxFrameBytes is the largest encoded frame, header excluded.
 	MaxFrameBytes = 4 << 20
 	// MaxKnownEntries bounds the entry list carried in a hello.
@@ -251,7 +253,9 @@
 	Job   string
 	Step  int // of the task in the job, from 0
 	Index int // of the task in the step, from 0
-	Run   int // from 1
+	Run   int // from 1, rising with each run of the task
+	// Occurrence is the one that the task belongs to, from 0, of a job that recurs.
+	Occurrence int
 }
 
 // RunEnd is how a run of a stored job ended. Its agent keeps it, and leaves it
@@ -297,6 +301,13 @@
 	Step int // position of the task's step in its job, from 0
 	// Stored says that the end of the run is to be kept until it is settled.
 	Stored bool
+	// Occurrence is the one that the task belongs to, from 0, of a job that recurs.
+	Occurrence int
+}
+
+// Ref names the run that the start asks for.
+func (s *Start) Ref() RunRef {
+	return RunRef{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: s.Index, Run: s.Run}
 }
 
 // Load is an agent's own state, sent on every frame.
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -83,6 +83,11 @@
 		Need: d.Spec.Steps[0].Need, Declared: d.Spec.Steps[0].Declared,
 		Stored: true, Lasting: d.Spec.Lasting, Progress: d.Progress, RunBase: d.RunBase,
 	}
+	// A step of the time of day after this shifts what is not due yet; the next
+	// drive reads it anew.
+	for _, due := range d.Spec.Schedule.Due(time.Now().UnixMilli()) {
+		ev.Occurrences = append(ev.Occurrences, max(0, e.clock.Now()+due))
+	}
 	for range d.Progress {
 		ev.Payloads = append(ev.Payloads, d.Spec.Payload)
 	}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -190,7 +190,7 @@
 			return view
 		}
 		for _, id := range view.Running {
-			n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: id.Job, Task: id.Index + 1, Count: int64(id.Number)})
+			n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: id.Job, Task: id.Index + 1, Count: int64(id.Run)})
 			stopCtx, cancel := context.WithTimeout(ctx, clearTimeout)
 			worker.Stop(stopCtx, lease.CallStop{Run: id})
 			cancel()
@@ -214,10 +214,7 @@
 func runEnds(ends []lease.End) []wire.RunEnd {
 	out := make([]wire.RunEnd, 0, len(ends))
 	for _, e := range ends[:min(len(ends), wire.MaxHeldEnds)] {
-		out = append(out, wire.RunEnd{
-			Run:    wire.RunRef{Job: e.Run.Job, Step: e.Run.Step, Index: e.Run.Index, Run: e.Run.Number},
-			Failed: e.How == lease.EndedFailed,
-		})
+		out = append(out, wire.RunEnd{Run: e.Run, Failed: e.How == lease.EndedFailed})
 	}
 	return out
 }
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -80,14 +80,14 @@
 func (u *Upstream) Run(x *agent.Run) {
 	u.send(lease.Start{
 		Attempt: x.Attempt,
-		Run:     lease.RunID{Job: x.Start.Job, Step: x.Start.Step, Index: x.Start.Index, Number: x.Start.Run},
+		Run:     x.Start.Ref(),
 		Spec:    x.Start.Payload, Stored: x.Start.Stored,
 	})
 }
 
 // Settle implements agentd.Upstream.
 func (u *Upstream) Settle(x agent.Settle) {
-	u.send(lease.Settle{Run: lease.RunID{Job: x.Run.Job, Step: x.Run.Step, Index: x.Run.Index, Number: x.Run.Run}})
+	u.send(lease.Settle{Run: x.Run})
 }
 
 // Stop implements agentd.Upstream.
