Repeated runs go on from saved progress

Work that a worker had saved was thrown away when its run was stopped, failed or ended with its worker. Not covered: what was saved since the last recorded end when the owner of a job is lost.

--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -40,6 +40,7 @@
 	Run     time.Duration
 	Status  int // HTTP status of the upstream, 0 if none
 	Body    []byte
+	Saved   string // of a run that did not succeed, see wire.Start.Saved
 }
 
 // Probed ends a probe that a Probe action began.
--- a/core/agent/held.go
+++ b/core/agent/held.go
@@ -52,12 +52,12 @@
 }
 
 // holdEnd keeps the end of a stored job's run that says something of its task.
-func (m *Machine) holdEnd(now time.Duration, a *attempt, outcome wire.Outcome, reason wire.Reason) {
-	failed := outcome == wire.Failed && reason == wire.ReasonUpstreamError
-	if !a.start.Stored || outcome != wire.Succeeded && !failed {
+func (m *Machine) holdEnd(now time.Duration, a *attempt, e *Finished) {
+	failed := e.Outcome == wire.Failed && e.Reason == wire.ReasonUpstreamError
+	if !a.start.Stored || e.Outcome != wire.Succeeded && !failed {
 		return
 	}
-	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.start.Ref(), Failed: failed})
+	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.start.Ref(), Failed: failed, Saved: e.Saved})
 }
 
 // settled releases ends that an entry has recorded, at the worker as well.
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -200,7 +200,7 @@
 	if len(m.active) == 0 {
 		m.occupied = 0 // no rounding error is kept
 	}
-	m.holdEnd(now, a, e.Outcome, e.Reason)
+	m.holdEnd(now, a, e)
 	m.finish(a, wire.Result{
 		Outcome: e.Outcome,
 		Reason:  e.Reason,
@@ -208,6 +208,7 @@
 		Run:     wire.MicrosOf(now - a.started),
 		Status:  e.Status,
 		Body:    e.Body,
+		Saved:   e.Saved,
 	})
 	m.observe(now, a, e)
 	m.boundRetained()
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
@@ -131,6 +132,7 @@
 		t.Done = !e.End.Failed
 		if e.End.Failed {
 			t.Failures++
+			t.Saved = cmp.Or(e.End.Saved, t.Saved)
 		}
 	}
 	j.settles = append(j.settles, e)
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -147,6 +147,7 @@
 	Failures int      // runs that ended as failed
 	Run      int      // newest of them
 	Done     bool
+	Saved    string // newest progress that a worker saved
 }
 
 // cancel is the record of a cancellation, which any process may write.
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -55,7 +55,8 @@
 // TaskProgress is what is recorded of one task of a stored job.
 type TaskProgress struct {
 	Done     bool
-	Failures int // runs that ended as failed
+	Failures int    // runs that ended as failed
+	Saved    string // newest progress that a worker saved, see wire.Start.Saved
 }
 
 // Step is a group of like tasks of a job.
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -208,3 +208,16 @@
 	f, _ = frames(m.Step(2, hello(1, time.Second)))
 	assert.Equal(t, len(f.Starts), 0, "the run at the later incarnation goes on")
 }
+
+// Guards against work that is done again although the worker saved its progress.
+func TestRunGoesOnFromSavedProgress(t *testing.T) {
+	m := repeatable(t)
+	end := func(seq wire.Seq, saved string) wire.Start {
+		f, _ := frames(m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+			Results: []wire.Result{{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonRunEnded, Saved: saved}},
+		}}))
+		return f.Starts[0]
+	}
+	assert.Equal(t, end(1, "half").Saved, "half")
+	assert.Equal(t, end(2, "").Saved, "half", "a run that saved nothing keeps what there was")
+}
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -15,6 +15,7 @@
 	Attempt agent.AttemptID
 	Run     wire.RunRef
 	Spec    []byte // what the worker is to run
+	Saved   string // see wire.Start.Saved
 	// Stored says that the end, if it tells of the task, is left unacknowledged
 	// at the worker until Settle or until the lease has passed.
 	Stored bool
@@ -70,9 +71,10 @@
 
 // End is one entry of the worker's list of ended runs.
 type End struct {
-	N   int // position, from 1, rising
-	Run wire.RunRef
-	How How
+	N     int // position, from 1, rising
+	Run   wire.RunRef
+	How   How
+	Saved string // progress that the worker saved, empty for none
 }
 
 // View is what a worker told of itself.
@@ -80,7 +82,9 @@
 	Life    int64         // identity of its incarnation
 	Clock   time.Duration // its own clock
 	Running []wire.RunRef
-	Ended   []End // after CallLook.LastSeen
+	// Saved names the progress that the worker saved of what runs, where it did.
+	Saved map[wire.RunRef]string
+	Ended []End // after CallLook.LastSeen
 }
 
 // Looked ends a CallLook. View is nil if the worker did not answer.
@@ -105,6 +109,7 @@
 type CallStart struct {
 	Run      wire.RunRef
 	Spec     []byte
+	Saved    string        // progress to go on from
 	Deadline time.Duration // on the worker's clock; renews the lease as well
 }
 
@@ -124,6 +129,7 @@
 	Outcome wire.Outcome
 	Reason  wire.Reason
 	Run     time.Duration // since the run was accepted
+	Saved   string        // newest progress that the worker saved of a run that did not succeed
 }
 
 // WorkerGone says that the worker has started anew. No further run should be
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -102,6 +102,7 @@
 	id       wire.RunRef
 	attempt  agent.AttemptID
 	spec     []byte      // while the start may be sent again
+	saved    string      // newest progress that the worker is known to have saved
 	stored   bool        // its end is kept until it is settled
 	tries    int         // starts that were sent
 	refusal  wire.Reason // why the worker turned the last of them down
@@ -249,7 +250,7 @@
 			return
 		}
 	}
-	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec, stored: e.Stored}
+	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec, saved: e.Saved, stored: e.Stored}
 	m.runs[e.Run] = r
 	m.list = append(m.list, r)
 	m.sendStart(now, r)
@@ -259,7 +260,7 @@
 	r.tries++
 	r.since = now
 	r.deadline = m.renew(now)
-	m.emit(CallStart{Run: r.id, Spec: r.spec, Deadline: r.deadline})
+	m.emit(CallStart{Run: r.id, Spec: r.spec, Saved: r.saved, Deadline: r.deadline})
 }
 
 func (m *Machine) started(now time.Duration, e Started) {
@@ -342,7 +343,11 @@
 			break
 		}
 	}
-	m.emit(Finished{Attempt: r.attempt, Outcome: o, Reason: reason, Run: now - r.since})
+	end := Finished{Attempt: r.attempt, Outcome: o, Reason: reason, Run: now - r.since}
+	if o == wire.Failed {
+		end.Saved = r.saved
+	}
+	m.emit(end)
 }
 
 // lapse ends every run once the lease has passed without a renewal. The ends
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -81,6 +82,7 @@
 	m.life = v.Life
 	m.ended(now, v.Ended)
 	m.listed(now, v.Running)
+	m.noteSaved(v.Saved)
 	if len(m.held) > 0 {
 		m.nextLook = now + heldLookGap
 	}
@@ -111,6 +113,7 @@
 		if r.stored && (end.How == EndedDone || end.How == EndedFailed) {
 			m.held[end.Run] = end.N
 		}
+		r.saved = cmp.Or(end.Saved, r.saved)
 		outcome, reason := r.outcome(end.How)
 		m.finish(now, r, outcome, reason)
 	}
@@ -161,6 +164,16 @@
 	}
 }
 
+// noteSaved keeps the progress of runs, which is all that is left of them if they
+// end with their worker.
+func (m *Machine) noteSaved(saved map[wire.RunRef]string) {
+	for id, s := range saved {
+		if r := m.runs[id]; r != nil && s != "" {
+			r.saved = s
+		}
+	}
+}
+
 // missing handles a run that the list does not hold. It reports whether the
 // run has finished.
 func (m *Machine) missing(now time.Duration, r *run) bool {
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -425,3 +425,29 @@
 	}
 	assert.Equal(t, stops, 1)
 }
+
+// Guards against progress that is lost with its worker, or with a run that was
+// stopped, and against a start that does not go on from it.
+func TestSavedProgressIsToldWithTheEnd(t *testing.T) {
+	run := wire.RunRef{Job: "j", Run: 1}
+	m := lease.New(lease.Options{})
+	m.Step(0, lease.Tick{})
+	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
+	var call lease.CallStart
+	for _, a := range m.Step(2, lease.Start{Run: run, Saved: "a"}) {
+		if c, ok := a.(lease.CallStart); ok {
+			call = c
+		}
+	}
+	assert.Equal(t, call.Saved, "a")
+	m.Step(3, lease.Started{Run: run, Verdict: lease.Accepted, Clock: 3})
+	m.Step(4, lease.Looked{View: &lease.View{Life: 1, Clock: 4, Running: []wire.RunRef{run}, Saved: map[wire.RunRef]string{run: "b"}}})
+	for _, a := range m.Step(3*time.Second, lease.Tick{}) { // the worker is silent
+		if end, ok := a.(lease.Finished); ok {
+			assert.Equal(t, end.Reason, wire.ReasonRunEnded)
+			assert.Equal(t, end.Saved, "b")
+			return
+		}
+	}
+	t.Fatal("the run has not ended")
+}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -1,6 +1,9 @@
 package wire
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Limits of single fields.
 const (
@@ -37,13 +40,20 @@
 		return fmt.Errorf("wire: %d kept ends, allowed are %d", len(ends), MaxHeldEnds)
 	}
 	for i := range ends {
-		if err := ends[i].Run.check(); err != nil {
+		if err := errors.Join(ends[i].Run.check(), checkSaved(ends[i].Saved)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func checkSaved(saved string) error {
+	if len(saved) > MaxSavedBytes {
+		return fmt.Errorf("wire: name of saved progress of %d bytes, allowed are %d", len(saved), MaxSavedBytes)
+	}
+	return nil
+}
+
 func (r *RunRef) check() error {
 	if r.Step < 0 || r.Step >= MaxTasksPerJob || r.Index < 0 || r.Index >= MaxTasksPerJob {
 		return fmt.Errorf("wire: run of task %d in step %d, allowed are 0 to %d", r.Index, r.Step, MaxTasksPerJob-1)
@@ -72,6 +82,9 @@
 		if err := checkNames(f.Starts[i].Class); err != nil {
 			return err
 		}
+		if err := checkSaved(f.Starts[i].Saved); err != nil {
+			return err
+		}
 	}
 	for _, runs := range [...][]RunRef{f.Settled, f.Voided} {
 		for i := range runs {
@@ -92,6 +105,9 @@
 		if o := f.Results[i].Outcome; o < Succeeded || o > Unknown {
 			return fmt.Errorf("wire: result with %v", o)
 		}
+		if err := checkSaved(f.Results[i].Saved); err != nil {
+			return err
+		}
 	}
 	if err := checkEnds(f.Ends); err != nil {
 		return err
