job_answered tells where the time of a job went

An answer that came late could not be told apart: backlog at the entry, queue at an agent, repeated run or long run. The line now has the time of the last start, the longest wait at an agent and the longest run.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -217,6 +217,7 @@
 	t.seq = seq
 	t.agent = link
 	t.run++
+	j.lastStart = now - j.arrived
 	link.attempts.add(seq, t)
 	m.touch(link)
 	ref := t.ref()
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -272,6 +272,10 @@
 	Started int
 	// Unknown counts the tasks whose outcome is not known.
 	Unknown int
+	// LastStart is when the last run was sent, since the submission arrived, and
+	// LongestWait the longest time that one of its tasks was queued at an agent.
+	LastStart   time.Duration
+	LongestWait time.Duration
 	// LongestRun and TotalRun describe the observed run times of the tasks.
 	LongestRun time.Duration
 	TotalRun   time.Duration
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -54,8 +54,12 @@
 	answer   int64 // bytes of results so far
 	longest  time.Duration
 	total    time.Duration
-	dueAt    time.Duration
-	duePos   int // in the deadline queue
+	// lastStart is since the arrival; longestWait is that of a task at an agent.
+	lastStart   time.Duration
+	longestWait time.Duration
+	dueAt       time.Duration
+	duePos      int // in the deadline queue
+	arrived     time.Duration
 	// perOccurrence is the number of steps of each occurrence.
 	perOccurrence int
 	nextDue       time.Duration // of the occurrences that are not due
@@ -82,6 +86,7 @@
 		payloads: e.Payloads,
 		open:     len(e.Payloads),
 		dueAt:    now + e.Deadline,
+		arrived:  now,
 	}
 	for i, p := range e.Payloads {
 		j.bytes += int64(len(p))
@@ -350,7 +355,7 @@
 func incomplete(j *job) JobAnswer {
 	a := JobAnswer{
 		Outcome: Refused, Reason: j.reason, Started: j.started, Unknown: j.unknown,
-		LongestRun: j.longest, TotalRun: j.total,
+		LastStart: j.lastStart, LongestWait: j.longestWait, LongestRun: j.longest, TotalRun: j.total,
 	}
 	switch {
 	case j.failed:
@@ -368,7 +373,7 @@
 func complete(j *job) JobAnswer {
 	a := JobAnswer{
 		Outcome: Complete, Started: j.started,
-		LongestRun: j.longest, TotalRun: j.total,
+		LastStart: j.lastStart, LongestWait: j.longestWait, LongestRun: j.longest, TotalRun: j.total,
 		Results: make([][]byte, len(j.tasks)),
 	}
 	for i := range j.tasks {
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -102,6 +102,7 @@
 	j.started++
 	run := r.Run.Duration()
 	j.longest = max(j.longest, run)
+	j.longestWait = max(j.longestWait, r.Wait.Duration())
 	j.total += run
 }
 
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -192,6 +193,10 @@
 	if x.Answer.Detail != "" {
 		detail += ": " + x.Answer.Detail
 	}
+	if x.Answer.Started > 0 {
+		detail += fmt.Sprintf(": last start after %v, longest wait at an agent %v, longest run %v",
+			x.Answer.LastStart.Round(time.Millisecond), x.Answer.LongestWait.Round(time.Millisecond), x.Answer.LongestRun.Round(time.Millisecond))
+	}
 	f := eventlog.Fields{Submission: x.Submission.String(), Detail: detail, Count: int64(x.Answer.Started), Version: e.ConfigVersion()}
 	if rec := e.table.get(x.Submission); rec != nil {
 		f.Job, f.Class, f.Duration = rec.key.key, rec.class, time.Since(rec.accepted)
