--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -81,9 +82,25 @@
 		c.class = class
 		c.published = true
 	}
+	s.rankClasses()
 	s.requeue()
 }
 
+// rankClasses gives every class the lead that its priority grants to others.
+func (s *Adaptive) rankClasses() {
+	var levels []int
+	for _, c := range s.classList {
+		if c.published {
+			levels = append(levels, c.class.Priority)
+		}
+	}
+	slices.Sort(levels)
+	levels = slices.Compact(levels)
+	for _, c := range s.classList {
+		c.lead = time.Duration(slices.Index(levels, c.class.Priority)) * priorityLead
+	}
+}
+
 func (s *Adaptive) class(class Class) *classState {
 	c := s.classes[class.Name]
 	if c == nil {
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -86,7 +86,7 @@
 		a.health.probeAt = now + ejectBase
 	}
 	s.dropFreed(a)
-	slack := j.due - now
+	slack := j.due + j.class.lead - now
 	if j.late || !s.on.slackOrder {
 		slack = j.job.Deadline - now
 	}
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -16,7 +16,7 @@
 	tieJitter        = time.Millisecond      // random part of the cost, so that entries differ
 	riskShare        = 0.5                   // chance that an agent with one free slot is full
 	freeMargin       = 0.5                   // believed free slots that count as a free slot
-	lookAhead        = 2.0                   // tasks queued at each agent under backlog
+	lookAhead        = 0.75                  // tasks queued at each agent under backlog
 	freeMaxWait      = 4 * time.Millisecond  // accepted queueing while others are believed free
 	unbounded        = time.Hour             // accepted queueing without PartMaxWait
 	fullMaxWait      = 8                     // accepted queueing in waits per queued task while all are believed full
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -338,7 +338,8 @@
 	}
 	assert.Check(t, first.MaxWait <= 10*time.Millisecond, "%v", first.MaxWait)
 	assert.Check(t, last.MaxWait >= 4*defaultRun/8, "%v", last.MaxWait)
-	assert.Equal(t, s.inFlight, int(3*(8+lookAhead)))
+	queued := math.Ceil(lookAhead - freeMargin) // at each agent, of whole slots
+	assert.Equal(t, s.inFlight, 3*(8+int(queued)))
 }
 
 // Guards against state that callers can grow by inventing team names.
--- /dev/null
+++ b/core/policy/priority_test.go
@@ -0,0 +1,38 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// Replays a load in which every slot is taken and work of both classes keeps coming.
+// Guards against urgent tasks that wait as long as the others, here and in the
+// queues of agents, and against others that are overtaken for ever.
+func TestUrgentClassesOvertakeByABoundedLead(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.Configure(0, Settings{Classes: []Class{
+		{Name: "urgent", Within: time.Second, Priority: 3},
+		{Name: "usual", Within: time.Second, Priority: 7},
+	}})
+	s.AgentUp(0, AgentInfo{Agent: 1, Slots: 8})
+	s.Observe(0, 1, wire.Load{Slots: 8, Limit: 8, Successes: 100})
+	first := func(now time.Duration) Placement {
+		p, ok := s.Next(now)
+		assert.Assert(t, ok)
+		return p
+	}
+	enqueue(s, 0, "usual", 1)
+	enqueue(s, priorityLead/2, "urgent", 1)
+	urgent := first(priorityLead / 2)
+	assert.Equal(t, urgent.Task.Job.Class, "urgent")
+	usual := first(priorityLead / 2)
+	assert.Assert(t, usual.Slack > urgent.Slack, "the agents order by slack")
+
+	enqueue(s, time.Second, "usual", 1)
+	enqueue(s, time.Second+priorityLead+2*slackBucket, "urgent", 1)
+	assert.Equal(t, first(time.Second+priorityLead+2*slackBucket).Task.Job.Class, "usual", "it came up long before")
+}
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -16,6 +16,9 @@
 	// lateShare: one start in lateShare goes to a job that already missed its
 	// target, if one waits, so that nothing starves.
 	lateShare = 10
+	// priorityLead is how much later a task must have come up to be overtaken by one
+	// of the next lower priority. It is bounded, so that no class starves.
+	priorityLead = 100 * time.Millisecond
 	// defaultQuota weighs a team without a quota in the fair shares.
 	defaultQuota = 32
 )
@@ -67,8 +70,9 @@
 	published   bool
 	est         estimate
 	forecast    forecast
-	success     float64 // moving average of jobs complete within the target
-	outcomes    ratio   // of tasks
+	lead        time.Duration // that more urgent classes have over this one
+	success     float64       // moving average of jobs complete within the target
+	outcomes    ratio         // of tasks
 	teams       map[string]*teamState
 	waiting     int // tasks
 	inService   int // tasks
@@ -82,7 +86,9 @@
 
 func (c *classState) below() bool { return c.success < c.class.Success }
 
-func (c *classState) due() time.Duration { return c.byDue.Top().viable.Top().due }
+// due is when the class's most urgent job must start, moved back by the lead that
+// other classes have.
+func (c *classState) due() time.Duration { return c.byDue.Top().viable.Top().due + c.lead }
 
 func (c *classState) lateDue() time.Duration { return c.lateByShare.Top().late.Top().due }
 
