Gangs start where no agent has proven itself

Cause: an agent without a success yet is given one task at a time, so a gang wider than the number of agents never started in a system that had run nothing else; in the passing runs small tasks had come first. An agent that may be given a task now takes the members that fit: at once if it only has not succeeded yet, after the gang's patience if there are doubts. The same test read the judge's totals without its lock, a race of the test; they are read through a method now.

--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -112,7 +112,7 @@
 	free := a.limit() - a.believed(p.now, p.meanRun, s.on.ageing)
 	n := int(math.Floor(free/a.slotsOf(p.job.job) + 1e-6))
 	if s.on.health {
-		n = min(n, a.health.cap(p.now)-a.placed)
+		n = min(n, a.health.gangCap(p.now, p.job.impatient(p.now))-a.placed)
 	}
 	if limit := p.job.job.PerWorker; limit > 0 {
 		n = min(n, limit-p.job.at[a])
--- a/core/policy/gang_test.go
+++ b/core/policy/gang_test.go
@@ -124,3 +124,25 @@
 		assert.Equal(t, (a-1)/3, wire.Incarnation(1))
 	}
 }
+
+// Guards against gangs that never start where no agent has had a task before, or
+// where all of them failed one.
+func TestGangStartsOnUnprovenAgents(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		s := New(Options{Seed: 1})
+		s.Configure(0, Settings{Classes: []Class{{Name: "d", Within: time.Second}}})
+		for i := range 2 {
+			s.AgentUp(0, AgentInfo{Agent: wire.Incarnation(i + 1), Slots: 8})
+			if down {
+				s.agents[wire.Incarnation(i+1)].health.markDown(0, 0)
+			}
+		}
+		g := enqueueGang(s, 0, 12, false)
+		at, _ := placeAll(s, 0, g)
+		if down {
+			assert.Equal(t, len(at), 0, "they are down")
+			at, _ = placeAll(s, time.Minute, g)
+		}
+		assert.Equal(t, len(at), 12)
+	}
+}
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -173,6 +173,19 @@
 	return math.MaxInt32
 }
 
+// gangCap returns the number of own attempts that may be in flight when a gang is
+// placed. A gang cannot be tried in part, so where nothing but gangs waits, an agent
+// that may be given one task would never prove itself: it takes what fits, at once
+// if it only has not succeeded yet, after the gang's patience if there are doubts.
+func (h *health) gangCap(now time.Duration, impatient bool) int {
+	n := h.cap(now)
+	doubted := h.ejected || h.down || h.limited
+	if n > 0 && (impatient || !doubted) {
+		return math.MaxInt32
+	}
+	return n
+}
+
 // markDown keeps starts away for a growing time.
 func (h *health) markDown(now time.Duration, random float64) {
 	if h.down && now < h.downUntil {
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -92,7 +92,7 @@
 	for _, r := range replies {
 		byAnswer[fmt.Sprintf("%d %s", r.Status, r.State)]++
 	}
-	fmt.Fprintf(w, "%d jobs, by answer: %v\nruns: %+v\n", len(replies), byAnswer, c.Judge.Counts)
+	fmt.Fprintf(w, "%d jobs, by answer: %v\nruns: %+v\n", len(replies), byAnswer, c.Judge.Counts())
 	broken := c.Judge.Violations()
 	for _, v := range broken {
 		fmt.Fprintln(w, "BROKEN:", v)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,7 +95,7 @@
 	for _, v := range s.Judge.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d of %d jobs served; %+v", served, jobs, s.Judge.Counts)
+	t.Logf("%d of %d jobs served; %+v", served, jobs, s.Judge.Counts())
 	assert.Check(t, slices.ContainsFunc(again, func(r emulator.Reply) bool { return r.State == "completed" }),
 		"the system must serve again: %v", again)
 }
