--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -34,13 +34,13 @@
 // Finished ends a run that a Run action began. It is delivered exactly once
 // for each Run.
 type Finished struct {
-	Attempt AttemptID
-	Outcome wire.Outcome // NotRun only if the task certainly did not start
-	Reason  wire.Reason
-	Run     time.Duration
-	Status  int // HTTP status of the upstream, 0 if none
-	Body    []byte
-	Saved   string // of a run that did not succeed, see wire.Start.Saved
+	Attempt    AttemptID
+	Outcome    wire.Outcome // NotRun only if the task certainly did not start
+	Reason     wire.Reason
+	Run        time.Duration
+	Status     int // HTTP status of the upstream, 0 if none
+	Body       []byte
+	Checkpoint string // of a run that did not succeed, see wire.Start.Checkpoint
 }
 
 // Probed ends a probe that a Probe action began.
--- a/core/agent/held.go
+++ b/core/agent/held.go
@@ -57,7 +57,7 @@
 	if !a.start.Stored || e.Outcome != wire.Succeeded && !failed {
 		return
 	}
-	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.start.Ref(), Failed: failed, Saved: e.Saved})
+	m.held.add(now, a.peer.entry, wire.RunEnd{Run: a.start.Ref(), Failed: failed, Checkpoint: e.Checkpoint})
 }
 
 // settled releases ends that an entry has recorded, at the worker as well.
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -202,13 +202,13 @@
 	}
 	m.holdEnd(now, a, e)
 	m.finish(a, wire.Result{
-		Outcome: e.Outcome,
-		Reason:  e.Reason,
-		Wait:    wire.MicrosOf(a.started - a.arrived),
-		Run:     wire.MicrosOf(now - a.started),
-		Status:  e.Status,
-		Body:    e.Body,
-		Saved:   e.Saved,
+		Outcome:    e.Outcome,
+		Reason:     e.Reason,
+		Wait:       wire.MicrosOf(a.started - a.arrived),
+		Run:        wire.MicrosOf(now - a.started),
+		Status:     e.Status,
+		Body:       e.Body,
+		Checkpoint: e.Checkpoint,
 	})
 	m.observe(now, a, e)
 	m.boundRetained()
--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -73,7 +73,7 @@
 	s := status{By: by, Class: j.class, State: max(j.state, j.next), Widths: j.widths, RunBase: j.base, Occurrences: j.occurrences}
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.run > 0 {
-			s.Tasks = append(s.Tasks, taskStatus{Index: i, Failures: t.Failures, Run: t.run, Done: t.Done, Saved: t.Saved})
+			s.Tasks = append(s.Tasks, taskStatus{Index: i, Failures: t.Failures, Run: t.run, Done: t.Done, Checkpoint: t.Checkpoint})
 		}
 	}
 	return s
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -132,7 +132,7 @@
 		t.Done = !e.End.Failed
 		if e.End.Failed {
 			t.Failures++
-			t.Saved = cmp.Or(e.End.Saved, t.Saved)
+			t.Checkpoint = cmp.Or(e.End.Checkpoint, t.Checkpoint)
 		}
 	}
 	j.settles = append(j.settles, e)
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -142,12 +142,12 @@
 
 // taskStatus is what is recorded of one task.
 type taskStatus struct {
-	_        struct{} `cbor:",toarray"`
-	Index    int      // in the job
-	Failures int      // runs that ended as failed
-	Run      int      // newest of them
-	Done     bool
-	Saved    string // newest progress that a worker saved
+	_          struct{} `cbor:",toarray"`
+	Index      int      // in the job
+	Failures   int      // runs that ended as failed
+	Run        int      // newest of them
+	Done       bool
+	Checkpoint string // newest progress that a worker saved
 }
 
 // cancel is the record of a cancellation, which any process may write.
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -159,7 +159,7 @@
 	for _, t := range x.Tasks {
 		if t.Index >= 0 && t.Index < len(j.tasks) {
 			j.tasks[t.Index] = task{
-				TaskProgress: entry.TaskProgress{Done: t.Done, Failures: t.Failures, Saved: t.Saved}, run: t.Run,
+				TaskProgress: entry.TaskProgress{Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint}, run: t.Run,
 			}
 		}
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -227,7 +227,7 @@
 		Index:      ref.Index,
 		Step:       ref.Step,
 		Occurrence: ref.Occurrence,
-		Saved:      t.saved,
+		Checkpoint: t.checkpoint,
 		Class:      j.info.Class,
 		Slack:      wire.MicrosOf(p.Slack),
 		MaxWait:    wire.MicrosOf(p.MaxWait),
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -54,9 +54,9 @@
 
 // TaskProgress is what is recorded of one task of a stored job.
 type TaskProgress struct {
-	Done     bool
-	Failures int    // runs that ended as failed
-	Saved    string // newest progress that a worker saved, see wire.Start.Saved
+	Done       bool
+	Failures   int    // runs that ended as failed
+	Checkpoint string // newest progress that a worker saved, see wire.Start.Checkpoint
 }
 
 // Step is a group of like tasks of a job.
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -102,13 +102,13 @@
 // more, or ends the job if it may not run again.
 func (m *Machine) regroup(now time.Duration, j *job, s *step) {
 	members := j.members(s)
-	run, saved := 0, ""
+	run, checkpoint := 0, ""
 	for i := range members {
 		if members[i].state != taskGathered {
 			return
 		}
 		run = max(run, members[i].run)
-		saved = max(saved, members[i].saved) // any member's is good for the gang
+		checkpoint = max(checkpoint, members[i].checkpoint) // any member's is good for the gang
 	}
 	g := s.gang
 	if g.failed {
@@ -123,7 +123,7 @@
 	for i := range members {
 		t := &members[i]
 		t.run = run
-		t.saved = saved
+		t.checkpoint = checkpoint
 		t.state = taskBackoff
 		t.retryAt = max(now, g.retryAt)
 		m.retries.Put(t)
@@ -136,7 +136,7 @@
 	members := j.members(s)
 	s.gang.failures = members[0].failures
 	for i := range members {
-		members[i].saved = members[0].saved
+		members[i].checkpoint = members[0].checkpoint
 	}
 	if members[0].state != taskDone {
 		return
--- a/core/entry/gang_test.go
+++ b/core/entry/gang_test.go
@@ -89,16 +89,16 @@
 
 // Guards against members of one run that go on from different progress.
 func TestMembersOfAGangGoOnFromOneProgress(t *testing.T) {
-	m, started := gang(t, []entry.TaskProgress{{Saved: "a"}, {}})
+	m, started := gang(t, []entry.TaskProgress{{Checkpoint: "a"}, {}})
 	first, _ := frames(started)
-	assert.Equal(t, first.Starts[0].Saved, "a")
-	assert.Equal(t, first.Starts[1].Saved, "a")
+	assert.Equal(t, first.Starts[0].Checkpoint, "a")
+	assert.Equal(t, first.Starts[1].Checkpoint, "a")
 	runEnded(m, 1, wire.Failed, wire.ReasonRunEnded)
 	f, _ := frames(m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
-		Results: []wire.Result{{Seq: 2, Outcome: wire.Failed, Reason: wire.ReasonRunEnded, Saved: "b"}},
+		Results: []wire.Result{{Seq: 2, Outcome: wire.Failed, Reason: wire.ReasonRunEnded, Checkpoint: "b"}},
 	}}))
 	assert.Equal(t, len(f.Starts), 2)
 	for i := range f.Starts {
-		assert.Equal(t, f.Starts[i].Saved, "b")
+		assert.Equal(t, f.Starts[i].Checkpoint, "b")
 	}
 }
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -194,7 +194,7 @@
 	for i, p := range progress[:min(len(progress), len(j.tasks))] {
 		t := &j.tasks[i]
 		t.failures = p.Failures
-		t.saved = p.Saved
+		t.checkpoint = p.Checkpoint
 		if p.Done {
 			t.state = taskDone
 			j.open--
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -214,10 +214,10 @@
 	m := repeatable(t)
 	end := func(seq wire.Seq, saved string) wire.Start {
 		f, _ := frames(m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
-			Results: []wire.Result{{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonRunEnded, Saved: saved}},
+			Results: []wire.Result{{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonRunEnded, Checkpoint: saved}},
 		}}))
 		return f.Starts[0]
 	}
-	assert.Equal(t, end(1, "half").Saved, "half")
-	assert.Equal(t, end(2, "").Saved, "half", "a run that saved nothing keeps what there was")
+	assert.Equal(t, end(1, "half").Checkpoint, "half")
+	assert.Equal(t, end(2, "").Checkpoint, "half", "a run that saved nothing keeps what there was")
 }
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -49,7 +49,7 @@
 func (m *Machine) tellEnd(link *agentLink, t *task, r *wire.Result) {
 	failed := r.Outcome == wire.Failed && r.Reason == wire.ReasonUpstreamError
 	if r.Outcome == wire.Succeeded || failed {
-		m.emit(TaskEnded{Agent: link.agent, End: wire.RunEnd{Run: t.ref(), Failed: failed, Saved: r.Saved}})
+		m.emit(TaskEnded{Agent: link.agent, End: wire.RunEnd{Run: t.ref(), Failed: failed, Checkpoint: r.Checkpoint}})
 	}
 }
 
@@ -154,7 +154,7 @@
 
 func endResult(seq wire.Seq, end wire.RunEnd) *wire.Result {
 	if end.Failed {
-		return &wire.Result{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonUpstreamError, Saved: end.Saved}
+		return &wire.Result{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonUpstreamError, Checkpoint: end.Checkpoint}
 	}
 	return &wire.Result{Seq: seq, Outcome: wire.Succeeded}
 }
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -22,20 +22,20 @@
 
 // task is one task of a job and its current attempt.
 type task struct {
-	job      *job
-	step     int
-	sched    policy.Task
-	state    taskState
-	seq      wire.Seq
-	run      int    // number of the current or last run
-	failures int    // runs that ended as failed
-	lost     bool   // waits until a run that was lost must have ended
-	stuck    bool   // the current run was told to stop because it stands still
-	saved    string // newest progress that a worker saved, see wire.Start.Saved
-	agent    *agentLink
-	retryAt  time.Duration
-	retryPos int // in the retry queue
-	result   []byte
+	job        *job
+	step       int
+	sched      policy.Task
+	state      taskState
+	seq        wire.Seq
+	run        int    // number of the current or last run
+	failures   int    // runs that ended as failed
+	lost       bool   // waits until a run that was lost must have ended
+	stuck      bool   // the current run was told to stop because it stands still
+	checkpoint string // newest progress that a worker saved, see wire.Start.Checkpoint
+	agent      *agentLink
+	retryAt    time.Duration
+	retryPos   int // in the retry queue
+	result     []byte
 }
 
 // result applies one outcome. A result for an attempt that is not open (late,
@@ -67,7 +67,7 @@
 // apply takes the outcome of the task's current attempt.
 func (m *Machine) apply(now time.Duration, t *task, r *wire.Result) {
 	j := t.job
-	t.saved = cmp.Or(r.Saved, t.saved)
+	t.checkpoint = cmp.Or(r.Checkpoint, t.checkpoint)
 	if j.steps[t.step].gang != nil && !j.ending && (r.Outcome != wire.Unknown || j.stored) {
 		m.applyGang(now, t, r)
 		return
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -12,10 +12,10 @@
 
 // Start asks for a run. It is ended by one Finished action.
 type Start struct {
-	Attempt agent.AttemptID
-	Run     wire.RunRef
-	Spec    []byte // what the worker is to run
-	Saved   string // see wire.Start.Saved
+	Attempt    agent.AttemptID
+	Run        wire.RunRef
+	Spec       []byte // what the worker is to run
+	Checkpoint string // see wire.Start.Checkpoint
 	// Stored says that the end, if it tells of the task, is left unacknowledged
 	// at the worker until Settle or until the lease has passed.
 	Stored bool
@@ -71,10 +71,10 @@
 
 // End is one entry of the worker's list of ended runs.
 type End struct {
-	N     int // position, from 1, rising
-	Run   wire.RunRef
-	How   How
-	Saved string // progress that the worker saved, empty for none
+	N          int // position, from 1, rising
+	Run        wire.RunRef
+	How        How
+	Checkpoint string // progress that the worker saved, empty for none
 }
 
 // View is what a worker told of itself.
@@ -82,9 +82,9 @@
 	Life    int64         // identity of its incarnation
 	Clock   time.Duration // its own clock
 	Running []wire.RunRef
-	// Saved names the progress that the worker saved of what runs, where it did.
-	Saved map[wire.RunRef]string
-	Ended []End // after CallLook.LastSeen
+	// Checkpoints name the progress that the worker saved of what runs, where it did.
+	Checkpoints map[wire.RunRef]string
+	Ended       []End // after CallLook.LastSeen
 }
 
 // Looked ends a CallLook. View is nil if the worker did not answer.
@@ -107,10 +107,10 @@
 // CallStart asks the caller to send a start and to deliver Started. The worker
 // must refuse it once Deadline has passed on its clock.
 type CallStart struct {
-	Run      wire.RunRef
-	Spec     []byte
-	Saved    string        // progress to go on from
-	Deadline time.Duration // on the worker's clock; renews the lease as well
+	Run        wire.RunRef
+	Spec       []byte
+	Checkpoint string        // progress to go on from
+	Deadline   time.Duration // on the worker's clock; renews the lease as well
 }
 
 // CallStop asks the caller to send a stop and to deliver Stopped.
@@ -125,11 +125,11 @@
 
 // Finished ends a Start.
 type Finished struct {
-	Attempt agent.AttemptID
-	Outcome wire.Outcome
-	Reason  wire.Reason
-	Run     time.Duration // since the run was accepted
-	Saved   string        // newest progress that the worker saved of a run that did not succeed
+	Attempt    agent.AttemptID
+	Outcome    wire.Outcome
+	Reason     wire.Reason
+	Run        time.Duration // since the run was accepted
+	Checkpoint string        // newest progress that the worker saved of a run that did not succeed
 }
 
 // WorkerGone says that the worker has started anew. No further run should be
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -99,20 +99,20 @@
 
 // run is one run that has not finished.
 type run struct {
-	id       wire.RunRef
-	attempt  agent.AttemptID
-	spec     []byte      // while the start may be sent again
-	saved    string      // newest progress that the worker is known to have saved
-	stored   bool        // its end is kept until it is settled
-	tries    int         // starts that were sent
-	refusal  wire.Reason // why the worker turned the last of them down
-	state    runState
-	deadline time.Duration // of the start, on the worker's clock
-	since    time.Duration // when the state was entered
-	stop     bool          // the run is to be stopped
-	crossed  bool          // the worker started anew after the start was sent
-	orphan   bool          // stopped because its entry was lost
-	stopAt   time.Duration // when the next stop may be sent
+	id         wire.RunRef
+	attempt    agent.AttemptID
+	spec       []byte      // while the start may be sent again
+	checkpoint string      // newest progress that the worker is known to have saved
+	stored     bool        // its end is kept until it is settled
+	tries      int         // starts that were sent
+	refusal    wire.Reason // why the worker turned the last of them down
+	state      runState
+	deadline   time.Duration // of the start, on the worker's clock
+	since      time.Duration // when the state was entered
+	stop       bool          // the run is to be stopped
+	crossed    bool          // the worker started anew after the start was sent
+	orphan     bool          // stopped because its entry was lost
+	stopAt     time.Duration // when the next stop may be sent
 }
 
 // foreignRun is a run at the worker that this machine did not ask for, for
@@ -250,7 +250,7 @@
 			return
 		}
 	}
-	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec, saved: e.Saved, stored: e.Stored}
+	r := &run{id: e.Run, attempt: e.Attempt, spec: e.Spec, checkpoint: e.Checkpoint, stored: e.Stored}
 	m.runs[e.Run] = r
 	m.list = append(m.list, r)
 	m.sendStart(now, r)
@@ -260,7 +260,7 @@
 	r.tries++
 	r.since = now
 	r.deadline = m.renew(now)
-	m.emit(CallStart{Run: r.id, Spec: r.spec, Saved: r.saved, Deadline: r.deadline})
+	m.emit(CallStart{Run: r.id, Spec: r.spec, Checkpoint: r.checkpoint, Deadline: r.deadline})
 }
 
 func (m *Machine) started(now time.Duration, e Started) {
@@ -345,7 +345,7 @@
 	}
 	end := Finished{Attempt: r.attempt, Outcome: o, Reason: reason, Run: now - r.since}
 	if o == wire.Failed {
-		end.Saved = r.saved
+		end.Checkpoint = r.checkpoint
 	}
 	m.emit(end)
 }
--- a/core/lease/look.go
+++ b/core/lease/look.go
@@ -82,7 +82,7 @@
 	m.life = v.Life
 	m.ended(now, v.Ended)
 	m.listed(now, v.Running)
-	m.noteSaved(v.Saved)
+	m.noteCheckpoints(v.Checkpoints)
 	if len(m.held) > 0 {
 		m.nextLook = now + heldLookGap
 	}
@@ -113,7 +113,7 @@
 		if r.stored && (end.How == EndedDone || end.How == EndedFailed) {
 			m.held[end.Run] = end.N
 		}
-		r.saved = cmp.Or(end.Saved, r.saved)
+		r.checkpoint = cmp.Or(end.Checkpoint, r.checkpoint)
 		outcome, reason := r.outcome(end.How)
 		m.finish(now, r, outcome, reason)
 	}
@@ -164,12 +164,12 @@
 	}
 }
 
-// noteSaved keeps the progress of runs, which is all that is left of them if they
+// noteCheckpoints keeps the progress of runs, which is all that is left of them if they
 // end with their worker.
-func (m *Machine) noteSaved(saved map[wire.RunRef]string) {
-	for id, s := range saved {
+func (m *Machine) noteCheckpoints(checkpoints map[wire.RunRef]string) {
+	for id, s := range checkpoints {
 		if r := m.runs[id]; r != nil && s != "" {
-			r.saved = s
+			r.checkpoint = s
 		}
 	}
 }
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -434,18 +434,18 @@
 	m.Step(0, lease.Tick{})
 	m.Step(1, lease.Looked{View: &lease.View{Life: 1, Clock: 1}})
 	var call lease.CallStart
-	for _, a := range m.Step(2, lease.Start{Run: run, Saved: "a"}) {
+	for _, a := range m.Step(2, lease.Start{Run: run, Checkpoint: "a"}) {
 		if c, ok := a.(lease.CallStart); ok {
 			call = c
 		}
 	}
-	assert.Equal(t, call.Saved, "a")
+	assert.Equal(t, call.Checkpoint, "a")
 	m.Step(3, lease.Started{Run: run, Verdict: lease.Accepted, Clock: 3})
-	m.Step(4, lease.Looked{View: &lease.View{Life: 1, Clock: 4, Running: []wire.RunRef{run}, Saved: map[wire.RunRef]string{run: "b"}}})
+	m.Step(4, lease.Looked{View: &lease.View{Life: 1, Clock: 4, Running: []wire.RunRef{run}, Checkpoints: map[wire.RunRef]string{run: "b"}}})
 	for _, a := range m.Step(3*time.Second, lease.Tick{}) { // the worker is silent
 		if end, ok := a.(lease.Finished); ok {
 			assert.Equal(t, end.Reason, wire.ReasonRunEnded)
-			assert.Equal(t, end.Saved, "b")
+			assert.Equal(t, end.Checkpoint, "b")
 			return
 		}
 	}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -40,16 +40,16 @@
 		return fmt.Errorf("wire: %d kept ends, allowed are %d", len(ends), MaxHeldEnds)
 	}
 	for i := range ends {
-		if err := errors.Join(ends[i].Run.check(), checkSaved(ends[i].Saved)); err != nil {
+		if err := errors.Join(ends[i].Run.check(), checkCheckpoint(ends[i].Checkpoint)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func checkSaved(saved string) error {
-	if len(saved) > MaxSavedBytes {
-		return fmt.Errorf("wire: name of saved progress of %d bytes, allowed are %d", len(saved), MaxSavedBytes)
+func checkCheckpoint(checkpoint string) error {
+	if len(checkpoint) > MaxCheckpointBytes {
+		return fmt.Errorf("wire: checkpoint of %d bytes, allowed are %d", len(checkpoint), MaxCheckpointBytes)
 	}
 	return nil
 }
@@ -82,7 +82,7 @@
 		if err := checkNames(f.Starts[i].Class); err != nil {
 			return err
 		}
-		if err := checkSaved(f.Starts[i].Saved); err != nil {
+		if err := checkCheckpoint(f.Starts[i].Checkpoint); err != nil {
 			return err
 		}
 	}
@@ -105,7 +105,7 @@
 		if o := f.Results[i].Outcome; o < Succeeded || o > Unknown {
 			return fmt.Errorf("wire: result with %v", o)
 		}
-		if err := checkSaved(f.Results[i].Saved); err != nil {
+		if err := checkCheckpoint(f.Results[i].Checkpoint); err != nil {
 			return err
 		}
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -21,8 +21,8 @@
 	MaxTasksPerJob = 570
 	// MaxOccurrences is the largest number of occurrences of a job that recurs.
 	MaxOccurrences = 4096
-	// MaxSavedBytes bounds the name of saved progress.
-	MaxSavedBytes = 1024
+	// MaxCheckpointBytes bounds the name of saved progress.
+	MaxCheckpointBytes = 1024
 	// MaxFrameBytes is the largest encoded frame, header excluded.
 	MaxFrameBytes = 4 << 20
 	// MaxKnownEntries bounds the entry list carried in a hello.
@@ -267,8 +267,8 @@
 	_      struct{} `cbor:",toarray"`
 	Run    RunRef
 	Failed bool // by the task's own fault; otherwise the run succeeded
-	// Saved names the progress that the worker saved of the run, see Start.Saved.
-	Saved string
+	// Checkpoint names the progress that the worker saved of the run, see Start.Checkpoint.
+	Checkpoint string
 }
 
 // EntryHello answers an AgentHello.
@@ -307,9 +307,9 @@
 	Stored bool
 	// Occurrence is the one that the task belongs to, from 0, of a job that recurs.
 	Occurrence int
-	// Saved names the progress of an earlier run that this one goes on from, empty
+	// Checkpoint names the progress of an earlier run that this one goes on from, empty
 	// for none. Only the workers know what it means.
-	Saved string
+	Checkpoint string
 }
 
 // Ref names the run that the start asks for.
@@ -336,15 +336,15 @@
 
 // Result reports the final outcome of one attempt.
 type Result struct {
-	_       struct{} `cbor:",toarray"`
-	Seq     Seq
-	Outcome Outcome
-	Reason  Reason
-	Wait    Micros // time in the agent's queue
-	Run     Micros // time at the upstream
-	Status  int    // HTTP status of the upstream, 0 if none
-	Body    []byte
-	Saved   string // of a run that did not succeed, see Start.Saved
+	_          struct{} `cbor:",toarray"`
+	Seq        Seq
+	Outcome    Outcome
+	Reason     Reason
+	Wait       Micros // time in the agent's queue
+	Run        Micros // time at the upstream
+	Status     int    // HTTP status of the upstream, 0 if none
+	Body       []byte
+	Checkpoint string // of a run that did not succeed, see Start.Checkpoint
 }
 
 // ConfigState carries a configuration to a peer with an older version.
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -214,7 +214,7 @@
 func runEnds(ends []lease.End) []wire.RunEnd {
 	out := make([]wire.RunEnd, 0, len(ends))
 	for _, e := range ends[:min(len(ends), wire.MaxHeldEnds)] {
-		out = append(out, wire.RunEnd{Run: e.Run, Failed: e.How == lease.EndedFailed, Saved: e.Saved})
+		out = append(out, wire.RunEnd{Run: e.Run, Failed: e.How == lease.EndedFailed, Checkpoint: e.Checkpoint})
 	}
 	return out
 }
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -81,7 +81,7 @@
 	u.send(lease.Start{
 		Attempt: x.Attempt,
 		Run:     x.Start.Ref(),
-		Spec:    x.Start.Payload, Saved: x.Start.Saved, Stored: x.Start.Stored,
+		Spec:    x.Start.Payload, Checkpoint: x.Start.Checkpoint, Stored: x.Start.Stored,
 	})
 }
 
@@ -149,7 +149,7 @@
 	case lease.CallLook:
 		u.call(callTimeout+x.Wait, func(ctx context.Context) lease.Event { return u.look(ctx, x) })
 	case lease.Finished:
-		u.report(agent.Finished{Attempt: x.Attempt, Outcome: x.Outcome, Reason: x.Reason, Run: x.Run, Saved: x.Saved})
+		u.report(agent.Finished{Attempt: x.Attempt, Outcome: x.Outcome, Reason: x.Reason, Run: x.Run, Checkpoint: x.Checkpoint})
 	case lease.WorkerGone:
 		if u.opts.Gone != nil {
 			u.opts.Gone()
