agentd: count the bytes of requests over TLS

Cause: with an https upstream the transport hands out a *tls.Conn, so the tracker of sent bytes never saw the counted connection below it. A task whose connection broke after the upstream had received it was reported as not_run and could be placed again: it may have run twice.

Change: the counted connection is found below the TLS connection; a connection whose bytes are not counted makes the outcome unknown. HTTP/2 is not negotiated, because the transport has a dial function of its own. The probe of an https URL without a port goes to 443.

TestTaskEventsAppearInTimeline compared against a stamp that overflowed and could not fail; it now takes a stamp of the timeline's clock.

--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -373,7 +373,7 @@
 	log := eventlog.New(zap.NewNop(), "agent", 1)
 	startAgent(t, Options{UpstreamURL: upstreamURL(server), Entries: []string{entry.addr()}, Log: log, Incarnation: 1})
 	entry.awaitLink()
-	future := uint64(time.Now().Add(time.Hour).UnixMicro()) << 16
+	future := uint64(new(timeline.Clock).Now(time.Now().Add(time.Hour).UnixMicro()))
 	start := wire.Start{Seq: 1, Submission: wire.SubmissionID{7}, Deadline: 1e7, Payload: []byte("{}")}
 	entry.send(wire.ToAgent{Starts: []wire.Start{start}, Stamp: future})
 	entry.result(1)
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -63,17 +63,20 @@
 	return u
 }
 
-// hostPort returns the host:port of a URL, with port 80 by default, or "" if the
-// URL cannot be parsed.
+// hostPort returns the host:port of a URL, by default with the port of its scheme, or
+// "" if the URL cannot be parsed.
 func hostPort(raw string) string {
 	u, err := url.Parse(raw)
 	if err != nil {
 		return ""
 	}
-	if u.Port() == "" {
-		return net.JoinHostPort(u.Hostname(), "80")
+	switch {
+	case u.Port() != "":
+		return u.Host
+	case u.Scheme == "https":
+		return net.JoinHostPort(u.Hostname(), "443")
 	}
-	return u.Host
+	return net.JoinHostPort(u.Hostname(), "80")
 }
 
 // dial opens a connection to the upstream. Its errors have type dialError, which
--- a/internal/agentd/upstreamconn.go
+++ b/internal/agentd/upstreamconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http/httptrace"
@@ -100,9 +101,10 @@
 // connections that the transport uses for the request: the transport may use
 // another one if it could not write anything on the first.
 type requestTracker struct {
-	mu    sync.Mutex
-	ended bool
-	uses  []connUse
+	mu      sync.Mutex
+	ended   bool
+	uses    []connUse
+	unknown bool // a connection was used whose bytes are not counted
 }
 
 type connUse struct {
@@ -113,17 +115,30 @@
 // withTrace returns a context for the request that records its connections.
 func (t *requestTracker) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*countedConn); ok {
-				t.addConn(c)
-			}
-		},
+		GotConn: func(info httptrace.GotConnInfo) { t.addConn(countedConnOf(info.Conn)) },
 	})
 }
 
+// countedConnOf returns the connection that counts the bytes of c, which may be a
+// TLS connection over it. It returns nil if there is none.
+func countedConnOf(c net.Conn) *countedConn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	counted, _ := c.(*countedConn)
+	return counted
+}
+
+// addConn records a connection that the transport is about to use. A TLS handshake
+// ends before that, so its bytes do not count as bytes of the request. c is nil for a
+// connection whose bytes are not counted.
 func (t *requestTracker) addConn(c *countedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c == nil {
+		t.unknown = true
+		return
+	}
 	if t.ended {
 		c.seal(0)
 		return
@@ -137,6 +152,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ended = true
+	sent = t.unknown
 	for _, u := range t.uses {
 		sent = u.conn.seal(u.before) || sent
 	}
