logstate tests: release the lock when a wrong owner is found

recorder.result returned with its lock held when a claim named an owner that never claimed the key, so the test would hang in place of failing.

--- a/internal/logstate/history_test.go
+++ b/internal/logstate/history_test.go
@@ -100,10 +100,11 @@
 		r.mu.Unlock()
 	case got.Owner != claimapi.ClaimOwner{}:
 		r.mu.Lock()
-		if !r.claimed[req.Key][got.Owner.Submission] {
+		claimed := r.claimed[req.Key][got.Owner.Submission]
+		r.mu.Unlock()
+		if !claimed {
 			return "the owner is a submission that never claimed the key"
 		}
-		r.mu.Unlock()
 	}
 	return ""
 }
