--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -218,11 +218,12 @@
 // Links returns the number of connected agents.
 func (n *EntryNode) Links() int { return n.entry.Links() }
 
-// Ready reports whether the entry accepts jobs.
+// Ready reports whether the entry accepts jobs. A process that has just started is
+// ready once it has a configuration and an agent and has read the log of stored jobs.
 func (n *EntryNode) Ready() bool {
 	select {
 	case <-n.serving:
-		return n.entry.Ready() && !n.isLeaving()
+		return n.entry.Ready() && !n.isLeaving() && n.jobLogSettled()
 	default:
 		return false
 	}
--- a/internal/fleet/ready.go
+++ b/internal/fleet/ready.go
@@ -28,3 +28,18 @@
 	n.wg.Go(func() { n.readyServer.Serve(l) })
 	return nil
 }
+
+// jobLogSettled reports whether stored jobs are accepted or cannot be accepted for
+// now.
+func (n *EntryNode) jobLogSettled() bool {
+	loaded, failed := n.keeper.LogRead()
+	return jobLogSettled(loaded, failed, time.Since(n.started))
+}
+
+// jobLogSettled decides whether an entry of the given age may be ready as far as the
+// log of stored jobs is concerned. A new process refuses stored jobs until it has read
+// the log once. A log that cannot be read, or is read slowly, does not keep the entry
+// out of service, because other jobs do not need it.
+func jobLogSettled(loaded, failed bool, age time.Duration) bool {
+	return loaded || failed || age >= startHoldTimeout
+}
--- a/internal/fleet/stored.go
+++ b/internal/fleet/stored.go
@@ -73,8 +73,20 @@
 	}
 }
 
+// wait waits until the keeper is set. Its first drives may report before that.
+func (s storedEvents) wait() {
+	select {
+	case <-s.node.serving:
+	case <-s.node.ctx.Done():
+	}
+}
+
 // JobStarted implements entryd.StoredJobObserver.
-func (s storedEvents) JobStarted(job string) { s.node.keeper.JobStarted(job) }
+func (s storedEvents) JobStarted(job string) {
+	if s.wait(); s.ready() {
+		s.node.keeper.JobStarted(job)
+	}
+}
 
 // RunFinished implements entryd.StoredJobObserver. Events before the keeper is set
 // are dropped: the agent reports the run again when it next connects.
@@ -86,7 +98,9 @@
 
 // DriveEnded implements entryd.StoredJobObserver.
 func (s storedEvents) DriveEnded(job string, outcome entry.JobOutcome, reason string) {
-	s.node.keeper.DriveEnded(job, outcome, reason)
+	if s.wait(); s.ready() {
+		s.node.keeper.DriveEnded(job, outcome, reason)
+	}
 }
 
 // handOverJobs hands the stored jobs over to other processes.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -92,6 +92,7 @@
 	left   chan struct{} // closed once the jobs are handed over
 
 	mu         sync.Mutex
+	readFailed bool // see LogRead
 	machine    *durable.Machine
 	self       durable.ProcessID
 	nextAppend int64 // number of the next append
@@ -204,6 +205,14 @@
 	return k.machine.ViewAge(k.clock.Now())
 }
 
+// LogRead reports whether the log has been read for the first time, and whether the
+// newest read failed.
+func (k *Keeper) LogRead() (loaded, failed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Loaded(), k.readFailed
+}
+
 // JobStarted reports that the first task of a driven job was started.
 func (k *Keeper) JobStarted(job string) { k.post(durable.JobStarted{Job: job}) }
 
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -49,7 +49,11 @@
 	}
 }
 
+// reportLogState records that reads began to fail or succeed again.
 func (k *Keeper) reportLogState(failing bool, err error) {
+	k.mu.Lock()
+	k.readFailed = failing
+	k.mu.Unlock()
 	if failing {
 		k.opts.Events.Emit(eventlog.JobLogLost, eventlog.Fields{Err: err})
 		return
