Announce configurations, send large ones rarely and packed

With 1,668 routes a version is about 250 KB, so one version was 6.5 MB on the link of an entry of 25 Mbit/s, two seconds of it, and a series of versions every 80 ms filled the links for good: heartbeats and leases were late, runs were stopped. An entry also read every version of the series in full from the store.

Change: a version is announced with the next frame that is sent anyway. Its content, compressed, goes to an agent that has not announced it after up to 0.4 s, and at most once a second on one link; an agent that has received it announces it to its other entries. Agents forward it only to entries that still lack the version for which forwarding was armed, so that a series does not postpone it and entries that follow the store are sent nothing. An entry pauses after a large configuration so that reading takes about an eighth of its link, and skips the versions in between. Configurations up to 4 KB are sent at once as before. Entry lists hold 512 entries in place of 64: the site has 55 and nine spares, and replaced ones stay listed.

Ruled out: deltas of the published configuration, since operators publish it whole and agents would have to decode it. A field of its own for the version would break links between builds; the announcement is a delta on itself, which the earlier build answers with its own state.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -116,7 +116,6 @@
 	occupied        float64      // slots taken by running tasks
 	order           uint64       // arrival counter, orders attempts that are due at the same time
 	config          *wire.ConfigState
-	forwardConfigAt time.Duration // when config is sent to entries that are not known to have it
 
 	limiter      limiter
 	classes      map[string]*classStats
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -23,6 +23,7 @@
 	running []*Run
 	results []wire.Result
 	frames  []*wire.ToEntry
+	entries []wire.Incarnation // receiver of each frame
 	stops   int
 	probes  int
 	retired int
@@ -42,6 +43,7 @@
 			s.running = append(s.running, x)
 		case *Send:
 			s.frames = append(s.frames, x.Frame)
+			s.entries = append(s.entries, x.Entry)
 			s.results = append(s.results, x.Frame.Results...)
 		case Stop:
 			s.stops++
@@ -339,6 +341,39 @@
 	assert.Equal(t, len(s.frames), 1, "the configuration is sent once")
 }
 
+// Guards against a configuration that every agent of an entry sends although the
+// entry has it, and against a series of versions that postpones the sending to an
+// entry which the log refuses.
+func TestSeriesOfVersionsIsForwardedOnlyToEntriesThatFallBehind(t *testing.T) {
+	const interval = 80 * time.Millisecond
+	s := newScript(Options{Slots: 1, HeartbeatInterval: time.Minute})
+	s.step(LinkUp{Entry: entryB, Epoch: 2, ConfigVersion: 6}) // refused by the log
+	s.step(LinkUp{Entry: 12, Epoch: 3, ConfigVersion: 6})     // one version behind
+	s.frames, s.entries = nil, nil
+	state := make([]byte, 2*smallConfigBytes)
+	sentTo := func(entry wire.Incarnation) (n int) {
+		for i, f := range s.frames {
+			if s.entries[i] == entry && f.Config != nil && !f.Config.Announcement() {
+				n++
+			}
+		}
+		return n
+	}
+	for version := int64(7); version < 37; version++ {
+		s.receive(wire.ToAgent{Config: &wire.ConfigState{Version: version, State: state}})
+		s.step(Received{Entry: 12, Epoch: 3, Frame: &wire.ToAgent{Config: wire.AnnounceConfig(version - 1)}})
+		s.advance(interval)
+	}
+	assert.Equal(t, sentTo(12), 0)
+	series := 30 * interval
+	assert.Assert(t, sentTo(entryB) > 0)
+	assert.Assert(t, sentTo(entryB) <= int(series/configForwardDelay), "sent %d times", sentTo(entryB))
+	s.advance(configForwardDelay + configForwardSpread)
+	s.advance(configForwardDelay + configForwardSpread)
+	last := s.frames[len(s.frames)-1].Config
+	assert.Equal(t, last.Version, int64(36))
+}
+
 // Guards against a copy that differs from the entries' configuration after a
 // delta, and against a delta that is applied to a state on which it does not build.
 func TestConfigDeltaIsMergedOnlyIntoItsBase(t *testing.T) {
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -84,7 +84,12 @@
 	retired             bool               // Retired was emitted
 	retireAt            time.Duration
 	configVersion       int64 // newest version that the entry is known to have
-	sendConfig          bool
+	sendConfig          bool  // send the configuration in the next frame
+	announceConfig      bool  // announce its version in the next frame
+	// forwardVersion and forwardAt are the version for which forwarding is armed, 0
+	// if it is not, and when it is due.
+	forwardVersion int64
+	forwardAt      time.Duration
 }
 
 // outFrame combines a frame, its action and storage for one result, so that the
@@ -169,7 +174,8 @@
 	m.queueRetainedRuns(now, rec)
 	rec.retiring, rec.retired = false, false
 	rec.configVersion = e.ConfigVersion
-	rec.sendConfig = m.config != nil && e.ConfigVersion < m.config.Version
+	rec.sendConfig, rec.announceConfig, rec.forwardVersion = false, false, 0
+	m.scheduleForward(now, rec, m.connectDelay())
 }
 
 func (m *Machine) addEntry(entry wire.Incarnation) *entryRecord {
@@ -200,7 +206,6 @@
 	m.returnQueued(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
 	m.stopOrphans(now)
 	m.broadcastOverdueRuns(now)
-	m.forwardConfig(now)
 	kept := m.entryList[:0]
 	for _, rec := range m.entryList {
 		m.tickEntry(now, rec)
@@ -222,6 +227,7 @@
 		if now-rec.sentAt >= m.opts.HeartbeatInterval {
 			rec.heartbeatDue = true
 		}
+		m.forwardDue(now, rec)
 		m.reportRetired(now, rec)
 		return
 	}
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -36,7 +36,11 @@
 		if rec.sendConfig {
 			f.frame.Config = m.config
 			rec.configVersion = m.config.Version
-			rec.sendConfig = false
+			rec.sendConfig, rec.announceConfig = false, false
+		}
+		if rec.announceConfig {
+			f.frame.Config = wire.AnnounceConfig(m.config.Version)
+			rec.announceConfig = false
 		}
 		f.send = Send{Entry: rec.incarnation, Epoch: rec.epoch, Frame: &f.frame}
 		m.emit(&f.send)
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -127,6 +127,40 @@
 	assert.DeepEqual(t, *f.Config, wire.ConfigState{Version: 7, State: []byte("seven")})
 }
 
+// Guards against a large configuration that each of an agent's entries sends to it,
+// and against a series of versions each of which is sent in full: the links of weak
+// entries fill up and the leases on their runs expire.
+func TestLargeConfigurationIsSentRarely(t *testing.T) {
+	const interval = 80 * time.Millisecond
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
+	for agent := wire.Incarnation(1); agent <= 2; agent++ {
+		m.Step(0, entry.LinkUp{Hello: wire.AgentHello{Agent: agent, Epoch: 1, Slots: 8}})
+	}
+	sent := map[wire.Incarnation]int{}
+	var last int64
+	now := time.Duration(0)
+	step := func(ev entry.Event) {
+		for _, a := range m.Step(now, ev) {
+			if send, ok := a.(entry.Send); ok && send.Frame.Config != nil && !send.Frame.Config.Announcement() {
+				sent[send.Agent]++
+				last = send.Frame.Config.Version
+			}
+		}
+	}
+	for version := int64(1); version <= 25; version++ {
+		step(entry.Configured{Version: version, State: make([]byte, 64<<10)})
+		// Agent 2 has got the version from another entry.
+		step(entry.Received{Agent: 2, Epoch: 1, Frame: &wire.ToEntry{Config: wire.AnnounceConfig(version)}})
+		now += interval
+		step(entry.Tick{})
+	}
+	assert.Equal(t, sent[2], 0)
+	assert.Assert(t, sent[1] > 0 && sent[1] <= 1+int(now/time.Second), "sent %d times in %v", sent[1], now)
+	now += 2 * time.Second
+	step(entry.Tick{})
+	assert.Equal(t, last, int64(25), "the newest version arrives after the series")
+}
+
 // Guards against agents that miss a changed entry list.
 func TestEntryListIsSentOnlyWhenItChanges(t *testing.T) {
 	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -22,6 +22,8 @@
 	sentAt            time.Duration // when the last frame was sent
 	agentClock        wire.Micros   // latest reading of the agent's clock that was received
 	configVersion     int64         // version that the agent has or was sent
+	pushConfigAt      time.Duration // when the configuration is sent if the agent still lacks it; 0 if not due
+	configSentAt      time.Duration // when a configuration was last sent
 	attempts          attemptWindow // attempts that were sent and are not settled
 	outgoing          wire.ToAgent  // content of the next frames
 	dirty             bool          // listed in Machine.dirtyLinks
@@ -50,12 +52,13 @@
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.configVersion = h.ConfigVersion
+	link.pushConfigAt = 0
 	// The finished runs come first: the attempts of older incarnations that are
 	// still open afterwards end, and their tasks are repeated.
 	m.applyFinishedRuns(now, link, h.FinishedRuns)
 	m.removeOlderIncarnations(now, link, h.NoLeftoverRuns)
 	m.queryInFlight(link)
-	m.offerConfig(link)
+	m.offerConfig(now, link)
 	if len(m.entries) > 0 {
 		link.outgoing.Entries = m.entries
 		m.scheduleSend(link)
@@ -183,7 +186,7 @@
 	m.applyFinishedRuns(now, link, e.Frame.FinishedRuns)
 	m.scheduler.Observe(now, e.Agent, e.Frame.Load)
 	if e.Frame.Config != nil {
-		m.receiveConfig(link, e.Frame.Config)
+		m.receiveConfig(now, link, e.Frame.Config)
 	}
 }
 
@@ -191,6 +194,9 @@
 func (m *Machine) checkLinks(now time.Duration) {
 	var expired []*agentLink
 	for _, link := range m.agentList {
+		if link.up {
+			m.pushDueConfig(now, link)
+		}
 		switch {
 		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
 			m.scheduleSend(link)
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -25,8 +25,10 @@
 	MaxCheckpointBytes = 1024
 	// MaxFrameBytes is the largest encoded frame, excluding its header.
 	MaxFrameBytes = 4 << 20
-	// MaxKnownEntries bounds the entry list carried in a hello.
-	MaxKnownEntries = 64
+	// MaxKnownEntries bounds the entry list carried in a hello. It leaves room for
+	// entries that were replaced at other addresses and are still listed: with less
+	// room than entries, live ones are dropped from the list.
+	MaxKnownEntries = 512
 	// MaxFinishedRuns bounds the finished runs that an agent retains for stored
 	// jobs.
 	MaxFinishedRuns = 4096
@@ -376,7 +378,8 @@
 	Checkpoint string // set if the run did not succeed, see Start.Checkpoint
 }
 
-// ConfigState carries a configuration to a peer that has an older version.
+// ConfigState carries a configuration to a peer that has an older version, or only
+// states which version the sender has, see Announcement.
 type ConfigState struct {
 	_       struct{} `cbor:",toarray"`
 	Version int64
@@ -387,6 +390,15 @@
 	BaseVersion int64
 }
 
+// AnnounceConfig returns the announcement of a version: a delta that builds on the
+// version itself and therefore holds nothing.
+func AnnounceConfig(version int64) *ConfigState {
+	return &ConfigState{Version: version, BaseVersion: version}
+}
+
+// Announcement reports whether c only states that the sender has the version.
+func (c *ConfigState) Announcement() bool { return c.BaseVersion > 0 && c.BaseVersion >= c.Version }
+
 // ToAgent is one frame from an entry to an agent. Every list may be empty; a
 // frame without content is a heartbeat.
 type ToAgent struct {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -20,6 +20,11 @@
 	// configReadWait is the longest wait of one read of the configuration. A read
 	// over an unresponsive connection ends about a second later.
 	configReadWait = 1500 * time.Millisecond
+	// configLinkShare is the share of the VM's link that configurations may take, see
+	// configReadPause. A configuration is in force within maxConfigReadPause and the
+	// time of one read after it was published.
+	configLinkShare    = 0.125
+	maxConfigReadPause = 800 * time.Millisecond
 	// readRetryDelay is the pause after a failed call to the configuration source
 	// or the directory.
 	readRetryDelay = 200 * time.Millisecond
@@ -124,6 +129,7 @@
 		c, err := n.opts.Configs.Next(n.ctx, configReadWait)
 		if c != nil {
 			n.apply(c, "store")
+			ctxsleep.For(n.ctx, configReadPause(len(c.State), n.opts.LinkBytesPerSecond))
 		}
 		if err != nil && n.ctx.Err() == nil {
 			if !failing {
@@ -140,16 +146,37 @@
 	}
 }
 
-// applyFromAgent applies a configuration received from an agent.
+// configReadPause returns the pause after a configuration of the given size was read.
+// In a series of configurations, reading takes about configLinkShare of the VM's link
+// and the entry skips those in between.
+func configReadPause(size int, linkBytesPerSecond float64) time.Duration {
+	if linkBytesPerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(size) / (configLinkShare * linkBytesPerSecond)
+	return min(maxConfigReadPause, time.Duration(seconds*float64(time.Second)))
+}
+
+// applyFromAgent applies a configuration received from an agent. It does so on a
+// goroutine of its own: the core goroutine calls this method and must neither wait
+// for its own event queue nor decode a large configuration.
 func (n *EntryNode) applyFromAgent(c wire.ConfigState) {
-	conf, err := n.opts.Configs.Decode(c.State)
+	n.wg.Go(func() {
+		conf, err := n.decodePacked(c.State)
+		if err != nil {
+			n.opts.Log.Emit(eventlog.ConfigUnreadable, eventlog.Fields{Count: c.Version, Err: err})
+			return
+		}
+		n.apply(conf, "agent")
+	})
+}
+
+func (n *EntryNode) decodePacked(packed []byte) (*Config, error) {
+	state, err := unpackState(packed)
 	if err != nil {
-		n.opts.Log.Emit(eventlog.ConfigUnreadable, eventlog.Fields{Count: c.Version, Err: err})
-		return
+		return nil, err
 	}
-	// The core goroutine calls this method and must not block on its own event
-	// queue.
-	n.wg.Go(func() { n.apply(conf, "agent") })
+	return n.opts.Configs.Decode(state)
 }
 
 // apply puts a configuration into effect if it is newer than the current one. from
@@ -166,7 +193,7 @@
 		return
 	}
 	n.version = c.Version
-	n.entry.Configure(c.Settings, c.Version, c.State)
+	n.entry.Configure(c.Settings, c.Version, packState(c.State))
 	c.Activate()
 	n.opts.Log.Emit(eventlog.ConfigInForce, eventlog.Fields{Count: c.Version, Detail: from + " " + strconv.Itoa(len(c.State)) + " bytes"})
 }
--- a/internal/fleet/ready_test.go
+++ b/internal/fleet/ready_test.go
@@ -134,3 +134,12 @@
 		assert.Equal(t, jobLogSettled(c.loaded, c.failed, c.age), c.want, "%+v", c)
 	}
 }
+
+// Guards against a series of large configurations that fills the link of a weak VM.
+func TestLargeConfigurationsTakeAShareOfTheLink(t *testing.T) {
+	const weakLink = 25e6 / 8
+	assert.Equal(t, configReadPause(5_000, weakLink), 12800*time.Microsecond)
+	assert.Equal(t, configReadPause(250_000, weakLink), 640*time.Millisecond)
+	assert.Equal(t, configReadPause(1_000_000, weakLink), maxConfigReadPause)
+	assert.Equal(t, configReadPause(250_000, 0), time.Duration(0))
+}
