Polls of a worker wait up to 150 ms

Cause: while any run was open an agent polled its worker every 30 ms, although a poll is answered as soon as a run ends. With 240 agents these polls were more calls than the starts and ends of all tasks.

Change: a poll may wait 150 ms, four renewals within the lease of 0.7 s. An answer that is lost delays the report of an end by that much more.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -35,7 +35,7 @@
 	Lease time.Duration
 	// PollWait is how long the worker may delay the answer to a poll while no
 	// run ends. Each poll renews the lease, and a lost poll delays the report of
-	// ended runs by this time. Default 30 ms.
+	// ended runs by this time. Default 150 ms: four polls within a lease.
 	PollWait time.Duration
 	// StopRetry is the interval between stop requests for one run. Default 150 ms.
 	StopRetry time.Duration
@@ -51,7 +51,7 @@
 // Defaults of Options.
 const (
 	DefaultLease     = 700 * time.Millisecond
-	DefaultPollWait  = 30 * time.Millisecond
+	DefaultPollWait  = 150 * time.Millisecond
 	DefaultStopRetry = 150 * time.Millisecond
 	DefaultAckDelay  = 250 * time.Millisecond
 )
