agent: start no queued task of an entry whose lease has expired

Cause, found by looking for permissions that run out during a pause: queued tasks of an unresponsive entry were returned by the tick only. After a pause of the agent another event, such as the end of a run, may be handled first, and the slot it frees went to a queued task whose entry had given it up as lost. Its caller may have sent the job to another entry by then, so the task could run twice.

Change: the lease is checked before each start, by the same function as at the arrival of a start and in the tick.

Shown: TestPausedAgentStartsNoTaskOfAnExpiredLease fails before (pause of 0.5 s and 1 ns) and passes after; the fault matrix passes.

--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -374,6 +374,26 @@
 	assert.Equal(t, last.Version, int64(36))
 }
 
+// Guards against an agent that was paused and then starts a queued task whose entry
+// has given it up meanwhile: the caller may have sent the job to another entry. The
+// end of a run may be handled before the first tick after the pause.
+func TestPausedAgentStartsNoTaskOfAnExpiredLease(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	for _, pause := range []time.Duration{lease / 2, lease, lease + 1, 3 * time.Second} {
+		s := newScript(Options{Slots: 1, RunLease: lease})
+		s.start(1, time.Minute)
+		queued := s.start(2, time.Minute)
+		s.now += pause
+		s.finishFirst(succeeded)
+		if pause <= lease {
+			assert.Equal(t, len(s.running), 1, "pause of %v", pause)
+			continue
+		}
+		assert.Equal(t, len(s.running), 0, "pause of %v", pause)
+		assert.Equal(t, s.result(t, queued).Outcome, wire.NotRun)
+	}
+}
+
 // Guards against runs that end by an expired lease although entry and agent are both
 // calm: the lease must be renewed well before it ends.
 func TestLeaseOfCalmEntryIsRenewedInTime(t *testing.T) {
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -244,18 +244,20 @@
 // unresponsive for RunLease. The entry gives up such attempts as lost, and its
 // caller may send the job again to another entry.
 func (m *Machine) stopOrphans(now time.Duration) {
-	if m.opts.RunLease <= 0 {
-		return
-	}
 	for _, a := range m.active {
-		if !a.stopping && now-a.entry.aliveAt > m.opts.RunLease {
+		if !a.stopping && m.leaseExpired(now, a.entry) {
 			a.stopping = true
 			m.emit(Stop{Attempt: a.id(), Orphan: true})
 		}
 	}
-	m.returnQueued(wire.ReasonCancelled, func(a *attempt) bool {
-		return now-a.entry.aliveAt > m.opts.RunLease
-	})
+	m.returnQueued(wire.ReasonCancelled, func(a *attempt) bool { return m.leaseExpired(now, a.entry) })
+}
+
+// leaseExpired reports whether the entry was unresponsive for so long that it may have
+// given up its attempts here. It is checked before each start, not only by the tick:
+// after a pause of this process another event may be handled first.
+func (m *Machine) leaseExpired(now time.Duration, rec *entryRecord) bool {
+	return m.opts.RunLease > 0 && now-rec.aliveAt > m.opts.RunLease
 }
 
 // renewLease renews the lease of the entry's runs with the clock reading that the
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -110,7 +110,7 @@
 		return wire.ReasonDraining
 	case s.Deadline <= 0:
 		return wire.ReasonExpired
-	case m.opts.RunLease > 0 && now-rec.aliveAt > m.opts.RunLease:
+	case m.leaseExpired(now, rec):
 		return wire.ReasonExpired // the frame was delayed; the entry may have given up the attempt
 	case !m.opts.Capacity.Fits(s.Need):
 		return wire.ReasonNoRoom
@@ -195,6 +195,10 @@
 			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
 			continue
 		}
+		if m.leaseExpired(now, a.entry) {
+			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled})
+			continue
+		}
 		a.state = stateRunning
 		a.started = now
 		a.run = Run{Attempt: a.id(), Start: &a.start, Timeout: a.deadline - now}
