--- a/core/agent/config.go
+++ b/core/agent/config.go
@@ -38,7 +38,7 @@
 //
 // Entries follow the log themselves and announce the version that they have. An
 // entry that has not announced this version or a later one in time is sent it, see
-// forwardConfig.
+// forwardDue.
 func (m *Machine) adoptConfig(now time.Duration, from *entryRecord, c *wire.ConfigState) {
 	if c == nil || c.Version <= 0 || len(c.State) > wire.MaxConfigBytes {
 		return
