Tests: workers that left stay out of use after a restart of their agent

A new agent process knows nothing of a worker that has left. Delayed and reordered announcements are given to one: it starts no agent for a worker that does not answer as the announced incarnation, and none while the worker drains.

--- /dev/null
+++ b/internal/fleet/agent_test.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/lease"
+	"github.com/limpettrail/limpettrail/internal/leased"
+)
+
+// goneWorker is a client of a worker incarnation that no longer runs. It counts polls.
+type goneWorker struct{ polls *atomic.Int64 }
+
+var errWorkerGone = errors.New("another incarnation answered")
+
+func (w goneWorker) Start(context.Context, lease.CallStart) lease.Started { return lease.Started{} }
+func (w goneWorker) Stop(context.Context, lease.CallStop) lease.Stopped   { return lease.Stopped{} }
+func (w goneWorker) Close()                                               {}
+
+func (w goneWorker) Poll(context.Context, lease.CallPoll) (*lease.WorkerStatus, error) {
+	w.polls.Add(1)
+	return nil, errWorkerGone
+}
+
+// startWorkerless starts the agent of a VM whose announced workers do not answer.
+func startWorkerless(t *testing.T) (n *AgentNode, polls *atomic.Int64) {
+	polls = new(atomic.Int64)
+	n = StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) leased.Worker { return goneWorker{polls} }})
+	t.Cleanup(n.Kill)
+	return n, polls
+}
+
+func announced(incarnation, sequence int64, draining bool) Announcement {
+	return Announcement{Worker: "w", Incarnation: incarnation, Sequence: sequence, Pool: "p", Slots: 8, Draining: draining}
+}
+
+// Guards against a worker that has left and is used again after a restart of its
+// agent: the new process knows nothing of it and may receive a delayed announcement.
+func TestDelayedAnnouncementOfLeftWorkerStartsNoAgent(t *testing.T) {
+	n, polls := startWorkerless(t)
+	n.HandleAnnouncement(announced(4, 9, false))
+	await(t, func() bool { return polls.Load() >= 3 })
+	_, running := n.Status()
+	assert.Assert(t, !running, "an agent runs for a worker that never answered")
+}
+
+// Guards against a draining worker that gets new work after a restart of its agent,
+// or after announcements that arrive out of order.
+func TestDrainingWorkerStaysOutOfUse(t *testing.T) {
+	n, polls := startWorkerless(t)
+	n.HandleAnnouncement(announced(5, 20, true))
+	for _, late := range []Announcement{announced(5, 19, false), announced(4, 99, false), announced(5, 20, false)} {
+		n.HandleAnnouncement(late)
+		assert.Assert(t, n.announced.Draining, "%+v", late)
+	}
+	assert.Equal(t, polls.Load(), int64(0), "the worker was contacted")
+	_, running := n.Status()
+	assert.Assert(t, !running)
+}
