--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -35,7 +35,8 @@
 	Lease time.Duration
 	// PollWait is how long the worker may delay the answer to a poll while no
 	// run ends. Each poll renews the lease, and a lost poll delays the report of
-	// ended runs by this time. Default 150 ms: four polls within a lease.
+	// ended runs by this time. Default 150 ms: four polls within a lease. Polls of a
+	// worker that has left a call unanswered wait at most unreliablePollWait.
 	PollWait time.Duration
 	// StopRetry is the interval between stop requests for one run. Default 150 ms.
 	StopRetry time.Duration
@@ -69,6 +70,11 @@
 	// maxClockAge bounds the age of the last reading of the worker's clock. At a
 	// drift of 2% the estimate is then off by at most 40 ms.
 	maxClockAge = 2 * time.Second
+	// unreliablePollWait and unreliablePeriod: a worker that has left a call unanswered is
+	// polled with short waits for a time, because it may leave the next poll unanswered
+	// as well, and the ends of runs are not seen until that poll times out.
+	unreliablePollWait = 30 * time.Millisecond
+	unreliablePeriod   = 3 * time.Second
 	// pollRetry is the delay after a failed poll while runs are open. Polls that
 	// fail immediately would otherwise follow each other without a pause.
 	pollRetry = 10 * time.Millisecond
@@ -157,6 +163,8 @@
 	polling    bool          // a poll is in flight
 	// pollFailed is set if the last poll was not answered.
 	pollFailed bool
+	// unansweredAt is when a call was last found unanswered, 0 if none was.
+	unansweredAt time.Duration
 	polledAt   time.Duration // when the poll in flight was sent
 	pollAck    int           // number up to which the poll in flight acknowledges ended runs
 	nextPoll   time.Duration // earliest time of the next poll
@@ -298,6 +306,7 @@
 		r.notRunReason = e.Reason
 		m.pollNow = true
 	case StartUnanswered:
+		m.unansweredAt = now
 		if r.startsSent < maxStartAttempts && !r.stopRequested {
 			m.sendStart(now, r)
 			return
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -19,10 +19,8 @@
 	case m.readAt == 0: // no answer from the worker so far
 	case m.pollFailed: // the worker may restart, and a delayed start may reach its next incarnation
 	case m.pollNow:
-	case m.anyRunAtWorker():
-		call.MaxWait = m.opts.PollWait
-	case len(m.foreign) > 0:
-		call.MaxWait = m.opts.PollWait
+	case m.anyRunAtWorker(), len(m.foreign) > 0:
+		call.MaxWait = m.pollWait(now)
 	case m.acked < m.ackLimit() && now >= m.ackAt:
 	case now-m.readAt >= maxClockAge: // a new reading of the clock is needed
 	default:
@@ -40,6 +38,14 @@
 	m.emit(call)
 }
 
+// pollWait returns how long the worker may delay the answer to a poll.
+func (m *Machine) pollWait(now time.Duration) time.Duration {
+	if m.unansweredAt > 0 && now-m.unansweredAt < unreliablePeriod {
+		return min(m.opts.PollWait, unreliablePollWait)
+	}
+	return m.opts.PollWait
+}
+
 // ackNumber returns the number up to which the next poll acknowledges ended runs.
 // After a failed poll or a pause the worker may have restarted, and numbers its
 // ended runs from 1 again. An old number would make it discard ended runs that
@@ -67,6 +73,7 @@
 	m.polling = false
 	m.pollFailed = e.Status == nil
 	if e.Status == nil {
+		m.unansweredAt = now
 		m.nextPoll = now + pollRetry
 		if len(m.ordered) == 0 {
 			m.nextPoll = now + idlePollRetry
