--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -165,12 +165,12 @@
 	pollFailed bool
 	// unansweredAt is when a call was last found unanswered, 0 if none was.
 	unansweredAt time.Duration
-	polledAt   time.Duration // when the poll in flight was sent
-	pollAck    int           // number up to which the poll in flight acknowledges ended runs
-	nextPoll   time.Duration // earliest time of the next poll
-	pollNow    bool          // the state of a run is uncertain: poll without waiting for a run to end
-	foreign    []foreignRun
-	actions    []Action
+	polledAt     time.Duration // when the poll in flight was sent
+	pollAck      int           // number up to which the poll in flight acknowledges ended runs
+	nextPoll     time.Duration // earliest time of the next poll
+	pollNow      bool          // the state of a run is uncertain: poll without waiting for a run to end
+	foreign      []foreignRun
+	actions      []Action
 }
 
 // New returns a machine that has no information about its worker yet. Its first
