--- a/internal/fleet/pack.go
+++ b/internal/fleet/pack.go
@@ -10,8 +10,8 @@
 // maxStateBytes bounds an unpacked configuration.
 const maxStateBytes = 8 << 20
 
-// packState compresses a configuration for the links between entries and agents. A
-// list of 1,700 routes shrinks to about a tenth.
+// packState compresses a configuration for the links between entries and agents.
+// Lists of routes repeat most of their text.
 func packState(state []byte) []byte {
 	var out bytes.Buffer
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
