--- a/core/entry/config.go
+++ b/core/entry/config.go
@@ -115,14 +115,23 @@
 // the agent sends the content unless this entry reads it from the log in time.
 func (m *Machine) receiveConfig(now time.Duration, link *agentLink, c *wire.ConfigState) {
 	link.configVersion = c.Version
-	if c.Version > m.config.version && c.Announcement() {
+	if c.Version <= m.config.version {
+		m.offerConfig(now, link)
 		return
 	}
-	if c.Version > m.config.version {
+	if !c.Announcement() {
 		m.emit(NewerConfig{Agent: link.incarnation, State: *c})
+	}
+	m.noteVersion(link, c.Version)
+}
+
+// noteVersion reports a version that is newer than every one known so far.
+func (m *Machine) noteVersion(link *agentLink, version int64) {
+	if version <= max(m.config.version, m.notedVersion) {
 		return
 	}
-	m.offerConfig(now, link)
+	m.notedVersion = version
+	m.emit(VersionAnnounced{Agent: link.name, Version: version, Current: m.config.version})
 }
 
 // updateEntries sends the list of entries to every connected agent if it
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -102,6 +102,7 @@
 	// was pending. A claim that is won later is released.
 	orphanedClaims map[wire.SubmissionID]struct{}
 	config         configState
+	notedVersion   int64 // highest version of the configuration that an agent announced
 	entries        []wire.EntryAddr
 	draining       bool
 	drained        bool
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -105,6 +105,29 @@
 	assert.Assert(t, f.Config == nil)
 }
 
+// Guards against an entry that stays behind without a trace of when it could have known
+// of a newer version.
+func TestNewerVersionIsReportedOnce(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
+	m.Step(0, entry.Configured{Version: 5, State: []byte("five")})
+	reported := func(actions []entry.Action) (out []int64) {
+		for _, a := range actions {
+			if x, ok := a.(entry.VersionAnnounced); ok {
+				assert.Equal(t, x.Current, int64(5))
+				out = append(out, x.Version)
+			}
+		}
+		return out
+	}
+	announce := func(v int64) []entry.Action {
+		return m.Step(0, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Config: wire.AnnounceConfig(v)}})
+	}
+	assert.DeepEqual(t, reported(m.Step(0, linkUp(1, 7))), []int64{7})
+	assert.Equal(t, len(reported(announce(7))), 0)
+	assert.DeepEqual(t, reported(announce(8)), []int64{8})
+	assert.Equal(t, len(reported(m.Step(0, linkUp(2, 4)))), 0)
+}
+
 // Guards against sending the whole configuration for each change, which at the
 // target scale exceeds an agent's bandwidth, and against sending a delta to an
 // agent that lacks the version it builds on.
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -223,17 +223,26 @@
 	State wire.ConfigState
 }
 
+// VersionAnnounced reports that an agent has a version of the configuration that is
+// newer than this entry's and than all that were announced before.
+type VersionAnnounced struct {
+	Agent   string // name of the agent
+	Version int64
+	Current int64 // this entry's version
+}
+
 // Drained reports that the graceful shutdown is complete. It is emitted once.
 type Drained struct{}
 
-func (Send) isAction()         {}
-func (RequestClaim) isAction() {}
-func (ReleaseClaim) isAction() {}
-func (Answer) isAction()       {}
-func (JobStarted) isAction()   {}
-func (RunFinished) isAction()  {}
-func (NewerConfig) isAction()  {}
-func (Drained) isAction()      {}
+func (Send) isAction()             {}
+func (RequestClaim) isAction()     {}
+func (ReleaseClaim) isAction()     {}
+func (Answer) isAction()           {}
+func (JobStarted) isAction()       {}
+func (RunFinished) isAction()      {}
+func (NewerConfig) isAction()      {}
+func (VersionAnnounced) isAction() {}
+func (Drained) isAction()          {}
 
 // JobOutcome is how a submission ended.
 type JobOutcome uint8
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -59,6 +59,7 @@
 	m.removeOlderIncarnations(now, link, h.NoLeftoverRuns)
 	m.queryInFlight(link)
 	m.offerConfig(now, link)
+	m.noteVersion(link, h.ConfigVersion)
 	if len(m.entries) > 0 {
 		link.outgoing.Entries = m.entries
 		m.scheduleSend(link)
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -159,6 +159,10 @@
 		if c.e.opts.OnAgentConfig != nil {
 			c.e.opts.OnAgentConfig(x.State)
 		}
+	case entry.VersionAnnounced:
+		if c.e.opts.OnVersionAnnounced != nil {
+			c.e.opts.OnVersionAnnounced(x)
+		}
 	case entry.Drained:
 		close(c.e.drained)
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -96,6 +96,9 @@
 	// OnAgentConfig is called when an agent reports a newer configuration than
 	// the one in effect here. It must not block.
 	OnAgentConfig func(wire.ConfigState)
+	// OnVersionAnnounced is called when an agent announces a newer version of the
+	// configuration than all known before. It must not block. It may be nil.
+	OnVersionAnnounced func(entry.VersionAnnounced)
 	// ListenFunc opens the listeners. The default is net.Listen on TCP.
 	ListenFunc func(role ListenerRole, addr string) (net.Listener, error)
 	// LogStatus returns the state of the platform's log for /status, LogGauges
--- a/internal/eventlog/catalog_log.go
+++ b/internal/eventlog/catalog_log.go
@@ -20,6 +20,7 @@
 	ConfigSourceBack  = define(3041, "config_source_back", zapcore.InfoLevel, false)
 	ConfigInForce     = define(3042, "config_in_force", zapcore.InfoLevel, false)
 	ConfigUnreadable  = define(3043, "config_unreadable", zapcore.ErrorLevel, false)
+	ConfigBehind      = define(3045, "config_behind", zapcore.InfoLevel, false)
 	DirectoryFailed   = define(3044, "directory_failed", zapcore.WarnLevel, false)
 	PresenceWritten   = define(3030, "presence_written", zapcore.InfoLevel, false)
 )
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
@@ -82,11 +83,24 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 
+	// announced is the newest version of the configuration that an agent has announced,
+	// nil if there is none. lastRead is when the last successful read of the
+	// configuration ended, as the time since started.
+	announced atomic.Pointer[announcedVersion]
+	lastRead  atomic.Int64
+
 	mu      sync.Mutex
 	version int64 // version of the current configuration, 0 if there is none
 	leaving bool
 }
 
+// announcedVersion is a version of the configuration that an agent had before this
+// entry.
+type announcedVersion struct {
+	version int64
+	at      time.Time
+}
+
 // StartEntry starts an entry that serves until Stop or Kill.
 func StartEntry(opts EntryOptions) (*EntryNode, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,13 +112,15 @@
 		CallerHandler: func(s entryd.Submitter) http.Handler {
 			return n.holdWhileStarting(opts.CallerHandler(leavingSubmitter{s, n}, storedJobs{n}))
 		},
-		StoredJobObserver: storedEvents{n},
-		OnAgentConfig:     n.applyFromAgent,
-		Log:               opts.Log,
-		Incarnation:       opts.Incarnation,
-		MaxJobs:           maxJobs,
-		SilenceTimeout:    silenceTimeout,
-		Core:              entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease},
+		StoredJobObserver:  storedEvents{n},
+		OnAgentConfig:      n.applyFromAgent,
+		OnVersionAnnounced: n.noteAnnounced,
+		LogGauges:          n.configGauges,
+		Log:                opts.Log,
+		Incarnation:        opts.Incarnation,
+		MaxJobs:            maxJobs,
+		SilenceTimeout:     silenceTimeout,
+		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease},
 	})
 	if err != nil {
 		cancel()
@@ -128,7 +144,7 @@
 	for n.ctx.Err() == nil {
 		c, err := n.opts.Configs.Next(n.ctx, configReadWait)
 		if c != nil {
-			n.apply(c, "store")
+			n.apply(c, "store", c.AvailableAt)
 			ctxsleep.For(n.ctx, configReadPause(len(c.State), n.opts.LinkBytesPerSecond))
 		}
 		if err != nil && n.ctx.Err() == nil {
@@ -139,13 +155,55 @@
 			ctxsleep.For(n.ctx, readRetryDelay)
 			continue
 		}
+		readAge := n.noteRead()
 		if failing && err == nil {
 			failing = false
-			n.opts.Log.Emit(eventlog.ConfigSourceBack, eventlog.Fields{})
+			n.opts.Log.Emit(eventlog.ConfigSourceBack, eventlog.Fields{Age: readAge})
 		}
 	}
 }
 
+// noteRead notes a successful read of the configuration and returns the time since the
+// one before.
+func (n *EntryNode) noteRead() time.Duration {
+	age := n.readAge()
+	n.lastRead.Store(int64(time.Since(n.started)))
+	return age
+}
+
+// readAge returns the time since the last successful read of the configuration, or
+// since the start of the process.
+func (n *EntryNode) readAge() time.Duration {
+	return time.Since(n.started) - time.Duration(n.lastRead.Load())
+}
+
+// noteAnnounced logs that an agent has a version that this entry lacks: from then on
+// the version is known to be published.
+func (n *EntryNode) noteAnnounced(a entry.VersionAnnounced) {
+	n.announced.Store(&announcedVersion{version: a.Version, at: time.Now()})
+	n.opts.Log.Emit(eventlog.ConfigBehind, eventlog.Fields{Peer: a.Agent, Count: a.Version, Version: a.Current, Age: n.readAge()})
+}
+
+// announcedAge returns how long ago an agent announced a newer version than the given
+// one, 0 if none did.
+func (n *EntryNode) announcedAge(version int64) time.Duration {
+	if a := n.announced.Load(); a != nil && a.version > version {
+		return time.Since(a.at)
+	}
+	return 0
+}
+
+// configGauges returns the metrics for alerts on the configuration source.
+func (n *EntryNode) configGauges() []entryd.Gauge {
+	n.mu.Lock()
+	version := n.version
+	n.mu.Unlock()
+	return []entryd.Gauge{
+		{Name: "limpettrail_config_read_age_milliseconds", Value: n.readAge().Milliseconds()},
+		{Name: "limpettrail_config_lag_milliseconds", Value: n.announcedAge(version).Milliseconds()},
+	}
+}
+
 // configReadPause returns the pause after a configuration of the given size was read.
 // In a series of configurations, reading takes about configLinkShare of the VM's link
 // and the entry skips those in between.
@@ -161,13 +219,14 @@
 // goroutine of its own: the core goroutine calls this method and must neither wait
 // for its own event queue nor decode a large configuration.
 func (n *EntryNode) applyFromAgent(c wire.ConfigState) {
+	arrivedAt := time.Now()
 	n.wg.Go(func() {
 		conf, err := n.decodePacked(c.State)
 		if err != nil {
 			n.opts.Log.Emit(eventlog.ConfigUnreadable, eventlog.Fields{Count: c.Version, Err: err})
 			return
 		}
-		n.apply(conf, "agent")
+		n.apply(conf, "agent", arrivedAt)
 	})
 }
 
@@ -179,9 +238,9 @@
 	return n.opts.Configs.Decode(state)
 }
 
-// apply puts a configuration into effect if it is newer than the current one. from
-// is logged.
-func (n *EntryNode) apply(c *Config, from string) {
+// apply puts a configuration into effect if it is newer than the current one. It logs
+// from and the time since it became available.
+func (n *EntryNode) apply(c *Config, from string, availableAt time.Time) {
 	select {
 	case <-n.serving: // an agent may pass on a configuration while the entry starts
 	case <-n.ctx.Done():
@@ -192,10 +251,17 @@
 	if c.Version <= n.version {
 		return
 	}
+	fields := eventlog.Fields{Count: c.Version, Version: n.version, Age: n.readAge(), Detail: from + " " + strconv.Itoa(len(c.State)) + " bytes"}
+	if age := n.announcedAge(n.version); age > 0 {
+		fields.Detail += ", announced " + age.Round(time.Millisecond).String() + " before"
+	}
 	n.version = c.Version
 	n.entry.Configure(c.Settings, c.Version, packState(c.State))
 	c.Activate()
-	n.opts.Log.Emit(eventlog.ConfigInForce, eventlog.Fields{Count: c.Version, Detail: from + " " + strconv.Itoa(len(c.State)) + " bytes"})
+	if !availableAt.IsZero() {
+		fields.Duration = time.Since(availableAt)
+	}
+	n.opts.Log.Emit(eventlog.ConfigInForce, fields)
 }
 
 // followDirectory publishes this entry's address and tells agents about the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,9 @@
 	Settings policy.Settings
 	// State is the encoded configuration that processes pass on to each other.
 	State []byte
+	// AvailableAt is when the source began to deliver it; zero if it came from another
+	// process.
+	AvailableAt time.Time
 	// Activate applies the part of the configuration that is not in Settings. It is
 	// called after Settings have taken effect.
 	Activate func()
