--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -133,6 +133,8 @@
 	probeAt      time.Duration
 	probeBackoff time.Duration
 
+	workerLeaving bool // see WorkerLeaving
+
 	draining bool
 	drained  bool
 	drainAt  time.Duration // when the drain began
@@ -175,6 +177,8 @@
 		m.probed(now, e)
 	case Retire:
 		m.retire(now, e)
+	case WorkerLeaving:
+		m.workerLeaving = true
 	case Drain:
 		m.drain(now)
 	case Tick:
--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -116,7 +116,8 @@
 // entry was unresponsive or at the task's own deadline says nothing about the
 // health of the upstream: under overload, deadlines pass everywhere.
 func (m *Machine) runFailed(now time.Duration, a *attempt, e *Finished) {
-	if e.Reason == wire.ReasonStopped || a.stopping && e.Reason == wire.ReasonRunEnded {
+	ended := e.Reason == wire.ReasonRunEnded || e.Reason == wire.ReasonWorkerCrashed
+	if e.Reason == wire.ReasonStopped || a.stopping && ended {
 		return
 	}
 	m.failures++
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -223,6 +223,9 @@
 	if len(m.active) == 0 {
 		m.occupied = 0 // discard accumulated rounding errors
 	}
+	if e.Reason == wire.ReasonWorkerCrashed && m.workerLeaving {
+		e.Reason = wire.ReasonRunEnded
+	}
 	m.retainFinishedRun(now, a, e)
 	m.finish(a, wire.Result{
 		Outcome:    e.Outcome,
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -166,7 +166,9 @@
 // the task.
 func (m *Machine) taskFailed(now time.Duration, t *task, r *wire.Result) {
 	j := t.job
-	if r.Reason != wire.ReasonRunEnded && r.Reason != wire.ReasonStuck {
+	switch r.Reason {
+	case wire.ReasonRunEnded, wire.ReasonWorkerCrashed, wire.ReasonStuck:
+	default:
 		t.failures++
 	}
 	if (j.maxAttempts > 1 || j.stored) && t.failures < j.maxAttempts && !j.ending {
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -95,7 +95,12 @@
 
 // Polled reports the result of a CallPoll. Status is nil if the worker did not
 // answer.
-type Polled struct{ Status *WorkerStatus }
+type Polled struct {
+	Status *WorkerStatus
+	// ProcessGone states that nothing listens at the worker's address: its process has
+	// ended. A worker that is frozen or cut off does not answer, but is not gone.
+	ProcessGone bool
+}
 
 // Tick triggers time-driven work. Deliver it about every 50 ms.
 type Tick struct{}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -20,6 +20,8 @@
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired.
+//   - Finished reports Failed with ReasonWorkerCrashed only if the same holds and the
+//     worker's process was found to be gone or replaced.
 package lease
 
 import (
@@ -163,6 +165,8 @@
 	polling    bool          // a poll is in flight
 	// pollFailed is set if the last poll was not answered.
 	pollFailed bool
+	// processGone is set if a poll since the last answer found the worker's process gone.
+	processGone bool
 	// unansweredAt is when a call was last found unanswered, 0 if none was.
 	unansweredAt time.Duration
 	polledAt     time.Duration // when the poll in flight was sent
@@ -377,6 +381,14 @@
 	m.emit(finished)
 }
 
+// endReason returns the reason of a run that ended with its worker or its lease.
+func endReason(workerCrashed bool) wire.Reason {
+	if workerCrashed {
+		return wire.ReasonWorkerCrashed
+	}
+	return wire.ReasonRunEnded
+}
+
 // expireLease fails every run once the lease has expired without a renewal.
 // Finished runs that are still retained are released as well: they no longer count,
 // because their tasks may be repeated like those of a worker that was cut off.
@@ -386,6 +398,6 @@
 	}
 	clear(m.retained)
 	for len(m.ordered) > 0 {
-		m.finish(now, m.ordered[0], wire.Failed, wire.ReasonRunEnded)
+		m.finish(now, m.ordered[0], wire.Failed, endReason(m.processGone))
 	}
 }
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -72,6 +72,7 @@
 func (m *Machine) polled(now time.Duration, e Polled) {
 	m.polling = false
 	m.pollFailed = e.Status == nil
+	m.processGone = e.ProcessGone || m.processGone && e.Status == nil
 	if e.Status == nil {
 		m.unansweredAt = now
 		m.nextPoll = now + pollRetry
@@ -194,7 +195,7 @@
 	}
 	switch r.state {
 	case runRunning:
-		m.finish(now, r, wire.Failed, wire.ReasonRunEnded)
+		m.finish(now, r, wire.Failed, endReason(r.workerRestarted))
 		return true
 	case runUnanswered:
 		if m.clock > r.deadline && !r.workerRestarted {
@@ -215,7 +216,7 @@
 // previous incarnation.
 func (m *Machine) finishRuledOut(now time.Duration, r *run, reason wire.Reason) {
 	if r.workerRestarted {
-		m.finish(now, r, wire.Failed, wire.ReasonRunEnded)
+		m.finish(now, r, wire.Failed, wire.ReasonWorkerCrashed)
 		return
 	}
 	m.finish(now, r, wire.NotRun, reason)
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -46,3 +47,51 @@
 	}
 	assert.Equal(t, answer(true), DefaultPollWait)
 }
+
+// Guards against a task that is blamed for a worker that only stopped answering, and
+// against one under which worker after worker crashes unnoticed.
+func TestCrashedWorkerIsToldFromSilentOne(t *testing.T) {
+	run := wire.RunRef{Job: "j", Run: 1}
+	silent, gone := Polled{}, Polled{ProcessGone: true}
+	running := func(incarnation int64) Polled {
+		return Polled{Status: &WorkerStatus{Incarnation: incarnation, Clock: time.Second, Running: []wire.RunRef{run}}}
+	}
+	idle := func(incarnation int64) Polled {
+		return Polled{Status: &WorkerStatus{Incarnation: incarnation, Clock: time.Second}}
+	}
+	for _, c := range []struct {
+		name  string
+		polls []Polled // 100 ms apart
+		want  wire.Reason
+	}{
+		{"frozen or cut off", []Polled{silent, silent}, wire.ReasonRunEnded},
+		{"process gone", []Polled{silent, gone}, wire.ReasonWorkerCrashed},
+		{"process gone, then the machine", []Polled{gone, silent}, wire.ReasonWorkerCrashed},
+		{"restarted within the lease", []Polled{silent, idle(2)}, wire.ReasonWorkerCrashed},
+		{"refused once, then alive and silent", []Polled{gone, running(1), silent}, wire.ReasonRunEnded},
+		{"alive without the run", []Polled{idle(1)}, wire.ReasonRunEnded},
+	} {
+		m := New(Options{})
+		now := time.Second
+		m.Step(now, running(1))
+		m.Step(now, Start{Run: run})
+		m.Step(now, Started{Run: run, Result: StartAccepted})
+		m.Step(now, running(1))
+		var got []wire.Reason
+		step := func(ev Event) {
+			for _, a := range m.Step(now, ev) {
+				if f, ok := a.(Finished); ok {
+					got = append(got, f.Reason)
+				}
+			}
+		}
+		for _, p := range c.polls {
+			now += 100 * time.Millisecond
+			step(Tick{}) // sends the poll
+			step(p)
+		}
+		now += 2 * DefaultLease
+		step(Tick{})
+		assert.Assert(t, slices.Equal(got, []wire.Reason{c.want}), "%s: got %v, want %v", c.name, got, c.want)
+	}
+}
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -275,7 +275,7 @@
 func agentFault(r *wire.Result) bool {
 	switch r.Outcome {
 	case wire.Failed:
-		return r.Reason != wire.ReasonStopped && r.Reason != wire.ReasonRunEnded
+		return r.Reason != wire.ReasonStopped && r.Reason != wire.ReasonRunEnded && r.Reason != wire.ReasonWorkerCrashed
 	case wire.Unknown:
 		return r.Reason == wire.ReasonConnectionLost
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -168,12 +168,16 @@
 	// ReasonStuck: the run was stopped because it made no progress. Only entries
 	// use it; it is never sent.
 	ReasonStuck
+	// ReasonWorkerCrashed: the run ended because its worker's process ended without
+	// having announced that it leaves.
+	ReasonWorkerCrashed
 )
 
 var reasonNames = [...]string{
 	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
 	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
 	"agent_lost", "stopped", "result_lost", "no_room", "stale_run", "run_ended", "stuck",
+	"worker_crashed",
 }
 
 // String returns the reason's machine-readable name.
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -208,6 +208,9 @@
 	a.upstream.Close()
 }
 
+// WorkerLeaving reports that the worker has announced that it leaves.
+func (a *Agent) WorkerLeaving() { a.send(agent.WorkerLeaving{}) }
+
 // Drain starts draining the agent without ending it: the agent accepts no more
 // tasks and delivers the results of those that it has.
 func (a *Agent) Drain() { a.send(agent.Drain{}) }
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if drainingChanged && a.Draining {
-		n.drainLocked("worker is draining")
+		n.drainLocked("worker is draining", true)
 	}
 }
 
@@ -96,20 +96,25 @@
 	defer n.mu.Unlock()
 	if n.announced.Worker == worker {
 		n.announced.Draining = true
-		n.drainLocked("worker has deregistered")
+		n.drainLocked("worker has deregistered", true)
 	}
 }
 
 // drainLocked drains the current agent, or cancels its start. reason is logged.
-// n.mu must be held.
-func (n *AgentNode) drainLocked(reason string) {
+// workerLeaving states that the worker has announced that it leaves. n.mu must be held.
+func (n *AgentNode) drainLocked(reason string, workerLeaving bool) {
 	n.opts.Log.Emit(eventlog.WorkerLeaving, eventlog.Fields{Peer: n.announced.Worker, Detail: reason})
 	if n.cancelStart != nil {
 		n.cancelStart()
 		n.cancelStart = nil
 	}
-	if n.current != nil {
-		go n.current.Drain()
+	if current := n.current; current != nil {
+		go func() {
+			if workerLeaving {
+				current.WorkerLeaving()
+			}
+			current.Drain()
+		}()
 	}
 }
 
@@ -180,7 +185,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.announced.Incarnation == a.Incarnation {
-		n.drainLocked("worker has restarted")
+		n.drainLocked("worker has restarted", false)
 	}
 }
 
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
@@ -36,7 +38,8 @@
 	Start(ctx context.Context, call lease.CallStart) lease.Started
 	// Stop requests the end of a run.
 	Stop(ctx context.Context, call lease.CallStop) lease.Stopped
-	// Poll returns the worker's status with its lists of running and ended runs.
+	// Poll returns the worker's status with its lists of running and ended runs. The
+	// error matches syscall.ECONNREFUSED if nothing listens at the worker's address.
 	Poll(ctx context.Context, call lease.CallPoll) (*lease.WorkerStatus, error)
 	// Close closes the connections.
 	Close()
@@ -194,7 +197,7 @@
 	if err != nil && u.opts.OnPollError != nil {
 		u.opts.OnPollError(err)
 	}
-	return lease.Polled{Status: status}
+	return lease.Polled{Status: status, ProcessGone: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
 // probe polls the worker without an acknowledgement or a renewal and reports
