--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -159,12 +159,14 @@
 		}
 	}
 	// The records after those of requests and jobs are maintenance records, which
-	// are appended again, and a lease record, which is not.
+	// are appended again before later ones, and a lease record, which is not.
+	var again []Record
 	for _, r := range b.records[len(b.requests)+len(b.jobs):] {
 		if r.Key[0] != kindLease || len(r.Value) == 0 {
-			m.maintenance = append(m.maintenance, r)
+			again = append(again, r)
 		}
 	}
+	m.maintenance = append(again, m.maintenance...)
 }
 
 // reply answers the callers of recorded or refused requests, and the callers that
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -130,6 +130,7 @@
 	nextState    State         // state to record with the next status if it is later than state
 	dirty        bool          // whether the job is in Machine.dirty
 	inDriveQueue bool          // whether the job is in Machine.driveQueue
+	hasCrashes   bool          // a crash record of the job was written or read
 	unrecorded   []RunFinished // counted runs that are not in an append yet
 	reported     []RunFinished // reported while another process owned the job
 }
@@ -252,6 +253,8 @@
 		m.jobStarted(e.Job)
 	case RunFinished:
 		m.runFinished(now, e)
+	case RunCrashed:
+		m.runCrashed(e)
 	case DriveEnded:
 		m.driveEnded(now, e)
 	case Leave:
--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -72,6 +72,12 @@
 	Superseded bool // the task was started again before this run was reported
 }
 
+// RunCrashed reports that a worker crashed under a run of a driven job.
+type RunCrashed struct {
+	Run     wire.RunRef
+	Crashes int // runs of the task under which a worker crashed so far
+}
+
 // DriveEnded reports that the drive of a job is over, because the job has ended or
 // was halted. Nothing of it runs any more.
 type DriveEnded struct {
@@ -94,6 +100,7 @@
 func (Fenced) isEvent()      {}
 func (JobStarted) isEvent()  {}
 func (RunFinished) isEvent() {}
+func (RunCrashed) isEvent()  {}
 func (DriveEnded) isEvent()  {}
 func (Leave) isEvent()       {}
 func (Tick) isEvent()        {}
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -173,6 +173,33 @@
 	}
 }
 
+// runCrashed counts a crash of a worker under a task and records it at once: the owner
+// that follows must not start the task on as many workers again.
+func (m *Machine) runCrashed(e RunCrashed) {
+	j := m.jobs[e.Run.Job]
+	if j == nil || j.spec == nil || j.state.Final() || !m.owns(j) {
+		return
+	}
+	i := j.taskIndex(e.Run)
+	if i < 0 {
+		return // not a task of this job
+	}
+	j.tasks[i].Crashes = max(j.tasks[i].Crashes, e.Crashes)
+	j.hasCrashes = true
+	m.maintenance = append(m.maintenance, encode(crashKey(j.id), j.crashes(m.opts.Self)))
+}
+
+// crashes returns the record of the crashes under the job's tasks.
+func (j *job) crashes(by ProcessID) crashRecord {
+	rec := crashRecord{By: by}
+	for i := range j.tasks {
+		if n := j.tasks[i].Crashes; n > 0 {
+			rec.Tasks = append(rec.Tasks, taskCrashes{Index: i, Crashes: n})
+		}
+	}
+	return rec
+}
+
 // driveEnded handles the end of a drive. A job that has neither completed, nor
 // failed for good, nor been cancelled is queued to be driven again.
 func (m *Machine) driveEnded(now time.Duration, e DriveEnded) {
@@ -191,7 +218,7 @@
 		m.finish(j, Completed)
 	case j.cancelled:
 		m.finish(j, Cancelled)
-	case e.Outcome == entry.Failed && e.Reason == entry.ReasonTaskFailed:
+	case e.Outcome == entry.Failed && (e.Reason == entry.ReasonTaskFailed || e.Reason == entry.ReasonWorkersCrashed):
 		m.finish(j, Failed)
 	default:
 		j.driveAfter = now + redriveDelay
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -173,6 +173,22 @@
 	Left bool
 }
 
+// crashRecord is the record of the crashes of workers under the tasks of a job, written
+// by its owner. It is not part of jobStatus, which processes of an earlier version read
+// too: they skip records of a kind that they do not know.
+type crashRecord struct {
+	_     struct{} `cbor:",toarray"`
+	By    ProcessID
+	Tasks []taskCrashes
+}
+
+// taskCrashes is the number of runs of one task under which a worker crashed.
+type taskCrashes struct {
+	_       struct{} `cbor:",toarray"`
+	Index   int      // index of the task in the job
+	Crashes int
+}
+
 // Kinds of records: the first byte of their keys.
 const (
 	kindAccepted = 'j'
@@ -180,6 +196,7 @@
 	kindCancel   = 'c'
 	kindTakeover = 't'
 	kindLease    = 'l'
+	kindCrashes  = 'x'
 )
 
 func formatIncarnation(i wire.Incarnation) string { return strconv.FormatUint(uint64(i), 16) }
@@ -189,6 +206,7 @@
 }
 func statusKey(id string) string          { return string(kindStatus) + id }
 func cancelKey(id string) string          { return string(kindCancel) + id }
+func crashKey(id string) string           { return string(kindCrashes) + id }
 func leaseKey(by wire.Incarnation) string { return string(kindLease) + formatIncarnation(by) }
 func takeoverKey(from, by wire.Incarnation) string {
 	return string(kindTakeover) + formatIncarnation(from) + "." + formatIncarnation(by)
@@ -204,7 +222,7 @@
 	case kindAccepted:
 		id, _, _ := strings.Cut(key[1:], ".")
 		return id
-	case kindStatus, kindCancel:
+	case kindStatus, kindCancel, kindCrashes:
 		return key[1:]
 	}
 	return ""
@@ -237,6 +255,8 @@
 		v = new(takeoverRecord)
 	case kindLease:
 		v = new(leaseRecord)
+	case kindCrashes:
+		v = new(crashRecord)
 	default:
 		return nil, fmt.Errorf("durable: record %d has a key of unknown kind, %q", r.Offset, r.Key)
 	}
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -50,6 +50,9 @@
 	case *cancellation:
 		m.markSeen(now, x.By)
 		m.applyCancel(jobOfKey(r.Key))
+	case *crashRecord:
+		m.markSeen(now, x.By)
+		m.applyCrashes(jobOfKey(r.Key), x)
 	case *takeoverRecord:
 		m.markSeen(now, x.By)
 		m.applyTakeover(now, x)
@@ -155,13 +158,28 @@
 	}
 }
 
+// applyCrashes adds the recorded crashes of workers to the progress of a job.
+func (m *Machine) applyCrashes(id string, rec *crashRecord) {
+	j := m.jobs[id]
+	if j == nil {
+		return
+	}
+	j.hasCrashes = true
+	for _, t := range rec.Tasks {
+		if t.Index >= 0 && t.Index < len(j.tasks) {
+			j.tasks[t.Index].Crashes = max(j.tasks[t.Index].Crashes, t.Crashes)
+		}
+	}
+}
+
 // restoreProgress sets the progress to the recorded one.
 func (j *job) restoreProgress(rec *jobStatus) {
 	j.runBase = rec.RunBase
 	for _, t := range rec.Tasks {
 		if t.Index >= 0 && t.Index < len(j.tasks) {
 			j.tasks[t.Index] = task{
-				TaskProgress: entry.TaskProgress{Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint}, lastRun: t.Run,
+				TaskProgress: entry.TaskProgress{Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: j.tasks[t.Index].Crashes},
+				lastRun:      t.Run,
 			}
 		}
 	}
@@ -178,6 +196,7 @@
 				m.maintenance = append(m.maintenance, Record{Key: acceptedKey(j.id, by)})
 			}
 			j.acceptedBy = nil
+			m.removeCrashes(j)
 		}
 	}
 	for _, e := range j.reported {
@@ -186,6 +205,14 @@
 	j.spec, j.reported = nil, nil
 }
 
+// removeCrashes removes the crash record of a job that has ended.
+func (m *Machine) removeCrashes(j *job) {
+	if j.hasCrashes {
+		j.hasCrashes = false
+		m.maintenance = append(m.maintenance, Record{Key: crashKey(j.id)})
+	}
+}
+
 func (m *Machine) applyCancel(id string) {
 	j := m.jobs[id]
 	if j == nil || j.cancelled || j.state.Final() {
@@ -356,6 +383,7 @@
 		}
 		delete(m.jobs, j.id)
 		m.maintenance = append(m.maintenance, Record{Key: statusKey(j.id)})
+		m.removeCrashes(j)
 		if j.cancelled {
 			m.maintenance = append(m.maintenance, Record{Key: cancelKey(j.id)})
 		}
--- /dev/null
+++ b/core/entry/crashes_test.go
@@ -0,0 +1,103 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// crashesIn returns the crash counts that are to be recorded.
+func crashesIn(actions []entry.Action) (out []int) {
+	for _, a := range actions {
+		if x, ok := a.(entry.RunCrashed); ok {
+			out = append(out, x.Crashes)
+		}
+	}
+	return out
+}
+
+// Guards against a task that ends the process of one worker after the other for as
+// long as its job may wait.
+func TestJobFailsAfterThreeWorkersCrashedUnderOneTask(t *testing.T) {
+	m := startRepeatableJob(t)
+	for seq := wire.Seq(1); seq <= 2; seq++ {
+		f, _ := mergeFrames(deliverResult(m, seq, wire.Failed, wire.ReasonWorkerCrashed))
+		assert.Equal(t, len(f.Starts), 1)
+	}
+	actions := deliverResult(m, 3, wire.Failed, wire.ReasonWorkerCrashed)
+	f, _ := mergeFrames(actions)
+	assert.Equal(t, len(f.Starts), 0)
+	assert.Equal(t, answersIn(actions)[0].Outcome, entry.Failed)
+	assert.Equal(t, answersIn(actions)[0].Reason, entry.ReasonWorkersCrashed)
+}
+
+// Guards against a task that uses up its failed runs because its workers crash, and
+// against one that is given up because its workers were silent.
+func TestCrashesAndFailuresAreCountedApart(t *testing.T) {
+	m := startRepeatableJob(t)
+	for i, reason := range []wire.Reason{
+		wire.ReasonWorkerCrashed, wire.ReasonRunEnded, wire.ReasonUpstreamError, wire.ReasonRunEnded,
+		wire.ReasonWorkerCrashed, wire.ReasonRunEnded, wire.ReasonUpstreamError,
+	} {
+		f, _ := mergeFrames(deliverResult(m, wire.Seq(i+1), wire.Failed, reason))
+		assert.Equal(t, len(f.Starts), 1, "run %d", i+1)
+	}
+	assert.Equal(t, answersIn(deliverResult(m, 8, wire.Succeeded, wire.ReasonNone))[0].Outcome, entry.Complete)
+}
+
+// Guards against crashes that are forgotten with the entry that saw them.
+func TestCrashesOfStoredJobAreReportedForRecording(t *testing.T) {
+	m := startStoredJob(t, false)
+	assert.DeepEqual(t, crashesIn(deliverResult(m, 1, wire.Failed, wire.ReasonWorkerCrashed)), []int{1})
+	assert.DeepEqual(t, crashesIn(deliverResult(m, 2, wire.Failed, wire.ReasonWorkerCrashed)), []int{2})
+	assert.Equal(t, len(crashesIn(deliverResult(m, 3, wire.Failed, wire.ReasonRunEnded))), 0)
+}
+
+// Guards against a long-running task that fails because of unrelated crashes over its
+// life, and against one that ends the process of each worker it starts on.
+func TestLongRunningTaskIsBlamedForEarlyCrashesOnly(t *testing.T) {
+	m := startStoredJob(t, true)
+	seq, now := wire.Seq(0), time.Duration(1)
+	crash := func(runTime time.Duration) []entry.Action {
+		seq++
+		now += time.Second // beyond the delay before a restart
+		m.Step(now, entry.Tick{})
+		return m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Results: []wire.Result{
+			{Seq: seq, Outcome: wire.Failed, Reason: wire.ReasonWorkerCrashed, RunTime: wire.MicrosOf(runTime)},
+		}}})
+	}
+	for range 5 {
+		assert.Equal(t, len(answersIn(crash(time.Minute))), 0)
+	}
+	crash(time.Second)
+	crash(time.Second)
+	assert.Equal(t, answersIn(crash(time.Second))[0].Reason, entry.ReasonWorkersCrashed)
+}
+
+// Guards against a gang under which worker after worker crashes.
+func TestGangFailsAfterThreeRunsWithCrashes(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+	m.Step(0, entry.Submit{
+		Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, 2), Stored: true,
+		Steps: []entry.Step{{Tasks: 2, Gang: true}},
+	})
+	now := time.Duration(1)
+	var last []entry.Action
+	for run := range 3 {
+		now += time.Second
+		m.Step(now, entry.Tick{})
+		first := wire.Seq(2*run + 1)
+		last = m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Results: []wire.Result{
+			{Seq: first, Outcome: wire.Failed, Reason: wire.ReasonWorkerCrashed},
+			{Seq: first + 1, Outcome: wire.Failed, Reason: wire.ReasonRunEnded},
+		}}})
+		assert.DeepEqual(t, crashesIn(last), []int{run + 1})
+	}
+	assert.Equal(t, answersIn(last)[0].Reason, entry.ReasonWorkersCrashed)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -77,6 +77,7 @@
 	ReasonBadSteps         = "bad_steps"
 	ReasonRetriesExhausted = "retries_exhausted"
 	ReasonTaskFailed       = "task_failed"
+	ReasonWorkersCrashed   = "workers_crashed"
 	ReasonTaskUnknown      = "task_outcome_unknown"
 	ReasonAnswerTooLarge   = "answer_too_large"
 	ReasonClaimPending     = "claim_pending"
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -59,6 +59,7 @@
 type TaskProgress struct {
 	Done       bool
 	Failures   int    // runs that failed
+	Crashes    int    // runs under which a worker crashed
 	Checkpoint string // latest checkpoint that a worker saved, see wire.Start.Checkpoint
 }
 
@@ -216,6 +217,13 @@
 	Superseded bool
 }
 
+// RunCrashed reports that a worker crashed under a run of a stored job, which is to be
+// recorded with the job.
+type RunCrashed struct {
+	Run     wire.RunRef
+	Crashes int // runs of the task under which a worker crashed so far
+}
+
 // NewerConfig reports that an agent has a newer configuration. The caller
 // decodes it and delivers Configured.
 type NewerConfig struct {
@@ -240,6 +248,7 @@
 func (Answer) isAction()           {}
 func (JobStarted) isAction()       {}
 func (RunFinished) isAction()      {}
+func (RunCrashed) isAction()       {}
 func (NewerConfig) isAction()      {}
 func (VersionAnnounced) isAction() {}
 func (Drained) isAction()          {}
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -13,9 +13,12 @@
 // Invariant: the members are enqueued together, once the attempts of all
 // members in the previous run are known to have ended.
 type gang struct {
-	failures  int           // runs in which a member itself failed
-	runFailed bool          // a member of the current run itself failed
-	retryAt   time.Duration // earliest start of the next run
+	failures  int  // runs in which a member itself failed
+	runFailed bool // a member of the current run itself failed
+	// runCrashed is set if a worker crashed under a member of the current run. The
+	// crashes are counted with the first member, once for each run.
+	runCrashed bool
+	retryAt    time.Duration // earliest start of the next run
 }
 
 // gangMembers returns the tasks of a gang's step.
@@ -37,6 +40,7 @@
 	case wire.Failed:
 		t.job.runRepeated = true
 		g.runFailed = g.runFailed || r.Reason == wire.ReasonUpstreamError
+		g.runCrashed = g.runCrashed || r.Reason == wire.ReasonWorkerCrashed
 		m.cancelGangMembers(s, t.job)
 	default: // the run is lost; the other members may still succeed
 		t.runLost = true
@@ -118,6 +122,16 @@
 		g.runFailed = false
 		g.failures++
 	}
+	if g.runCrashed {
+		g.runCrashed = false
+		members[0].runNumber = run
+		m.countCrash(&members[0], &wire.Result{})
+	}
+	if members[0].crashes >= maxWorkerCrashes {
+		j.taskFailed = true
+		m.abortJob(now, j, ReasonWorkersCrashed)
+		return
+	}
 	// A job that allows each task a single run fails after any run that ended.
 	if g.failures >= j.maxAttempts || !j.stored && j.maxAttempts < 2 && j.runRepeated {
 		j.taskFailed = true
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -197,6 +197,7 @@
 	for i, p := range progress[:min(len(progress), len(j.tasks))] {
 		t := &j.tasks[i]
 		t.failures = p.Failures
+		t.crashes = p.Crashes
 		t.checkpoint = p.Checkpoint
 		if p.Done {
 			t.state = taskDone
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -32,7 +32,7 @@
 			m.applyGangResult(now, t, &wire.Result{Outcome: wire.Failed, Reason: wire.ReasonRunEnded})
 			return
 		}
-		m.restartTask(now, t)
+		m.restartTask(now, t, r)
 		return
 	}
 	m.reportFinishedRun(link, t, r)
@@ -82,9 +82,19 @@
 }
 
 // restartTask repeats a task of a long-running job, which continues however the
-// run ended. The delay limits the rate of starts of a task that keeps failing
-// immediately.
-func (m *Machine) restartTask(now time.Duration, t *task) {
+// run ended, unless too many workers crashed under it. The delay limits the rate of
+// starts of a task that keeps failing immediately.
+func (m *Machine) restartTask(now time.Duration, t *task, r *wire.Result) {
+	if r.Reason == wire.ReasonWorkerCrashed {
+		m.countCrash(t, r)
+	}
+	if reason := t.exhausted(); reason != "" {
+		t.markRan(r)
+		t.job.taskFailed = true
+		m.abortJob(now, t.job, reason)
+		m.finishIfSettled(now, t.job)
+		return
+	}
 	t.state = taskBackoff
 	t.retryAt = now + storedRetryDelay
 	m.retries.Put(t)
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -29,6 +29,7 @@
 	seq           wire.Seq   // of the current or last attempt
 	runNumber     int        // number of the current or last run
 	failures      int        // runs that count as failures of the task
+	crashes       int        // runs under which a worker crashed, see maxWorkerCrashes
 	runLost       bool       // its run was lost; the task waits until that run must have ended
 	stopRequested bool       // the current run was cancelled because it is stuck
 	checkpoint    string     // latest checkpoint that a worker saved, see wire.Start.Checkpoint
@@ -163,15 +164,18 @@
 
 // taskFailed runs the task again if its job allows that, and otherwise aborts
 // the job. A run that ended with its worker or was stuck is not a failure of
-// the task.
+// the task, but the crashes of workers under it are counted.
 func (m *Machine) taskFailed(now time.Duration, t *task, r *wire.Result) {
 	j := t.job
 	switch r.Reason {
-	case wire.ReasonRunEnded, wire.ReasonWorkerCrashed, wire.ReasonStuck:
+	case wire.ReasonRunEnded, wire.ReasonStuck:
+	case wire.ReasonWorkerCrashed:
+		m.countCrash(t, r)
 	default:
 		t.failures++
 	}
-	if (j.maxAttempts > 1 || j.stored) && t.failures < j.maxAttempts && !j.ending {
+	reason := t.exhausted()
+	if (j.maxAttempts > 1 || j.stored) && reason == "" && !j.ending {
 		j.runRepeated = true
 		t.state = taskQueued
 		m.scheduler.Enqueue(now, &t.schedTask)
@@ -179,7 +183,7 @@
 	}
 	t.markRan(r)
 	j.taskFailed = j.taskFailed || !j.ending
-	m.abortJob(now, j, ReasonTaskFailed)
+	m.abortJob(now, j, cmp.Or(reason, ReasonTaskFailed))
 }
 
 // taskNotRun schedules a retry of the task, unless its job is ending or the
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -144,6 +144,10 @@
 		if c.e.opts.StoredJobObserver != nil {
 			c.e.opts.StoredJobObserver.RunFinished(x)
 		}
+	case entry.RunCrashed:
+		if c.e.opts.StoredJobObserver != nil {
+			c.e.opts.StoredJobObserver.RunCrashed(x)
+		}
 	case entry.Answer:
 		if c.e.handleStoredAnswer(&x) {
 			return
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -18,6 +18,8 @@
 	JobStarted(job string)
 	// RunFinished is called for a finished run that is to be recorded.
 	RunFinished(x entry.RunFinished)
+	// RunCrashed is called for a run under which a worker crashed.
+	RunCrashed(x entry.RunCrashed)
 	// DriveEnded is called when a drive of a job is over: the job has ended, or the
 	// drive was halted or refused, after which the job may be driven again.
 	DriveEnded(job string, outcome entry.JobOutcome, reason string)
--- a/internal/fleet/stored.go
+++ b/internal/fleet/stored.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// RunCrashed implements entryd.StoredJobObserver.
+func (s storedEvents) RunCrashed(x entry.RunCrashed) {
+	if s.wait(); s.ready() {
+		s.node.keeper.RunCrashed(x)
+	}
+}
+
 // DriveEnded implements entryd.StoredJobObserver.
 func (s storedEvents) DriveEnded(job string, outcome entry.JobOutcome, reason string) {
 	if s.wait(); s.ready() {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -62,7 +62,7 @@
 // Driver runs jobs. Its methods may block for a short time.
 type Driver interface {
 	// DriveStoredJob starts a drive. The driver reports it to the keeper with
-	// JobStarted, RunFinished and DriveEnded.
+	// JobStarted, RunFinished, RunCrashed and DriveEnded.
 	DriveStoredJob(d durable.Drive)
 	// HaltStoredJob stops the runs of a driven job.
 	HaltStoredJob(job string)
@@ -221,6 +221,11 @@
 	k.post(durable.RunFinished{Agent: x.Agent, Run: x.Run, Superseded: x.Superseded})
 }
 
+// RunCrashed reports a run under which a worker crashed.
+func (k *Keeper) RunCrashed(x entry.RunCrashed) {
+	k.post(durable.RunCrashed{Run: x.Run, Crashes: x.Crashes})
+}
+
 // DriveEnded reports the end of a drive.
 func (k *Keeper) DriveEnded(job string, outcome entry.JobOutcome, reason string) {
 	k.post(durable.DriveEnded{Job: job, Outcome: outcome, Reason: reason})
