--- a/core/entry/crashes.go
+++ b/core/entry/crashes.go
@@ -40,3 +40,16 @@
 	}
 	return ""
 }
+
+// failExhaustedJob fails a job whose recorded progress allows one of its tasks no
+// further run: its previous owner was lost before it recorded the end of the job.
+func (m *Machine) failExhaustedJob(now time.Duration, j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if reason := t.exhausted(); t.state != taskDone && reason != "" {
+			j.taskFailed = true
+			m.abortJob(now, j, reason)
+			return
+		}
+	}
+}
--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -57,6 +57,36 @@
 	assert.Equal(t, len(crashesIn(deliverResult(m, 3, wire.Failed, wire.ReasonRunEnded))), 0)
 }
 
+// Guards against a further run of a task whose previous owner had recorded the last
+// failure or crash that is allowed, but was lost before it recorded the job's end.
+func TestTaskIsNotStartedBeyondRecordedLimit(t *testing.T) {
+	for _, c := range []struct {
+		progress entry.TaskProgress
+		reason   string // "" if the task may run
+	}{
+		{entry.TaskProgress{Failures: 1, Crashes: 2}, ""},
+		{entry.TaskProgress{Failures: 2}, entry.ReasonTaskFailed},
+		{entry.TaskProgress{Crashes: 3}, entry.ReasonWorkersCrashed},
+		{entry.TaskProgress{Crashes: 3, Done: true}, ""},
+	} {
+		m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+		m.Step(0, linkUp(1, 0))
+		m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+		actions := m.Step(0, entry.Submit{
+			Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, 2), Stored: true,
+			Progress: []entry.TaskProgress{{}, c.progress},
+		})
+		f, _ := mergeFrames(actions)
+		if c.reason == "" {
+			assert.Assert(t, len(f.Starts) > 0, "%+v", c.progress)
+			continue
+		}
+		assert.Equal(t, len(f.Starts), 0, "%+v", c.progress)
+		assert.Equal(t, answersIn(actions)[0].Reason, c.reason)
+		assert.Equal(t, answersIn(actions)[0].Outcome, entry.Failed)
+	}
+}
+
 // Guards against a long-running task that fails because of unrelated crashes over its
 // life, and against one that ends the process of each worker it starts on.
 func TestLongRunningTaskIsBlamedForEarlyCrashesOnly(t *testing.T) {
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -188,7 +188,10 @@
 		m.emit(RequestClaim{Submission: e.Submission})
 		return
 	}
-	m.enqueueReadySteps(now, j)
+	m.failExhaustedJob(now, j)
+	if !j.ending {
+		m.enqueueReadySteps(now, j)
+	}
 	m.finishIfSettled(now, j)
 }
 
