--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -120,6 +120,10 @@
 	if e.Reason == wire.ReasonStopped || a.stopping && ended {
 		return
 	}
+	if e.Reason == wire.ReasonWorkerCrashed {
+		m.unreachable(now)
+		return
+	}
 	m.failures++
 	if e.Reason == wire.ReasonRunLimit {
 		return
@@ -156,7 +160,8 @@
 // overloadStatus reports whether an HTTP status signals overload.
 func overloadStatus(status int) bool { return status == 429 || status == 503 }
 
-// unreachable marks the upstream as unreachable and starts probing it.
+// unreachable marks the upstream as unreachable and starts probing it. It is not a
+// failure of the upstream's health: the entries see that it is down.
 func (m *Machine) unreachable(now time.Duration) {
 	if m.down {
 		return
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -98,7 +98,8 @@
 type Polled struct {
 	Status *WorkerStatus
 	// ProcessGone states that nothing listens at the worker's address: its process has
-	// ended. A worker that is frozen or cut off does not answer, but is not gone.
+	// ended. A worker that is frozen or cut off does not answer, but is not gone. No
+	// network lies between the agent and its worker that could refuse a connection.
 	ProcessGone bool
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -20,8 +20,8 @@
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired.
-//   - Finished reports Failed with ReasonWorkerCrashed only if the same holds and the
-//     worker's process was found to be gone or replaced.
+//   - Finished reports Failed with ReasonWorkerCrashed only if the worker's process was
+//     found to be gone or replaced. A run that it had accepted has ended with it.
 package lease
 
 import (
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -38,6 +38,19 @@
 	m.emit(call)
 }
 
+// endRunsOfGoneProcess ends the runs that the worker had accepted: they have ended with
+// its process. A run of which a start call is unanswered stays open until its lease
+// expires, because that call may still reach the next incarnation.
+func (m *Machine) endRunsOfGoneProcess(now time.Duration) {
+	for i := 0; i < len(m.ordered); {
+		if r := m.ordered[i]; r.state == runRunning && r.startsSent == 1 {
+			m.finish(now, r, wire.Failed, wire.ReasonWorkerCrashed)
+			continue
+		}
+		i++
+	}
+}
+
 // pollWait returns how long the worker may delay the answer to a poll.
 func (m *Machine) pollWait(now time.Duration) time.Duration {
 	if m.unansweredAt > 0 && now-m.unansweredAt < unreliablePeriod {
@@ -73,6 +86,9 @@
 	m.polling = false
 	m.pollFailed = e.Status == nil
 	m.processGone = e.ProcessGone || m.processGone && e.Status == nil
+	if e.ProcessGone {
+		m.endRunsOfGoneProcess(now)
+	}
 	if e.Status == nil {
 		m.unansweredAt = now
 		m.nextPoll = now + pollRetry
