--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -93,16 +93,16 @@
 	// those that were reported last.
 	containment      policy.ContainmentReporter
 	containedClasses []string
-	nextSeq        wire.Seq
-	jobs           map[wire.SubmissionID]*job
-	taskCount      int   // total tasks of jobs
-	payloadBytes   int64 // total payload size of jobs
-	agents         map[wire.Incarnation]*agentLink
-	agentList      []*agentLink // in order of first connection
-	dirtyLinks     []*agentLink // links on which a frame is sent at the end of the step
-	retries        indexheap.Heap[*task]
-	deadlines      indexheap.Heap[*job]
-	recurring      indexheap.Heap[*job] // jobs with occurrences that are not yet due
+	nextSeq          wire.Seq
+	jobs             map[wire.SubmissionID]*job
+	taskCount        int   // total tasks of jobs
+	payloadBytes     int64 // total payload size of jobs
+	agents           map[wire.Incarnation]*agentLink
+	agentList        []*agentLink // in order of first connection
+	dirtyLinks       []*agentLink // links on which a frame is sent at the end of the step
+	retries          indexheap.Heap[*task]
+	deadlines        indexheap.Heap[*job]
+	recurring        indexheap.Heap[*job] // jobs with occurrences that are not yet due
 	// orphanedClaims holds the submissions that were answered while their claim
 	// was pending. A claim that is won later is released.
 	orphanedClaims map[wire.SubmissionID]struct{}
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -249,17 +249,17 @@
 // Drained reports that the graceful shutdown is complete. It is emitted once.
 type Drained struct{}
 
-func (Send) isAction()             {}
-func (RequestClaim) isAction()     {}
-func (ReleaseClaim) isAction()     {}
-func (Answer) isAction()           {}
-func (JobStarted) isAction()       {}
-func (RunFinished) isAction()      {}
-func (RunCrashed) isAction()       {}
-func (NewerConfig) isAction()      {}
-func (VersionAnnounced) isAction() {}
+func (Send) isAction()               {}
+func (RequestClaim) isAction()       {}
+func (ReleaseClaim) isAction()       {}
+func (Answer) isAction()             {}
+func (JobStarted) isAction()         {}
+func (RunFinished) isAction()        {}
+func (RunCrashed) isAction()         {}
+func (NewerConfig) isAction()        {}
+func (VersionAnnounced) isAction()   {}
 func (ContainmentChanged) isAction() {}
-func (Drained) isAction()          {}
+func (Drained) isAction()            {}
 
 // JobOutcome is how a submission ended.
 type JobOutcome uint8
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -79,7 +79,8 @@
 		schedJob: policy.Job{
 			Submission: e.Submission, Class: e.Class, Team: e.Team,
 			Tasks: len(e.Payloads), Need: e.Need, DeclaredRunTime: e.DeclaredRunTime,
-			Arrived: now, Deadline: now + e.Deadline,
+			LongRunning: e.LongRunning,
+			Arrived:     now, Deadline: now + e.Deadline,
 		},
 		name:         e.Job,
 		stored:       e.Stored,
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -10,31 +10,33 @@
 // Adaptive is the scheduler used in production. It is deterministic for a given
 // seed and sequence of calls, and not safe for concurrent use.
 type Adaptive struct {
-	opts           Options
-	enabled        enabledParts
-	rand           random
-	settings       Settings
-	quotas         map[string]int // by name of the team
-	classes        map[string]*classState
-	classList      []*classState
-	agents         map[wire.Incarnation]*agentState
-	connected      []*agentState
-	freed          []*agentState // freed a slot recently, oldest first
-	queue          *queue
-	budget         budget
-	window         window
-	allRuns        estimate      // of all classes
-	outcomes       ratio         // of tasks of all entries at all agents
-	skipped        []*jobState   // skipped in the current call of Next
-	asideClasses   []*classState // set aside in the current call of Next
-	containedUntil time.Duration // when the last contained class is released
-	gang           gangPlan
-	unavailable    int           // agents suspended or ejected
-	inFlight       int           // attempts
-	meanInService  float64       // mean number of this entry's tasks in service under backlog
-	waitScale      float64       // scales the accepted queueing delay
-	meanLogRatio   float64       // mean of the agents' speed.logRatio
-	now            time.Duration // process time of the last Admit or Next
+	opts             Options
+	enabled          enabledParts
+	rand             random
+	settings         Settings
+	quotas           map[string]int // by name of the team
+	classes          map[string]*classState
+	classList        []*classState
+	agents           map[wire.Incarnation]*agentState
+	connected        []*agentState
+	freed            []*agentState // freed a slot recently, oldest first
+	queue            *queue
+	budget           budget
+	window           window
+	allRuns          estimate      // of all classes
+	outcomes         ratio         // of tasks of all entries at all agents
+	skipped          []*jobState   // skipped in the current call of Next
+	asideClasses     []*classState // set aside in the current call of Next
+	containedUntil   time.Duration // when the last contained class is released
+	containedClasses []*classState // may include classes that were released since
+	othersBusyAt     time.Duration // when a class that is not contained last had tasks
+	gang             gangPlan
+	unavailable      int           // agents suspended or ejected
+	inFlight         int           // attempts
+	meanInService    float64       // mean number of this entry's tasks in service under backlog
+	waitScale        float64       // scales the accepted queueing delay
+	meanLogRatio     float64       // mean of the agents' speed.logRatio
+	now              time.Duration // process time of the last Admit or Next
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -28,6 +28,7 @@
 	p, ok := Placement{}, false
 	s.now = now
 	s.updateContention(now)
+	s.observeOthers(now)
 	for len(s.skipped) < maxSkipped && !s.window.full(s.inFlight) {
 		j := s.queue.head(now)
 		if j == nil || len(s.connected) == 0 {
--- a/core/policy/containment.go
+++ b/core/policy/containment.go
@@ -36,6 +36,10 @@
 	// quarantineCost is the cost of a quarantined agent for other classes, which use it
 	// if no other agent has room.
 	quarantineCost = time.Second
+	// othersIdlePeriod: a contained class may use all workers once no other class has had
+	// a task at this entry for this long. There is nobody to protect then, and stored
+	// jobs must not wait while workers are idle.
+	othersIdlePeriod = time.Second
 	// containedRetryAfter is the RetryAfter of a refused job of a contained class while
 	// none of its workers is up. A crashed worker takes seconds to return.
 	containedRetryAfter = 2 * time.Second
@@ -83,6 +87,8 @@
 	}
 	if !c.contained(now) {
 		c.beginContainment(now)
+		s.containedClasses = slices.DeleteFunc(s.containedClasses, func(other *classState) bool { return other == c || !other.contained(now) })
+		s.containedClasses = append(s.containedClasses, c)
 	}
 	s.contain(now, c)
 	s.quarantine(c.class.Pool)
@@ -139,7 +145,7 @@
 		return nil
 	}
 	var out []string
-	for _, c := range s.classList {
+	for _, c := range s.containedClasses {
 		if c.contained(now) {
 			out = append(out, c.class.Name)
 		}
@@ -176,13 +182,34 @@
 	if now >= s.containedUntil {
 		return
 	}
-	for _, c := range s.classList {
+	for _, c := range s.containedClasses {
 		if c.contained(now) {
 			s.quarantine(c.class.Pool)
 		}
 	}
 }
 
+// observeOthers notes whether classes that are not contained have tasks.
+func (s *Adaptive) observeOthers(now time.Duration) {
+	if now >= s.containedUntil {
+		return
+	}
+	busy := s.queue.active
+	for _, c := range s.containedClasses {
+		if c.busy() && c.contained(now) {
+			busy--
+		}
+	}
+	if busy > 0 {
+		s.othersBusyAt = now
+	}
+}
+
+// mayUse reports whether a task of the job may run on the agent.
+func (s *Adaptive) mayUse(now time.Duration, c *classState, job *Job, a *agentState) bool {
+	return a.quarantined || !c.contained(now) || job.LongRunning || now-s.othersBusyAt > othersIdlePeriod
+}
+
 // setAside removes a contained class from the order of the current call of Next, so that
 // its jobs do not hold up those of other classes.
 func (s *Adaptive) setAside(c *classState) {
@@ -205,7 +232,7 @@
 func (s *Adaptive) admitContained(c *classState, job *Job, allowed time.Duration) AdmitResult {
 	slots := 0.0
 	for _, a := range s.connected {
-		if a.quarantined && a.acceptsStarts() && !a.health.down && a.matches(c.class.Pool, job) {
+		if s.mayUse(s.now, c, job, a) && a.acceptsStarts() && !a.health.down && a.matches(c.class.Pool, job) {
 			slots += a.limit()
 		}
 	}
--- a/core/policy/containment_test.go
+++ b/core/policy/containment_test.go
@@ -1,6 +1,7 @@
 package policy_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
 )
 
 // deadlyDay is what came of playDeadlyJobs.
@@ -89,3 +91,52 @@
 		assert.Assert(t, got.crashes < without.crashes)
 	}
 }
+
+// Guards against stored jobs of a contained class that wait while workers are idle, and
+// against long-running tasks that are not at work because their class is contained.
+func TestContainedClassUsesIdleWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		othersBusy  bool
+		longRunning bool
+		confined    bool
+	}{
+		{"beside other classes", true, false, true},
+		{"alone", false, false, false},
+		{"long-running", true, true, false},
+	} {
+		s := policy.New(policy.Options{Seed: 1})
+		s.Configure(0, policy.Settings{Classes: []policy.Class{{Name: "deadly"}, {Name: "other"}}})
+		const agents = 9
+		for i := range agents {
+			id := wire.Incarnation(i + 1)
+			s.AgentUp(0, policy.AgentInfo{Agent: id, Name: fmt.Sprint("w", i), Slots: 8})
+			s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Successes: 100}) // no slow start
+		}
+		now := time.Second
+		start := func(class string, longRunning bool) policy.Placement {
+			job := &policy.Job{Class: class, Tasks: 1, Arrived: now, Deadline: now + time.Minute, LongRunning: longRunning}
+			s.Enqueue(now, &policy.Task{Job: job})
+			p, ok := s.Next(now)
+			assert.Assert(t, ok)
+			return p
+		}
+		other := start("other", false)
+		task := &policy.Task{Job: &policy.Job{Class: "deadly", Tasks: 1, Arrived: now, Deadline: now + time.Minute}}
+		for range 3 {
+			s.Enqueue(now, task)
+			p, _ := s.Next(now)
+			s.AttemptDone(now, p.Agent, task, &wire.Result{Outcome: wire.Failed, Reason: wire.ReasonWorkerCrashed})
+		}
+		assert.DeepEqual(t, s.ContainedClasses(now), []string{"deadly"})
+		if !c.othersBusy {
+			s.AttemptDone(now, other.Agent, other.Task, &wire.Result{Outcome: wire.Succeeded})
+		}
+		now += 2 * time.Second
+		used := make(map[wire.Incarnation]bool)
+		for range 2 * agents {
+			used[start("deadly", c.longRunning).Agent] = true
+		}
+		assert.Equal(t, len(used) <= agents/3, c.confined, "%s: %d workers used", c.name, len(used))
+	}
+}
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -92,7 +92,7 @@
 	}
 	limit := a.limit()
 	containing := p.now < s.containedUntil
-	if containing && p.job.class.contained(p.now) && !a.quarantined {
+	if containing && !s.mayUse(p.now, p.job.class, p.job.job, a) {
 		return
 	}
 	if !a.eligible(p.job) {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -68,6 +68,9 @@
 	MaxPerWorker int
 	// Gang requires that all tasks run at the same time; they are placed together.
 	Gang bool
+	// LongRunning states that the tasks run until the job is cancelled. Each must be at
+	// work within seconds, so they are not contained.
+	LongRunning bool
 	// SameRack states that the tasks run slower if they are spread over racks.
 	SameRack bool
 	// DataRack is the rack closest to the job's data; empty means none. Tasks run
