--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -131,3 +132,62 @@
 	}
 	assert.Equal(t, answersIn(last)[0].Reason, entry.ReasonWorkersCrashed)
 }
+
+// Guards against a job that is given up because its task ran beside one that ends the
+// process of its worker: after two crashes a task runs alone.
+func TestTaskRunsAloneAfterTwoCrashes(t *testing.T) {
+	capacity := wire.Capacity{MilliCores: 32000, MemoryMB: 65536}
+	need := wire.Capacity{MilliCores: 3000, MemoryMB: 64}
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: policy.New(policy.Options{Seed: 1})})
+	m.Step(0, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: time.Minute, TargetShare: 1}}}})
+	m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+	const agents, tasks = 4, 6
+	now := time.Second
+	for i := range agents {
+		id := wire.Incarnation(i + 1)
+		m.Step(now, entry.LinkUp{Hello: wire.AgentHello{Agent: id, Epoch: 1, Name: string(rune('a' + i)), Slots: 8, Capacity: capacity}})
+		m.Step(now, entry.Received{Agent: id, Epoch: 1, Frame: &wire.ToEntry{Load: wire.Load{Slots: 8, Limit: 8, Successes: 100}}})
+	}
+	type start struct {
+		agent wire.Incarnation
+		wire.Start
+	}
+	var open []start
+	record := func(actions []entry.Action) {
+		for _, a := range actions {
+			if s, ok := a.(entry.Send); ok {
+				for _, x := range s.Frame.Starts {
+					open = append(open, start{s.Agent, x})
+				}
+			}
+		}
+	}
+	end := func(s start, outcome wire.Outcome, reason wire.Reason) {
+		record(m.Step(now, entry.Received{Agent: s.agent, Epoch: 1, Frame: &wire.ToEntry{
+			Load:    wire.Load{Slots: 8, Limit: 8, Successes: 100},
+			Results: []wire.Result{{Seq: s.Seq, Outcome: outcome, Reason: reason, RunTime: wire.MicrosOf(time.Second)}},
+		}}))
+	}
+	record(m.Step(now, entry.Submit{
+		Submission: testJob, Class: "c", Stored: true, MaxFailedRuns: 2, Job: "j", Need: need, Payloads: make([][]byte, tasks),
+	}))
+	for range 2 {
+		crashed := open
+		open = nil
+		assert.Equal(t, len(crashed), tasks)
+		for _, s := range crashed {
+			assert.Equal(t, s.Need, need)
+			end(s, wire.Failed, wire.ReasonWorkerCrashed)
+		}
+	}
+	for finished := 0; finished < tasks; finished++ {
+		now += 100 * time.Millisecond
+		record(m.Step(now, entry.Tick{}))
+		assert.Equal(t, len(open), 1, "one task at a time")
+		assert.Equal(t, open[0].Need, capacity)
+		first := open[0]
+		open = open[1:]
+		end(first, wire.Succeeded, wire.ReasonNone)
+	}
+	assert.Equal(t, m.Jobs(), 0)
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -92,6 +92,8 @@
 	// containment is nil if the scheduler does not implement it. containedClasses are
 	// those that were reported last.
 	containment      policy.ContainmentReporter
+	alonePlacer      policy.AlonePlacer // nil if the scheduler does not implement it
+	alone            []aloneAttempt     // may include attempts that have ended
 	containedClasses []string
 	nextSeq          wire.Seq
 	jobs             map[wire.SubmissionID]*job
@@ -145,10 +147,12 @@
 func New(opts Options) *Machine {
 	stuck, _ := opts.Scheduler.(policy.StuckDetector)
 	containment, _ := opts.Scheduler.(policy.ContainmentReporter)
+	alonePlacer, _ := opts.Scheduler.(policy.AlonePlacer)
 	return &Machine{
 		opts:           opts.withDefaults(),
 		stuckDetector:  stuck,
 		containment:    containment,
+		alonePlacer:    alonePlacer,
 		scheduler:      opts.Scheduler,
 		nextSeq:        1,
 		jobs:           make(map[wire.SubmissionID]*job),
@@ -251,7 +255,7 @@
 		Payload:           j.payloads[p.Task.Index],
 		Job:               j.name,
 		Run:               t.runNumber,
-		Need:              p.Task.Job.Need,
+		Need:              m.needOf(t, link),
 		RetainFinishedRun: j.stored && !j.longRunning,
 	})
 	if j.stored && !j.startReported {
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -266,8 +266,7 @@
 		s.schedJob.Arrived = now
 		for n := s.firstTask; n < s.firstTask+s.schedJob.Tasks; n++ {
 			if j.tasks[n].state == taskPending {
-				j.tasks[n].state = taskQueued
-				m.scheduler.Enqueue(now, &j.tasks[n].schedTask)
+				m.enqueueTask(now, &j.tasks[n])
 			}
 		}
 	}
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -14,8 +14,9 @@
 type agentLink struct {
 	incarnation       wire.Incarnation
 	name              string
-	workerIncarnation int64       // see wire.AgentHello.WorkerIncarnation
-	takeoverTime      wire.Micros // the worker's clock when this incarnation took over
+	capacity          wire.Capacity // of its worker
+	workerIncarnation int64         // see wire.AgentHello.WorkerIncarnation
+	takeoverTime      wire.Micros   // the worker's clock when this incarnation took over
 	epoch             wire.Epoch
 	up                bool
 	downAt            time.Duration // when the connection was lost
@@ -41,7 +42,7 @@
 func (m *Machine) linkUp(now time.Duration, h wire.AgentHello) {
 	link := m.agents[h.Agent]
 	if link == nil {
-		link = &agentLink{incarnation: h.Agent, name: h.Name, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
+		link = &agentLink{incarnation: h.Agent, name: h.Name, capacity: h.Capacity, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -67,6 +67,10 @@
 			m.finishIfSettled(now, t.job)
 			continue
 		}
+		if m.alonePlacer != nil && t.runsAlone() {
+			m.startAlone(now, t)
+			continue
+		}
 		t.state = taskQueued
 		m.scheduler.Enqueue(now, &t.schedTask)
 	}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -177,8 +177,7 @@
 	reason := t.exhausted()
 	if (j.maxAttempts > 1 || j.stored) && reason == "" && !j.ending {
 		j.runRepeated = true
-		t.state = taskQueued
-		m.scheduler.Enqueue(now, &t.schedTask)
+		m.enqueueTask(now, t)
 		return
 	}
 	t.markRan(r)
