--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -135,6 +135,11 @@
 
 	workerLeaving bool // see WorkerLeaving
 
+	// capacity is the worker's current capacity, which may be below Options.Capacity.
+	// Slots are counted in shares of the latter.
+	capacity         wire.Capacity
+	capacitySequence int64 // of the announcement that capacity is from
+
 	draining bool
 	drained  bool
 	drainAt  time.Duration // when the drain began
@@ -150,6 +155,7 @@
 		opts:         opts,
 		entries:      make(map[wire.Incarnation]*entryRecord),
 		limiter:      newLimiter(opts.Slots),
+		capacity:     opts.Capacity,
 		classes:      make(map[string]*classStats),
 		otherClasses: classStats{mean: initialMeanRun},
 	}
@@ -177,6 +183,8 @@
 		m.probed(now, e)
 	case Retire:
 		m.retire(now, e)
+	case CapacityChanged:
+		m.changeCapacity(&e)
 	case WorkerLeaving:
 		m.workerLeaving = true
 	case Drain:
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -54,6 +54,12 @@
 // are returned as not run and its running tasks finish first.
 type Retire struct{ Entry wire.Incarnation }
 
+// CapacityChanged reports the capacity that the worker announced last.
+type CapacityChanged struct {
+	Capacity wire.Capacity
+	Sequence int64 // of the announcement; an event with a lower one is ignored
+}
+
 // WorkerLeaving reports that the worker has announced that it leaves. When its process
 // ends after that, it has not crashed.
 type WorkerLeaving struct{}
@@ -61,15 +67,16 @@
 // Drain starts the graceful shutdown. Queued tasks are returned as not run.
 type Drain struct{}
 
-func (LinkUp) isEvent()        {}
-func (LinkDown) isEvent()      {}
-func (Received) isEvent()      {}
-func (Finished) isEvent()      {}
-func (Probed) isEvent()        {}
-func (Tick) isEvent()          {}
-func (Retire) isEvent()        {}
-func (WorkerLeaving) isEvent() {}
-func (Drain) isEvent()         {}
+func (LinkUp) isEvent()          {}
+func (LinkDown) isEvent()        {}
+func (Received) isEvent()        {}
+func (Finished) isEvent()        {}
+func (Probed) isEvent()          {}
+func (Tick) isEvent()            {}
+func (Retire) isEvent()          {}
+func (CapacityChanged) isEvent() {}
+func (WorkerLeaving) isEvent()   {}
+func (Drain) isEvent()           {}
 
 // Action is an output of the machine.
 type Action interface{ isAction() }
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -112,7 +112,7 @@
 		return wire.ReasonExpired
 	case m.leaseExpired(now, rec):
 		return wire.ReasonExpired // the frame was delayed; the entry may have given up the attempt
-	case !m.opts.Capacity.Fits(s.Need):
+	case !m.opts.Capacity.Fits(s.Need) || !m.capacity.Fits(s.Need):
 		return wire.ReasonNoRoom
 	case m.down:
 		return wire.ReasonUpstreamDown
@@ -179,8 +179,12 @@
 }
 
 // hasRoom reports whether the attempt may start in addition to the running ones. A
-// task that takes more slots than are allowed runs alone.
+// task that takes more slots than are allowed runs alone, if the worker's capacity
+// suffices.
 func (m *Machine) hasRoom(a *attempt) bool {
+	if !m.fitsBeside(a) {
+		return false
+	}
 	return len(m.active) == 0 || m.occupied+a.slots <= float64(m.allowedRuns())+slotTolerance
 }
 
--- a/core/entry/crashes.go
+++ b/core/entry/crashes.go
@@ -40,7 +40,7 @@
 // runsAlone reports whether the next run of the task must be alone on its worker. The
 // members of a gang run together.
 func (t *task) runsAlone() bool {
-	return t.job.stored && t.crashes >= aloneCrashes && t.job.steps[t.step].gang == nil
+	return t.job.stored && t.crashes >= aloneCrashes && !t.aloneRefused && t.job.steps[t.step].gang == nil
 }
 
 // enqueueTask gives a task to the scheduler, or to the tasks that wait to run alone.
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -30,6 +30,7 @@
 	runNumber     int        // number of the current or last run
 	failures      int        // runs that count as failures of the task
 	crashes       int        // runs under which a worker crashed, see maxWorkerCrashes
+	aloneRefused  bool       // a worker whose capacity has shrunk refused it with its whole capacity as the need
 	runLost       bool       // its run was lost; the task waits until that run must have ended
 	stopRequested bool       // the current run was cancelled because it is stuck
 	checkpoint    string     // latest checkpoint that a worker saved, see wire.Start.Checkpoint
@@ -197,6 +198,7 @@
 	if reason == wire.ReasonStaleRun {
 		t.runNumber += staleRunSkip
 	}
+	t.aloneRefused = t.aloneRefused || reason == wire.ReasonNoRoom && t.runsAlone()
 	delay, ok := m.scheduler.Retry(now, &t.schedTask, reason)
 	if !ok && t.job.stored {
 		delay, ok = storedRetryDelay, true
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -206,6 +206,14 @@
 		(need.Accelerators <= c.Accelerators)
 }
 
+// Add returns the sum of two needs.
+func (c Capacity) Add(other Capacity) Capacity {
+	c.MilliCores += other.MilliCores
+	c.MemoryMB += other.MemoryMB
+	c.Accelerators += other.Accelerators
+	return c
+}
+
 // meets reports whether the offer covers the need; an offer of 0 is not checked.
 func meets(offer, need int64) bool { return offer == 0 || need <= offer }
 
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -211,6 +211,12 @@
 // WorkerLeaving reports that the worker has announced that it leaves.
 func (a *Agent) WorkerLeaving() { a.send(agent.WorkerLeaving{}) }
 
+// SetCapacity reports the capacity that the worker announced with the given sequence
+// number.
+func (a *Agent) SetCapacity(c wire.Capacity, sequence int64) {
+	a.send(agent.CapacityChanged{Capacity: c, Sequence: sequence})
+}
+
 // Drain starts draining the agent without ending it: the agent accepts no more
 // tasks and delivers the results of those that it has.
 func (a *Agent) Drain() { a.send(agent.Drain{}) }
--- a/internal/eventlog/catalog_agent.go
+++ b/internal/eventlog/catalog_agent.go
@@ -21,6 +21,7 @@
 	WorkerLeaving       = define(2031, "worker_leaving", zapcore.InfoLevel, false)
 	WorkerSilent        = define(2032, "worker_silent", zapcore.WarnLevel, false)
 	LeftoverStopped     = define(2033, "leftover_stopped", zapcore.WarnLevel, false)
+	WorkerCapacity      = define(2035, "worker_capacity", zapcore.InfoLevel, false)
 	AnnouncementInvalid = define(2034, "announcement_invalid", zapcore.WarnLevel, false)
 	StartReceived       = define(2100, "start_received", zapcore.DebugLevel, true)
 	StartRefused        = define(2101, "start_refused", zapcore.InfoLevel, false)
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -80,16 +81,29 @@
 		return
 	}
 	drainingChanged := a.Draining != n.announced.Draining
+	capacityChanged := a.Capacity != n.announced.Capacity
 	n.announced = a
 	if newIncarnation {
 		n.replaceLocked(a)
 		return
 	}
+	if capacityChanged {
+		n.setCapacityLocked(a)
+	}
 	if drainingChanged && a.Draining {
 		n.drainLocked("worker is draining", true)
 	}
 }
 
+// setCapacityLocked passes the announced capacity on to the current agent. n.mu must be
+// held.
+func (n *AgentNode) setCapacityLocked(a Announcement) {
+	n.opts.Log.Emit(eventlog.WorkerCapacity, eventlog.Fields{Peer: a.Worker, Count: a.Capacity.MilliCores, Detail: strconv.FormatInt(a.Capacity.MemoryMB, 10) + " MB"})
+	if current := n.current; current != nil {
+		go current.SetCapacity(a.Capacity, a.Sequence)
+	}
+}
+
 // HandleDeregister handles the deregistration of a worker.
 func (n *AgentNode) HandleDeregister(worker string) {
 	n.mu.Lock()
@@ -177,6 +191,9 @@
 		}),
 		Machine: agent.Options{HeartbeatInterval: heartbeatInterval, RunLease: runLease, LostLinkTimeout: runLease, RetainedRuns: finishedRuns(unacknowledged)},
 	})
+	if n.announced.Capacity != a.Capacity { // it changed while leftover runs were stopped
+		n.setCapacityLocked(n.announced)
+	}
 }
 
 // workerRestarted drains the agent of a worker that was found to have
