--- a/core/policy/containment.go
+++ b/core/policy/containment.go
@@ -13,7 +13,8 @@
 // Containment answers a load in which jobs of one class end the process of each worker
 // that starts them. Each such job takes workers down for seconds, so a few a second
 // leave none for any class. While a class is contained, its tasks run only on a third
-// of the workers, and the other classes use those last.
+// of the workers, and the other classes use those last. Gangs and long-running tasks are
+// not contained.
 
 const (
 	// startCrashPeriod: if a worker crashes within it after the start of a run, that
