--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -85,9 +85,9 @@
 
 	// announced is the newest version of the configuration that an agent has announced,
 	// nil if there is none. lastRead is when the last successful read of the
-	// configuration ended, as the time since started.
+	// configuration ended, or when the process started.
 	announced atomic.Pointer[announcedVersion]
-	lastRead  atomic.Int64
+	lastRead  atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	version int64 // version of the current configuration, 0 if there is none
@@ -104,7 +104,9 @@
 // StartEntry starts an entry that serves until Stop or Kill.
 func StartEntry(opts EntryOptions) (*EntryNode, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &EntryNode{opts: opts, started: time.Now(), serving: make(chan struct{}), ctx: ctx, cancel: cancel}
+	started := time.Now()
+	n := &EntryNode{opts: opts, started: started, serving: make(chan struct{}), ctx: ctx, cancel: cancel}
+	n.lastRead.Store(&started)
 	e, err := entryd.Start(entryd.Options{
 		Name: opts.Name, Zone: opts.Zone,
 		Listen: opts.Listen, PeerListen: opts.PeerListen, OperatorListen: opts.OperatorListen,
@@ -166,15 +168,14 @@
 // noteRead notes a successful read of the configuration and returns the time since the
 // one before.
 func (n *EntryNode) noteRead() time.Duration {
-	age := n.readAge()
-	n.lastRead.Store(int64(time.Since(n.started)))
-	return age
+	now := time.Now()
+	return now.Sub(*n.lastRead.Swap(&now))
 }
 
 // readAge returns the time since the last successful read of the configuration, or
 // since the start of the process.
 func (n *EntryNode) readAge() time.Duration {
-	return time.Since(n.started) - time.Duration(n.lastRead.Load())
+	return time.Since(*n.lastRead.Load())
 }
 
 // noteAnnounced logs that an agent has a version that this entry lacks: from then on
