lease: take no run for ended because a cut-off list lacks it

Cause: a worker lists 500 ended runs at once. While finished runs of the gone entry wait for their next owner, lastSeen stands below them, and at 300 ends a second the list is cut off after some two seconds. core/lease took a run that is in neither list for one that ended with its lease and reported run_ended.

Ruled out: a takeover that starts tasks before it knows of their ends (the repeated tasks belong to the entries that were left), and a lease that expired (none did between end and note).

Change: a list of 500 ends counts as cut off, and a run missing from it stays open. An agent that starts beside a worker whose list is cut off waits for the lease of the earlier runs before it tells entries that they have ended. The emulator's workers list 500 ends at once as well.

TestRunsMissingFromCutOffListStayOpen without the change: "run 96: run_ended"; TestRunsAreNeverMisreported, with lists that are cut off: "is reported as ended although it completed and its lease is valid"; TestAgentWaitsWhileListOfEndedRunsIsCutOff without its half: the agent ran.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -133,7 +133,8 @@
 	probeAt      time.Duration
 	probeBackoff time.Duration
 
-	workerLeaving bool // see WorkerLeaving
+	workerLeaving   bool // see WorkerLeaving
+	admissionClosed bool // see AdmissionChanged
 
 	// capacity is the worker's current capacity, which may be below Options.Capacity.
 	// Slots are counted in shares of the latter.
@@ -185,6 +186,9 @@
 		m.retire(now, e)
 	case CapacityChanged:
 		m.changeCapacity(&e)
+	case AdmissionChanged:
+		m.admissionClosed = e.Closed
+		m.heartbeatAll()
 	case WorkerLeaving:
 		m.workerLeaving = true
 	case Drain:
@@ -209,8 +213,19 @@
 		Successes:    m.successes,
 		Failures:     m.failures,
 		Down:         m.down,
-		Occupied:     int(1000 * (m.occupied + m.queue.slots())),
+		Occupied:     int(1000 * m.reportedSlots()),
 	}
 }
 
+// reportedSlots returns how many slots entries are to take for occupied. A worker that
+// can take no further run is reported with twice its slots, so that no entry queues
+// tasks there.
+func (m *Machine) reportedSlots() float64 {
+	slots := m.occupied + m.queue.slots()
+	if m.admissionClosed {
+		return max(slots, 2*float64(m.opts.Slots))
+	}
+	return slots
+}
+
 func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -60,6 +60,10 @@
 	Sequence int64 // of the announcement; an event with a lower one is ignored
 }
 
+// AdmissionChanged reports whether the worker can take further runs, apart from its
+// capacity: too many of its ended runs may be unacknowledged.
+type AdmissionChanged struct{ Closed bool }
+
 // WorkerLeaving reports that the worker has announced that it leaves. When its process
 // ends after that, it has not crashed.
 type WorkerLeaving struct{}
@@ -67,16 +71,17 @@
 // Drain starts the graceful shutdown. Queued tasks are returned as not run.
 type Drain struct{}
 
-func (LinkUp) isEvent()          {}
-func (LinkDown) isEvent()        {}
-func (Received) isEvent()        {}
-func (Finished) isEvent()        {}
-func (Probed) isEvent()          {}
-func (Tick) isEvent()            {}
-func (Retire) isEvent()          {}
-func (CapacityChanged) isEvent() {}
-func (WorkerLeaving) isEvent()   {}
-func (Drain) isEvent()           {}
+func (LinkUp) isEvent()           {}
+func (LinkDown) isEvent()         {}
+func (Received) isEvent()         {}
+func (Finished) isEvent()         {}
+func (Probed) isEvent()           {}
+func (Tick) isEvent()             {}
+func (Retire) isEvent()           {}
+func (CapacityChanged) isEvent()  {}
+func (AdmissionChanged) isEvent() {}
+func (WorkerLeaving) isEvent()    {}
+func (Drain) isEvent()            {}
 
 // Action is an output of the machine.
 type Action interface{ isAction() }
--- a/core/agent/retainedruns_test.go
+++ b/core/agent/retainedruns_test.go
@@ -80,3 +80,23 @@
 	s.start(1, time.Second)
 	assert.Equal(t, s.results[0].Reason, wire.ReasonBusy)
 }
+
+// Guards against starts at a worker whose list of ended runs is full, and against entries
+// that go on sending them there: neither new nor queued tasks start, and entries see no
+// free slot.
+func TestNothingStartsWhileAdmissionIsClosed(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	s.start(1, time.Second)
+	s.start(2, time.Second) // queued
+	assert.Equal(t, len(s.running), 1)
+	s.frames = nil
+	s.step(AdmissionChanged{Closed: true})
+	assert.Equal(t, len(s.frames), 1, "entries are told at once")
+	assert.Equal(t, s.frames[0].Load.Occupied, 2000)
+	s.step(Finished{Attempt: s.running[0].Attempt, Outcome: wire.Succeeded})
+	s.start(3, time.Second)
+	assert.Equal(t, s.results[len(s.results)-1].Reason, wire.ReasonBusy)
+	assert.Equal(t, len(s.running), 1)
+	s.step(AdmissionChanged{})
+	assert.Equal(t, len(s.running), 2, "the queued task starts")
+}
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -118,6 +118,8 @@
 		return wire.ReasonUpstreamDown
 	case m.suspect() && !m.trialDue(now):
 		return wire.ReasonSuspect
+	case m.admissionClosed:
+		return wire.ReasonBusy
 	}
 	if len(rec.attempts) >= m.opts.MaxUnsettled {
 		m.releaseDelivered(now, rec)
@@ -193,7 +195,7 @@
 const slotTolerance = 1e-6
 
 func (m *Machine) startQueued(now time.Duration) {
-	for m.queue.Len() > 0 && m.hasRoom(m.queue.top()) && now >= m.pausedUntil {
+	for m.queue.Len() > 0 && m.hasRoom(m.queue.top()) && now >= m.pausedUntil && !m.admissionClosed {
 		a := m.queue.pop()
 		if now >= a.deadline {
 			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -91,6 +91,7 @@
 	// progress.
 	Checkpoints map[wire.RunRef]string
 	Ended       []EndedRun // those with numbers above CallPoll.AckUpTo
+	EndedCutOff bool       // Ended may lack the ones with the highest numbers
 }
 
 // Polled reports the result of a CallPoll. Status is nil if the worker did not
@@ -150,6 +151,15 @@
 // end.
 type WorkerRestarted struct{}
 
+// Admission reports whether the worker can take further runs. A Start while it cannot
+// is tracked as usual.
+type Admission struct {
+	Closed      bool
+	UnackedRuns int // ended runs that are not acknowledged
+	OpenRuns    int
+}
+
+func (Admission) isAction()       {}
 func (CallStart) isAction()       {}
 func (CallStop) isAction()        {}
 func (CallPoll) isAction()        {}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -19,7 +19,7 @@
 //     shows that it did not.
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
-//     expired.
+//     expired. A list that is cut off need not contain it.
 //   - Finished reports Failed with ReasonWorkerCrashed only if the worker's process was
 //     found to be gone or replaced. A run that it had accepted has ended with it.
 package lease
@@ -157,6 +157,7 @@
 	// retained holds the numbers of the finished runs that must not be acknowledged
 	// yet.
 	retained    map[wire.RunRef]int
+	closed      bool          // the last Admission that was emitted
 	initialized bool          // the first Step was made
 	acked       int           // ended runs up to this number are acknowledged
 	ackAt       time.Duration // when a poll is sent just to acknowledge ended runs
@@ -210,6 +211,7 @@
 	case Tick:
 	}
 	m.expireLease(now)
+	m.updateAdmission()
 	m.sendStops(now)
 	m.poll(now)
 	return m.actions
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -25,12 +25,17 @@
 	ended        []lease.EndedRun
 	started      map[wire.RunRef]bool
 	completed    map[wire.RunRef]bool // ran to their end
+	listedAtOnce int                  // ended runs in one list
+	lapses       int                  // times at which the lease expired
+	lapsed       bool                 // the lease has not been renewed since
+	retained     map[wire.RunRef]int  // finished runs that are to be retained, with the value of lapses at their end
 }
 
 func newWorker() *worker {
 	return &worker{
 		incarnation: 1, running: make(map[wire.RunRef]time.Duration), highestEnded: make(map[string]int),
-		started: make(map[wire.RunRef]bool), completed: make(map[wire.RunRef]bool),
+		started: make(map[wire.RunRef]bool), completed: make(map[wire.RunRef]bool), listedAtOnce: 500,
+		lapsed: true, retained: make(map[wire.RunRef]int),
 	}
 }
 
@@ -41,6 +46,12 @@
 	if w.fenceAt > 0 && w.now >= w.fenceAt {
 		clear(w.running)
 	}
+	if lapsed := w.now > w.lease; lapsed != w.lapsed {
+		w.lapsed = lapsed
+		if lapsed {
+			w.lapses++
+		}
+	}
 	for id, end := range w.running {
 		switch {
 		case w.now > w.lease:
@@ -56,6 +67,21 @@
 	delete(w.running, id)
 	w.highestEnded[taskOf(id)] = max(w.highestEnded[taskOf(id)], id.Run)
 	w.ended = append(w.ended, lease.EndedRun{Number: len(w.ended) + 1, Run: id, Kind: kind})
+	if _, ok := w.retained[id]; ok {
+		w.retained[id] = w.lapses
+	}
+}
+
+// discarded returns a run that the acknowledgement discards although it has to be
+// retained: it was not acknowledged, and the lease has not expired since its end.
+func (w *worker) discarded(ackUpTo int) (wire.RunRef, bool) {
+	for _, e := range w.ended[:min(ackUpTo, len(w.ended))] {
+		lapses, ok := w.retained[e.Run]
+		if ok && e.Kind == lease.EndedSucceeded && lapses == w.lapses {
+			return e.Run, true
+		}
+	}
+	return wire.RunRef{}, false
 }
 
 func (w *worker) start(c lease.CallStart, length time.Duration) lease.Started {
@@ -110,6 +136,9 @@
 			status.Ended = append(status.Ended, e)
 		}
 	}
+	if len(status.Ended) >= w.listedAtOnce {
+		status.Ended, status.EndedCutOff = status.Ended[:w.listedAtOnce], true
+	}
 	return lease.Polled{Status: status}
 }
 
@@ -119,7 +148,7 @@
 	w.running = make(map[wire.RunRef]time.Duration)
 	w.highestEnded = make(map[string]int)
 	w.ended = nil
-	w.lease = 0
+	w.lease, w.lapsed = 0, true
 }
 
 // sim connects a machine to a worker by calls that may be lost or delayed.
@@ -170,6 +199,8 @@
 		s.t.Fatalf("%v is reported as not run although it ran", id)
 	case x.Outcome == wire.Succeeded && !s.worker.completed[id]:
 		s.t.Fatalf("%v is reported as succeeded although it did not complete", id)
+	case x.Reason == wire.ReasonRunEnded && s.worker.completed[id] && s.worker.incarnation == 1 && s.now <= s.worker.lease:
+		s.t.Fatalf("%v is reported as ended although it completed and its lease is valid", id)
 	}
 }
 
@@ -211,6 +242,9 @@
 	case lease.CallStop:
 		return s.worker.stop(x)
 	case lease.CallPoll:
+		if run, ok := s.worker.discarded(x.AckUpTo); ok && s.worker.incarnation == 1 {
+			s.t.Fatalf("%v is acknowledged to the worker although it has to be retained", run)
+		}
 		return s.worker.poll(x)
 	}
 	return nil
@@ -240,20 +274,23 @@
 	}
 }
 
-// Guards against a run reported as ended while it continues, a false "not run", a
-// false success and a run without a Finished action, while calls are lost, answered
-// too late or executed seconds later.
+// Guards against a run reported as ended while it continues or although it completed, a
+// false "not run", a false success and a run without a Finished action, while calls are
+// lost, answered too late or executed seconds later and lists of ended runs are cut off.
 func TestRunsAreNeverMisreported(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &sim{
 			t: t, machine: lease.New(lease.Options{}), worker: newWorker(),
 			finished: make(map[agent.AttemptID]lease.Finished), runs: make(map[agent.AttemptID]wire.RunRef),
 		}
+		s.worker.listedAtOnce = rapid.IntRange(1, 3).Draw(t, "listed at once")
 		s.advance(50 * time.Millisecond)
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0:
 				s.stopSome()
+			case 2:
+				s.releaseSome()
 			case 1:
 				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 					s.worker.restart()
@@ -265,7 +302,11 @@
 			}
 			s.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
 		}
-		s.advance(8 * time.Second)
+		for range 16 {
+			s.advance(500 * time.Millisecond)
+			for s.releaseSome() {
+			}
+		}
 		for id, run := range s.runs {
 			if _, ok := s.finished[id]; !ok {
 				t.Fatalf("%v was never finished", run)
@@ -281,7 +322,27 @@
 		Job: "j", Index: rapid.IntRange(0, 4).Draw(s.t, "index"), Run: int(s.next),
 	}
 	s.runs[id] = run
-	s.step(lease.Start{Attempt: id, Run: run})
+	retain := rapid.Bool().Draw(s.t, "retain")
+	if retain {
+		s.worker.retained[run] = 0
+	}
+	s.step(lease.Start{Attempt: id, Run: run, RetainFinishedRun: retain})
+}
+
+// releaseSome has the entries acknowledge the first finished run that is retained. It
+// reports whether there is such a run.
+func (s *sim) releaseSome() bool {
+	for seq := range s.next {
+		id := agent.AttemptID{Entry: 1, Seq: wire.Seq(seq + 1)}
+		run := s.runs[id]
+		if _, ok := s.worker.retained[run]; !ok || s.finished[id].Outcome != wire.Succeeded {
+			continue
+		}
+		delete(s.worker.retained, run)
+		s.step(lease.AcknowledgeRun{Run: run})
+		return true
+	}
+	return false
 }
 
 func (s *sim) stopSome() {
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -107,7 +107,7 @@
 	}
 	m.incarnation = status.Incarnation
 	m.applyEndedRuns(now, status.Ended)
-	m.reconcile(now, status.Running)
+	m.reconcile(now, status)
 	m.recordCheckpoints(status.Checkpoints)
 	if len(m.retained) > 0 {
 		m.nextPoll = now + retainedPollInterval
@@ -162,10 +162,11 @@
 
 // reconcile compares the worker's list of runs in progress with the open runs.
 // The worker made the list after the poll was sent, so it contains every run
-// that was accepted before that and has not ended.
-func (m *Machine) reconcile(now time.Duration, running []wire.RunRef) {
-	seen := make(map[wire.RunRef]bool, len(running))
-	for _, id := range running {
+// that was accepted before that and has not ended. A run that is missing has ended,
+// and how it ended is in the list of ended runs, unless that list is cut off.
+func (m *Machine) reconcile(now time.Duration, status *WorkerStatus) {
+	seen := make(map[wire.RunRef]bool, len(status.Running))
+	for _, id := range status.Running {
 		seen[id] = true
 		r := m.runs[id]
 		switch {
@@ -180,7 +181,7 @@
 	}
 	m.foreign = slices.DeleteFunc(m.foreign, func(f foreignRun) bool { return !seen[f.id] })
 	for i := 0; i < len(m.ordered); {
-		if r := m.ordered[i]; !seen[r.id] && m.handleMissing(now, r) {
+		if r := m.ordered[i]; !seen[r.id] && m.handleMissing(now, r, status.EndedCutOff) {
 			continue // Finished was emitted and the run removed
 		}
 		i++
@@ -203,12 +204,17 @@
 	}
 }
 
-// handleMissing handles an open run that is not in the list. It reports whether it
-// emitted Finished for the run and removed it.
-func (m *Machine) handleMissing(now time.Duration, r *run) bool {
+// handleMissing handles an open run that is in neither list. It reports whether it
+// emitted Finished for the run and removed it. If the list of ended runs is cut off,
+// the run may have succeeded, so it stays open until its end is listed or its lease
+// has expired.
+func (m *Machine) handleMissing(now time.Duration, r *run, endedCutOff bool) bool {
 	if r.since >= m.polledAt {
 		return false // the worker may have made the list before it had the run
 	}
+	if endedCutOff {
+		return false
+	}
 	switch r.state {
 	case runRunning:
 		m.finish(now, r, wire.Failed, endReason(r.workerRestarted))
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/limpettrail/limpettrail/core/lease"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
+	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/leased"
@@ -27,6 +29,9 @@
 	replacedStopTimeout = 300 * time.Millisecond
 	// directoryInterval is how often an agent without a link reads the directory.
 	directoryInterval = 2 * time.Second
+	// leftoverLeaseTimeout is longer than the lease of the runs that an earlier
+	// incarnation of this process started.
+	leftoverLeaseTimeout = time.Second
 	// minSlots is used for a worker that announces fewer slots.
 	minSlots = 1
 )
@@ -48,6 +53,7 @@
 // what runs there.
 type AgentNode struct {
 	opts   AgentOptions
+	clock  bootclock.Clock
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -63,7 +69,7 @@
 // StartAgent returns an agent that waits for its worker to announce itself.
 func StartAgent(opts AgentOptions) *AgentNode {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &AgentNode{opts: opts, ctx: ctx, cancel: cancel, entries: opts.Seeds}
+	n := &AgentNode{opts: opts, clock: bootclock.New(), ctx: ctx, cancel: cancel, entries: opts.Seeds}
 	n.wg.Go(n.followDirectory)
 	return n
 }
@@ -185,6 +191,7 @@
 			Worker:          worker,
 			Lease:           lease.Options{RetainedRuns: unacknowledged},
 			OnWorkerRestart: func() { n.workerRestarted(a) },
+			OnAdmission:     func(x lease.Admission) { n.logAdmission(a.Worker, x) },
 			OnPollError: func(err error) {
 				n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Peer: a.Worker, Err: err})
 			},
@@ -196,6 +203,18 @@
 	}
 }
 
+// logAdmission logs that the worker takes no further run, or does again.
+func (n *AgentNode) logAdmission(worker string, x lease.Admission) {
+	state := "open"
+	if x.Closed {
+		state = "closed"
+	}
+	n.opts.Log.Emit(eventlog.WorkerAdmission, eventlog.Fields{
+		Peer: worker, Count: int64(x.UnackedRuns),
+		Detail: fmt.Sprintf("%s, %d open runs", state, x.OpenRuns),
+	})
+}
+
 // workerRestarted drains the agent of a worker that was found to have
 // restarted. The new incarnation announces itself.
 func (n *AgentNode) workerRestarted(a Announcement) {
@@ -209,14 +228,20 @@
 // stopLeftovers stops every run at the worker and returns what the worker last
 // reported, or nil if ctx ended first. It acknowledges no ended run: finished
 // runs of stored jobs may not be recorded by their owner yet.
+//
+// The entries repeat every run that the returned status does not list as finished. If
+// its list is cut off, stopLeftovers waits until the lease has expired, after which the
+// ends of the runs that are not listed no longer count.
 func (n *AgentNode) stopLeftovers(ctx context.Context, worker leased.Worker) *lease.WorkerStatus {
+	began := n.clock.Now()
 	for ; ctx.Err() == nil; ctxsleep.For(ctx, leftoverRetryDelay) {
 		status, err := n.pollOnce(ctx, worker)
 		if err != nil {
 			n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Err: err})
 			continue
 		}
-		if len(status.Running) == 0 {
+		leaseExpired := n.clock.Now()-began > leftoverLeaseTimeout
+		if len(status.Running) == 0 && (!status.EndedCutOff || leaseExpired) {
 			return status
 		}
 		for _, run := range status.Running {
--- a/internal/fleet/agent_test.go
+++ b/internal/fleet/agent_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -61,3 +62,37 @@
 	_, running := n.Status()
 	assert.Assert(t, !running)
 }
+
+// cutOffWorker is a client of a worker that runs nothing. Its list of ended runs is cut
+// off in the first answers.
+type cutOffWorker struct {
+	goneWorker
+	running func() bool  // whether the agent runs
+	early   *atomic.Bool // the agent ran when such an answer was made
+}
+
+const cutOffAnswers = 3
+
+func (w cutOffWorker) Poll(context.Context, lease.CallPoll) (*lease.WorkerStatus, error) {
+	cutOff := w.polls.Add(1) <= cutOffAnswers
+	if cutOff && w.running() {
+		w.early.Store(true)
+	}
+	return &lease.WorkerStatus{Incarnation: 4, Clock: time.Second, EndedCutOff: cutOff}, nil
+}
+
+// Guards against runs that are repeated although they succeeded: an agent that starts
+// beside a worker whose list of ended runs is cut off must not tell entries that all
+// other runs have ended while their ends still count.
+func TestAgentWaitsWhileListOfEndedRunsIsCutOff(t *testing.T) {
+	polls, early := new(atomic.Int64), new(atomic.Bool)
+	var n *AgentNode
+	running := func() bool { _, ok := n.Status(); return ok }
+	n = StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) leased.Worker {
+		return cutOffWorker{goneWorker{polls}, running, early}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(4, 1, false))
+	await(t, func() bool { return running() && polls.Load() > cutOffAnswers })
+	assert.Assert(t, !early.Load())
+}
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -55,6 +55,9 @@
 	// OnPollError is called with the error of a failed poll, for logging. It may be
 	// nil.
 	OnPollError func(error)
+	// OnAdmission is called when the worker can take no further run, and when it can
+	// again, for logging. It may be nil.
+	OnAdmission func(lease.Admission)
 }
 
 // Upstream runs the tasks of an agent at one worker. It implements
@@ -176,6 +179,11 @@
 		u.call(callTimeout+x.MaxWait, func(ctx context.Context) lease.Event { return u.poll(ctx, x) })
 	case lease.Finished:
 		u.report(agent.Finished{Attempt: x.Attempt, Outcome: x.Outcome, Reason: x.Reason, RunTime: x.RunTime, Checkpoint: x.Checkpoint})
+	case lease.Admission:
+		u.report(agent.AdmissionChanged{Closed: x.Closed})
+		if u.opts.OnAdmission != nil {
+			u.opts.OnAdmission(x)
+		}
 	case lease.WorkerRestarted:
 		if u.opts.OnWorkerRestart != nil {
 			u.opts.OnWorkerRestart()
