lease, durable: release finished runs that a lost answer left behind

Cause, two faults that meet. An append without an answer takes over a second, so the agent reports a failed run to all entries. The owner has counted it and started the task again, and core/entry calls the older run superseded; the later acknowledgement finds no such run at the agent. And core/lease retains a superseded run until the lease expires, which it never does while runs follow each other.

Ruled out: a lost acknowledgement (a run without one is reported again over each new link).

Change: core/durable remembers the failed runs that it has counted and never calls them superseded.

--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -112,6 +112,11 @@
 // so that it may be acknowledged to the worker.
 type AcknowledgeRun struct{ Run wire.RunRef }
 
+// SupersedeRun reports that an entry has reported a finished run of a stored job as
+// superseded: the worker must not see it acknowledged before the lease of the worker's
+// runs has expired.
+type SupersedeRun struct{ Run wire.RunRef }
+
 // Probe asks the caller to connect to the upstream without sending anything
 // and to deliver Probed. At most one probe is in progress.
 type Probe struct{}
@@ -133,6 +138,7 @@
 func (*Run) isAction()           {}
 func (Stop) isAction()           {}
 func (AcknowledgeRun) isAction() {}
+func (SupersedeRun) isAction()   {}
 func (Probe) isAction()          {}
 func (Retired) isAction()        {}
 func (Drained) isAction()        {}
--- a/core/agent/retainedruns.go
+++ b/core/agent/retainedruns.go
@@ -79,7 +79,9 @@
 // the lease has expired.
 func (m *Machine) dropSupersededRuns(runs []wire.RunRef) {
 	for _, run := range runs {
-		m.retainedRuns.remove(run)
+		if m.retainedRuns.remove(run) {
+			m.emit(SupersedeRun{Run: run})
+		}
 	}
 }
 
--- a/core/agent/retainedruns_test.go
+++ b/core/agent/retainedruns_test.go
@@ -81,6 +81,21 @@
 	assert.Equal(t, s.results[0].Reason, wire.ReasonBusy)
 }
 
+// Guards against a superseded run that the worker lists for good: whoever keeps the
+// worker's lease has to know that the run waits for its expiry.
+func TestSupersededRunIsReportedToLease(t *testing.T) {
+	s := newScript(Options{Slots: 2})
+	runStored(s)
+	frame := &wire.ToAgent{SupersededRuns: []wire.RunRef{storedRun, {Job: "unknown"}}}
+	var superseded []wire.RunRef
+	for _, a := range s.machine.Step(s.now, Received{Entry: entryA, Epoch: 1, Frame: frame}) {
+		if x, ok := a.(SupersedeRun); ok {
+			superseded = append(superseded, x.Run)
+		}
+	}
+	assert.DeepEqual(t, superseded, []wire.RunRef{storedRun})
+}
+
 // Guards against starts at a worker whose list of ended runs is full, and against entries
 // that go on sending them there: neither new nor queued tasks start, and entries see no
 // free slot.
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -139,6 +139,9 @@
 type task struct {
 	entry.TaskProgress
 	lastRun int // number of the newest run that is counted
+	// countedRuns are the numbers of the failed runs that this process has counted.
+	// There are fewer than the failures that the task is allowed.
+	countedRuns []int
 }
 
 // process is what the view holds of a process that writes to the log.
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
@@ -84,7 +85,7 @@
 func (m *Machine) runFinished(now time.Duration, e RunFinished) {
 	j := m.jobs[e.Run.Run.Job]
 	switch {
-	case e.Superseded:
+	case e.Superseded && !j.counted(e.Run.Run):
 		m.acknowledgeSuperseded(e)
 	case j == nil:
 		m.unknownRuns = append(m.unknownRuns, unknownRun{at: now, event: e})
@@ -137,6 +138,7 @@
 		t.Done = !e.Run.Failed
 		if e.Run.Failed {
 			t.Failures++
+			t.countedRuns = append(t.countedRuns, run.Run)
 			t.Checkpoint = cmp.Or(e.Run.Checkpoint, t.Checkpoint)
 		}
 	}
@@ -148,13 +150,27 @@
 // reported. A drive starts every unfinished task again, with run numbers above
 // driveBase.
 func (j *job) runSuperseded(t *task, run int) bool {
+	if slices.Contains(t.countedRuns, run) {
+		return false
+	}
 	return run < t.lastRun || j.driving && !t.Done && run != t.lastRun && run <= j.driveBase
 }
 
+// counted reports whether this process has counted the run. An agent reports a run
+// again if it is not acknowledged in time, and by then the task may have been started
+// again because the run failed.
+func (j *job) counted(run wire.RunRef) bool {
+	if j == nil {
+		return false
+	}
+	i := j.taskIndex(run)
+	return i >= 0 && (run.Run == j.tasks[i].lastRun || slices.Contains(j.tasks[i].countedRuns, run.Run))
+}
+
 // acknowledgeEnded acknowledges a finished run of a job that has ended, as
 // superseded if it is not the task's newest counted run.
 func (m *Machine) acknowledgeEnded(j *job, e RunFinished) {
-	if i := j.taskIndex(e.Run.Run); i >= 0 && e.Run.Run.Run != j.tasks[i].lastRun {
+	if j.taskIndex(e.Run.Run) >= 0 && !j.counted(e.Run.Run) {
 		m.acknowledgeSuperseded(e)
 		return
 	}
--- a/core/lease/backlog_test.go
+++ b/core/lease/backlog_test.go
@@ -149,3 +149,54 @@
 	assert.Assert(t, !w.closed)
 	assert.Equal(t, w.acked, maxUnackedRuns)
 }
+
+// Guards against a worker that is lost for good because of a superseded run: while runs
+// follow each other, the lease never expires, and no later end can be acknowledged. The
+// superseded run itself must not be acknowledged under the lease under which it ended.
+func TestSupersededRunIsReleasedByExpiryOfLease(t *testing.T) {
+	w := newBusyWorker()
+	lasting := w.start(false)
+	w.endAt[lasting] = time.Hour
+	superseded := w.start(true)
+	w.advance(runTime)
+	w.step(SupersedeRun{Run: superseded})
+	ackedAfter := 0
+	for range 500 { // 5 s
+		if !w.closed {
+			w.start(false)
+		}
+		w.advance(10 * time.Millisecond)
+		if w.acked > 0 && ackedAfter == 0 {
+			ackedAfter = w.lapses
+		}
+	}
+	assert.Assert(t, ackedAfter > 0, "the run was acknowledged before the lease had expired, or never")
+	assert.Assert(t, w.acked > 250, "%d of %d ends acknowledged", w.acked, len(w.ended))
+	assert.Equal(t, w.lapses, 1)
+	assert.Equal(t, w.outcomes[1].Reason, wire.ReasonRunEnded, "the task that lasts is repeated")
+	delete(w.outcomes, 1)
+	for seq, f := range w.outcomes {
+		assert.Equal(t, f.Outcome, wire.Succeeded, "run %d: %v", seq, f.Reason)
+	}
+}
+
+// Guards against a start that renews the lease while it has to expire, and against one
+// that is reported as run.
+func TestStartWhileWorkerIsQuiescedIsNotRun(t *testing.T) {
+	w := newBusyWorker()
+	superseded := w.start(true)
+	w.advance(runTime)
+	w.step(SupersedeRun{Run: superseded})
+	w.start(false)
+	for range int(supersededDelay / (100 * time.Millisecond)) {
+		w.advance(100 * time.Millisecond)
+		if !w.closed {
+			w.start(false)
+		}
+	}
+	assert.Assert(t, w.closed)
+	w.start(false)
+	last := w.outcomes[wire.Seq(w.next)]
+	assert.Equal(t, last.Outcome, wire.NotRun)
+	assert.Equal(t, last.Reason, wire.ReasonBusy)
+}
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -26,6 +26,12 @@
 // stored job, which may then be acknowledged to the worker.
 type AcknowledgeRun struct{ Run wire.RunRef }
 
+// SupersedeRun reports that the task of a finished run of a stored job was started
+// again before an entry learned of this run. Its outcome does not count, so it may be
+// acknowledged only after the lease has expired. The machine lets the lease expire for
+// that: see quiescing.
+type SupersedeRun struct{ Run wire.RunRef }
+
 // Stop requests the end of a run. It has no effect on a run that is not open.
 type Stop struct {
 	Attempt agent.AttemptID
@@ -112,6 +118,7 @@
 func (Started) isEvent()        {}
 func (Stopped) isEvent()        {}
 func (AcknowledgeRun) isEvent() {}
+func (SupersedeRun) isEvent()   {}
 func (Polled) isEvent()         {}
 func (Tick) isEvent()           {}
 
@@ -152,11 +159,12 @@
 type WorkerRestarted struct{}
 
 // Admission reports whether the worker can take further runs. A Start while it cannot
-// is tracked as usual.
+// is tracked as usual, or ends as not run while the machine lets the lease expire.
 type Admission struct {
-	Closed      bool
-	UnackedRuns int // ended runs that are not acknowledged
-	OpenRuns    int
+	Closed         bool
+	UnackedRuns    int // ended runs that are not acknowledged
+	OpenRuns       int
+	SupersededRuns int // those of UnackedRuns that wait for the lease to expire
 }
 
 func (Admission) isAction()       {}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -20,6 +20,7 @@
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired. A list that is cut off need not contain it.
+//   - A superseded run is acknowledged only after the lease has expired.
 //   - Finished reports Failed with ReasonWorkerCrashed only if the worker's process was
 //     found to be gone or replaced. A run that it had accepted has ended with it.
 package lease
@@ -155,9 +156,16 @@
 	incarnation int64 // the worker's incarnation, 0 if not known
 	highestSeen int   // highest number of an ended run seen
 	// retained holds the numbers of the finished runs that must not be acknowledged
-	// yet.
-	retained    map[wire.RunRef]int
-	closed      bool          // the last Admission that was emitted
+	// yet, and superseded those of them that must not be acknowledged before the lease
+	// has expired.
+	retained   map[wire.RunRef]int
+	superseded map[wire.RunRef]struct{}
+	// supersededAt is when the first of superseded was reported. It is not used while
+	// there is none.
+	supersededAt time.Duration
+	listFull     bool // see updateAdmission
+	closed       bool // the last Admission that was emitted
+
 	initialized bool          // the first Step was made
 	acked       int           // ended runs up to this number are acknowledged
 	ackAt       time.Duration // when a poll is sent just to acknowledge ended runs
@@ -181,7 +189,10 @@
 // New returns a machine that has no information about its worker yet. Its first
 // Step emits a CallPoll.
 func New(opts Options) *Machine {
-	m := &Machine{opts: opts.withDefaults(), runs: make(map[wire.RunRef]*run), retained: make(map[wire.RunRef]int)}
+	m := &Machine{
+		opts: opts.withDefaults(), runs: make(map[wire.RunRef]*run),
+		retained: make(map[wire.RunRef]int), superseded: make(map[wire.RunRef]struct{}),
+	}
 	for _, end := range opts.RetainedRuns {
 		m.retained[end.Run] = end.Number
 		m.highestSeen = max(m.highestSeen, end.Number)
@@ -207,11 +218,13 @@
 	case Polled:
 		m.polled(now, e)
 	case AcknowledgeRun:
-		delete(m.retained, e.Run)
+		m.release(e.Run)
+	case SupersedeRun:
+		m.supersede(now, e.Run)
 	case Tick:
 	}
 	m.expireLease(now)
-	m.updateAdmission()
+	m.updateAdmission(now)
 	m.sendStops(now)
 	m.poll(now)
 	return m.actions
@@ -272,6 +285,10 @@
 }
 
 func (m *Machine) start(now time.Duration, e Start) {
+	if m.quiescing(now) {
+		m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonBusy})
+		return
+	}
 	for _, r := range m.ordered {
 		if r.id.Job == e.Run.Job && r.id.Step == e.Run.Step && r.id.Index == e.Run.Index {
 			// An earlier run of the task, for instance one that another entry
@@ -313,7 +330,7 @@
 		m.pollNow = true
 	case StartUnanswered:
 		m.unansweredAt = now
-		if r.startsSent < maxStartAttempts && !r.stopRequested {
+		if r.startsSent < maxStartAttempts && !r.stopRequested && m.mayRenew(now) {
 			m.sendStart(now, r)
 			return
 		}
@@ -398,7 +415,7 @@
 	if now <= m.leaseEnd {
 		return
 	}
-	clear(m.retained)
+	m.releaseAll()
 	for len(m.ordered) > 0 {
 		m.finish(now, m.ordered[0], wire.Failed, endReason(m.processGone))
 	}
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -290,7 +290,7 @@
 			case 0:
 				s.stopSome()
 			case 2:
-				s.releaseSome()
+				s.releaseSome(rapid.Bool().Draw(t, "supersede"))
 			case 1:
 				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 					s.worker.restart()
@@ -304,7 +304,7 @@
 		}
 		for range 16 {
 			s.advance(500 * time.Millisecond)
-			for s.releaseSome() {
+			for s.releaseSome(false) {
 			}
 		}
 		for id, run := range s.runs {
@@ -329,15 +329,20 @@
 	s.step(lease.Start{Attempt: id, Run: run, RetainFinishedRun: retain})
 }
 
-// releaseSome has the entries acknowledge the first finished run that is retained. It
-// reports whether there is such a run.
-func (s *sim) releaseSome() bool {
+// releaseSome has the entries acknowledge the first finished run that is retained, or
+// report it as superseded. A superseded run has to be retained until the lease expires.
+// It reports whether there is such a run.
+func (s *sim) releaseSome(supersede bool) bool {
 	for seq := range s.next {
 		id := agent.AttemptID{Entry: 1, Seq: wire.Seq(seq + 1)}
 		run := s.runs[id]
 		if _, ok := s.worker.retained[run]; !ok || s.finished[id].Outcome != wire.Succeeded {
 			continue
 		}
+		if supersede {
+			s.step(lease.SupersedeRun{Run: run})
+			return true
+		}
 		delete(s.worker.retained, run)
 		s.step(lease.AcknowledgeRun{Run: run})
 		return true
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -26,7 +26,7 @@
 	default:
 		return
 	}
-	if len(m.ordered) > 0 && now-m.answeredAt < m.opts.Lease/2 {
+	if len(m.ordered) > 0 && now-m.answeredAt < m.opts.Lease/2 && m.mayRenew(now) {
 		// A worker that does not answer must not get renewals: its runs have to
 		// end at a known time.
 		call.Deadline = m.renew(now)
@@ -119,7 +119,7 @@
 // start reached the new one: the lists of the new incarnation show which.
 func (m *Machine) workerRestarted() {
 	m.highestSeen, m.acked = 0, 0
-	clear(m.retained)
+	m.releaseAll()
 	for _, r := range m.ordered {
 		r.workerRestarted = true
 	}
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -237,6 +237,9 @@
 	// Acknowledge tells the upstream that it need not retain a finished run of a
 	// stored job any longer.
 	Acknowledge(x agent.AcknowledgeRun)
+	// Supersede tells the upstream that a finished run of a stored job does not count,
+	// so that it may be released once the lease of the runs has expired.
+	Supersede(x agent.SupersedeRun)
 	// Probe checks whether the upstream is reachable and reports agent.Probed.
 	Probe()
 	// Close closes every connection. Nothing is reported afterwards.
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -120,6 +120,8 @@
 		c.upstream.Stop(x)
 	case agent.AcknowledgeRun:
 		c.upstream.Acknowledge(x)
+	case agent.SupersedeRun:
+		c.upstream.Supersede(x)
 	case agent.Probe:
 		c.upstream.Probe()
 	case agent.Retired:
--- a/internal/agentd/runner.go
+++ b/internal/agentd/runner.go
@@ -125,6 +125,9 @@
 // Acknowledge implements Upstream. An HTTP upstream does not retain finished runs.
 func (u *httpUpstream) Acknowledge(agent.AcknowledgeRun) {}
 
+// Supersede implements Upstream. An HTTP upstream does not retain finished runs.
+func (u *httpUpstream) Supersede(agent.SupersedeRun) {}
+
 // Probe implements Upstream. It opens a connection and sends nothing.
 func (u *httpUpstream) Probe() {
 	u.agent.spawn(func() {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -211,7 +211,7 @@
 	}
 	n.opts.Log.Emit(eventlog.WorkerAdmission, eventlog.Fields{
 		Peer: worker, Count: int64(x.UnackedRuns),
-		Detail: fmt.Sprintf("%s, %d open runs", state, x.OpenRuns),
+		Detail: fmt.Sprintf("%s, %d open runs, %d superseded", state, x.OpenRuns, x.SupersededRuns),
 	})
 }
 
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -105,6 +105,11 @@
 	u.send(lease.AcknowledgeRun{Run: x.Run})
 }
 
+// Supersede implements agentd.Upstream.
+func (u *Upstream) Supersede(x agent.SupersedeRun) {
+	u.send(lease.SupersedeRun{Run: x.Run})
+}
+
 // Stop implements agentd.Upstream.
 func (u *Upstream) Stop(x agent.Stop) {
 	u.send(lease.Stop{Attempt: x.Attempt, Orphan: x.Orphan})
