policy: park jobs that cannot be placed now

Cause: a decision skips at most eight jobs that fit no worker and puts them back. Jobs without a deadline never leave the queue, and once it is the turn of the late jobs, which comes with every tenth start and ends with a start, eight of them end every decision without a start. Eight jobs that wait for one busy worker, for their bound per worker, or gangs, did the same for as long as they waited.

Ruled out: starts that are refused (none is sent), and admission (the jobs are accepted already).

Change: such a job is parked. It leaves the order for 10 ms to 1 s, and returns earlier when a worker that can run it frees a slot or connects. What no connected worker can run does not count as backlog. In large deployments agents that meet the requirements are looked for among all if the sample has none.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -25,7 +25,6 @@
 	window           window
 	allRuns          estimate      // of all classes
 	outcomes         ratio         // of tasks of all entries at all agents
-	skipped          []*jobState   // skipped in the current call of Next
 	asideClasses     []*classState // set aside in the current call of Next
 	containedUntil   time.Duration // when the last contained class is released
 	containedClasses []*classState // may include classes that were released since
@@ -150,6 +149,7 @@
 		s.resetMeanLogRatio()
 	}
 	s.renewQuarantine(now)
+	s.workerConnected(a)
 }
 
 // AgentDown implements Scheduler.
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -8,7 +8,6 @@
 )
 
 const (
-	maxSkipped = 8 // jobs skipped in one decision because they do not fit any free agent
 	// Target shares of starts that agents refuse as busy, by emphasis. Each refusal
 	// costs two messages, so the share for EmphasisResponse keeps the waste below
 	// 0.05 messages per task and leaves a margin for other wasted messages.
@@ -29,7 +28,8 @@
 	s.now = now
 	s.updateContention(now)
 	s.observeOthers(now)
-	for len(s.skipped) < maxSkipped && !s.window.full(s.inFlight) {
+	s.queue.unparkDue(now)
+	for parked := 0; parked < maxParkedPerDecision && !s.window.full(s.inFlight); parked++ {
 		j := s.queue.head(now)
 		if j == nil || len(s.connected) == 0 {
 			break
@@ -56,13 +56,8 @@
 				break
 			}
 		}
-		s.queue.detach(j)
-		s.skipped = append(s.skipped, j)
+		s.park(now, j)
 	}
-	for _, j := range s.skipped {
-		s.queue.attach(j)
-	}
-	s.skipped = s.skipped[:0]
 	s.restoreAside()
 	s.observeInService()
 	return p, ok
@@ -76,6 +71,7 @@
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
 	s.inFlight++
+	j.parkDelay = 0
 	j.racks[a.rackBucket]++
 	j.lastAgent = a
 	if j.job.MaxPerWorker > 0 {
@@ -128,6 +124,7 @@
 	}
 	s.recordOutcome(now, sentAt, a, j, r)
 	s.queue.finish(j)
+	s.slotFreed(a)
 }
 
 // adjustWait keeps the share of starts refused as busy close to the target of the
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -50,6 +50,9 @@
 	} else {
 		s.sample(&p)
 	}
+	if p.best.agent == nil && p.unmetRequirements && len(s.connected) > s.opts.SampleAgents {
+		s.evaluateEligible(&p)
+	}
 	if p.best.agent == nil {
 		return choice{unmetRequirements: p.unmetRequirements}
 	}
@@ -82,6 +85,16 @@
 	}
 }
 
+// evaluateEligible examines all agents that meet the job's requirements: if these are
+// few, a sample may contain none of them.
+func (s *Adaptive) evaluateEligible(p *search) {
+	for _, a := range s.connected {
+		if a.eligible(p.job) {
+			s.evaluate(p, a)
+		}
+	}
+}
+
 // evaluate compares an agent with the best candidate so far.
 func (s *Adaptive) evaluate(p *search, a *agentState) {
 	if !a.acceptsStarts() {
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -85,7 +85,8 @@
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
-			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			q.unparkDue(now)
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
 			case 0, 1:
 				c := classes[rapid.IntRange(0, 1).Draw(t, "class")]
 				team := c.team(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team")), 4)
@@ -117,13 +118,22 @@
 					delete(waiting, task)
 					break
 				}
+			case 5:
+				if j := q.head(now); j != nil {
+					q.park(now, 300*time.Millisecond, j, rapid.Bool().Draw(t, "unplaceable"))
+				}
 			}
 			q.setContended(rapid.Bool().Draw(t, "contended"))
-			if q.waiting != len(waiting) || q.inService != len(placed) {
+			unplaceable := 0
+			for _, j := range q.lot.unplaceable.Items {
+				unplaceable += len(j.waiting)
+			}
+			if q.waiting+unplaceable != len(waiting) || q.inService != len(placed) {
 				t.Fatalf("%d waiting, want %d; %d in service, want %d", q.waiting, len(waiting), q.inService, len(placed))
 			}
 			checkHeaps(t, q)
 		}
+		q.unparkDue(now + time.Second)
 		for len(waiting) > 0 {
 			j := q.head(now)
 			delete(waiting, q.start(j))
@@ -143,6 +153,8 @@
 	checkHeap(t, &q.classes)
 	checkHeap(t, &q.late)
 	checkHeap(t, &q.unstarted)
+	checkHeap(t, &q.lot.waiting)
+	checkHeap(t, &q.lot.unplaceable)
 	for _, c := range q.classes.Items {
 		checkHeap(t, &c.byShare)
 		checkHeap(t, &c.byDue)
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -41,6 +41,11 @@
 	teamPos      int // in team.viable or team.late
 	unstartedPos int // in queue.unstarted
 
+	parkedPos   int           // in one of the heaps of queue.lot
+	returnAt    time.Duration // when the parked job returns to the order
+	parkDelay   time.Duration // last delay since a task of the job was placed
+	unplaceable bool          // parked, and no connected worker meets its requirements
+
 	// blockedAt is the time since which a gang has found too few free slots; 0 if
 	// it is not blocked.
 	blockedAt time.Duration
@@ -111,7 +116,8 @@
 	classes   indexheap.Heap[*classState] // classes with a viable job
 	late      indexheap.Heap[*classState] // classes with a late job
 	unstarted indexheap.Heap[*jobState]   // viable jobs that have not started
-	waiting   int                         // tasks
+	lot       parkingLot
+	waiting   int // tasks
 	starts    uint64
 	released  []*jobState // released states, for reuse
 
@@ -121,7 +127,7 @@
 }
 
 func newQueue(fair, slack bool) *queue {
-	q := &queue{fair: fair, bySlack: slack, jobs: make(map[*Job]*jobState)}
+	q := &queue{fair: fair, bySlack: slack, jobs: make(map[*Job]*jobState), lot: newParkingLot()}
 	q.classes = indexheap.Heap[*classState]{Less: lessClass, Pos: func(c *classState) *int { return &c.pos }}
 	q.late = indexheap.Heap[*classState]{
 		Less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
@@ -242,6 +248,7 @@
 
 // push adds a waiting task of the job.
 func (q *queue) push(j *jobState, t *Task) {
+	q.unpark(j)
 	j.waiting = append(j.waiting, t)
 	t.SchedulerState = len(j.waiting)
 	q.addWaiting(j, 1)
@@ -258,6 +265,7 @@
 	if i < 0 || i >= len(j.waiting) || j.waiting[i] != t {
 		return
 	}
+	q.unpark(j)
 	last := len(j.waiting) - 1
 	j.waiting[i] = j.waiting[last]
 	j.waiting[i].SchedulerState = i + 1
