policy: double the limit for stuck runs with each one of a task

Cause: a run is stopped after 2.5 times the 99th percentile of the runs of its class that succeeded, and that estimate is known after eight runs. If these are short, all long runs are stopped, none succeeds, and nothing corrects the estimate. A stopped run counts as no failure, so nothing ends the repetition either.

Ruled out: jobs that are not driven any more (their runs are started again at once).

Change: the limit of a task doubles with each of its runs that was stopped. Only the first one is evidence against its worker.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -112,6 +112,9 @@
 		s.window.observe(now, sentAt, rtt, s.inFlight)
 	}
 	s.adjustWait(r)
+	if r.Reason == wire.ReasonStuck {
+		task.StuckRuns++
+	}
 	j := s.queue.jobs[task.Job]
 	if j == nil {
 		return
@@ -122,7 +125,9 @@
 	if r.Reason == wire.ReasonWorkerCrashed {
 		s.recordCrash(now, a, j.class, task, r)
 	}
-	s.recordOutcome(now, sentAt, a, j, r)
+	if task.StuckRuns <= blamedStuckRuns || r.Reason != wire.ReasonStuck {
+		s.recordOutcome(now, sentAt, a, j, r)
+	}
 	s.queue.finish(j)
 	s.slotFreed(a)
 }
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -91,6 +91,9 @@
 	// StartCrashes counts the workers that crashed soon after the task was started on
 	// them. The scheduler sets it.
 	StartCrashes int
+	// StuckRuns counts the runs that were stopped because Stuck reported them. The
+	// scheduler sets it.
+	StuckRuns int
 	// SchedulerState is private state of the scheduler, for example a position in its queue.
 	SchedulerState int
 }
--- a/core/policy/stuck.go
+++ b/core/policy/stuck.go
@@ -9,6 +9,11 @@
 	// stuckMinimum is the lower bound of this run time, so that runs of classes with
 	// short run times are not stopped because of a brief delay.
 	stuckMinimum = 250 * time.Millisecond
+	// maxStuckDoublings bounds the growth of this run time, against overflow.
+	maxStuckDoublings = 16
+	// blamedStuckRuns is how many stuck runs of one task are evidence against their
+	// workers. A task that is stuck on more of them takes long.
+	blamedStuckRuns = 1
 )
 
 // StuckDetector is implemented by schedulers that can distinguish a stuck run from a
@@ -23,6 +28,10 @@
 // progress while others do: without it such tasks miss their deadline and occupy
 // their slots until then. A run is not stopped if its repetition is not expected to
 // end before the deadline.
+//
+// Each run of a task that was stopped doubles the limit for its next one. The limit is
+// learned from runs that succeeded, so a constant one would stop all runs of a class
+// that are longer than those before, and none of them could correct it.
 func (s *Adaptive) Stuck(now time.Duration, task *Task) bool {
 	c := s.classes[task.Job.Class]
 	if !s.enabled.health || c == nil || !c.runs.known() || task.SchedulerState >= 0 {
@@ -31,5 +40,6 @@
 	sentAt := time.Duration(-task.SchedulerState - 1)
 	scale := max(1, c.forecast.scale(task.Job.DeclaredRunTime))
 	limit := max(stuckMinimum, time.Duration(stuckFactor*scale*float64(c.runs.p99)))
+	limit <<= min(task.StuckRuns, maxStuckDoublings)
 	return now-sentAt > limit && now+s.expectedRun(c, task.Job.DeclaredRunTime) < task.Job.Deadline
 }
