agent: count a hello as a sign of life from its sending

Cause: an agent that freezes with a hello out finds the entry's answer and starts behind it when it wakes. It took the time at which it handled the answer for a time at which the entry was alive, and started tasks that the entry had given up.

Ruled out: a task that the entry starts again too early.

Change: LinkUp carries the time at which the agent sent the hello that the entry answered, and that time renews the lease. entry_link_up logs its age.

TestPausedAgentRefusesStartBehindOldHello without the change: one run starts.

--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -31,7 +31,7 @@
 
 func newScript(opts Options) *script {
 	s := &script{machine: New(opts), now: time.Second, nextSeq: 1}
-	s.step(LinkUp{Entry: entryA, Epoch: 1})
+	s.step(LinkUp{Entry: entryA, Epoch: 1, HelloSentAt: s.now})
 	return s
 }
 
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -168,7 +168,7 @@
 	rec.up = true
 	rec.epoch = e.Epoch
 	rec.sentAt = now
-	rec.aliveAt = max(rec.aliveAt, now) // its hello answered a hello of this agent
+	rec.renewLease(min(e.HelloSentAt, now))
 	rec.discardOutput()
 	rec.heartbeatDue = true
 	m.queueRetainedRuns(now, rec)
@@ -260,8 +260,8 @@
 	return m.opts.RunLease > 0 && now-rec.aliveAt > m.opts.RunLease
 }
 
-// renewLease renews the lease of the entry's runs with the clock reading that the
-// entry echoed.
+// renewLease renews the lease of the entry's runs with a time at which the agent sent
+// something that the entry has answered.
 func (rec *entryRecord) renewLease(echo time.Duration) { rec.aliveAt = max(rec.aliveAt, echo) }
 
 // removable reports whether the record of an entry can be removed: its link has
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -14,6 +14,10 @@
 type LinkUp struct {
 	Entry wire.Incarnation
 	Epoch wire.Epoch
+	// HelloSentAt is when the agent sent the hello that the entry answered. The entry
+	// was alive then or later. The answer may have waited in the socket while this
+	// process was paused, so the time of this event is no evidence.
+	HelloSentAt time.Duration
 	// ConfigVersion is the configuration version stated in the entry's hello.
 	ConfigVersion int64
 }
--- a/core/agent/lease_test.go
+++ b/core/agent/lease_test.go
@@ -56,3 +56,31 @@
 	assert.Assert(t, oldest <= 2*interval+2*oneWay, "lease %v old", oldest)
 	assert.Equal(t, s.stops, 0)
 }
+
+// Guards against a task that runs twice: an agent that was paused after it had sent its
+// hello finds the entry's answer and a start behind it when it wakes. The entry has given
+// the start up meanwhile, so neither the answer nor the start may count as a sign of life
+// from the time at which it is handled.
+func TestPausedAgentRefusesStartBehindOldHello(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	for _, pause := range []time.Duration{lease / 2, lease + 1, 1300 * time.Millisecond} {
+		s := newScript(Options{Slots: 1, RunLease: lease})
+		s.step(LinkDown{Entry: entryA, Epoch: 1})
+		s.now += time.Minute
+		helloSentAt := s.now
+		s.now += pause
+		s.step(LinkUp{Entry: entryA, Epoch: 2, HelloSentAt: helloSentAt})
+		seq := s.nextSeq
+		s.receive(wire.ToAgent{Starts: []wire.Start{{Seq: seq, Class: "c", Deadline: 10_000_000}}})
+		if pause <= lease {
+			assert.Equal(t, len(s.running), 1, "pause of %v", pause)
+			continue
+		}
+		assert.Equal(t, len(s.running), 0, "pause of %v", pause)
+		assert.Equal(t, s.result(t, seq).Outcome, wire.NotRun)
+		assert.Equal(t, s.result(t, seq).Reason, wire.ReasonExpired)
+		s.nextSeq = seq + 1
+		s.receive(wire.ToAgent{ClockEcho: wire.MicrosOf(s.now), Starts: []wire.Start{{Seq: s.nextSeq, Class: "c", Deadline: 10_000_000}}})
+		assert.Equal(t, len(s.running), 1, "the entry has shown that it is alive")
+	}
+}
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -136,6 +136,8 @@
 	epoch  wire.Epoch
 	peer   string
 	sender *link.Sender[*wire.ToEntry]
+	// helloSentAt is when the hello was sent that the entry answered, on Agent.clock.
+	helloSentAt time.Duration
 	// retired is set once the link was retired: nothing is sent any more, and
 	// frames are read until the entry closes the link.
 	retired bool
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -91,9 +91,9 @@
 	}
 	c.links[e.hello.Entry] = e
 	c.emit(eventlog.EntryLinkUp, eventlog.Fields{
-		Peer: e.peer, Detail: e.hello.Name, Count: int64(e.epoch),
+		Peer: e.peer, Detail: e.hello.Name, Count: int64(e.epoch), Age: c.clock.Now() - e.helloSentAt,
 	})
-	return agent.LinkUp{Entry: e.hello.Entry, Epoch: e.epoch, ConfigVersion: e.hello.ConfigVersion}
+	return agent.LinkUp{Entry: e.hello.Entry, Epoch: e.epoch, HelloSentAt: e.helloSentAt, ConfigVersion: e.hello.ConfigVersion}
 }
 
 // step passes an event to the state machine and applies the resulting actions.
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -71,6 +71,7 @@
 	defer conn.Close()
 	defer context.AfterFunc(a.ctx, func() { conn.Close() })()
 	epoch := wire.Epoch(a.epoch.Add(1))
+	helloSentAt := a.clock.Now()
 	hello, err := a.handshake(conn, epoch)
 	if err != nil {
 		return false, err
@@ -79,7 +80,7 @@
 	defer a.dialer.disconnected(hello.Entry, epoch)
 	sender := link.NewSender[*wire.ToEntry](conn)
 	defer sender.Close()
-	a.send(openLink{hello: hello, epoch: epoch, peer: addr, sender: sender})
+	a.send(openLink{hello: hello, epoch: epoch, peer: addr, sender: sender, helloSentAt: helloSentAt})
 	defer a.send(agent.LinkDown{Entry: hello.Entry, Epoch: epoch})
 	a.dialer.learn(hello.Entries)
 	return true, a.readFrames(conn, hello.Entry, epoch)
