policy, entry: release waiting retries while retries succeed

Cause: a refused task gets a retry at a time computed from the rate of starts at that moment. While a fault refuses most starts, that is minutes away, and nothing moves it when starts succeed again. Stored jobs have no deadline by which the retry would be denied.

Ruled out, by the log of one task: refusals (after the one at 25.6 s it is not sent again until the end at 51 s), and a job that is not driven.

Change: a retry that ran releases two that wait for the budget.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -89,6 +89,7 @@
 	scheduler      policy.Scheduler
 	stuckDetector  policy.StuckDetector // nil if the scheduler does not implement it
 	nextStuckCheck time.Duration        // time of the next search for stuck runs
+	retryReleaser  policy.RetryReleaser // nil if the scheduler does not implement it
 	// containment is nil if the scheduler does not implement it. containedClasses are
 	// those that were reported last.
 	containment      policy.ContainmentReporter
@@ -148,11 +149,13 @@
 	stuck, _ := opts.Scheduler.(policy.StuckDetector)
 	containment, _ := opts.Scheduler.(policy.ContainmentReporter)
 	alonePlacer, _ := opts.Scheduler.(policy.AlonePlacer)
+	retryReleaser, _ := opts.Scheduler.(policy.RetryReleaser)
 	return &Machine{
 		opts:           opts.withDefaults(),
 		stuckDetector:  stuck,
 		containment:    containment,
 		alonePlacer:    alonePlacer,
+		retryReleaser:  retryReleaser,
 		scheduler:      opts.Scheduler,
 		nextSeq:        1,
 		jobs:           make(map[wire.SubmissionID]*job),
@@ -205,6 +208,7 @@
 		m.cancelStuckRuns(now)
 		m.reportContainment(now)
 	}
+	m.releaseRetries(now)
 	m.enqueueDueRetries(now)
 	m.enqueueDueOccurrences(now)
 	m.enforceDeadlines(now)
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -61,7 +61,7 @@
 	for m.retries.Len() > 0 && m.retries.Top().retryAt <= now {
 		t := m.retries.Top()
 		m.retries.Remove(t)
-		t.runLost = false
+		t.runLost, t.refused = false, false
 		if t.job.ending {
 			m.dropTask(t)
 			m.finishIfSettled(now, t.job)
@@ -76,6 +76,39 @@
 	}
 }
 
+const (
+	// longestBackoff is above every delay that the scheduler chooses because of the
+	// reason of a refusal. Longer delays come from its budget for retries.
+	longestBackoff = 1500 * time.Millisecond
+	// maxExaminedRetries bounds the search for tasks with longer delays.
+	maxExaminedRetries = 512
+)
+
+// releaseRetries shortens the delays of as many refused tasks as the scheduler allows,
+// of those that wait for its budget.
+func (m *Machine) releaseRetries(now time.Duration) {
+	if m.retryReleaser == nil {
+		return
+	}
+	n := m.retryReleaser.ReleasedRetries()
+	if n == 0 {
+		return
+	}
+	var found []*task
+	for _, t := range m.retries.Items[:min(m.retries.Len(), maxExaminedRetries)] {
+		if len(found) == n {
+			break
+		}
+		if t.refused && t.retryAt-now > longestBackoff {
+			found = append(found, t)
+		}
+	}
+	for _, t := range found {
+		t.retryAt = now
+		m.retries.Put(t)
+	}
+}
+
 // enforceDeadlines cancels the jobs whose deadline has passed, and answers
 // those that have not settled within SettleTimeout after it.
 func (m *Machine) enforceDeadlines(now time.Duration) {
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -31,6 +31,7 @@
 	failures      int        // runs that count as failures of the task
 	crashes       int        // runs under which a worker crashed, see maxWorkerCrashes
 	aloneRefused  bool       // a worker whose capacity has shrunk refused it with its whole capacity as the need
+	refused       bool       // it waits in the retry queue because its last attempt was refused as not run
 	runLost       bool       // its run was lost; the task waits until that run must have ended
 	stopRequested bool       // the current run was cancelled because it is stuck
 	checkpoint    string     // latest checkpoint that a worker saved, see wire.Start.Checkpoint
@@ -209,6 +210,7 @@
 		return
 	}
 	t.state = taskBackoff
+	t.refused = true
 	t.retryAt = now + delay
 	m.retries.Put(t)
 }
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -112,6 +112,9 @@
 		s.window.observe(now, sentAt, rtt, s.inFlight)
 	}
 	s.adjustWait(r)
+	if task.NotRunAttempts > 0 && r.Outcome == wire.Succeeded {
+		s.budget.recordSuccess(now)
+	}
 	if r.Reason == wire.ReasonStuck {
 		task.StuckRuns++
 	}
@@ -315,6 +318,18 @@
 	}
 }
 
+// RetryReleaser is implemented by schedulers whose delays of retries may turn out too
+// long.
+type RetryReleaser interface {
+	// ReleasedRetries returns how many of the tasks that wait because of Retry may be
+	// placed before their delay has passed. Each call returns what has been released
+	// since the last one.
+	ReleasedRetries() int
+}
+
+// ReleasedRetries implements RetryReleaser.
+func (s *Adaptive) ReleasedRetries() int { return s.budget.takeReleased() }
+
 // Retry implements Scheduler. A retry that exceeds the budget is delayed; it is
 // denied only if the task could not start before its deadline.
 func (s *Adaptive) Retry(now time.Duration, task *Task, reason wire.Reason) (time.Duration, bool) {
--- a/core/policy/budget.go
+++ b/core/policy/budget.go
@@ -13,6 +13,10 @@
 	minRetryDelay   = 10 * time.Millisecond
 	maxRetryDelay   = time.Second
 	startRateWindow = time.Second // time constant of the measured start rate
+	// retriesPerSuccess is how many retries a retry that ran allows beyond the budget.
+	// With more than one, the tasks that a passing fault has refused are retried at a
+	// rate that grows while they succeed.
+	retriesPerSuccess = 2
 )
 
 // budget limits the rate of retries to a share of the starts. A retry that exceeds the
@@ -22,6 +26,7 @@
 	tokens    float64       // retries allowed now; negative if retries were granted for later times
 	startRate float64       // starts per second
 	updatedAt time.Duration // last update
+	released  int           // retries granted for later times that may be made now
 }
 
 // advance adds the budget that is always allowed since the last update and decays
@@ -56,6 +61,23 @@
 	return time.Duration(-b.tokens / perSecond * float64(time.Second))
 }
 
+// recordSuccess records a retry that ran. Retries granted for later times then need not
+// wait for as long: the delay of each was computed from the rate of starts at its
+// refusal, which is low while most starts are refused.
+func (b *budget) recordSuccess(now time.Duration) {
+	b.advance(now)
+	b.released += retriesPerSuccess
+	b.deposit(retriesPerSuccess)
+}
+
+// takeReleased returns how many retries granted for later times may be made now. What is
+// not used is lost.
+func (b *budget) takeReleased() int {
+	n := b.released
+	b.released = 0
+	return n
+}
+
 // refund returns a reservation that is not used.
 func (b *budget) refund() { b.deposit(1) }
 
