keeper, durable: a read that is cut off does not renew the view

A read of the store returns at most 1,024 KB, and the view counted as new as its request. A job missing from it was unknown, and finished runs of such jobs were acknowledged.

Change: a read says whether the log goes on behind it. Then the age of the view stays as it is, and the next read follows at once.

--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -16,8 +16,12 @@
 type Read struct {
 	Records  []Record
 	Snapshot bool // Records holds the newest record of every key
-	// RequestedAt is when the read was sent: the view contains all records up to then.
+	// RequestedAt is when the read was sent. Unless the read is cut off, the view
+	// contains all records up to then.
 	RequestedAt time.Duration
+	// CutOff states that the log holds further records, which did not fit in the read.
+	// Nothing can be concluded from a record that the view lacks.
+	CutOff bool
 }
 
 // Submit submits a job. It is answered by one Reply.
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -25,7 +25,9 @@
 		m.loaded = true
 		m.scheduleLeaseCleanup(now)
 	}
-	m.viewAt = max(m.viewAt, e.RequestedAt)
+	if !e.CutOff {
+		m.viewAt = max(m.viewAt, e.RequestedAt)
+	}
 	m.resolveCancels(now)
 	m.resolveUnknownRuns(now)
 }
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -31,6 +31,7 @@
 	fenced         map[wire.Incarnation]bool
 	appended       map[string]bool // appends that are in the log, by writer and number
 	logDown        bool            // the log answers no call
+	readLimit      int             // records in one read
 	processes      []*process
 	lastNumber     uint64 // last number given to an incarnation or a token
 	runs           []*run
@@ -103,6 +104,7 @@
 	w := &world{
 		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), appended: make(map[string]bool), completedTasks: make(map[string]bool),
 		accepted: make(map[string]bool), cancelled: make(map[string]bool), tasks: make(map[string]int),
+		readLimit: rapid.SampledFrom([]int{4, 20, 1 << 20}).Draw(t, "records in one read"),
 	}
 	for i := range processes {
 		w.processes = append(w.processes, w.newProcess(fmt.Sprintf("vm-%d", i)))
@@ -235,9 +237,10 @@
 		p.inbox = append(p.inbox, durable.Read{Records: out, Snapshot: true, RequestedAt: w.now})
 		return
 	}
-	out = slices.Clone(w.records[p.offset:])
-	p.offset = len(w.records)
-	p.inbox = append(p.inbox, durable.Read{Records: out, RequestedAt: w.now})
+	end := min(len(w.records), p.offset+w.readLimit)
+	out = slices.Clone(w.records[p.offset:end])
+	p.offset = end
+	p.inbox = append(p.inbox, durable.Read{Records: out, RequestedAt: w.now, CutOff: end < len(w.records)})
 }
 
 func (w *world) apply(p *process, action durable.Action) {
--- a/internal/fleet/ready_test.go
+++ b/internal/fleet/ready_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-func (l *fakeJobLog) Read(ctx context.Context, from int64, _ time.Duration) ([]durable.Record, int64, error) {
-	return nil, from, ctx.Err()
+func (l *fakeJobLog) Read(ctx context.Context, from int64, _ time.Duration) (keeper.ReadResult, error) {
+	return keeper.ReadResult{Next: from}, ctx.Err()
 }
 
 func (l *fakeJobLog) Append(context.Context, wire.Incarnation, int64, []durable.Record) (keeper.AppendResult, error) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -44,14 +44,20 @@
 	NoAnswer
 )
 
+// ReadResult is the result of a read of the log.
+type ReadResult struct {
+	Records []durable.Record
+	Next    int64 // offset to read on from
+	CutOff  bool  // the log holds records from Next on
+}
+
 // Log is the shared log of stored jobs.
 type Log interface {
 	// Newest returns the newest record of each key and the offset to read on from.
 	Newest(ctx context.Context) ([]durable.Record, int64, error)
-	// Read returns the records from the offset from on, and the offset to read on
-	// from. It waits up to wait for the first record. The error matches ErrRemoved
-	// if the log no longer holds the records.
-	Read(ctx context.Context, from int64, wait time.Duration) ([]durable.Record, int64, error)
+	// Read returns records from the offset from on. It waits up to wait for the first
+	// one. The error matches ErrRemoved if the log no longer holds them.
+	Read(ctx context.Context, from int64, wait time.Duration) (ReadResult, error)
 	// Append appends the records as one unit. The appends of a writer are numbered
 	// from 0; an append with a repeated number is carried out once.
 	Append(ctx context.Context, writer wire.Incarnation, number int64, records []durable.Record) (AppendResult, error)
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -25,7 +25,7 @@
 			f.incarnation, f.hasOffset = self, false
 		}
 		requestedAt := k.clock.Now()
-		records, snapshot, err := f.next(k.ctx)
+		read, err := f.next(k.ctx)
 		if failing != (err != nil) && k.ctx.Err() == nil {
 			failing = err != nil
 			k.reportLogState(failing, err)
@@ -34,7 +34,11 @@
 			ctxsleep.For(k.ctx, retryDelay)
 			continue
 		}
-		k.deliverRead(self, durable.Read{Records: records, RequestedAt: requestedAt, Snapshot: snapshot})
+		read.RequestedAt = requestedAt
+		k.deliverRead(self, read)
+		if read.CutOff {
+			continue // the view is behind the log
+		}
 		ctxsleep.For(k.ctx, readInterval)
 	}
 }
@@ -69,24 +73,24 @@
 	offset      int64
 }
 
-// next returns the records since the last read. For the first read and after a
-// gap it returns the newest record of each key, and snapshot is true.
-func (f *follower) next(ctx context.Context) (records []durable.Record, snapshot bool, err error) {
+// next returns the records since the last read, without the time of the request. For
+// the first read and after a gap it returns the newest record of each key.
+func (f *follower) next(ctx context.Context) (durable.Read, error) {
 	if !f.hasOffset {
-		records, f.offset, err = f.log.Newest(ctx)
-		f.hasOffset = err == nil
-		return records, true, err
+		records, offset, err := f.log.Newest(ctx)
+		f.offset, f.hasOffset = offset, err == nil
+		return durable.Read{Records: records, Snapshot: true}, err
 	}
-	records, nextOffset, err := f.log.Read(ctx, f.offset, readWait)
+	result, err := f.log.Read(ctx, f.offset, readWait)
 	switch {
 	case errors.Is(err, ErrRemoved):
 		f.hasOffset = false
 		return f.next(ctx)
 	case err != nil:
-		return nil, false, err
+		return durable.Read{}, err
 	}
-	f.offset = nextOffset
-	return records, false, nil
+	f.offset = result.Next
+	return durable.Read{Records: result.Records, CutOff: result.CutOff}, nil
 }
 
 // append carries out an append in the background.
