policy: count long-running tasks at work as successes of their agent

Cause: an agent in slow start gets one task until one succeeds, and tasks of long-running jobs never succeed. Like the limit for stuck runs, a limit that is learned only from what it lets pass.

Change: such a task counts as a success once it has been at work for 1 s.

--- a/core/entry/release_test.go
+++ b/core/entry/release_test.go
@@ -19,7 +19,7 @@
 		tasks      = 400
 		roomReturn = 10 * time.Second
 		runTime    = 100 * time.Millisecond
-		idleLimit  = 3 * time.Second // an accepted job may have nothing running for this long
+		idleLimit  = 3 * time.Second  // an accepted job may have nothing running for this long
 		finish     = 14 * time.Second // accepted jobs are asked for this long after the traffic
 		step       = 5 * time.Millisecond
 	)
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -71,6 +71,9 @@
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
 	s.inFlight++
+	if j.job.LongRunning {
+		a.lasting.add(now)
+	}
 	j.parkDelay = 0
 	j.racks[a.rackBucket]++
 	j.lastAgent = a
@@ -104,6 +107,9 @@
 	sentAt := time.Duration(-task.SchedulerState - 1)
 	task.SchedulerState = 0
 	a.recordEnd(a.slotsOf(task.Job))
+	if task.Job.LongRunning {
+		a.lasting.remove(sentAt)
+	}
 	s.inFlight--
 	s.addFreed(a)
 	if r.Reason != wire.ReasonAgentLost {
@@ -297,6 +303,7 @@
 		return
 	}
 	a.observe(now, load)
+	a.proveLasting(now)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
 	s.outcomes.addCounts(successes, failures)
