agent: return queued tasks when the worker takes no further run

What callers saw: nothing yet; by reading. A task queued at an agent whose worker takes no further run (too many unacknowledged ends, or the lease has to expire) waited up to some seconds for it, while other workers were free.

Change: such tasks are returned as not run (busy) at once, and entries place them elsewhere.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -187,8 +187,7 @@
 	case CapacityChanged:
 		m.changeCapacity(&e)
 	case AdmissionChanged:
-		m.admissionClosed = e.Closed
-		m.heartbeatAll()
+		m.changeAdmission(e)
 	case WorkerLeaving:
 		m.workerLeaving = true
 	case Drain:
--- a/core/agent/capacity.go
+++ b/core/agent/capacity.go
@@ -17,6 +17,16 @@
 	m.returnQueued(wire.ReasonNoRoom, func(a *attempt) bool { return !m.capacity.Fits(a.start.Need) })
 }
 
+// changeAdmission tells every entry whether the worker can take further runs. Queued tasks
+// are returned, so that they need not wait for it.
+func (m *Machine) changeAdmission(e AdmissionChanged) {
+	m.admissionClosed = e.Closed
+	if e.Closed {
+		m.returnQueued(wire.ReasonBusy, allAttempts)
+	}
+	m.heartbeatAll()
+}
+
 // reported returns the current value of a dimension. Capacity.Fits takes 0 for a
 // dimension that is not stated, so a dimension that was stated and is used up is 1.
 func reported(current, full int64) int64 {
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -72,7 +72,7 @@
 	a.recordStart(now, a.slotsOf(j.job))
 	s.inFlight++
 	if j.job.LongRunning {
-		a.lasting.add(now)
+		a.longRunning.add(now)
 	}
 	j.parkDelay = 0
 	j.racks[a.rackBucket]++
@@ -108,7 +108,7 @@
 	task.SchedulerState = 0
 	a.recordEnd(a.slotsOf(task.Job))
 	if task.Job.LongRunning {
-		a.lasting.remove(sentAt)
+		a.longRunning.remove(sentAt)
 	}
 	s.inFlight--
 	s.addFreed(a)
@@ -303,7 +303,7 @@
 		return
 	}
 	a.observe(now, load)
-	a.proveLasting(now)
+	a.creditLongRunning(now)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
 	s.outcomes.addCounts(successes, failures)
--- a/core/policy/parked.go
+++ b/core/policy/parked.go
@@ -29,18 +29,18 @@
 	maxReturnedPerSlot = 8
 )
 
-// parkingLot holds the parked jobs of a queue.
-type parkingLot struct {
+// parkedJobs holds the parked jobs of a queue.
+type parkedJobs struct {
 	waiting     indexheap.Heap[*jobState] // a connected worker meets their requirements
 	unplaceable indexheap.Heap[*jobState] // none does; their tasks do not count as backlog
 }
 
-func newParkingLot() parkingLot {
+func newParkedJobs() parkedJobs {
 	heap := indexheap.Heap[*jobState]{
 		Less: func(a, b *jobState) bool { return a.returnAt < b.returnAt },
 		Pos:  func(j *jobState) *int { return &j.parkedPos },
 	}
-	return parkingLot{waiting: heap, unplaceable: heap}
+	return parkedJobs{waiting: heap, unplaceable: heap}
 }
 
 // parked reports whether the job is parked.
@@ -51,11 +51,11 @@
 	q.detach(j)
 	j.returnAt = now + delay
 	if !unplaceable {
-		q.lot.waiting.Put(j)
+		q.parked.waiting.Put(j)
 		return
 	}
 	j.unplaceable = true
-	q.lot.unplaceable.Put(j)
+	q.parked.unplaceable.Put(j)
 	q.addWaiting(j, -len(j.waiting))
 }
 
@@ -64,24 +64,24 @@
 	if !j.parked() {
 		return
 	}
-	q.leaveLot(j)
+	q.removeParked(j)
 	q.attach(j)
 }
 
-// leaveLot removes a parked job from the lot, and counts its tasks as backlog again.
-func (q *queue) leaveLot(j *jobState) {
+// removeParked removes a parked job from the parked ones, and counts its tasks as backlog again.
+func (q *queue) removeParked(j *jobState) {
 	if !j.unplaceable {
-		q.lot.waiting.Remove(j)
+		q.parked.waiting.Remove(j)
 		return
 	}
-	q.lot.unplaceable.Remove(j)
+	q.parked.unplaceable.Remove(j)
 	j.unplaceable = false
 	q.addWaiting(j, len(j.waiting))
 }
 
 // unparkDue returns the parked jobs whose delay has passed.
 func (q *queue) unparkDue(now time.Duration) {
-	for _, heap := range []*indexheap.Heap[*jobState]{&q.lot.waiting, &q.lot.unplaceable} {
+	for _, heap := range []*indexheap.Heap[*jobState]{&q.parked.waiting, &q.parked.unplaceable} {
 		for heap.Len() > 0 && heap.Top().returnAt <= now {
 			q.unpark(heap.Top())
 		}
@@ -107,11 +107,11 @@
 
 // slotFreed returns the most urgent of the parked jobs that the agent can run.
 func (s *Adaptive) slotFreed(a *agentState) {
-	if !a.connected || s.queue.lot.waiting.Len() == 0 {
+	if !a.connected || s.queue.parked.waiting.Len() == 0 {
 		return
 	}
 	var found []*jobState
-	for _, j := range s.queue.lot.waiting.Items[:min(s.queue.lot.waiting.Len(), maxExaminedPerSlot)] {
+	for _, j := range s.queue.parked.waiting.Items[:min(s.queue.parked.waiting.Len(), maxExaminedPerSlot)] {
 		if a.eligible(j) {
 			found = append(found, j)
 		}
@@ -125,7 +125,7 @@
 // workerConnected returns the parked jobs that the agent can run, and all gangs, which
 // may need it in addition to others.
 func (s *Adaptive) workerConnected(a *agentState) {
-	for _, heap := range []*indexheap.Heap[*jobState]{&s.queue.lot.waiting, &s.queue.lot.unplaceable} {
+	for _, heap := range []*indexheap.Heap[*jobState]{&s.queue.parked.waiting, &s.queue.parked.unplaceable} {
 		for _, j := range slices.Clone(heap.Items) {
 			if j.job.Gang || a.eligible(j) {
 				j.parkDelay = 0
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -41,7 +41,7 @@
 	teamPos      int // in team.viable or team.late
 	unstartedPos int // in queue.unstarted
 
-	parkedPos   int           // in one of the heaps of queue.lot
+	parkedPos   int           // in one of the heaps of queue.parked
 	returnAt    time.Duration // when the parked job returns to the order
 	parkDelay   time.Duration // last delay since a task of the job was placed
 	unplaceable bool          // parked, and no connected worker meets its requirements
@@ -116,7 +116,7 @@
 	classes   indexheap.Heap[*classState] // classes with a viable job
 	late      indexheap.Heap[*classState] // classes with a late job
 	unstarted indexheap.Heap[*jobState]   // viable jobs that have not started
-	lot       parkingLot
+	parked    parkedJobs
 	waiting   int // tasks
 	starts    uint64
 	released  []*jobState // released states, for reuse
@@ -127,7 +127,7 @@
 }
 
 func newQueue(fair, slack bool) *queue {
-	q := &queue{fair: fair, bySlack: slack, jobs: make(map[*Job]*jobState), lot: newParkingLot()}
+	q := &queue{fair: fair, bySlack: slack, jobs: make(map[*Job]*jobState), parked: newParkedJobs()}
 	q.classes = indexheap.Heap[*classState]{Less: lessClass, Pos: func(c *classState) *int { return &c.pos }}
 	q.late = indexheap.Heap[*classState]{
 		Less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -38,11 +38,11 @@
 	rtt            time.Duration     // estimated round-trip time
 	waitPerTask    time.Duration     // wait per queued task, from the agent's reports
 
-	speed     speed
-	health    health
-	lasting   lastingTasks
-	inFreed   bool          // listed in Adaptive.freed
-	crashedAt time.Duration // when a run of this entry last ended with the worker's crash; 0 if never
+	speed       speed
+	health      health
+	longRunning longRunningTasks
+	inFreed     bool          // listed in Adaptive.freed
+	crashedAt   time.Duration // when a run of this entry last ended with the worker's crash; 0 if never
 	// quarantined marks an agent that runs the contained classes of its pool while
 	// there are any.
 	quarantined bool
