durable: refuse records with impossible sizes

What callers saw: nothing yet; found by a fuzz target written for "one malformed message took a whole process down". One record of a stored job whose steps have 2^62 tasks ended every process that read it, and again after each restart, since the newest record of a key stays in the log.

Cause: the sum of the steps' sizes overflows, and the tasks are allocated by it. The index of a task of a run with a large occurrence overflows in the same way.

Change: decode checks the sizes by the limits of acceptance and skips the record as unreadable (job_record_unreadable); a run of an occurrence that the job does not have belongs to no task.

--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -77,7 +77,10 @@
 // taskIndex returns the index of the run's task in the job, or -1 if the job
 // has no such task. The progress of a gang is kept with its first task.
 func (j *job) taskIndex(run wire.RunRef) int {
-	if run.Step < 0 || run.Step >= len(j.stepSizes) || run.Index < 0 || run.Index >= j.stepSizes[run.Step] || run.Occurrence < 0 {
+	if run.Step < 0 || run.Step >= len(j.stepSizes) || run.Index < 0 || run.Index >= j.stepSizes[run.Step] {
+		return -1
+	}
+	if run.Occurrence < 0 || run.Occurrence >= j.occurrences {
 		return -1
 	}
 	n := run.Index
@@ -128,6 +131,24 @@
 	Spec Spec
 }
 
+func (a *acceptance) check() error {
+	return checkStepSizes(a.Spec.stepSizes(), a.Spec.Schedule.Occurrences())
+}
+
+// checkStepSizes reports an error if no accepted job can have these steps.
+func checkStepSizes(sizes []int, occurrences int) error {
+	tasks := 0
+	for i, size := range sizes {
+		if size < 0 || size > wire.MaxTasksPerJob {
+			return fmt.Errorf("step %d has %d tasks, want at most %d", i, size, wire.MaxTasksPerJob)
+		}
+		if tasks += size; tasks*occurrences > MaxTasks {
+			return fmt.Errorf("more than %d tasks over %d occurrences", MaxTasks, occurrences)
+		}
+	}
+	return nil
+}
+
 // jobStatus is the record of a job's state and progress, written by its owner.
 type jobStatus struct {
 	_         struct{} `cbor:",toarray"`
@@ -141,6 +162,11 @@
 	Occurrences int
 }
 
+// occurrences returns how many times the steps run, at least 1.
+func (s *jobStatus) occurrences() int { return min(max(1, s.Occurrences), wire.MaxOccurrences) }
+
+func (s *jobStatus) check() error { return checkStepSizes(s.StepSizes, s.occurrences()) }
+
 // taskStatus is the recorded progress of one task.
 type taskStatus struct {
 	_          struct{} `cbor:",toarray"`
@@ -238,6 +264,9 @@
 	return Record{Key: key, Value: data}
 }
 
+// checker is a record type with values that no process writes.
+type checker interface{ check() error }
+
 // decode decodes the value of a record into a pointer to its record type.
 func decode(r *Record) (any, error) {
 	var v any
@@ -263,5 +292,10 @@
 	if err := cbor.Unmarshal(r.Value, v); err != nil {
 		return nil, fmt.Errorf("durable: record %d, key %q: %w", r.Offset, r.Key, err)
 	}
+	if c, ok := v.(checker); ok {
+		if err := c.check(); err != nil {
+			return nil, fmt.Errorf("durable: record %d, key %q: %w", r.Offset, r.Key, err)
+		}
+	}
 	return v, nil
 }
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
-	"github.com/limpettrail/limpettrail/core/wire"
 )
 
 // applyRead applies records in the order of the log.
@@ -101,15 +100,15 @@
 }
 
 // setStepSizes sets the number of tasks of each step and the number of
-// occurrences, and allocates all tasks.
+// occurrences, which decode has checked, and allocates all tasks.
 func (j *job) setStepSizes(sizes []int, occurrences int) {
 	j.stepSizes = sizes
 	j.occurrences = occurrences
 	n := 0
 	for _, size := range sizes {
-		n += max(0, size) * occurrences
+		n += size * occurrences
 	}
-	j.tasks = make([]task, min(n, MaxTasks))
+	j.tasks = make([]task, n)
 }
 
 // setOwner assigns an unfinished job to a process.
@@ -142,7 +141,7 @@
 	if j == nil {
 		// Only the end of an ended job is kept.
 		j = &job{id: id, class: rec.Class}
-		j.setStepSizes(rec.StepSizes, min(max(1, rec.Occurrences), wire.MaxOccurrences))
+		j.setStepSizes(rec.StepSizes, rec.occurrences())
 		m.jobs[id] = j
 	}
 	if j.state.Final() {
