--- /dev/null
+++ b/core/lease/modelworker_test.go
@@ -0,0 +1,147 @@
+package lease_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/limpettrail/limpettrail/core/lease"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// worker is a model of a worker that follows the protocol on which the machine
+// relies.
+type worker struct {
+	now          time.Duration
+	incarnation  int64
+	fenceAt      time.Duration                 // when the first call of the next agent ends the runs of the earlier one
+	lease        time.Duration                 // when all runs end without a renewal
+	running      map[wire.RunRef]time.Duration // when the run ends by itself
+	highestEnded map[string]int                // highest run number stopped or ended, by task
+	ended        []lease.EndedRun
+	started      map[wire.RunRef]bool
+	completed    map[wire.RunRef]bool // ran to their end
+	listedAtOnce int                  // ended runs in one list
+	lapses       int                  // times at which the lease expired
+	lapsed       bool                 // the lease has not been renewed since
+	retained     map[wire.RunRef]int  // finished runs that are to be retained, with the value of lapses at their end
+}
+
+func newWorker() *worker {
+	return &worker{
+		incarnation: 1, running: make(map[wire.RunRef]time.Duration), highestEnded: make(map[string]int),
+		started: make(map[wire.RunRef]bool), completed: make(map[wire.RunRef]bool), listedAtOnce: 500,
+		lapsed: true, retained: make(map[wire.RunRef]int),
+	}
+}
+
+func taskOf(id wire.RunRef) string { return id.Job + string(rune('0'+id.Index)) }
+
+func (w *worker) advance(d time.Duration) {
+	w.now += d
+	if w.fenceAt > 0 && w.now >= w.fenceAt {
+		clear(w.running)
+	}
+	if lapsed := w.now > w.lease; lapsed != w.lapsed {
+		w.lapsed = lapsed
+		if lapsed {
+			w.lapses++
+		}
+	}
+	for id, end := range w.running {
+		switch {
+		case w.now > w.lease:
+			w.end(id, lease.EndedInconclusive)
+		case w.now >= end:
+			w.completed[id] = true
+			w.end(id, lease.EndedSucceeded)
+		}
+	}
+}
+
+func (w *worker) end(id wire.RunRef, kind lease.EndKind) {
+	delete(w.running, id)
+	w.highestEnded[taskOf(id)] = max(w.highestEnded[taskOf(id)], id.Run)
+	w.ended = append(w.ended, lease.EndedRun{Number: len(w.ended) + 1, Run: id, Kind: kind})
+	if _, ok := w.retained[id]; ok {
+		w.retained[id] = w.lapses
+	}
+}
+
+// discarded returns a run that the acknowledgement discards although it has to be
+// retained: it was not acknowledged, and the lease has not expired since its end.
+func (w *worker) discarded(ackUpTo int) (wire.RunRef, bool) {
+	for _, e := range w.ended[:min(ackUpTo, len(w.ended))] {
+		lapses, ok := w.retained[e.Run]
+		if ok && e.Kind == lease.EndedSucceeded && lapses == w.lapses {
+			return e.Run, true
+		}
+	}
+	return wire.RunRef{}, false
+}
+
+func (w *worker) start(c lease.CallStart, length time.Duration) lease.Started {
+	out := lease.Started{Run: c.Run, Result: lease.StartAccepted, Clock: w.now}
+	if _, isRunning := w.running[c.Run]; isRunning {
+		return out
+	}
+	switch {
+	case w.fenced():
+		out.Result, out.Reason = lease.StartRefused, wire.ReasonUpstreamDown
+	case c.Deadline < w.now:
+		out.Result, out.Reason = lease.StartRefused, wire.ReasonNotReceived
+	case c.Run.Run <= w.highestEnded[taskOf(c.Run)]:
+		out.Result, out.Reason = lease.StartRefused, wire.ReasonStaleRun
+	default:
+		w.running[c.Run] = w.now + length
+		w.started[c.Run] = true
+		w.lease = max(w.lease, c.Deadline)
+	}
+	return out
+}
+
+// fenced reports whether the next agent has called the restarted worker, which
+// then refuses every call of the earlier agent.
+func (w *worker) fenced() bool { return w.fenceAt > 0 && w.now >= w.fenceAt }
+
+func (w *worker) stop(c lease.CallStop) lease.Stopped {
+	if w.fenced() {
+		return lease.Stopped{Run: c.Run}
+	}
+	if _, isRunning := w.running[c.Run]; isRunning {
+		w.end(c.Run, lease.EndedStopped)
+	}
+	w.highestEnded[taskOf(c.Run)] = max(w.highestEnded[taskOf(c.Run)], c.Run.Run)
+	return lease.Stopped{Run: c.Run, Acknowledged: true, Clock: w.now}
+}
+
+func (w *worker) poll(c lease.CallPoll) lease.Polled {
+	if c.Deadline > 0 && len(w.running) > 0 {
+		w.lease = max(w.lease, c.Deadline)
+	}
+	if w.fenced() {
+		return lease.Polled{}
+	}
+	status := &lease.WorkerStatus{Incarnation: w.incarnation, Clock: w.now}
+	for id := range w.running {
+		status.Running = append(status.Running, id)
+	}
+	slices.SortFunc(status.Running, func(a, b wire.RunRef) int { return a.Run - b.Run })
+	for _, e := range w.ended {
+		if e.Number > c.AckUpTo {
+			status.Ended = append(status.Ended, e)
+		}
+	}
+	if len(status.Ended) >= w.listedAtOnce {
+		status.Ended, status.EndedCutOff = status.Ended[:w.listedAtOnce], true
+	}
+	return lease.Polled{Status: status}
+}
+
+func (w *worker) restart() {
+	w.incarnation++
+	w.fenceAt = w.now + 200*time.Millisecond
+	w.running = make(map[wire.RunRef]time.Duration)
+	w.highestEnded = make(map[string]int)
+	w.ended = nil
+	w.lease, w.lapsed = 0, true
+}
