logstate: expire records only after the peer has read them

Cause: a race of the test. It expires three records and then waits until the peer has them. If the peer reads after the expiry it misses them as well, and nobody has them.

Change: the wait comes before the expiry. The paused reader still misses the changes and has to fetch them, so the test checks what it did.

--- a/internal/logstate/config_test.go
+++ b/internal/logstate/config_test.go
@@ -76,8 +76,9 @@
 	v = s.change(class("a", v, 2*time.Second))
 	v = s.change(class("b", 0, 2*time.Second))
 	v = s.change(class("a", v-1, 3*time.Second))
-	s.server.ExpireBelow(logstate.StreamConfig, 3)
+	// Otherwise the peer misses the changes too, and nobody has them.
 	s.until("the change is in effect", func() bool { return a.Status().ConfigVersion == v })
+	s.server.ExpireBelow(logstate.StreamConfig, 3)
 	log.resume()
 	s.until("the gap is closed", func() bool {
 		st := paused.Status()
