harness: wait for the links of a restarted entry before it has to serve

Cause: an entry answers so only while no agent is connected (core/policy, admit). The test sends jobs to the entry itself, without the readiness that callers' balancers ask for, and agents dial a lost entry again after up to 5 s. The refusal is true.

Change: the test waits until each entry has been linked by both agents, and fails if that does not come; then all ten jobs have to be complete, as before.

--- a/internal/harness/kill_test.go
+++ b/internal/harness/kill_test.go
@@ -52,6 +52,8 @@
 				assert.NilError(t, role.restart(ctx, c))
 				outcomeCounts := checkOutcomes(t, c, awaitOutcomes)
 				assert.Assert(t, outcomeCounts[observer.Complete] > 0)
+				// An entry without an agent refuses jobs as not run.
+				assert.NilError(t, c.AwaitLinks(ctx, 2))
 				again, err := c.SubmitJobs(ctx, "again", jobs(10))()
 				assert.NilError(t, err)
 				for _, o := range again {
