--- a/core/lease/modelworker_test.go
+++ b/core/lease/modelworker_test.go
@@ -82,6 +82,7 @@
 func (w *worker) start(c lease.CallStart, length time.Duration) lease.Started {
 	out := lease.Started{Run: c.Run, Result: lease.StartAccepted, Clock: w.now}
 	if _, isRunning := w.running[c.Run]; isRunning {
+		w.lease = max(w.lease, c.Deadline) // a repeated start renews the lease as well
 		return out
 	}
 	switch {
@@ -91,6 +92,9 @@
 		out.Result, out.Reason = lease.StartRefused, wire.ReasonNotReceived
 	case c.Run.Run <= w.highestEnded[taskOf(c.Run)]:
 		out.Result, out.Reason = lease.StartRefused, wire.ReasonStaleRun
+		if len(w.running) > 0 { // so does one that is refused for its number
+			w.lease = max(w.lease, c.Deadline)
+		}
 	default:
 		w.running[c.Run] = w.now + length
 		w.started[c.Run] = true
