lease: tell the tasks of two occurrences apart

Callers of recurring jobs would see occurrences that start late: a task was refused as stale, not run, while the same task of another occurrence was open at the worker, although occurrences may overlap.

Cause: the check for an open run of the same task compared job, step and index, but not the occurrence.

Change: it compares all of the run but its number.

Evidence, before the change: TestTasksOfOverlappingOccurrencesRunAtOneWorker permission_test.go:420: assertion failed: 1 (int) != 2 (int) It passes with it.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -316,7 +316,7 @@
 		return
 	}
 	for _, r := range m.ordered {
-		if r.id.Job == e.Run.Job && r.id.Step == e.Run.Step && r.id.Index == e.Run.Index {
+		if sameTask(r.id, e.Run) {
 			// An earlier run of the task, for instance one that another entry
 			// requested, is still open.
 			m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonStaleRun})
@@ -332,6 +332,13 @@
 	m.sendStart(now, r)
 }
 
+// sameTask reports whether both are runs of one task. The tasks of two occurrences of a
+// job are different ones.
+func sameTask(a, b wire.RunRef) bool {
+	a.Run = b.Run
+	return a == b
+}
+
 func (m *Machine) sendStart(now time.Duration, r *run) {
 	r.startsSent++
 	r.since = now
--- a/core/lease/permission_test.go
+++ b/core/lease/permission_test.go
@@ -406,3 +406,18 @@
 	assert.Equal(t, len(s.finished), 1)
 	assert.Equal(t, s.finished[0].Reason, wire.ReasonWorkerCrashed)
 }
+
+// Guards against tasks of a recurring job that are refused while the same task of another
+// occurrence runs at the worker: occurrences may overlap.
+func TestTasksOfOverlappingOccurrencesRunAtOneWorker(t *testing.T) {
+	s := newPermissionScript()
+	for occurrence := range 2 {
+		s.step(Start{
+			Attempt: agent.AttemptID{Entry: 1, Seq: wire.Seq(occurrence + 1)},
+			Run:     wire.RunRef{Job: "j", Occurrence: occurrence, Run: 1},
+		})
+	}
+	assert.Equal(t, len(s.starts), 2)
+	s.step(Start{Attempt: agent.AttemptID{Entry: 2, Seq: 1}, Run: wire.RunRef{Job: "j", Occurrence: 1, Run: 2}})
+	assert.Equal(t, len(s.starts), 2, "a second run of the same task")
+}
