entry: start nothing after a pause until lost callers are noticed

A caller whose connection broke sends its job again 1.3 s later, to any entry. The first entry may have been paused all that time. When it wakes, it receives the results of the runs that the agents ended 0.5 s into the pause and repeats those tasks at once, or starts queued tasks, due retries and requests that waited in its sockets, before its HTTP server has noticed that the callers are gone. The agents accept these starts: their connections and clock readings are fresh.

Cause: the permission of a caller counted from the time at which its request, or a result, was handled. A request read after the pause got its whole deadline anew.

Fix: with Options.ResendDelay set (1.3 s on the platform), a time between two steps of 0.5 s or more is a pause. For five ticks after it nothing is started; a caller that has left is noticed by then and its job cancelled. Ticks are counted because a process that wakes may get little processor time, and an event that was queued before a tick is handled before it. After a pause of 1 s or more nothing more is started of the jobs received before it, even if no closed connection is seen: the end of a connection may arrive late or never. What had not started is answered as not run; runs that succeed still complete their job.

Without a pause nothing is delayed (TestStartsAreNotDelayedWithoutPause). Event 1005, entry_paused, tells this fault from others.

No test covers that internal/fleet sets ResendDelay.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -50,6 +50,11 @@
 	// SettleTimeout is how long after its deadline a job waits for its attempts
 	// and its claim before it is answered as unknown. Default 1 s.
 	SettleTimeout time.Duration
+	// ResendDelay is how long after its connection broke a caller may send its job
+	// again, to any entry. After a pause of the process the machine then starts nothing
+	// until callers that have left are noticed, see pause.go. 0 means that callers do
+	// not send their jobs again.
+	ResendDelay time.Duration
 }
 
 // Defaults of Options.
@@ -81,6 +86,7 @@
 	ReasonTaskUnknown      = "task_outcome_unknown"
 	ReasonAnswerTooLarge   = "answer_too_large"
 	ReasonClaimPending     = "claim_pending"
+	ReasonEntryPaused      = "entry_paused"
 )
 
 // Machine is the entry's state machine. It is not safe for concurrent use.
@@ -114,6 +120,9 @@
 	entries        []wire.EntryAddr
 	draining       bool
 	drained        bool
+	steppedAt      time.Duration // time of the last step
+	heldTicks      int           // ticks until starts are no longer held back after a pause
+	closedBefore   time.Duration // end of the last long pause: nothing is started of jobs received before
 	// storedJobs holds the stored jobs in progress by name. Their tasks may be
 	// started until storedLeaseUntil.
 	storedJobs       map[string]*job
@@ -177,6 +186,7 @@
 // the actions to carry out. The returned slice is valid until the next call.
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
 	m.actions = m.actions[:0]
+	m.notePause(now, ev)
 	m.cancelUnleasedJobs(now)
 	switch e := ev.(type) {
 	case Submit:
@@ -221,7 +231,7 @@
 // placeTasks starts queued tasks for as long as the scheduler returns
 // placements.
 func (m *Machine) placeTasks(now time.Duration) {
-	for {
+	for !m.startsHeld() {
 		p, ok := m.scheduler.Next(now)
 		if !ok {
 			return
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -15,8 +15,10 @@
 	Submission wire.SubmissionID
 	Class      string
 	Team       string
-	// Deadline is the time left until the caller stops waiting.
+	// Deadline is the time from ReceivedAt until the caller stops waiting.
 	Deadline time.Duration
+	// ReceivedAt is when the job was received, on the machine's clock. 0 means now.
+	ReceivedAt time.Duration
 	// NeedsClaim states that the submission needs a claim before any of its tasks
 	// may start: the machine requests the claim and waits for its outcome.
 	NeedsClaim      bool
@@ -246,6 +248,15 @@
 	Contained bool
 }
 
+// Paused reports that the process was paused, so that starts are held back for a short
+// time.
+type Paused struct {
+	Duration time.Duration
+	// Jobs is the number of jobs of which nothing more is started, because their callers
+	// may have sent them again.
+	Jobs int
+}
+
 // Drained reports that the graceful shutdown is complete. It is emitted once.
 type Drained struct{}
 
@@ -259,6 +270,7 @@
 func (NewerConfig) isAction()        {}
 func (VersionAnnounced) isAction()   {}
 func (ContainmentChanged) isAction() {}
+func (Paused) isAction()             {}
 func (Drained) isAction()            {}
 
 // JobOutcome is how a submission ended.
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -138,6 +138,10 @@
 		m.abortJob(now, j, ReasonTaskFailed)
 		return
 	}
+	if j.closed {
+		m.abortJob(now, j, ReasonEntryPaused)
+		return
+	}
 	for i := range members {
 		t := &members[i]
 		t.runNumber = run
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -42,6 +42,7 @@
 	tasks         []task
 	claim         claimState
 	ending        bool   // aborted; waits for its attempts and its claim
+	closed        bool   // nothing more of it is started, see Machine.closeJobs
 	pastDeadline  bool   // its deadline has passed
 	reason        string // why the job is ending
 	openTasks     int    // tasks neither done nor dropped
@@ -75,12 +76,16 @@
 	if e.Stored {
 		e.Deadline = noDeadline
 	}
+	arrived := now
+	if e.ReceivedAt > 0 {
+		arrived = min(now, e.ReceivedAt)
+	}
 	j := &job{
 		schedJob: policy.Job{
 			Submission: e.Submission, Class: e.Class, Team: e.Team,
 			Tasks: len(e.Payloads), Need: e.Need, DeclaredRunTime: e.DeclaredRunTime,
 			LongRunning: e.LongRunning,
-			Arrived:     now, Deadline: now + e.Deadline,
+			Arrived:     arrived, Deadline: arrived + e.Deadline,
 		},
 		name:         e.Job,
 		stored:       e.Stored,
@@ -88,8 +93,8 @@
 		maxAttempts:  max(1, e.MaxFailedRuns),
 		payloads:     e.Payloads,
 		openTasks:    len(e.Payloads),
-		nextDeadline: now + e.Deadline,
-		arrived:      now,
+		nextDeadline: arrived + e.Deadline,
+		arrived:      arrived,
 	}
 	for i, p := range e.Payloads {
 		j.payloadBytes += int64(len(p))
@@ -226,6 +231,8 @@
 		return JobAnswer{Outcome: Refused, Reason: ReasonDraining}, true
 	case j.stored: // already accepted
 		return JobAnswer{}, false
+	case j.arrived < m.closedBefore:
+		return JobAnswer{Outcome: Refused, Reason: ReasonEntryPaused, RetryAfter: refusalRetryAfter}, true
 	case j.schedJob.Deadline <= now:
 		return JobAnswer{Outcome: Refused, Reason: ReasonDeadline}, true
 	case m.draining:
--- /dev/null
+++ b/core/entry/pause.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+const (
+	// MinPause is the time between two steps from which on the process counts as paused.
+	// After a shorter pause the entry notices that a caller has left, and stops the runs
+	// of its job, well within Options.ResendDelay.
+	MinPause = 500 * time.Millisecond
+	// SettleTicks is the number of ticks after a pause during which nothing is started.
+	// The end of a connection that was closed during the pause is noticed as soon as the
+	// process runs; ticks rather than time are counted because a process that wakes may
+	// get little processor time.
+	SettleTicks = 5
+	// resendMargin is the part of Options.ResendDelay that is needed to notice that a
+	// caller has left and to stop its runs.
+	resendMargin = 300 * time.Millisecond
+)
+
+// notePause detects that the process was paused since the last step.
+//
+// Connections of callers may have been closed in the meantime, and agents have stopped
+// the runs of this entry, whose tasks would be repeated at once. Starts are therefore
+// held back until callers that have left are noticed. After a longer pause a caller may
+// already have sent its job again to another entry. The end of its connection may reach
+// this entry late or never, so nothing more is started of the jobs from before the pause.
+func (m *Machine) notePause(now time.Duration, ev Event) {
+	gap := now - m.steppedAt
+	m.steppedAt = now
+	_, tick := ev.(Tick)
+	switch {
+	case m.opts.ResendDelay == 0:
+	case gap >= MinPause:
+		m.heldTicks = SettleTicks
+		closed := 0
+		if gap >= m.opts.ResendDelay-resendMargin {
+			m.closedBefore = now
+			closed = m.closeJobs(now)
+		}
+		m.emit(Paused{Duration: gap, Jobs: closed})
+	case m.heldTicks > 0 && tick:
+		m.heldTicks--
+	}
+}
+
+// startsHeld reports whether starts are held back after a pause.
+func (m *Machine) startsHeld() bool { return m.heldTicks > 0 }
+
+// closeJobs lets nothing more be started of the jobs that are not stored, and returns
+// their number. A job of which a task is still to be started can no longer be complete
+// and is aborted. The others get the results of their runs.
+func (m *Machine) closeJobs(now time.Duration) int {
+	var jobs []*job
+	for _, j := range m.jobs {
+		if !j.stored && !j.ending {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return bytes.Compare(a.schedJob.Submission[:], b.schedJob.Submission[:])
+	})
+	for _, j := range jobs {
+		j.closed = true
+		if j.needsStart() {
+			m.cancelJob(now, j, ReasonEntryPaused)
+		}
+	}
+	return len(jobs)
+}
+
+// needsStart reports whether a task of the job is still to be started.
+func (j *job) needsStart() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool {
+		return t.state != taskInFlight && t.state != taskDone && t.state != taskDropped
+	})
+}
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -47,9 +47,9 @@
 
 // NextRetry returns the time at which the next retry delay ends, if a task
 // waits for one. A Tick at that time places the task without waiting for the
-// next regular one.
+// next regular one. While starts are held back after a pause it returns none.
 func (m *Machine) NextRetry() (at time.Duration, ok bool) {
-	if m.retries.Len() == 0 {
+	if m.retries.Len() == 0 || m.startsHeld() {
 		return 0, false
 	}
 	return m.retries.Top().retryAt, true
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -177,6 +177,9 @@
 		t.failures++
 	}
 	reason := t.exhausted()
+	if j.closed {
+		reason = cmp.Or(reason, ReasonEntryPaused)
+	}
 	if (j.maxAttempts > 1 || j.stored) && reason == "" && !j.ending {
 		j.runRepeated = true
 		m.enqueueTask(now, t)
@@ -196,6 +199,11 @@
 		m.dropTask(t)
 		return
 	}
+	if t.job.closed {
+		m.dropTask(t)
+		m.abortJob(now, t.job, ReasonEntryPaused)
+		return
+	}
 	if reason == wire.ReasonStaleRun {
 		t.runNumber += staleRunSkip
 	}
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -169,6 +169,8 @@
 		if c.e.opts.OnVersionAnnounced != nil {
 			c.e.opts.OnVersionAnnounced(x)
 		}
+	case entry.Paused:
+		c.e.log.Emit(eventlog.EntryPaused, eventlog.Fields{Duration: x.Duration, Count: int64(x.Jobs)})
 	case entry.Drained:
 		close(c.e.drained)
 	}
@@ -191,6 +193,7 @@
 		case <-e.ctx.Done():
 			return
 		case <-t.C:
+			e.pauses.tick(e.now())
 			select {
 			case e.events <- entry.Tick{}:
 			default: // the queue is full; a later tick has the same effect
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -155,6 +155,7 @@
 type Entry struct {
 	opts         Options
 	clock        bootclock.Clock
+	pauses       pauseWatch
 	events       chan any
 	callers      net.Listener
 	peers        net.Listener
--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -1,4 +1,24 @@
 package entryd
 
+import "time"
+
 // EventQueueFull reports whether the core's event queue is full.
 func (e *Entry) EventQueueFull() bool { return len(e.events) == cap(e.events) }
+
+// PauseWatch is pauseWatch.
+type PauseWatch struct{ pauseWatch }
+
+// Tick is pauseWatch.tick.
+func (p *PauseWatch) Tick(now time.Duration) { p.tick(now) }
+
+// State is pauseWatch.state.
+func (p *PauseWatch) State(now time.Duration) (time.Duration, bool) { return p.state(now) }
+
+// SimulatePause makes the entry find that it was paused for d until now and that it
+// takes the given number of ticks until callers that have left are noticed.
+func (e *Entry) SimulatePause(d time.Duration, ticks int) {
+	e.pauses.mu.Lock()
+	defer e.pauses.mu.Unlock()
+	e.pauses.began = e.now() - d
+	e.pauses.settling = ticks
+}
--- a/internal/entryd/submit.go
+++ b/internal/entryd/submit.go
@@ -41,6 +41,15 @@
 	if e.requests.Add(1) > int64(e.opts.MaxRequests) {
 		return entry.JobAnswer{Outcome: entry.Refused, Reason: ReasonTooManyRequests, RetryAfter: refusalRetryAfter}, true
 	}
+	receivedAt, waited, ok := e.awaitSettled(ctx)
+	if !ok {
+		return entry.JobAnswer{}, false
+	}
+	if waited > 0 {
+		shortened := *j
+		shortened.Deadline -= waited
+		j = &shortened
+	}
 	fresh := j.newSubmission()
 	sub := e.table.join(fresh)
 	if sub == nil {
@@ -53,7 +62,7 @@
 				Duration: j.DeclaredRunTime, Age: j.Deadline, Version: e.ConfigVersion(),
 			})
 		}
-		e.send(j.submitEvent(sub.id))
+		e.send(j.submitEvent(sub.id, receivedAt))
 	}
 	return e.waitForAnswer(ctx, sub)
 }
@@ -87,9 +96,9 @@
 }
 
 // submitEvent returns the event that submits the job to the machine.
-func (j *Job) submitEvent(id wire.SubmissionID) entry.Submit {
+func (j *Job) submitEvent(id wire.SubmissionID, receivedAt time.Duration) entry.Submit {
 	return entry.Submit{
-		Submission: id, Class: j.Class, Deadline: j.Deadline, Need: j.Need, DeclaredRunTime: j.DeclaredRunTime,
+		Submission: id, Class: j.Class, Deadline: j.Deadline, ReceivedAt: receivedAt, Need: j.Need, DeclaredRunTime: j.DeclaredRunTime,
 		Payloads: j.Payloads, Job: j.Name, MaxFailedRuns: j.MaxFailedRuns, Steps: j.Steps,
 	}
 }
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -13,6 +13,7 @@
 	EntryLeaving    = define(1003, "entry_leaving", zapcore.InfoLevel, false)
 	JobTurnedAway   = define(1103, "job_turned_away", zapcore.WarnLevel, false)
 	LogLinesDropped = define(1004, "log_lines_dropped", zapcore.WarnLevel, false)
+	EntryPaused     = define(1005, "entry_paused", zapcore.WarnLevel, false)
 	JobAccepted     = define(1100, "job_accepted", zapcore.InfoLevel, false)
 	JobAnswered     = define(1101, "job_answered", zapcore.InfoLevel, false)
 	ClaimForwarded  = define(1102, "claim_forwarded", zapcore.DebugLevel, true)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -46,6 +46,9 @@
 	// requests back. Agents redial within 0.3 s.
 	startHoldTimeout  = 700 * time.Millisecond
 	startPollInterval = 10 * time.Millisecond
+	// resendDelay is how long after its connection broke a caller may send its job again,
+	// to any entry.
+	resendDelay = 1300 * time.Millisecond
 	// maxJobs bounds the jobs in the entry.
 	maxJobs = 4000
 )
@@ -122,7 +125,7 @@
 		Incarnation:        opts.Incarnation,
 		MaxJobs:            maxJobs,
 		SilenceTimeout:     silenceTimeout,
-		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease},
+		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease, ResendDelay: resendDelay},
 	})
 	if err != nil {
 		cancel()
