entry: cancel or continue the runs of an agent that connects again after it was given up

Cause: the entry removed an agent 0.4 s after the loss of its connection, with all knowledge of its attempts: jobs that are not stored were answered as unknown, tasks of stored jobs were repeated a second later. The agent stops the runs 0.5 s after it last heard of the entry. If it connects in between, its lease is renewed, by the answer to its hello and then by every frame; the entry neither queried nor cancelled the attempts that it had forgotten, and the runs went on. In addition, the second until the repeat of a stored task counted from the removal, on the assumption that 0.4 s had passed; an agent that is replaced is removed at once, so its tasks were repeated after 1.0 s although their runs may go on for 0.5 + 0.72 s.

Fix: after LostAgentTimeout only the jobs that are not stored are answered; their attempts stay in the link's window, as after a deadline, and are cancelled when the agent connects. The agent is removed 1.4 s after the loss of its connection, when its runs must have ended; only then are stored tasks repeated. If it connects before, their runs are queried and go on. lostRunTimeout counts from the loss of the connection in all cases.

The new model (resend_test.go) has the real entry and agent machines in one goroutine, connections in which frames wait while a process is paused, workers with leases, and callers that leave and send their jobs again.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -45,7 +45,7 @@
 	// Default 500 ms.
 	HeartbeatInterval time.Duration
 	// LostAgentTimeout is how long the attempts at an agent without a link may remain
-	// in doubt before their outcomes count as unknown. Default 10 s.
+	// in doubt before the jobs that are not stored are answered as unknown. Default 10 s.
 	LostAgentTimeout time.Duration
 	// SettleTimeout is how long after its deadline a job waits for its attempts
 	// and its claim before it is answered as unknown. Default 1 s.
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -44,7 +44,6 @@
 		m.cancelGangMembers(s, t.job)
 	default: // the run is lost; the other members may still succeed
 		t.runLost = true
-		g.retryAt = max(g.retryAt, now+lostRunTimeout)
 	}
 	m.retryGang(now, t.job, s)
 	m.finishIfSettled(now, t.job)
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -20,6 +20,7 @@
 	epoch             wire.Epoch
 	up                bool
 	downAt            time.Duration // when the connection was lost
+	givenUp           bool          // see Machine.giveUpAttempts
 	sentAt            time.Duration // when the last frame was sent
 	agentClock        wire.Micros   // latest reading of the agent's clock that was received
 	configVersion     int64         // version that the agent has or was sent
@@ -50,6 +51,7 @@
 		return
 	}
 	link.up = true
+	link.givenUp = false
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.configVersion = h.ConfigVersion
@@ -192,7 +194,42 @@
 	}
 }
 
-// checkLinks sends heartbeats and removes agents whose lease has expired.
+// lostRunTimeout is how long runs may go on after the connection to their agent was
+// lost: the agent stops them 0.5 s after it last heard from this entry, and if it fails
+// as well, they end with their lease another 0.72 s later.
+const lostRunTimeout = 1400 * time.Millisecond
+
+// runsEndBy returns when the runs of a lost agent must have ended. An agent that reports
+// that it has lost track of an attempt counts as lost now.
+func (l *agentLink) runsEndBy(now time.Duration) time.Duration {
+	if l.up {
+		return now + lostRunTimeout
+	}
+	return max(now, l.downAt+lostRunTimeout)
+}
+
+// giveUpAttempts ends the tasks of jobs that are not stored whose attempts are in doubt
+// at an agent without a link. The attempts stay in the link's window: the agent may
+// connect again before its lease has expired, and must then be told to cancel their
+// runs, which would otherwise go on while the callers send their jobs again. Tasks of
+// stored jobs wait until their runs must have ended.
+func (m *Machine) giveUpAttempts(now time.Duration, link *agentLink) {
+	link.givenUp = true
+	var lost []*task
+	link.attempts.forEach(func(seq wire.Seq, t *task) {
+		if t.state == taskInFlight && t.seq == seq && !t.job.stored {
+			lost = append(lost, t)
+		}
+	})
+	for _, t := range lost {
+		t.link = nil
+		m.taskUnknown(now, t)
+		m.finishIfSettled(now, t.job)
+	}
+}
+
+// checkLinks sends heartbeats, gives up the attempts at agents that are lost, and removes
+// these agents once their runs must have ended.
 func (m *Machine) checkLinks(now time.Duration) {
 	var expired []*agentLink
 	for _, link := range m.agentList {
@@ -202,8 +239,10 @@
 		switch {
 		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
 			m.scheduleSend(link)
-		case !link.up && now-link.downAt >= m.opts.LostAgentTimeout:
+		case !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout):
 			expired = append(expired, link)
+		case !link.up && !link.givenUp && now-link.downAt >= m.opts.LostAgentTimeout:
+			m.giveUpAttempts(now, link)
 		}
 	}
 	for _, link := range expired {
--- /dev/null
+++ b/core/entry/resend_test.go
@@ -0,0 +1,488 @@
+package entry_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/limpettrail/limpettrail/core/agent"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// Times of the processes on the platform that the model uses.
+const (
+	modelStep      = 5 * time.Millisecond
+	modelHeartbeat = 200 * time.Millisecond
+	modelRunLease  = 500 * time.Millisecond // at the agent
+	modelSilence   = 800 * time.Millisecond // closes a connection
+	workerLease    = 720 * time.Millisecond // renewed by the agent
+	stopTime       = 50 * time.Millisecond
+	noticeTime     = 50 * time.Millisecond // in which an entry that runs notices that a caller has left
+)
+
+// workerRun is one run at a worker.
+type workerRun struct {
+	job     string
+	attempt agent.AttemptID
+	endAt   time.Duration
+	outcome wire.Outcome
+	reason  wire.Reason
+}
+
+// resendHost is an agent with its worker and its connection to the entry. Frames wait in
+// the connection while their receiver is paused or the connection is cut.
+type resendHost struct {
+	machine     *agent.Machine
+	name        string
+	incarnation wire.Incarnation
+	epoch       wire.Epoch
+	pausedUntil time.Duration
+	cutUntil    time.Duration
+	// connected is the agent's view of the connection, accepted the entry's.
+	connected, accepted bool
+	helloSentAt         time.Duration
+	redialAt            time.Duration
+	heardAt, heardBy    time.Duration // when the agent, and the entry, last received something
+	toAgent             []agent.Event
+	toEntry             []entry.Event
+	renewedAt           time.Duration // of the lease at the worker
+	runs                []*workerRun
+}
+
+// modelCaller sends one job until it is answered or gives up.
+type modelCaller struct {
+	job        string
+	submission wire.SubmissionID // 0 if none is in progress
+	leftAt     time.Duration     // when it left, 0 if it waits
+	noticed    bool              // the entry knows that it left
+	resendAt   time.Duration     // 0 if it does not send again
+	elsewhere  bool              // it sends the job to another entry
+	sends      int
+}
+
+// resendWorld is an entry with its agents, workers and callers.
+type resendWorld struct {
+	fail          func(format string, args ...any)
+	log           func(format string, args ...any)
+	draw          func(limit int) int // 0 to limit
+	m             *entry.Machine
+	now           time.Duration
+	pausedUntil   time.Duration // of the entry
+	queue         []entry.Event // events that the entry has read
+	hosts         []*resendHost
+	callers       []*modelCaller
+	byID          map[wire.SubmissionID]*modelCaller
+	otherRuns     map[string]time.Duration // runs of other entries, with their ends
+	submissions   uint64
+	incarnations  wire.Incarnation
+	runs          int
+	storedAnswers int
+}
+
+func newResendWorld(hosts int, fail func(string, ...any), draw func(int) int) *resendWorld {
+	w := &resendWorld{
+		fail: fail, log: func(string, ...any) {}, draw: draw, byID: make(map[wire.SubmissionID]*modelCaller), otherRuns: make(map[string]time.Duration),
+		incarnations: 100,
+		m: entry.New(entry.Options{
+			Incarnation: 1, Scheduler: policy.New(policy.Options{Seed: 1}), HeartbeatInterval: modelHeartbeat,
+			LostAgentTimeout: 400 * time.Millisecond, ResendDelay: resendDelay,
+		}),
+	}
+	w.step(entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: 10 * time.Second, TargetShare: 1}}}})
+	w.step(entry.StoredLease{Until: time.Hour})
+	for i := range hosts {
+		w.hosts = append(w.hosts, w.newHost(fmt.Sprintf("w%d", i)))
+	}
+	w.advance(500 * time.Millisecond)
+	return w
+}
+
+func (w *resendWorld) newHost(name string) *resendHost {
+	w.incarnations++
+	return &resendHost{
+		name: name, incarnation: w.incarnations, redialAt: w.now + modelStep,
+		machine: agent.New(agent.Options{
+			Incarnation: w.incarnations, Slots: 2, HeartbeatInterval: modelHeartbeat, RunLease: modelRunLease, LostLinkTimeout: modelRunLease,
+		}),
+	}
+}
+
+// advance lets everything run for d.
+func (w *resendWorld) advance(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += modelStep
+		for _, h := range w.hosts {
+			w.runHost(h)
+		}
+		w.runCallers()
+		w.runEntry()
+	}
+}
+
+// runEntry reads what the agents sent, handles the events and ticks, unless the entry is
+// paused.
+func (w *resendWorld) runEntry() {
+	if w.now < w.pausedUntil {
+		return
+	}
+	for _, h := range w.hosts {
+		if w.now < h.cutUntil {
+			w.closeSilent(h)
+			continue
+		}
+		for _, ev := range h.toEntry {
+			if up, ok := ev.(entry.LinkUp); ok {
+				h.accepted = true
+				h.toAgent = append(h.toAgent, agent.LinkUp{Entry: 1, Epoch: up.Hello.Epoch, HelloSentAt: h.helloSentAt})
+			}
+			h.heardBy = w.now
+			w.queue = append(w.queue, ev)
+		}
+		h.toEntry = nil
+		w.closeSilent(h)
+	}
+	if w.now%(4*modelStep) == 0 {
+		w.queue = slices.Insert(w.queue, w.draw(len(w.queue)), entry.Event(entry.Tick{}))
+	}
+	queue := w.queue
+	w.queue = nil
+	for _, ev := range queue {
+		w.step(ev)
+	}
+}
+
+// closeSilent closes the entry's end of a connection on which nothing arrives.
+func (w *resendWorld) closeSilent(h *resendHost) {
+	if h.accepted && w.now-h.heardBy > modelSilence {
+		h.accepted = false
+		w.queue = append(w.queue, entry.LinkDown{Agent: h.incarnation, Epoch: h.epoch})
+		h.toAgent = append(h.toAgent, agent.LinkDown{Entry: 1, Epoch: h.epoch})
+	}
+}
+
+func (w *resendWorld) step(ev entry.Event) {
+	for _, a := range slices.Clone(w.m.Step(w.now, ev)) {
+		switch x := a.(type) {
+		case entry.Send:
+			for _, h := range w.hosts {
+				if h.incarnation == x.Agent && h.epoch == x.Epoch && h.accepted {
+					h.toAgent = append(h.toAgent, agent.Received{Entry: 1, Epoch: x.Epoch, Frame: x.Frame})
+				}
+			}
+		case entry.Answer:
+			w.answered(x)
+		}
+	}
+}
+
+// answered passes an answer to the caller. If it does not tell the outcome, the caller
+// sends the job again.
+func (w *resendWorld) answered(x entry.Answer) {
+	c := w.byID[x.Submission]
+	if c == nil {
+		w.storedAnswers++
+		return
+	}
+	delete(w.byID, x.Submission)
+	if c.submission != x.Submission {
+		return
+	}
+	c.submission = wire.SubmissionID{}
+	if c.leftAt > 0 {
+		return
+	}
+	switch x.Answer.Outcome {
+	case entry.Failed, entry.Unknown:
+		w.log("%v: %s is answered as %v %s", w.now, c.job, x.Answer.Outcome, x.Answer.Reason)
+		c.resendAt = w.now + resendDelay
+		c.elsewhere = w.draw(1) == 1
+	}
+}
+
+// runHost delivers what has arrived at an agent and lets it and its worker run.
+func (w *resendWorld) runHost(h *resendHost) {
+	paused := w.now < h.pausedUntil
+	var ended []*workerRun
+	for _, r := range h.runs {
+		if lapse := h.renewedAt + workerLease; paused && lapse < r.endAt {
+			r.endAt, r.outcome, r.reason = lapse, wire.Failed, wire.ReasonRunEnded
+		}
+		if w.now >= r.endAt {
+			ended = append(ended, r)
+		}
+	}
+	if paused {
+		return
+	}
+	h.renewedAt = w.now
+	if w.now >= h.cutUntil {
+		arrived := h.toAgent
+		h.toAgent = nil
+		for _, ev := range arrived {
+			h.heardAt = w.now
+			switch x := ev.(type) {
+			case agent.LinkUp:
+				h.connected = true
+			case agent.LinkDown:
+				w.disconnect(h, 0)
+			case agent.Received:
+				if x.Epoch != h.epoch {
+					continue
+				}
+			}
+			w.agentStep(h, ev)
+		}
+	}
+	if h.redialAt == 0 && w.now-h.heardAt > modelSilence {
+		w.agentStep(h, agent.LinkDown{Entry: 1, Epoch: h.epoch})
+		h.toEntry = append(h.toEntry, entry.LinkDown{Agent: h.incarnation, Epoch: h.epoch})
+		w.disconnect(h, 0)
+	}
+	if h.redialAt > 0 && w.now >= h.redialAt && w.now >= h.cutUntil {
+		w.dial(h)
+	}
+	for _, r := range ended {
+		h.runs = slices.DeleteFunc(h.runs, func(x *workerRun) bool { return x == r })
+		w.agentStep(h, agent.Finished{Attempt: r.attempt, Outcome: r.outcome, Reason: r.reason})
+	}
+	w.agentStep(h, agent.Tick{})
+}
+
+// disconnect drops the agent's end of the connection. It dials again after a delay.
+func (w *resendWorld) disconnect(h *resendHost, after time.Duration) {
+	h.connected = false
+	h.redialAt = w.now + after + modelStep
+}
+
+func (w *resendWorld) dial(h *resendHost) {
+	// What the entry has not read of the old connection may be read after the hello of
+	// the new one; the end of the old connection is read in any case.
+	down := entry.LinkDown{Agent: h.incarnation, Epoch: h.epoch}
+	h.toEntry = append(h.toEntry, down)
+	h.epoch++
+	h.redialAt, h.heardAt, h.helloSentAt = 0, w.now, w.now
+	w.log("%v: %s dials", w.now, h.name)
+	h.accepted, h.toAgent = false, nil
+	h.toEntry = append(h.toEntry, entry.LinkUp{Hello: wire.AgentHello{
+		Agent: h.incarnation, Epoch: h.epoch, Name: h.name, Slots: 2, NoLeftoverRuns: len(h.runs) == 0, TakeoverTime: wire.Micros(h.incarnation),
+	}})
+}
+
+func (w *resendWorld) agentStep(h *resendHost, ev agent.Event) {
+	for _, a := range slices.Clone(h.machine.Step(w.now, ev)) {
+		switch x := a.(type) {
+		case *agent.Send:
+			if h.connected && x.Epoch == h.epoch {
+				x.Frame.AgentClock = wire.MicrosOf(w.now)
+				h.toEntry = append(h.toEntry, entry.Received{Agent: h.incarnation, Epoch: x.Epoch, Frame: x.Frame})
+			}
+		case *agent.Run:
+			w.startRun(h, x)
+		case agent.Stop:
+			for _, r := range h.runs {
+				if r.attempt == x.Attempt && r.endAt > w.now+stopTime {
+					r.endAt, r.outcome, r.reason = w.now+stopTime, wire.Failed, wire.ReasonStopped
+				}
+			}
+		}
+	}
+}
+
+func (w *resendWorld) startRun(h *resendHost, x *agent.Run) {
+	w.requireNoRun(x.Start.Job, "at "+h.name)
+	w.runs++
+	w.log("%v: %s starts %s", w.now, h.name, x.Start.Job)
+	length := time.Duration(50+w.draw(3000)) * time.Millisecond
+	h.runs = append(h.runs, &workerRun{
+		job: x.Start.Job, attempt: x.Attempt, endAt: w.now + min(length, x.Timeout), outcome: wire.Succeeded,
+	})
+}
+
+// requireNoRun fails the test if a run of the job is going on.
+func (w *resendWorld) requireNoRun(job, where string) {
+	for _, h := range w.hosts {
+		for _, r := range h.runs {
+			if r.job == job && r.endAt > w.now {
+				w.fail("%v: %s starts %s while it runs at %s", w.now, job, where, h.name)
+			}
+		}
+	}
+	if w.otherRuns[job] > w.now {
+		w.fail("%v: %s starts %s while another entry runs it", w.now, job, where)
+	}
+}
+
+// submit has a new caller send a job.
+func (w *resendWorld) submit() *modelCaller {
+	c := &modelCaller{job: fmt.Sprintf("job%d", len(w.callers))}
+	w.callers = append(w.callers, c)
+	w.send(c)
+	return c
+}
+
+func (w *resendWorld) newID() (id wire.SubmissionID) {
+	w.submissions++
+	binary.BigEndian.PutUint64(id[:], w.submissions)
+	return id
+}
+
+func (w *resendWorld) send(c *modelCaller) {
+	c.sends++
+	c.resendAt, c.leftAt, c.noticed = 0, 0, false
+	c.submission = w.newID()
+	w.byID[c.submission] = c
+	deadline := time.Duration(500+w.draw(4000)) * time.Millisecond
+	w.queue = append(w.queue, entry.Submit{
+		Submission: c.submission, Class: "c", Deadline: deadline, ReceivedAt: w.now, MaxFailedRuns: 3, Job: c.job, Payloads: make([][]byte, 1),
+	})
+}
+
+// leave breaks the caller's connection. The caller sends the job again later.
+func (w *resendWorld) leave(c *modelCaller) {
+	w.log("%v: the caller of %s leaves", w.now, c.job)
+	c.leftAt = w.now
+	c.resendAt = w.now + resendDelay
+	c.elsewhere = w.draw(1) == 1
+}
+
+// runCallers lets the entry notice that callers have left, and callers send their jobs
+// again.
+func (w *resendWorld) runCallers() {
+	for _, c := range w.callers {
+		if c.leftAt > 0 && !c.noticed && w.now >= c.leftAt+noticeTime && w.now >= w.pausedUntil+noticeTime {
+			c.noticed = true
+			w.queue = append(w.queue, entry.CancelJob{Submission: c.submission})
+		}
+		if c.resendAt == 0 || w.now < c.resendAt {
+			continue
+		}
+		switch {
+		case c.elsewhere:
+			c.resendAt = 0
+			w.requireNoRun(c.job, "at another entry")
+			w.otherRuns[c.job] = w.now + time.Duration(w.draw(3000))*time.Millisecond
+		case w.now >= w.pausedUntil && (c.leftAt == 0 || c.noticed):
+			w.resendHere(c)
+		}
+	}
+}
+
+// resendHere sends the job to the same entry. While an earlier submission is in
+// progress, the entry lets the caller wait for its answer.
+func (w *resendWorld) resendHere(c *modelCaller) {
+	if _, inProgress := w.byID[c.submission]; inProgress {
+		c.leftAt, c.resendAt = 0, 0
+		return
+	}
+	w.send(c)
+}
+
+// submitStored has the entry drive a stored job.
+func (w *resendWorld) submitStored() {
+	w.queue = append(w.queue, entry.Submit{
+		Submission: w.newID(), Class: "c", MaxFailedRuns: 100, Job: fmt.Sprintf("stored%d", w.submissions), Payloads: make([][]byte, 1), Stored: true,
+	})
+}
+
+// resetLink breaks a connection with all that is in it. Both ends notice.
+func (w *resendWorld) resetLink(h *resendHost, redialAfter time.Duration) {
+	if h.redialAt > 0 {
+		return
+	}
+	w.log("%v: the link of %s breaks, redial after %v", w.now, h.name, redialAfter)
+	h.toAgent, h.accepted = nil, false
+	w.agentStep(h, agent.LinkDown{Entry: 1, Epoch: h.epoch})
+	h.toEntry = []entry.Event{entry.LinkDown{Agent: h.incarnation, Epoch: h.epoch}}
+	w.disconnect(h, redialAfter)
+}
+
+// Guards against a run that goes on while its task runs again: the agent was given up
+// after the loss of its connection, and connected again before its lease had expired.
+func TestRunAtAgentThatWasGivenUpDoesNotGoOn(t *testing.T) {
+	for _, stored := range []bool{false, true} {
+		for _, away := range []time.Duration{100, 300, 380, 400, 420, 440, 460, 480, 500, 600} {
+			longest := func(limit int) int { return limit }
+			var failure string
+			w := newResendWorld(2, func(format string, args ...any) { failure = fmt.Sprintf(format, args...) }, longest)
+			if stored {
+				w.submitStored()
+			} else {
+				w.submit()
+			}
+			w.advance(200 * time.Millisecond)
+			busy := w.hosts[slices.IndexFunc(w.hosts, func(h *resendHost) bool { return len(h.runs) > 0 })]
+			// The result of another run makes the entry's clock echo as new as possible.
+			busy.toEntry = append(busy.toEntry, entry.Received{Agent: busy.incarnation, Epoch: busy.epoch, Frame: &wire.ToEntry{AgentClock: wire.MicrosOf(w.now)}})
+			w.advance(modelStep)
+			w.queue = append(w.queue, entry.EntriesChanged{List: []wire.EntryAddr{{Incarnation: 1, Peer: "a"}}})
+			w.advance(2 * modelStep)
+			w.resetLink(busy, away*time.Millisecond)
+			w.advance(6 * time.Second)
+			assert.Equal(t, failure, "", "stored %v, away for %v", stored, away*time.Millisecond)
+		}
+	}
+}
+
+// Guards against two runs of a job at the same time while the entry and its agents are
+// paused, connections are cut or break, and callers send their jobs again.
+func TestResentJobsRunOnceAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		w := newResendWorld(rapid.IntRange(1, 3).Draw(t, "agents"), t.Fatalf, func(limit int) int { return random.IntN(limit + 1) })
+		w.log = t.Logf
+		for range rapid.IntRange(3, 25).Draw(t, "events") {
+			h := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
+			span := time.Duration(rapid.IntRange(20, 2500).Draw(t, "span")) * time.Millisecond
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0:
+				w.pausedUntil = max(w.pausedUntil, w.now+span)
+				t.Logf("%v: the entry is paused until %v", w.now, w.pausedUntil)
+			case 1:
+				h.pausedUntil = max(h.pausedUntil, w.now+span)
+				t.Logf("%v: %s is paused until %v", w.now, h.name, h.pausedUntil)
+			case 2:
+				h.cutUntil = max(h.cutUntil, w.now+span)
+				t.Logf("%v: %s is cut off until %v", w.now, h.name, h.cutUntil)
+			case 3:
+				w.resetLink(h, span/5)
+			case 4, 5:
+				if waiting := w.waitingCallers(); len(waiting) > 0 {
+					w.leave(rapid.SampledFrom(waiting).Draw(t, "caller"))
+				}
+			case 6:
+				w.submitStored()
+			case 7: // callers leave because of a pause
+				w.pausedUntil = max(w.pausedUntil, w.now+span)
+				t.Logf("%v: the entry is paused until %v", w.now, w.pausedUntil)
+				for _, c := range w.waitingCallers() {
+					w.leave(c)
+				}
+			default:
+				if w.now >= w.pausedUntil {
+					w.submit()
+				}
+			}
+			w.advance(time.Duration(rapid.IntRange(0, 700).Draw(t, "between")) * time.Millisecond)
+		}
+		w.advance(5 * time.Second)
+	})
+}
+
+// waitingCallers returns the callers that wait for an answer.
+func (w *resendWorld) waitingCallers() (out []*modelCaller) {
+	for _, id := range slices.SortedFunc(maps.Keys(w.byID), func(a, b wire.SubmissionID) int { return slices.Compare(a[:], b[:]) }) {
+		if c := w.byID[id]; c.submission == id && c.leftAt == 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -8,17 +8,9 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-const (
-	// storedRetryDelay is the retry delay of a stored job's task when the
-	// scheduler allows no further retry.
-	storedRetryDelay = 200 * time.Millisecond
-	// lostRunTimeout is how long the runs of stored jobs may continue after
-	// their agent was removed: the agent stops them 0.5 s after it last heard
-	// from this entry, and if it fails as well, they end with their lease
-	// another 0.72 s later. Options.LostAgentTimeout of that time has already passed
-	// when the agent is removed.
-	lostRunTimeout = time.Second
-)
+// storedRetryDelay is the retry delay of a stored job's task when the scheduler allows
+// no further retry.
+const storedRetryDelay = 200 * time.Millisecond
 
 // applyStoredResult applies the outcome of an attempt of a stored job. A finished
 // run is reported for recording, a task of a long-running job is restarted, and an
@@ -36,10 +28,14 @@
 		return
 	}
 	m.reportFinishedRun(link, t, r)
+	if r.Outcome == wire.Unknown && inGang {
+		g := t.job.steps[t.step].gang
+		g.retryAt = max(g.retryAt, link.runsEndBy(now))
+	}
 	if r.Outcome == wire.Unknown && !inGang {
 		t.state = taskBackoff
 		t.runLost = true
-		t.retryAt = now + lostRunTimeout
+		t.retryAt = link.runsEndBy(now)
 		m.retries.Put(t)
 		return
 	}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -86,14 +86,19 @@
 	case wire.Failed:
 		m.taskFailed(now, t, r)
 	default:
-		t.state = taskDone
-		j.openTasks--
-		j.unknownTasks++
-		m.abortJob(now, j, ReasonTaskUnknown)
+		m.taskUnknown(now, t)
 	}
 	m.finishIfSettled(now, j)
 }
 
+// taskUnknown ends a task whose outcome is not known, and aborts its job.
+func (m *Machine) taskUnknown(now time.Duration, t *task) {
+	t.state = taskDone
+	t.job.openTasks--
+	t.job.unknownTasks++
+	m.abortJob(now, t.job, ReasonTaskUnknown)
+}
+
 func (m *Machine) observeResult(t *task, link *agentLink, r *wire.Result) {
 	if m.opts.Observer != nil {
 		m.opts.Observer.Result(t.job.schedJob.Submission, t.schedTask.Index, link.name, r.Outcome, r.Reason)
