entry: do not take an earlier agent for the successor of a later one

Cause: when a connection ended, any connected incarnation of the same name counted as the successor of its agent, so the attempts at the new agent were given up at once. The new agent connected again within its lease and its runs went on; they were not queried, and the tasks of stored jobs were repeated 1.4 s later.

Fix: only an incarnation that took over the worker later is a successor. That attempts still end with the connection of an agent that has one is checked by TestAttemptsOfReplacedAgentEndWithItsConnection (fails if successors are ignored).

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -137,11 +137,12 @@
 	}
 }
 
-// hasConnectedSuccessor reports whether another incarnation of the same name is
-// connected.
+// hasConnectedSuccessor reports whether a later incarnation of the same name is
+// connected. An earlier one may be connected too, because it connects again while it is
+// ending or because its end has not been noticed.
 func (m *Machine) hasConnectedSuccessor(link *agentLink) bool {
 	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
-		return l != link && l.up && l.name == link.name
+		return l != link && l.up && l.name == link.name && l.tookOverAfter(link)
 	})
 }
 
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -214,6 +214,47 @@
 	assert.Equal(t, len(f.Starts), 0, "the run of the later agent incarnation continues")
 }
 
+// Guards against a second run of a task that is still running: the connection of a
+// worker's new agent breaks while the entry has not noticed that the old agent is gone.
+// The old one must not be taken for its successor.
+func TestAgentIsNotReplacedByEarlierIncarnation(t *testing.T) {
+	for _, oldFirst := range []bool{true, false} {
+		m := entry.New(entry.Options{Incarnation: 1, Scheduler: new(newestAgentScheduler)})
+		hello := func(agent wire.Incarnation, epoch wire.Epoch, takeoverTime time.Duration) entry.LinkUp {
+			return entry.LinkUp{Hello: wire.AgentHello{
+				Agent: agent, Epoch: epoch, Name: "w", Slots: 8, WorkerIncarnation: 100, TakeoverTime: wire.MicrosOf(takeoverTime),
+			}}
+		}
+		if oldFirst {
+			m.Step(0, hello(1, 1, time.Second))
+		}
+		m.Step(1, hello(2, 1, 5*time.Second))
+		f, _ := mergeFrames(m.Step(2, entry.Submit{
+			Submission: testJob, Deadline: time.Second, MaxFailedRuns: 3, Payloads: make([][]byte, 1),
+		}))
+		assert.Equal(t, len(f.Starts), 1)
+		if !oldFirst {
+			m.Step(3, hello(1, 1, time.Second))
+		}
+		assert.Equal(t, len(answersIn(m.Step(4, entry.LinkDown{Agent: 2, Epoch: 1}))), 0, "the agent may connect again")
+		f, _ = mergeFrames(m.Step(5, hello(2, 2, 5*time.Second)))
+		assert.DeepEqual(t, f.Queries, []wire.Seq{1})
+	}
+}
+
+// Guards against a caller that waits for an agent that is gone for good: its successor
+// is connected.
+func TestAttemptsOfReplacedAgentEndWithItsConnection(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Second, MaxFailedRuns: 3, Payloads: make([][]byte, 1)})
+	successor := wire.AgentHello{Agent: 2, Epoch: 1, Name: "w", Slots: 8, TakeoverTime: 1}
+	assert.Equal(t, len(answersIn(m.Step(1, entry.LinkUp{Hello: successor}))), 0)
+	answers := answersIn(m.Step(2, entry.LinkDown{Agent: 1, Epoch: 1}))
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Outcome, entry.Unknown)
+}
+
 // Guards against repeating work for which the worker saved a checkpoint.
 func TestRunResumesFromCheckpoint(t *testing.T) {
 	m := startRepeatableJob(t)
