entry: test jobs that are sent again while their first run is in doubt

These ways are ruled out by tests.

- TestJobIsSubmittedAgainWhileFirstRunIsInDoubt: the agent is reachable, cut off, paused, killed, its connection broken, or the entry is paused, for 0.05 to 2.9 s, from 1.2 s before to 0.2 s after the caller leaves or its deadline passes, or while the caller waits for an answer.

MinPause is 0.4 s in place of 0.5 s. A pause just below it, the time to notice that the caller has left, the lease at the worker of an agent that fails just then, and the stop add up to 0.4 + 0.02 + 0.72 + 0.05 s, which leaves 0.1 s of the 1.3 s. Such a series of pauses below MinPause remains possible.

--- a/core/entry/pause.go
+++ b/core/entry/pause.go
@@ -8,9 +8,10 @@
 
 const (
 	// MinPause is the time between two steps from which on the process counts as paused.
-	// After a shorter pause the entry notices that a caller has left, and stops the runs
-	// of its job, well within Options.ResendDelay.
-	MinPause = 500 * time.Millisecond
+	// After a shorter one a caller that left is noticed in time even if the agent that runs
+	// its job then fails: the run ends with its lease at the worker 0.72 s later, before
+	// the caller sends the job again.
+	MinPause = 400 * time.Millisecond
 	// SettleTicks is the number of ticks after a pause during which nothing is started.
 	// The end of a connection that was closed during the pause is noticed as soon as the
 	// process runs; ticks rather than time are counted because a process that wakes may
--- a/core/entry/resend_test.go
+++ b/core/entry/resend_test.go
@@ -26,7 +26,7 @@
 	modelSilence   = 800 * time.Millisecond // closes a connection
 	workerLease    = 720 * time.Millisecond // renewed by the agent
 	stopTime       = 50 * time.Millisecond
-	noticeTime     = 50 * time.Millisecond // in which an entry that runs notices that a caller has left
+	noticeTime     = 20 * time.Millisecond // in which an entry that runs notices that a caller has left
 )
 
 // workerRun is one run at a worker.
@@ -42,6 +42,7 @@
 // the connection while their receiver is paused or the connection is cut.
 type resendHost struct {
 	machine     *agent.Machine
+	killed      bool // its runs go on until their lease expires
 	name        string
 	incarnation wire.Incarnation
 	epoch       wire.Epoch
@@ -63,7 +64,7 @@
 	job        string
 	submission wire.SubmissionID // 0 if none is in progress
 	leftAt     time.Duration     // when it left, 0 if it waits
-	noticed    bool              // the entry knows that it left
+	unnoticed  time.Duration     // for which the entry has to run until it knows that it left
 	resendAt   time.Duration     // 0 if it does not send again
 	elsewhere  bool              // it sends the job to another entry
 	sends      int
@@ -153,6 +154,9 @@
 	if w.now%(4*modelStep) == 0 {
 		w.queue = slices.Insert(w.queue, w.draw(len(w.queue)), entry.Event(entry.Tick{}))
 	}
+	if w.draw(30) == 0 {
+		return // the core gets no processor time; a pause may begin before it handles the events
+	}
 	queue := w.queue
 	w.queue = nil
 	for _, ev := range queue {
@@ -210,7 +214,7 @@
 
 // runHost delivers what has arrived at an agent and lets it and its worker run.
 func (w *resendWorld) runHost(h *resendHost) {
-	paused := w.now < h.pausedUntil
+	paused := w.now < h.pausedUntil || h.killed
 	var ended []*workerRun
 	for _, r := range h.runs {
 		if lapse := h.renewedAt + workerLease; paused && lapse < r.endAt {
@@ -220,6 +224,9 @@
 			ended = append(ended, r)
 		}
 	}
+	if h.killed {
+		h.runs = slices.DeleteFunc(h.runs, func(r *workerRun) bool { return slices.Contains(ended, r) })
+	}
 	if paused {
 		return
 	}
@@ -273,10 +280,15 @@
 	w.log("%v: %s dials", w.now, h.name)
 	h.accepted, h.toAgent = false, nil
 	h.toEntry = append(h.toEntry, entry.LinkUp{Hello: wire.AgentHello{
-		Agent: h.incarnation, Epoch: h.epoch, Name: h.name, Slots: 2, NoLeftoverRuns: len(h.runs) == 0, TakeoverTime: wire.Micros(h.incarnation),
+		Agent: h.incarnation, Epoch: h.epoch, Name: h.name, Slots: 2, NoLeftoverRuns: !w.leftoverRuns(h), TakeoverTime: wire.Micros(h.incarnation),
 	}})
 }
 
+// leftoverRuns reports whether runs of killed agents go on at the agent's worker.
+func (w *resendWorld) leftoverRuns(h *resendHost) bool {
+	return slices.ContainsFunc(w.hosts, func(x *resendHost) bool { return x.killed && x.name == h.name && len(x.runs) > 0 })
+}
+
 func (w *resendWorld) agentStep(h *resendHost, ev agent.Event) {
 	for _, a := range slices.Clone(h.machine.Step(w.now, ev)) {
 		switch x := a.(type) {
@@ -337,7 +349,7 @@
 
 func (w *resendWorld) send(c *modelCaller) {
 	c.sends++
-	c.resendAt, c.leftAt, c.noticed = 0, 0, false
+	c.resendAt, c.leftAt, c.unnoticed = 0, 0, 0
 	c.submission = w.newID()
 	w.byID[c.submission] = c
 	deadline := time.Duration(500+w.draw(4000)) * time.Millisecond
@@ -349,7 +361,7 @@
 // leave breaks the caller's connection. The caller sends the job again later.
 func (w *resendWorld) leave(c *modelCaller) {
 	w.log("%v: the caller of %s leaves", w.now, c.job)
-	c.leftAt = w.now
+	c.leftAt, c.unnoticed = w.now, noticeTime
 	c.resendAt = w.now + resendDelay
 	c.elsewhere = w.draw(1) == 1
 }
@@ -358,9 +370,11 @@
 // again.
 func (w *resendWorld) runCallers() {
 	for _, c := range w.callers {
-		if c.leftAt > 0 && !c.noticed && w.now >= c.leftAt+noticeTime && w.now >= w.pausedUntil+noticeTime {
-			c.noticed = true
-			w.queue = append(w.queue, entry.CancelJob{Submission: c.submission})
+		if c.unnoticed > 0 && w.now >= w.pausedUntil {
+			c.unnoticed -= modelStep
+			if c.unnoticed == 0 {
+				w.queue = append(w.queue, entry.CancelJob{Submission: c.submission})
+			}
 		}
 		if c.resendAt == 0 || w.now < c.resendAt {
 			continue
@@ -370,7 +384,7 @@
 			c.resendAt = 0
 			w.requireNoRun(c.job, "at another entry")
 			w.otherRuns[c.job] = w.now + time.Duration(w.draw(3000))*time.Millisecond
-		case w.now >= w.pausedUntil && (c.leftAt == 0 || c.noticed):
+		case w.now >= w.pausedUntil && c.unnoticed == 0:
 			w.resendHere(c)
 		}
 	}
@@ -393,9 +407,21 @@
 	})
 }
 
+// kill ends the process of an agent and starts a new one on its VM after a delay.
+func (w *resendWorld) kill(h *resendHost, restartAfter time.Duration) {
+	w.log("%v: the agent %s is killed", w.now, h.name)
+	h.killed = true
+	h.toAgent, h.accepted = nil, false
+	h.toEntry = append(h.toEntry, entry.LinkDown{Agent: h.incarnation, Epoch: h.epoch})
+	successor := w.newHost(h.name)
+	successor.redialAt = w.now + restartAfter + modelStep
+	successor.cutUntil = h.cutUntil
+	w.hosts = append(w.hosts, successor)
+}
+
 // resetLink breaks a connection with all that is in it. Both ends notice.
 func (w *resendWorld) resetLink(h *resendHost, redialAfter time.Duration) {
-	if h.redialAt > 0 {
+	if h.redialAt > 0 || h.killed {
 		return
 	}
 	w.log("%v: the link of %s breaks, redial after %v", w.now, h.name, redialAfter)
@@ -442,7 +468,7 @@
 		for range rapid.IntRange(3, 25).Draw(t, "events") {
 			h := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
 			span := time.Duration(rapid.IntRange(20, 2500).Draw(t, "span")) * time.Millisecond
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0:
 				w.pausedUntil = max(w.pausedUntil, w.now+span)
 				t.Logf("%v: the entry is paused until %v", w.now, w.pausedUntil)
@@ -460,6 +486,10 @@
 				}
 			case 6:
 				w.submitStored()
+			case 8:
+				if !h.killed {
+					w.kill(h, span/2)
+				}
 			case 7: // callers leave because of a pause
 				w.pausedUntil = max(w.pausedUntil, w.now+span)
 				t.Logf("%v: the entry is paused until %v", w.now, w.pausedUntil)
@@ -486,3 +516,70 @@
 	}
 	return out
 }
+
+// A doubt makes the outcome of the run at an agent unknown to the entry for some time.
+type doubt struct {
+	name  string
+	begin func(w *resendWorld, h *resendHost, span time.Duration)
+}
+
+var doubts = []doubt{
+	{"reachable", func(*resendWorld, *resendHost, time.Duration) {}},
+	{"cut off", func(w *resendWorld, h *resendHost, span time.Duration) { h.cutUntil = w.now + span }},
+	{"paused", func(w *resendWorld, h *resendHost, span time.Duration) { h.pausedUntil = w.now + span }},
+	{"connection broken", func(w *resendWorld, h *resendHost, span time.Duration) { w.resetLink(h, span) }},
+	{"killed", func(w *resendWorld, h *resendHost, span time.Duration) { w.kill(h, span) }},
+	{"entry paused", func(w *resendWorld, _ *resendHost, span time.Duration) { w.pausedUntil = w.now + span }},
+}
+
+// Guards against two runs of a task at the same time when a job is sent to the same
+// entry again while the run of its first submission is in doubt: after the caller's
+// connection broke, after its deadline, or after an answer that leaves the outcome open.
+func TestJobIsSubmittedAgainWhileFirstRunIsInDoubt(t *testing.T) {
+	repeated := 0
+	for _, d := range doubts {
+		for _, way := range []string{"caller leaves", "deadline", "caller waits"} {
+			for _, ms := range []time.Duration{50, 350, 410, 430, 450, 470, 700, 1000, 1400, 2000, 2900} {
+				span := ms * time.Millisecond
+				// The doubt begins up to 1.2 s before and 0.2 s after the caller leaves or the
+				// deadline passes.
+				for offset := -1200 * time.Millisecond; offset <= 200*time.Millisecond; offset += 140 * time.Millisecond {
+					repeated += checkSubmittedAgain(t, d, way, span, offset)
+				}
+			}
+		}
+	}
+	assert.Assert(t, repeated > 0, "no job ran again")
+}
+
+func checkSubmittedAgain(t *testing.T, d doubt, way string, span, offset time.Duration) (repeated int) {
+	var failure string
+	w := newResendWorld(2, func(format string, args ...any) { failure = fmt.Sprintf(format, args...) }, func(limit int) int {
+		switch limit {
+		case 1:
+			return 0 // the job is sent to the same entry
+		case 4000:
+			if way == "deadline" {
+				return 1500 // the deadline is after 2 s
+			}
+		}
+		return limit
+	})
+	c := w.submit()
+	const ends = 2 * time.Second
+	w.advance(ends + min(offset, 0))
+	if i := slices.IndexFunc(w.hosts, func(h *resendHost) bool { return len(h.runs) > 0 }); i >= 0 && offset < 0 {
+		d.begin(w, w.hosts[i], span)
+	}
+	w.advance(max(0, -offset))
+	if way == "caller leaves" && c.submission != (wire.SubmissionID{}) {
+		w.leave(c)
+	}
+	w.advance(max(0, offset))
+	if i := slices.IndexFunc(w.hosts, func(h *resendHost) bool { return len(h.runs) > 0 && !h.killed }); i >= 0 && offset >= 0 {
+		d.begin(w, w.hosts[i], span)
+	}
+	w.advance(7 * time.Second)
+	assert.Equal(t, failure, "", "%s for %v, from %v, %s", d.name, span, offset, way)
+	return max(0, w.runs-1)
+}
