fleet: start no agent on the announcement of a worker incarnation that has ended

Callers would see tasks at a worker that the configuration or the task's label rules out, after a restart of an agent: the new process knows no incarnation, so it takes the first announcement that it hears, which may be a delayed one of an incarnation that has ended. If the worker runs again under the same name, the current incarnation answered, and an agent started with the pool, the labels and the capacity of the ended one. Entries also got hellos with the wrong worker incarnation, by which they order agents.

Cause: the incarnation in the worker's answer was not compared with the announced one.

Change: an agent starts only if the announced incarnation answers.

A worker under another name was not used before either (TestDelayedAnnouncementOfLeftWorkerStartsNoAgent).

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -169,7 +169,7 @@
 // left at the worker, and then starts the agent.
 func (n *AgentNode) startIncarnation(ctx context.Context, a Announcement) {
 	worker := n.opts.NewWorker(a.Worker, a.Incarnation)
-	status := n.stopLeftovers(ctx, worker)
+	status := n.stopLeftovers(ctx, worker, a.Incarnation)
 	if status == nil {
 		worker.Close()
 		return
@@ -236,14 +236,16 @@
 
 // stopLeftovers takes over the worker, stops every run there and returns what the worker
 // last reported, or nil if ctx ended first. It acknowledges no ended run: finished
-// runs of stored jobs may not be recorded by their owner yet.
+// runs of stored jobs may not be recorded by their owner yet. If another incarnation than
+// the announced one answers, it goes on until ctx ends with the announcement of that one.
 //
 // The entries repeat every run that the returned status does not list as finished. If
 // its list is cut off, stopLeftovers waits until the lease has expired, after which the
 // ends of the runs that are not listed no longer count. It waits as well if starts of an
 // earlier process may still be carried out: each has a deadline, which is then over.
-func (n *AgentNode) stopLeftovers(ctx context.Context, worker Worker) *lease.WorkerStatus {
+func (n *AgentNode) stopLeftovers(ctx context.Context, worker Worker, incarnation int64) *lease.WorkerStatus {
 	began := n.clock.Now()
+	stale := false
 	for ; ctx.Err() == nil; ctxsleep.For(ctx, leftoverRetryDelay) {
 		// The lease must have expired before the worker makes its lists.
 		leaseExpired := n.clock.Now()-began > leftoverLeaseTimeout
@@ -253,21 +255,34 @@
 			continue
 		}
 		status := takeover.Status
+		n.stopRuns(ctx, worker, status.Running)
 		complete := takeover.Fenced && !status.EndedCutOff
-		if len(status.Running) == 0 && (complete || leaseExpired) {
-			n.opts.Log.Emit(eventlog.WorkerTakenOver, takeover.fields(n.clock.Now()-began))
-			return status
+		if len(status.Running) > 0 || !complete && !leaseExpired {
+			continue
 		}
-		for _, run := range status.Running {
-			n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: run.Job, Task: run.Index + 1, Count: int64(run.Run)})
-			stopCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
-			worker.Stop(stopCtx, lease.CallStop{Run: run})
-			cancel()
+		if reason := staleAnnouncement(incarnation, status); reason != "" {
+			if !stale {
+				n.opts.Log.Emit(eventlog.AnnouncementStale, eventlog.Fields{Count: status.Incarnation, Detail: reason})
+			}
+			stale = true
+			continue
 		}
+		n.opts.Log.Emit(eventlog.WorkerTakenOver, takeover.fields(n.clock.Now()-began))
+		return status
 	}
 	return nil
 }
 
+// stopRuns asks the worker once to stop each of the runs.
+func (n *AgentNode) stopRuns(ctx context.Context, worker Worker, runs []wire.RunRef) {
+	for _, run := range runs {
+		n.opts.Log.Emit(eventlog.LeftoverStopped, eventlog.Fields{Detail: run.Job, Task: run.Index + 1, Count: int64(run.Run)})
+		stopCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
+		worker.Stop(stopCtx, lease.CallStop{Run: run})
+		cancel()
+	}
+}
+
 // succeededOrFailed returns the ended runs that succeeded or failed by themselves.
 func succeededOrFailed(ended []lease.EndedRun) []lease.EndedRun {
 	var out []lease.EndedRun
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -43,3 +43,12 @@
 	}
 	return eventlog.Fields{Count: t.Status.Incarnation, Detail: detail, Duration: took}
 }
+
+// staleAnnouncement returns why the announcement of an incarnation does not describe the
+// worker that has the given status, or "" if it does.
+func staleAnnouncement(incarnation int64, status *lease.WorkerStatus) string {
+	if incarnation != 0 && status.Incarnation != 0 && incarnation != status.Incarnation {
+		return "another incarnation answers"
+	}
+	return ""
+}
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -58,3 +58,42 @@
 	})
 	assert.Assert(t, !early.Load(), "the agent ran before the late start was found and stopped")
 }
+
+// liveWorker is a client of a worker that runs nothing. Every incarnation is announced
+// under the same name, and the current one answers.
+type liveWorker struct {
+	goneWorker
+	incarnation int64
+	clock       time.Duration
+}
+
+func (w liveWorker) TakeOver(ctx context.Context) (Takeover, error) {
+	status, err := w.Poll(ctx, lease.CallPoll{})
+	return Takeover{Status: status, Fenced: true}, err
+}
+
+func (w liveWorker) Poll(context.Context, lease.CallPoll) (*lease.WorkerStatus, error) {
+	w.polls.Add(1)
+	return &lease.WorkerStatus{Incarnation: w.incarnation, Clock: w.clock}, nil
+}
+
+// startBeside starts the agent of a VM with the given worker.
+func startBeside(t *testing.T, w Worker) *AgentNode {
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker { return w }})
+	t.Cleanup(n.Kill)
+	return n
+}
+
+// Guards against a worker that is used as what it was before: a process that has just
+// started hears a delayed announcement of an incarnation that has ended, and the current
+// one, which may be of another pool or kind, answers under the same name.
+func TestDelayedAnnouncementOfEarlierIncarnationStartsNoAgent(t *testing.T) {
+	polls := new(atomic.Int64)
+	n := startBeside(t, liveWorker{goneWorker: goneWorker{polls}, incarnation: 5, clock: time.Minute})
+	n.HandleAnnouncement(announced(4, 9, false))
+	await(t, func() bool { return polls.Load() >= 3 })
+	_, running := n.Status()
+	assert.Assert(t, !running, "an agent runs for an incarnation that has ended")
+	n.HandleAnnouncement(announced(5, 1, false))
+	await(t, func() bool { _, running := n.Status(); return running })
+}
