fleet: wait for a fresh announcement before the first start

Callers would see tasks that are started at a draining worker and broken off, after a restart of its agent: the new process hears a delayed announcement from before the worker was draining, and gives it work until the next one, up to 1.5 s later.

Cause: sequence numbers order announcements within a process; a new process has heard none, and takes the first for the newest.

Change: announcements state the worker's clock, and so does the answer to the takeover. If the announcement is older than a second by that clock, the agent waits for a newer one, 4 s at most, so that a worker which states another clock there, or does not announce itself again, is still used. announcement_stale (2038) says so.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -236,8 +236,8 @@
 
 // stopLeftovers takes over the worker, stops every run there and returns what the worker
 // last reported, or nil if ctx ended first. It acknowledges no ended run: finished
-// runs of stored jobs may not be recorded by their owner yet. If another incarnation than
-// the announced one answers, it goes on until ctx ends with the announcement of that one.
+// runs of stored jobs may not be recorded by their owner yet. It goes on while the
+// worker's announcement is stale, see staleAnnouncement.
 //
 // The entries repeat every run that the returned status does not list as finished. If
 // its list is cut off, stopLeftovers waits until the lease has expired, after which the
@@ -260,7 +260,7 @@
 		if len(status.Running) > 0 || !complete && !leaseExpired {
 			continue
 		}
-		if reason := staleAnnouncement(incarnation, status); reason != "" {
+		if reason := n.staleAnnouncement(incarnation, status, n.clock.Now()-began); reason != "" {
 			if !stale {
 				n.opts.Log.Emit(eventlog.AnnouncementStale, eventlog.Fields{Count: status.Incarnation, Detail: reason})
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,7 @@
 	Slots       int
 	Capacity    wire.Capacity
 	Draining    bool
+	Clock       time.Duration // reading of the worker's clock when it announced this, 0 if not stated
 }
 
 // Timing of the links between entries and agents, and of the leases on runs. A
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -28,6 +28,16 @@
 	Fenced bool
 }
 
+const (
+	// maxAnnouncementAge bounds the age of the announcement on which an agent starts. A
+	// worker announces itself to the agent on its own machine, so a calm one is a few
+	// milliseconds old.
+	maxAnnouncementAge = time.Second
+	// freshAnnouncementTimeout is how long an agent waits for an announcement that is not
+	// older. It is more than two intervals of 1.5 s between announcements.
+	freshAnnouncementTimeout = 4 * time.Second
+)
+
 // takeOver makes one attempt to take over the worker.
 func (n *AgentNode) takeOver(ctx context.Context, worker Worker) (Takeover, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerCallTimeout)
@@ -44,11 +54,18 @@
 	return eventlog.Fields{Count: t.Status.Incarnation, Detail: detail, Duration: took}
 }
 
-// staleAnnouncement returns why the announcement of an incarnation does not describe the
-// worker that has the given status, or "" if it does.
-func staleAnnouncement(incarnation int64, status *lease.WorkerStatus) string {
+// staleAnnouncement returns why no agent may start on the newest announcement of an
+// incarnation beside a worker that has the given status, or "" if one may. waited is how
+// long the start has taken.
+func (n *AgentNode) staleAnnouncement(incarnation int64, status *lease.WorkerStatus, waited time.Duration) string {
 	if incarnation != 0 && status.Incarnation != 0 && incarnation != status.Incarnation {
 		return "another incarnation answers"
 	}
+	n.mu.Lock()
+	announcedAt := n.announced.Clock
+	n.mu.Unlock()
+	if announcedAt > 0 && status.Clock-announcedAt > maxAnnouncementAge && waited < freshAnnouncementTimeout {
+		return "announced " + (status.Clock - announcedAt).String() + " before"
+	}
 	return ""
 }
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -97,3 +97,34 @@
 	n.HandleAnnouncement(announced(5, 1, false))
 	await(t, func() bool { _, running := n.Status(); return running })
 }
+
+// Guards against a draining worker that gets new work after a restart of its agent: the
+// new process hears a delayed announcement from before the worker was draining.
+func TestDelayedAnnouncementOfDrainingWorkerStartsNoAgent(t *testing.T) {
+	polls := new(atomic.Int64)
+	n := startBeside(t, liveWorker{goneWorker: goneWorker{polls}, incarnation: 5, clock: time.Minute})
+	late := announced(5, 19, false)
+	late.Clock = time.Minute - 2*maxAnnouncementAge
+	n.HandleAnnouncement(late)
+	await(t, func() bool { return polls.Load() >= 3 })
+	_, running := n.Status()
+	assert.Assert(t, !running, "an agent runs for a worker that may be draining")
+	n.HandleAnnouncement(announced(5, 20, true))
+	_, running = n.Status()
+	assert.Assert(t, !running)
+}
+
+// Guards against a worker that is never used because its first announcement was late, or
+// because it states another clock in its announcements.
+func TestAgentStartsAfterDelayedAnnouncement(t *testing.T) {
+	late, recent := announced(5, 1, false), announced(5, 2, false)
+	late.Clock, recent.Clock = time.Second, time.Minute
+	for _, later := range []Announcement{recent, late} {
+		polls := new(atomic.Int64)
+		n := startBeside(t, liveWorker{goneWorker: goneWorker{polls}, incarnation: 5, clock: time.Minute})
+		n.HandleAnnouncement(late)
+		await(t, func() bool { return polls.Load() >= 2 })
+		n.HandleAnnouncement(later)
+		await(t, func() bool { _, running := n.Status(); return running })
+	}
+}
