entry: ignore an agent incarnation that connects after a later one of its name

Callers would see tasks that wait for 0.8 s and end as unknown: an entry that was frozen handles the connections of two agent incarnations in any order, and one that is ending may connect again. The earlier incarnation was added beside the later one and got tasks, until its link was found dead.

Change: a new link is ignored while an agent of the same name is known that took over the worker later. The earlier incarnation gets no frames and closes the connection; its attempts have ended with the hello of the later one.

Two runs of one task did not follow from it: the calls of the earlier incarnation are fenced off at the worker.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -44,6 +44,9 @@
 	link := m.agents[h.Agent]
 	if link == nil {
 		link = &agentLink{incarnation: h.Agent, name: h.Name, capacity: h.Capacity, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
+		if m.hasLaterIncarnation(link) {
+			return // the agent is gone or ending; it closes a connection without frames
+		}
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
@@ -74,6 +77,14 @@
 	})
 }
 
+// hasLaterIncarnation reports whether an agent of the same name is known that took over
+// the worker later.
+func (m *Machine) hasLaterIncarnation(link *agentLink) bool {
+	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
+		return l.name == link.name && l.tookOverAfter(link)
+	})
+}
+
 // removeOlderIncarnations removes the earlier incarnations of the same name
 // whose link is down: a worker has one agent, so a new incarnation proves that
 // the old one is gone. If no run is left over at the worker, the runs of the
