--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -29,6 +29,8 @@
 }
 
 const (
+	// takeoverTimeout bounds one attempt to take over a worker, which is two calls.
+	takeoverTimeout = 2 * workerCallTimeout
 	// maxAnnouncementAge bounds the age of the announcement on which an agent starts. A
 	// worker announces itself to the agent on its own machine, so a calm one is a few
 	// milliseconds old.
@@ -40,7 +42,7 @@
 
 // takeOver makes one attempt to take over the worker.
 func (n *AgentNode) takeOver(ctx context.Context, worker Worker) (Takeover, error) {
-	ctx, cancel := context.WithTimeout(ctx, workerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	return worker.TakeOver(ctx)
 }
