node: close the agent's listener when it is killed right after its start

An agent that was killed before its server had begun to serve kept its address until the server's goroutine ran, so the next one could not listen there. A killed process is not affected; tests that restart an agent within one process are.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,8 @@
 // worker.
 type Agent struct {
 	*fleet.AgentNode
-	server *http.Server
+	listener net.Listener
+	server   *http.Server
 }
 
 // StartAgent starts the agent of a VM and serves the announcements of its worker. It
@@ -69,11 +70,12 @@
 	}
 	// Serve returns when the server is closed; its error needs no handling.
 	go func() { _ = server.Serve(l) }()
-	return &Agent{AgentNode: n, server: server}, nil
+	return &Agent{AgentNode: n, listener: l, server: server}, nil
 }
 
 // Kill stops the agent and its listener at once.
 func (a *Agent) Kill() {
 	a.server.Close()
+	a.listener.Close() // the server does not know it yet right after the start
 	a.AgentNode.Kill()
 }
