fleet: ignore the late deregistration of an earlier worker incarnation

Callers would see a worker less: a deregistration that arrives after the worker has started again under the same name drained the agent of the current incarnation, which then got no work until the worker's next restart.

Change: a deregistration that states the worker's start time applies only to that incarnation or an earlier one. One without it applies as before; whether workers state it there is not known, the emulated ones send no deregistration.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -110,11 +110,13 @@
 	}
 }
 
-// HandleDeregister handles the deregistration of a worker.
-func (n *AgentNode) HandleDeregister(worker string) {
+// HandleDeregister handles the deregistration of a worker. That of an earlier incarnation
+// is ignored. incarnation is 0 if it is not known.
+func (n *AgentNode) HandleDeregister(worker string, incarnation int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.announced.Worker == worker {
+	earlier := incarnation != 0 && incarnation < n.announced.Incarnation
+	if n.announced.Worker == worker && !earlier {
 		n.announced.Draining = true
 		n.drainLocked("worker has deregistered", true)
 	}
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -128,3 +128,17 @@
 		await(t, func() bool { _, running := n.Status(); return running })
 	}
 }
+
+// Guards against a worker that gets no more work because the deregistration of its earlier
+// incarnation arrives late.
+func TestDelayedDeregistrationOfEarlierIncarnationIsIgnored(t *testing.T) {
+	for _, c := range []struct {
+		incarnation int64 // 0 if the deregistration does not state it
+		leaving     bool
+	}{{4, false}, {5, true}, {0, true}} {
+		n := startBeside(t, liveWorker{goneWorker: goneWorker{new(atomic.Int64)}, incarnation: 5, clock: time.Minute})
+		n.HandleAnnouncement(announced(5, 1, false))
+		n.HandleDeregister("w", c.incarnation)
+		assert.Equal(t, n.announced.Draining, c.leaving, "%+v", c)
+	}
+}
