policy: ignore round trips across a pause of the entry

Callers saw jobs refused as overload for seconds after an entry had been paused, while workers were free: "14 attempts in flight of at most 14, 61.7 slots free".

Cause: the window that bounds the attempts in flight of an entry took the round trips of attempts from before the pause for congestion of the entry's own link, and fell to three quarters of the attempts in flight, which are few then. Since starts are held back after a pause until lost callers are noticed, it fell to a handful.

The scheduler is now told when the process resumes (policy.PauseObserver) and ignores the round trips of attempts from before.

Test: TestRoundTripsAcrossPauseDoNotShrinkWindow (before: bound 4 after a pause).

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -96,6 +96,7 @@
 	stuckDetector  policy.StuckDetector // nil if the scheduler does not implement it
 	nextStuckCheck time.Duration        // time of the next search for stuck runs
 	retryReleaser  policy.RetryReleaser // nil if the scheduler does not implement it
+	pauseObserver  policy.PauseObserver // nil if the scheduler does not implement it
 	// containment is nil if the scheduler does not implement it. containedClasses are
 	// those that were reported last.
 	containment      policy.ContainmentReporter
@@ -159,12 +160,14 @@
 	containment, _ := opts.Scheduler.(policy.ContainmentReporter)
 	alonePlacer, _ := opts.Scheduler.(policy.AlonePlacer)
 	retryReleaser, _ := opts.Scheduler.(policy.RetryReleaser)
+	pauseObserver, _ := opts.Scheduler.(policy.PauseObserver)
 	return &Machine{
 		opts:           opts.withDefaults(),
 		stuckDetector:  stuck,
 		containment:    containment,
 		alonePlacer:    alonePlacer,
 		retryReleaser:  retryReleaser,
+		pauseObserver:  pauseObserver,
 		scheduler:      opts.Scheduler,
 		nextSeq:        1,
 		jobs:           make(map[wire.SubmissionID]*job),
--- a/core/entry/pause.go
+++ b/core/entry/pause.go
@@ -37,6 +37,9 @@
 	case m.opts.ResendDelay == 0:
 	case gap >= MinPause:
 		m.heldTicks = SettleTicks
+		if m.pauseObserver != nil {
+			m.pauseObserver.Resumed(now)
+		}
 		closed := 0
 		if gap >= m.opts.ResendDelay-resendMargin {
 			m.closedBefore = now
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -36,6 +36,7 @@
 	waitScale        float64       // scales the accepted queueing delay
 	meanLogRatio     float64       // mean of the agents' speed.logRatio
 	now              time.Duration // process time of the last Admit or Next
+	resumedAt        time.Duration // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -112,7 +112,7 @@
 	}
 	s.inFlight--
 	s.addFreed(a)
-	if r.Reason != wire.ReasonAgentLost {
+	if r.Reason != wire.ReasonAgentLost && sentAt >= s.resumedAt {
 		rtt := now - sentAt - r.QueueTime.Duration() - r.RunTime.Duration()
 		a.observeRoundTrip(rtt)
 		s.window.observe(now, sentAt, rtt, s.inFlight)
@@ -351,3 +351,13 @@
 	}
 	return delay, true
 }
+
+// PauseObserver is implemented by schedulers that learn from the round trips of attempts.
+type PauseObserver interface {
+	// Resumed reports that the process was paused until now.
+	Resumed(now time.Duration)
+}
+
+// Resumed implements PauseObserver. The round trips of attempts from before the pause
+// contain it and tell nothing about the link.
+func (s *Adaptive) Resumed(now time.Duration) { s.resumedAt = now }
