fleet: start on announcements that are up to 2 s old

Callers saw a worker return up to 2 s after a restart of its agent. The bound is now above the interval of 1.5 s.

--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -32,9 +32,9 @@
 	// takeoverTimeout bounds one attempt to take over a worker, which is two calls.
 	takeoverTimeout = 2 * workerCallTimeout
 	// maxAnnouncementAge bounds the age of the announcement on which an agent starts. A
-	// worker announces itself to the agent on its own machine, so a calm one is a few
-	// milliseconds old.
-	maxAnnouncementAge = time.Second
+	// worker whose agent was away repeats its last announcement, which is then up to one
+	// interval of 1.5 s old.
+	maxAnnouncementAge = 2 * time.Second
 	// freshAnnouncementTimeout is how long an agent waits for an announcement that is not
 	// older. It is more than two intervals of 1.5 s between announcements.
 	freshAnnouncementTimeout = 4 * time.Second
