entry: do not repeat a lost run at the end of the lease

Callers would see a task start again after a run of it had succeeded.

Timeline: 26.73 s the owner's last append; 26.75 s it is cut off; 26.782 s run 1 ends as done; 27.53 s the connection to its agent is lost; 29.12 s the cut heals; 29.220 s the owner repeats the task, 6 ms before its lease ends; 29.358 s another entry takes over, is told of run 1 and counts it.

Cause: only the owner's memory tells that the task was started again, and an owner that was cut off is about to be replaced. A lost run is now repeated only while 1.2 s of the lease are left, that is, if an append was sent since the connection to the agent was lost. Otherwise the task waits for the renewal.

What remains: an owner that repeats a lost run and is itself lost before the job ends. The repetition is not recorded, so the next owner would count the first run.

--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -61,6 +61,11 @@
 	for m.retries.Len() > 0 && m.retries.Top().retryAt <= now {
 		t := m.retries.Top()
 		m.retries.Remove(t)
+		if t.runLost && !t.job.ending && m.storedLeaseUntil-now < minLeaseToRepeat {
+			t.retryAt = now + storedRetryDelay
+			m.retries.Put(t)
+			continue
+		}
 		t.runLost, t.refused = false, false
 		if t.job.ending {
 			m.dropTask(t)
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -8,9 +8,16 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-// storedRetryDelay is the retry delay of a stored job's task when the scheduler allows
-// no further retry.
-const storedRetryDelay = 200 * time.Millisecond
+const (
+	// storedRetryDelay is the retry delay of a stored job's task when the scheduler
+	// allows no further retry.
+	storedRetryDelay = 200 * time.Millisecond
+	// minLeaseToRepeat is the part of the lease of stored jobs that must be left when a
+	// task is repeated whose run was lost. That run may have succeeded. An entry that was
+	// cut off and has not renewed its lease since is about to be replaced: the next owner
+	// is told of the run, counts it, and cannot know that the task was started again.
+	minLeaseToRepeat = 1200 * time.Millisecond
+)
 
 // applyStoredResult applies the outcome of an attempt of a stored job. A finished
 // run is reported for recording, a task of a long-running job is restarted, and an
