fleet: use a worker whose start time was set back

Callers would see a worker that is never used again: an agent is told of an incarnation that no longer runs, the one that answers has an earlier start time because the worker's time of day was set back, and its announcements are taken for late ones of an earlier incarnation. The wait had no bound.

Cause: announcements are ordered by the worker's start time alone. The incarnation that answers the takeover is now remembered, and its announcement replaces the one that was heard first.

Test: TestWorkerWhoseStartTimeWasSetBackIsUsed (before: no agent was started within 8 s). What remains: a worker that was fenced off with a token of its later start time refuses the agent until its time of day has caught up.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -58,9 +58,13 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu          sync.Mutex
-	stopped     bool
-	announced   Announcement // newest announcement of the current incarnation
+	mu        sync.Mutex
+	stopped   bool
+	announced Announcement // newest announcement of the current incarnation
+	// answered is the incarnation that answered the takeover in place of the announced
+	// one, 0 if none did. It may be lower: the worker's time of day may have been set
+	// back.
+	answered    int64
 	current     *agentd.Agent
 	cancelStart context.CancelFunc // cancels the start of the agent while leftover runs are being stopped
 	entries     []string           // peer addresses of known entries
@@ -82,13 +86,15 @@
 	if n.stopped {
 		return
 	}
-	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation
+	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation ||
+		a.Worker == n.announced.Worker && a.Incarnation == n.answered
 	if !newIncarnation && (a.Incarnation < n.announced.Incarnation || a.Worker != n.announced.Worker || a.Sequence <= n.announced.Sequence) {
 		return
 	}
 	drainingChanged := a.Draining != n.announced.Draining
 	capacityChanged := a.Capacity != n.announced.Capacity
 	n.announced = a
+	n.answered = 0
 	if newIncarnation {
 		n.replaceLocked(a)
 		return
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -61,6 +61,9 @@
 // long the start has taken.
 func (n *AgentNode) staleAnnouncement(incarnation int64, status *lease.WorkerStatus, waited time.Duration) string {
 	if incarnation != 0 && status.Incarnation != 0 && incarnation != status.Incarnation {
+		n.mu.Lock()
+		n.answered = status.Incarnation
+		n.mu.Unlock()
 		return "another incarnation answers"
 	}
 	n.mu.Lock()
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -142,3 +142,29 @@
 		assert.Equal(t, n.announced.Draining, c.leaving, "%+v", c)
 	}
 }
+
+// otherWorker answers as another incarnation than the announced one.
+type otherWorker struct{ goneWorker }
+
+func (w otherWorker) TakeOver(context.Context) (Takeover, error) {
+	return Takeover{Status: &lease.WorkerStatus{Incarnation: 5, Clock: time.Second}, Fenced: true}, nil
+}
+
+// Guards against a worker that is never used again: its time of day was set back, so the
+// incarnation that answers is lower than the announced one, and its announcements are
+// taken for late ones.
+func TestWorkerWhoseStartTimeWasSetBackIsUsed(t *testing.T) {
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
+		return otherWorker{goneWorker{new(atomic.Int64)}}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(Announcement{Worker: "i", Incarnation: 9, Sequence: 1, Slots: 8})
+	for i := range 80 {
+		n.HandleAnnouncement(Announcement{Worker: "i", Incarnation: 5, Sequence: int64(i + 2), Slots: 8, Clock: time.Second})
+		if _, ok := n.Status(); ok {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("no agent was started")
+}
