entry: end a queued task when the success of its lost run is reported

Callers of stored jobs would see a task start again after a run of it had succeeded and that was acknowledged (TWICE).

Cause: a lost run whose success is reported while its task waits for the repetition ends the task, but only until the delay is over. Once the task was in the queue, and no worker had room for it, the report was counted and acknowledged as that of the newest run, and the task was started again all the same.

The report now removes the task from the queue as well.

Test: TestSuccessOfLostRunEndsQueuedTask (before: 2 != 1: the task is started again).

--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -138,6 +138,10 @@
 			m.applyResult(now, t.link, finishedRunResult(t.seq, finished))
 		case t.runLost && t.runNumber == finished.Run.Run && (t.state == taskBackoff || t.state == taskAwaitingGang):
 			m.applyFinishedLostRun(now, t, finished)
+		case t.state == taskQueued && t.seq > 0 && t.runNumber == finished.Run.Run && t.job.steps[t.step].gang == nil:
+			// The task was queued again after the run was lost and has not been started.
+			m.scheduler.Remove(now, &t.schedTask)
+			m.applyOutcome(now, t, finishedRunResult(t.seq, finished))
 		default:
 			// If a later run was started, the outcome of this one must not count.
 			superseded = t.runNumber > finished.Run.Run && t.state != taskDone
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -215,3 +215,40 @@
 	recordStarts(m.Step(period, entry.Tick{}))
 	assert.DeepEqual(t, refs[2:], []wire.RunRef{{Job: "j", Occurrence: 1, Run: 1}, {Job: "j", Occurrence: 1, Index: 1, Run: 1}})
 }
+
+// Guards against a task that is started again after the success of its lost run was
+// reported: the task had left the retry queue, but no worker had room for it yet.
+func TestSuccessOfLostRunEndsQueuedTask(t *testing.T) {
+	s := &closableScheduler{}
+	m := startStoredJobWith(t, s, false)
+	s.closed = true
+	m.Step(1, entry.LinkDown{Agent: 1, Epoch: 1})
+	m.Step(1500*time.Millisecond, entry.Tick{})
+	run := wire.RunRef{Job: "j", Index: 1, Run: 1001}
+	actions := m.Step(1600*time.Millisecond, entry.LinkUp{Hello: wire.AgentHello{
+		Agent: 2, Epoch: 1, Name: "v", Slots: 8, FinishedRuns: []wire.FinishedRun{{Run: run}},
+	}})
+	s.closed = false
+	m.Step(1700*time.Millisecond, entry.Tick{})
+	assert.Equal(t, int(m.Stats().Starts), 1, "the task is started again")
+	answers := answersIn(actions)
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Outcome, entry.Complete)
+}
+
+// closableScheduler places no task while it is closed.
+type closableScheduler struct {
+	newestAgentScheduler
+	closed  bool
+	removed *policy.Task
+}
+
+func (s *closableScheduler) Remove(_ time.Duration, t *policy.Task) { s.removed = t }
+
+func (s *closableScheduler) Next(now time.Duration) (placement, bool) {
+	if s.closed {
+		return placement{}, false
+	}
+	p, ok := s.newestAgentScheduler.Next(now)
+	return p, ok && p.Task != s.removed
+}
