entry, durable: record the repetition of a lost run

Callers of stored jobs would see a task start again after a run that had succeeded and that counts (TWICE): an owner repeats a lost run and is itself lost before the task ends; the next owner is told of the success of the lost run by its agent and counts it. It cannot know of the repetition.

A kill within the 25 to 50 ms until the record is in the log remains.

--- a/core/durable/crashes_test.go
+++ b/core/durable/crashes_test.go
@@ -17,6 +17,8 @@
 	now     time.Duration
 	records []durable.Record
 	drives  []durable.Drive
+	// acknowledged holds what the machine has acknowledged.
+	acknowledged []durable.Acknowledge
 }
 
 func newScriptedLog(incarnation wire.Incarnation, records []durable.Record) *scriptedLog {
@@ -34,6 +36,8 @@
 			l.step(durable.Fenced{Writer: x.Writer, Done: true})
 		case durable.Drive:
 			l.drives = append(l.drives, x)
+		case durable.Acknowledge:
+			l.acknowledged = append(l.acknowledged, x)
 		case durable.Append:
 			var appended []durable.Record
 			for _, r := range x.Records {
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -131,6 +131,7 @@
 	dirty        bool          // whether the job is in Machine.dirty
 	inDriveQueue bool          // whether the job is in Machine.driveQueue
 	hasCrashes   bool          // a crash record of the job was written or read
+	hasRepeats   bool          // a record of its repeated runs was written or read
 	unrecorded   []RunFinished // counted runs that are not in an append yet
 	reported     []RunFinished // reported while another process owned the job
 }
@@ -139,6 +140,8 @@
 type task struct {
 	entry.TaskProgress
 	lastRun int // number of the newest run that is counted
+	// repeatedRun is the number of the newest lost run that was repeated, 0 if none.
+	repeatedRun int
 	// countedRuns are the numbers of the failed runs that this process has counted.
 	// There are fewer than the failures that the task is allowed.
 	countedRuns []int
@@ -258,6 +261,8 @@
 		m.runFinished(now, e)
 	case RunCrashed:
 		m.runCrashed(e)
+	case RunRepeated:
+		m.runRepeated(e)
 	case DriveEnded:
 		m.driveEnded(now, e)
 	case Leave:
--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -82,6 +82,10 @@
 	Crashes int // runs of the task under which a worker crashed so far
 }
 
+// RunRepeated reports that the task of a lost run was started again. If that run turns out
+// to have finished, it does not count, whichever process owns the job.
+type RunRepeated struct{ Run wire.RunRef }
+
 // DriveEnded reports that the drive of a job is over, because the job has ended or
 // was halted. Nothing of it runs any more.
 type DriveEnded struct {
@@ -105,6 +109,7 @@
 func (JobStarted) isEvent()  {}
 func (RunFinished) isEvent() {}
 func (RunCrashed) isEvent()  {}
+func (RunRepeated) isEvent() {}
 func (DriveEnded) isEvent()  {}
 func (Leave) isEvent()       {}
 func (Tick) isEvent()        {}
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -153,6 +153,9 @@
 	if slices.Contains(t.countedRuns, run) {
 		return false
 	}
+	if run <= t.repeatedRun && run != t.lastRun {
+		return true
+	}
 	return run < t.lastRun || j.driving && !t.Done && run != t.lastRun && run <= j.driveBase
 }
 
@@ -205,6 +208,33 @@
 	m.maintenance = append(m.maintenance, encode(crashKey(j.id), j.crashes(m.opts.Self)))
 }
 
+// runRepeated records at once that a lost run does not count any more: the owner that
+// follows may be told of its success, and does not know that the task was started again.
+func (m *Machine) runRepeated(e RunRepeated) {
+	j := m.jobs[e.Run.Job]
+	if j == nil || j.spec == nil || j.state.Final() || !m.owns(j) {
+		return
+	}
+	i := j.taskIndex(e.Run)
+	if i < 0 {
+		return // not a task of this job
+	}
+	j.tasks[i].repeatedRun = max(j.tasks[i].repeatedRun, e.Run.Run)
+	j.hasRepeats = true
+	m.maintenance = append(m.maintenance, encode(repeatKey(j.id), j.repeats(m.opts.Self)))
+}
+
+// repeats returns the record of the job's repeated runs.
+func (j *job) repeats(by ProcessID) repeatRecord {
+	rec := repeatRecord{By: by}
+	for i := range j.tasks {
+		if n := j.tasks[i].repeatedRun; n > 0 {
+			rec.Tasks = append(rec.Tasks, taskRepeat{Index: i, Run: n})
+		}
+	}
+	return rec
+}
+
 // crashes returns the record of the crashes under the job's tasks.
 func (j *job) crashes(by ProcessID) crashRecord {
 	rec := crashRecord{By: by}
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -215,6 +215,21 @@
 	Crashes int
 }
 
+// repeatRecord is the record of the lost runs of a job whose tasks were started again,
+// written by its owner. Like crashRecord it is not part of jobStatus.
+type repeatRecord struct {
+	_     struct{} `cbor:",toarray"`
+	By    ProcessID
+	Tasks []taskRepeat
+}
+
+// taskRepeat is the number of the newest lost run of one task that was repeated.
+type taskRepeat struct {
+	_     struct{} `cbor:",toarray"`
+	Index int      // index of the task in the job
+	Run   int
+}
+
 // Kinds of records: the first byte of their keys.
 const (
 	kindAccepted = 'j'
@@ -223,6 +238,7 @@
 	kindTakeover = 't'
 	kindLease    = 'l'
 	kindCrashes  = 'x'
+	kindRepeats  = 'r'
 )
 
 func formatIncarnation(i wire.Incarnation) string { return strconv.FormatUint(uint64(i), 16) }
@@ -233,6 +249,7 @@
 func statusKey(id string) string          { return string(kindStatus) + id }
 func cancelKey(id string) string          { return string(kindCancel) + id }
 func crashKey(id string) string           { return string(kindCrashes) + id }
+func repeatKey(id string) string          { return string(kindRepeats) + id }
 func leaseKey(by wire.Incarnation) string { return string(kindLease) + formatIncarnation(by) }
 func takeoverKey(from, by wire.Incarnation) string {
 	return string(kindTakeover) + formatIncarnation(from) + "." + formatIncarnation(by)
@@ -248,7 +265,7 @@
 	case kindAccepted:
 		id, _, _ := strings.Cut(key[1:], ".")
 		return id
-	case kindStatus, kindCancel, kindCrashes:
+	case kindStatus, kindCancel, kindCrashes, kindRepeats:
 		return key[1:]
 	}
 	return ""
@@ -286,6 +303,8 @@
 		v = new(leaseRecord)
 	case kindCrashes:
 		v = new(crashRecord)
+	case kindRepeats:
+		v = new(repeatRecord)
 	default:
 		return nil, fmt.Errorf("durable: record %d has a key of unknown kind, %q", r.Offset, r.Key)
 	}
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -54,6 +54,9 @@
 	case *crashRecord:
 		m.markSeen(now, x.By)
 		m.applyCrashes(jobOfKey(r.Key), x)
+	case *repeatRecord:
+		m.markSeen(now, x.By)
+		m.applyRepeats(jobOfKey(r.Key), x)
 	case *takeoverRecord:
 		m.markSeen(now, x.By)
 		m.applyTakeover(now, x)
@@ -173,6 +176,20 @@
 	}
 }
 
+// applyRepeats adds the recorded repetitions of lost runs to the progress of a job.
+func (m *Machine) applyRepeats(id string, rec *repeatRecord) {
+	j := m.jobs[id]
+	if j == nil {
+		return
+	}
+	j.hasRepeats = true
+	for _, t := range rec.Tasks {
+		if t.Index >= 0 && t.Index < len(j.tasks) {
+			j.tasks[t.Index].repeatedRun = max(j.tasks[t.Index].repeatedRun, t.Run)
+		}
+	}
+}
+
 // restoreProgress sets the progress to the recorded one.
 func (j *job) restoreProgress(rec *jobStatus) {
 	j.runBase = rec.RunBase
@@ -181,6 +198,7 @@
 			j.tasks[t.Index] = task{
 				TaskProgress: entry.TaskProgress{Done: t.Done, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: j.tasks[t.Index].Crashes},
 				lastRun:      t.Run,
+				repeatedRun:  j.tasks[t.Index].repeatedRun,
 			}
 		}
 	}
@@ -197,7 +215,7 @@
 				m.maintenance = append(m.maintenance, Record{Key: acceptedKey(j.id, by)})
 			}
 			j.acceptedBy = nil
-			m.removeCrashes(j)
+			m.removeTaskRecords(j)
 		}
 	}
 	for _, e := range j.reported {
@@ -206,8 +224,13 @@
 	j.spec, j.reported = nil, nil
 }
 
-// removeCrashes removes the crash record of a job that has ended.
-func (m *Machine) removeCrashes(j *job) {
+// removeTaskRecords removes the records of the crashes and of the repeated runs of a job
+// that has ended.
+func (m *Machine) removeTaskRecords(j *job) {
+	if j.hasRepeats {
+		j.hasRepeats = false
+		m.maintenance = append(m.maintenance, Record{Key: repeatKey(j.id)})
+	}
 	if j.hasCrashes {
 		j.hasCrashes = false
 		m.maintenance = append(m.maintenance, Record{Key: crashKey(j.id)})
@@ -384,7 +407,7 @@
 		}
 		delete(m.jobs, j.id)
 		m.maintenance = append(m.maintenance, Record{Key: statusKey(j.id)})
-		m.removeCrashes(j)
+		m.removeTaskRecords(j)
 		if j.cancelled {
 			m.maintenance = append(m.maintenance, Record{Key: cancelKey(j.id)})
 		}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -253,6 +253,7 @@
 	t.state = taskInFlight
 	t.seq = seq
 	t.link = link
+	m.reportRepeated(t)
 	t.runNumber++
 	j.lastStartAfter = now - j.arrived
 	link.attempts.add(seq, t)
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -226,6 +226,11 @@
 	Crashes int // runs of the task under which a worker crashed so far
 }
 
+// RunRepeated reports that the task of a lost run of a stored job was started again. This
+// is to be recorded with the job: the lost run may have succeeded, and the next owner of
+// the job must not count it.
+type RunRepeated struct{ Run wire.RunRef }
+
 // NewerConfig reports that an agent has a newer configuration. The caller
 // decodes it and delivers Configured.
 type NewerConfig struct {
@@ -267,6 +272,7 @@
 func (JobStarted) isAction()         {}
 func (RunFinished) isAction()        {}
 func (RunCrashed) isAction()         {}
+func (RunRepeated) isAction()        {}
 func (NewerConfig) isAction()        {}
 func (VersionAnnounced) isAction()   {}
 func (ContainmentChanged) isAction() {}
--- a/core/entry/queues.go
+++ b/core/entry/queues.go
@@ -66,6 +66,9 @@
 			m.retries.Put(t)
 			continue
 		}
+		if t.runLost {
+			t.lostRun = t.runNumber
+		}
 		t.runLost, t.refused = false, false
 		if t.job.ending {
 			m.dropTask(t)
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -103,6 +103,17 @@
 	m.retries.Put(t)
 }
 
+// reportRepeated reports that the start of a task of a stored job repeats a lost run.
+func (m *Machine) reportRepeated(t *task) {
+	if t.lostRun == 0 || !t.job.stored {
+		return
+	}
+	run := t.ref()
+	run.Run = t.lostRun
+	t.lostRun = 0
+	m.emit(RunRepeated{Run: run})
+}
+
 // ref identifies the task's current run.
 func (t *task) ref() wire.RunRef {
 	j := t.job
@@ -141,6 +152,7 @@
 		case t.state == taskQueued && t.seq > 0 && t.runNumber == finished.Run.Run && t.job.steps[t.step].gang == nil:
 			// The task was queued again after the run was lost and has not been started.
 			m.scheduler.Remove(now, &t.schedTask)
+			t.lostRun = 0
 			m.applyOutcome(now, t, finishedRunResult(t.seq, finished))
 		default:
 			// If a later run was started, the outcome of this one must not count.
--- a/core/entry/storedlease_test.go
+++ b/core/entry/storedlease_test.go
@@ -118,3 +118,17 @@
 	m.Step(storedLeaseEnd+time.Second, entry.Tick{})
 	assert.Equal(t, int(m.Stats().Starts), 2, "an owner in touch with the log repeats the lost run")
 }
+
+// Guards against a repetition of a lost run that the next owner of the job cannot know of.
+func TestRepetitionOfLostRunIsReported(t *testing.T) {
+	m := startStoredJobWith(t, new(newestAgentScheduler), false)
+	m.Step(1, entry.LinkDown{Agent: 1, Epoch: 1})
+	m.Step(time.Second, entry.LinkUp{Hello: wire.AgentHello{Agent: 2, Epoch: 1, Name: "v", Slots: 8}})
+	var reported []entry.RunRepeated
+	for _, a := range m.Step(1500*time.Millisecond, entry.Tick{}) {
+		if x, ok := a.(entry.RunRepeated); ok {
+			reported = append(reported, x)
+		}
+	}
+	assert.DeepEqual(t, reported, []entry.RunRepeated{{Run: wire.RunRef{Job: "j", Index: 1, Run: 1001}}})
+}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -33,6 +33,7 @@
 	aloneRefused  bool       // a worker whose capacity has shrunk refused it with its whole capacity as the need
 	refused       bool       // it waits in the retry queue because its last attempt was refused as not run
 	runLost       bool       // its run was lost; the task waits until that run must have ended
+	lostRun       int        // number of the lost run that the next start repeats, 0 if none
 	stopRequested bool       // the current run was cancelled because it is stuck
 	checkpoint    string     // latest checkpoint that a worker saved, see wire.Start.Checkpoint
 	link          *agentLink // agent of the current attempt, nil if none is in flight
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -148,6 +148,10 @@
 		if c.e.opts.StoredJobObserver != nil {
 			c.e.opts.StoredJobObserver.RunCrashed(x)
 		}
+	case entry.RunRepeated:
+		if c.e.opts.StoredJobObserver != nil {
+			c.e.opts.StoredJobObserver.RunRepeated(x)
+		}
 	case entry.Answer:
 		if c.e.handleStoredAnswer(&x) {
 			return
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -20,6 +20,8 @@
 	RunFinished(x entry.RunFinished)
 	// RunCrashed is called for a run under which a worker crashed.
 	RunCrashed(x entry.RunCrashed)
+	// RunRepeated is called when the task of a lost run was started again.
+	RunRepeated(x entry.RunRepeated)
 	// DriveEnded is called when a drive of a job is over: the job has ended, or the
 	// drive was halted or refused, after which the job may be driven again.
 	DriveEnded(job string, outcome entry.JobOutcome, reason string)
--- a/internal/fleet/stored.go
+++ b/internal/fleet/stored.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// RunRepeated implements entryd.StoredJobObserver.
+func (s storedEvents) RunRepeated(x entry.RunRepeated) {
+	if s.wait(); s.ready() {
+		s.node.keeper.RunRepeated(x)
+	}
+}
+
 // DriveEnded implements entryd.StoredJobObserver.
 func (s storedEvents) DriveEnded(job string, outcome entry.JobOutcome, reason string) {
 	if s.wait(); s.ready() {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -68,7 +68,7 @@
 // Driver runs jobs. Its methods may block for a short time.
 type Driver interface {
 	// DriveStoredJob starts a drive. The driver reports it to the keeper with
-	// JobStarted, RunFinished, RunCrashed and DriveEnded.
+	// JobStarted, RunFinished, RunCrashed, RunRepeated and DriveEnded.
 	DriveStoredJob(d durable.Drive)
 	// HaltStoredJob stops the runs of a driven job.
 	HaltStoredJob(job string)
@@ -232,6 +232,9 @@
 	k.post(durable.RunCrashed{Run: x.Run, Crashes: x.Crashes})
 }
 
+// RunRepeated reports a lost run whose task was started again.
+func (k *Keeper) RunRepeated(x entry.RunRepeated) { k.post(durable.RunRepeated{Run: x.Run}) }
+
 // DriveEnded reports the end of a drive.
 func (k *Keeper) DriveEnded(job string, outcome entry.JobOutcome, reason string) {
 	k.post(durable.DriveEnded{Job: job, Outcome: outcome, Reason: reason})
