lease: renew with polls up to the first expired permission

Callers would see the runs of a worker end although nothing has failed: while runs are cancelled steadily, one that is cancelled is always open, polls carried no deadline at all, and the lease of every run at the worker lapsed after 0.7 s.

A poll now renews the lease up to the first expired permission of an open run plus one lease, as starts do, instead of not at all. The bound stays: no call extends the lease beyond Options.Lease after that permission. A worker that does not answer and a quiesced one still get no renewal. The condition for repeating an unanswered start is as before, under the name mayRepeatStart.

--- a/core/lease/backlog.go
+++ b/core/lease/backlog.go
@@ -53,10 +53,16 @@
 	return len(m.superseded) > 0 && now-m.supersededAt >= supersededDelay
 }
 
-// mayRenew reports whether the lease may be renewed.
-func (m *Machine) mayRenew(now time.Duration) bool {
-	quiesced := len(m.superseded) > 0 && now-m.supersededAt >= supersededDelay+quiesceTimeout
-	return !quiesced && now <= m.renewableUntil()
+// quiesced reports whether the lease is not renewed any more, so that it expires and the
+// superseded runs can be acknowledged.
+func (m *Machine) quiesced(now time.Duration) bool {
+	return len(m.superseded) > 0 && now-m.supersededAt >= supersededDelay+quiesceTimeout
+}
+
+// mayRepeatStart reports whether an unanswered start may be sent again: it renews the
+// lease, and no permission of an open run has expired.
+func (m *Machine) mayRepeatStart(now time.Duration) bool {
+	return !m.quiesced(now) && now <= m.renewableUntil()
 }
 
 // updateAdmission reports whether the worker can take further runs, if that has
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -367,7 +367,7 @@
 		m.pollNow = true
 	case StartUnanswered:
 		m.unansweredAt = now
-		if r.startsSent < maxStartAttempts && !r.stopRequested && m.mayRenew(now) {
+		if r.startsSent < maxStartAttempts && !r.stopRequested && m.mayRepeatStart(now) {
 			m.sendStart(now, r)
 			return
 		}
--- a/core/lease/permission_test.go
+++ b/core/lease/permission_test.go
@@ -421,3 +421,28 @@
 	s.step(Start{Attempt: agent.AttemptID{Entry: 2, Seq: 1}, Run: wire.RunRef{Job: "j", Occurrence: 1, Run: 2}})
 	assert.Equal(t, len(s.starts), 2, "a second run of the same task")
 }
+
+// Guards against runs that lapse in calm operation: every 50 ms an entry cancels a run,
+// which the worker ends after 60 ms, so that one cancelled run is always open.
+func TestSteadyCancelsDoNotEndOtherRuns(t *testing.T) {
+	w := newPermissionWorker()
+	const cancels = 24
+	for range cancels + 1 {
+		w.request(liveEntry, w.now+400*time.Millisecond)
+	}
+	last := w.running[cancels]
+	began := w.now
+	for w.now < began+cancels*50*time.Millisecond {
+		d := w.now - began
+		if d%(50*time.Millisecond) == 0 {
+			seq := wire.Seq(d/(50*time.Millisecond)) + 1
+			w.step(Stop{Attempt: agent.AttemptID{Entry: liveEntry, Seq: seq}, PermittedUntil: w.now})
+		}
+		if e := d - 60*time.Millisecond; e >= 0 && e%(50*time.Millisecond) == 0 {
+			w.running = w.running[1:]
+		}
+		w.step(Permissions{List: []agent.Permission{{Entry: liveEntry, Until: w.now + 400*time.Millisecond}}})
+		w.advance()
+		assert.Assert(t, len(w.running) > 0 && w.running[len(w.running)-1] == last, "the lease lapsed %v after the first cancel", w.now-began)
+	}
+}
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -26,10 +26,13 @@
 	default:
 		return
 	}
-	if len(m.ordered) > 0 && now-m.answeredAt < m.opts.Lease/2 && m.mayRenew(now) {
+	from := min(now, m.renewableUntil())
+	if len(m.ordered) > 0 && now-m.answeredAt < m.opts.Lease/2 && !m.quiesced(now) && now-from < m.opts.Lease {
 		// A worker that does not answer must not get renewals: its runs have to
-		// end at a known time.
-		call.Deadline = m.renew(now)
+		// end at a known time. After a permission has expired the poll still renews up
+		// to that time: while runs are cancelled one after another, the permission of
+		// an open run has expired at every poll. The worker ignores an earlier deadline.
+		call.Deadline = m.renew(from)
 	}
 	m.pollNow = false
 	m.polling = true
