lease: treat a start whose repetition is refused as unanswered

Callers would see a task run twice: a start got no answer, its repetition was refused with 503 or for want of room, and the run was reported as not run with the next list, although the first call could still be carried out until its deadline. The task was by then started elsewhere.

Cause: the refusal of any copy counted as proof that no copy could take effect any more. It is one only if the worker refuses the run for its number (ReasonStaleRun), because it then refuses every copy. After any other refusal of a repetition the run is now treated like one whose start got no answer: it is stopped, and a list made after the stop was acknowledged, or after the latest deadline, decides. The reason of the refusal is still the one that is reported if the run did not start.

The model worker of both model tests now refuses some starts as busy or for want of room, and both tests fail if a run starts after it was reported as not run.

--- a/core/lease/chain_test.go
+++ b/core/lease/chain_test.go
@@ -77,6 +77,7 @@
 	entry       *chainEntry
 	cancelledAt time.Duration // 0 if it was not cancelled
 	finished    bool          // the lease machine emitted Finished
+	notRun      bool          // it was reported as not run
 	outlasting  bool          // it was in progress after its permission had expired
 }
 
@@ -111,6 +112,9 @@
 		requests: make(map[agent.AttemptID]*chainRequest), byRun: make(map[wire.RunRef]*chainRequest),
 	}
 	c.worker.now = time.Hour
+	c.worker.refusal = func() wire.Reason {
+		return [...]wire.Reason{0: wire.ReasonBusy, 1: wire.ReasonNoRoom, 9: wire.ReasonNone}[rng.IntN(10)]
+	}
 	c.lateShare = []float64{0, 0.25, 0.6}[rng.IntN(3)]
 	c.lateStops = rng.IntN(3) == 0
 	for i := range 3 {
@@ -316,6 +320,7 @@
 		c.t.Fatalf("seed %d: %v finished twice", c.seed, r.run)
 	}
 	r.finished = true
+	r.notRun = x.Outcome == wire.NotRun
 	if _, running := c.worker.running[r.run]; running {
 		c.t.Fatalf("seed %d: %v is reported as %v %v while it runs", c.seed, r.run, x.Outcome, x.Reason)
 	}
@@ -370,6 +375,9 @@
 		answer := c.worker.start(x, length)
 		if !before && c.worker.started[x.Run] {
 			c.counts.started++
+			if r := c.byRun[x.Run]; r.notRun {
+				c.t.Fatalf("seed %d: %v starts after it was reported as not run", c.seed, x.Run)
+			}
 		}
 		return answer
 	case lease.CallStop:
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -13,10 +13,10 @@
 //
 // Invariants:
 //   - Each Start yields exactly one Finished.
-//   - Finished reports NotRun only if the worker refused the run, or if its start
-//     can no longer take effect (the worker acknowledged a stop of the run, or
-//     the start's deadline has passed on the worker's clock) and a later list
-//     shows that it did not.
+//   - Finished reports NotRun only if the worker refused the only start call of the run,
+//     or if its start can no longer take effect (the worker acknowledged a stop of the
+//     run, refused it for its number, or the start's deadline has passed on the worker's
+//     clock) and a later list shows that it did not.
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired. A list that is cut off need not contain it.
@@ -137,7 +137,7 @@
 	permittedUntil  time.Duration
 	permissionFixed bool        // permittedUntil is not extended any more
 	startsSent      int         // number of start calls sent
-	notRunReason    wire.Reason // reason to report if the run did not start
+	notRunReason    wire.Reason // reason to report if the run did not start, ReasonNone for ReasonNotReceived
 	state           runState
 	deadline        time.Duration // latest deadline of its start calls, on the worker's clock
 	since           time.Duration // time of the last state change or start call
@@ -361,8 +361,12 @@
 			m.finish(now, r, wire.NotRun, e.Reason)
 			return
 		}
-		// An earlier copy of the start may have taken effect.
-		r.state = runRuledOut
+		// An earlier copy of the start may have taken effect, or may still do so: only a
+		// worker that has seen the end of the run refuses all of its copies.
+		r.state = runUnanswered
+		if e.Reason == wire.ReasonStaleRun {
+			r.state = runRuledOut
+		}
 		r.notRunReason = e.Reason
 		m.pollNow = true
 	case StartUnanswered:
@@ -423,7 +427,6 @@
 	}
 	if r.state == runUnanswered {
 		r.state = runRuledOut
-		r.notRunReason = wire.ReasonNotReceived
 		r.since = now
 	}
 	m.pollNow = true
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -100,7 +100,13 @@
 	switch x := a.(type) {
 	case lease.CallStart:
 		length := time.Duration(rapid.IntRange(5, 900).Draw(s.t, "length")) * time.Millisecond
-		return s.worker.start(x, length)
+		before := s.worker.started[x.Run]
+		answer := s.worker.start(x, length)
+		f, finished := s.finished[agent.AttemptID{Entry: 1, Seq: wire.Seq(x.Run.Run)}]
+		if !before && s.worker.started[x.Run] && finished && f.Outcome == wire.NotRun && s.worker.incarnation == 1 {
+			s.t.Fatalf("%v starts after it was reported as not run (%v)", x.Run, f.Reason)
+		}
+		return answer
 	case lease.CallStop:
 		return s.worker.stop(x)
 	case lease.CallPoll:
@@ -145,6 +151,9 @@
 			t: t, machine: lease.New(lease.Options{}), worker: newWorker(),
 			finished: make(map[agent.AttemptID]lease.Finished), runs: make(map[agent.AttemptID]wire.RunRef),
 		}
+		s.worker.refusal = func() wire.Reason {
+			return [...]wire.Reason{0: wire.ReasonBusy, 1: wire.ReasonNoRoom, 9: wire.ReasonNone}[rapid.IntRange(0, 9).Draw(t, "refusal")]
+		}
 		s.worker.listedAtOnce = rapid.IntRange(1, 3).Draw(t, "listed at once")
 		s.advance(50 * time.Millisecond)
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
--- a/core/lease/modelworker_test.go
+++ b/core/lease/modelworker_test.go
@@ -24,13 +24,16 @@
 	lapses       int                  // times at which the lease expired
 	lapsed       bool                 // the lease has not been renewed since
 	retained     map[wire.RunRef]int  // finished runs that are to be retained, with the value of lapses at their end
+	// refusal returns the reason for which the worker refuses the start that it handles,
+	// without a record of it: ReasonBusy, ReasonNoRoom or ReasonNone.
+	refusal func() wire.Reason
 }
 
 func newWorker() *worker {
 	return &worker{
 		incarnation: 1, running: make(map[wire.RunRef]time.Duration), highestEnded: make(map[string]int),
 		started: make(map[wire.RunRef]bool), completed: make(map[wire.RunRef]bool), listedAtOnce: 500,
-		lapsed: true, retained: make(map[wire.RunRef]int),
+		lapsed: true, retained: make(map[wire.RunRef]int), refusal: func() wire.Reason { return wire.ReasonNone },
 	}
 }
 
@@ -80,6 +83,10 @@
 }
 
 func (w *worker) start(c lease.CallStart, length time.Duration) lease.Started {
+	refusal := w.refusal()
+	if refusal == wire.ReasonBusy { // before the call is looked at
+		return lease.Started{Run: c.Run, Result: lease.StartRefused, Reason: refusal}
+	}
 	out := lease.Started{Run: c.Run, Result: lease.StartAccepted, Clock: w.now}
 	if _, isRunning := w.running[c.Run]; isRunning {
 		w.lease = max(w.lease, c.Deadline) // a repeated start renews the lease as well
@@ -95,6 +102,11 @@
 		if len(w.running) > 0 { // so does one that is refused for its number
 			w.lease = max(w.lease, c.Deadline)
 		}
+	case refusal == wire.ReasonNoRoom:
+		out.Result, out.Reason = lease.StartRefused, refusal
+		if len(w.running) > 0 {
+			w.lease = max(w.lease, c.Deadline)
+		}
 	default:
 		w.running[c.Run] = w.now + length
 		w.started[c.Run] = true
--- a/core/lease/permission_test.go
+++ b/core/lease/permission_test.go
@@ -446,3 +446,28 @@
 		assert.Assert(t, len(w.running) > 0 && w.running[len(w.running)-1] == last, "the lease lapsed %v after the first cancel", w.now-began)
 	}
 }
+
+// Guards against a task that runs twice: a start gets no answer, its repetition is refused
+// for want of room (or with 429 or 503, with which the worker has done nothing). The first
+// call may still be carried out until its deadline, 0.7 s ahead: neither the refusal nor a
+// list made before that proves anything, unless a stop was acknowledged before it.
+func TestRefusedRepetitionDoesNotRuleOutTheFirstCall(t *testing.T) {
+	for _, reason := range []wire.Reason{wire.ReasonNoRoom, wire.ReasonBusy, wire.ReasonUpstreamDown} {
+		s := newPermissionScript()
+		run := s.start("j", 1, s.now+500*time.Millisecond)
+		began := s.now
+		s.now += 25 * time.Millisecond
+		s.step(Started{Run: run, Result: StartUnanswered})
+		assert.Equal(t, len(s.starts), 2)
+		s.now += time.Millisecond
+		s.step(Started{Run: run, Result: StartRefused, Reason: reason, Clock: s.workerClock(s.now)})
+		for range 5 {
+			s.now += 10 * time.Millisecond
+			s.answerPoll()
+		}
+		assert.Assert(t, s.workerClock(s.now) < s.starts[0].Deadline)
+		assert.Assert(t, len(s.finished) == 0 || len(s.stops) > 0,
+			"%v: reported as %v %v after the start, whose first call has a deadline in %v; no stop was sent",
+			reason, s.finished, s.now-began, s.starts[0].Deadline-s.workerClock(s.now))
+	}
+}
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -226,12 +226,12 @@
 		return true
 	case runUnanswered:
 		if m.clock > r.deadline && !r.workerRestarted {
-			m.finishRuledOut(now, r, wire.ReasonNotReceived)
+			m.finishRuledOut(now, r)
 			return true
 		}
 		r.stopRequested = true // so that the start can no longer take effect
 	case runRuledOut:
-		m.finishRuledOut(now, r, r.notRunReason)
+		m.finishRuledOut(now, r)
 		return true
 	case runStarting:
 	}
@@ -241,10 +241,10 @@
 // finishRuledOut emits Finished for a run that no list contains and that can no
 // longer start. If the worker restarted in the meantime, the run may have started in its
 // previous incarnation.
-func (m *Machine) finishRuledOut(now time.Duration, r *run, reason wire.Reason) {
+func (m *Machine) finishRuledOut(now time.Duration, r *run) {
 	if r.workerRestarted {
 		m.finish(now, r, wire.Failed, wire.ReasonWorkerCrashed)
 		return
 	}
-	m.finish(now, r, wire.NotRun, reason)
+	m.finish(now, r, wire.NotRun, cmp.Or(r.notRunReason, wire.ReasonNotReceived))
 }
