lease: repeat unanswered stops of runs without a record as soon as others

Callers would see all runs of a worker end and be repeated: the lease is not renewed while the worker lists a run that the machine has no record of, and a stop of such a run that got no answer was repeated only after StopRetry (150 ms), so a few of them in a row took up the lease.

Cause: the answer to a stop was handled only for recorded runs, so unansweredStopRetry did not apply to the others.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -419,6 +419,7 @@
 	m.recordClock(now, e.Clock)
 	r := m.runs[e.Run]
 	if r == nil {
+		m.foreignStopped(now, e)
 		return
 	}
 	if !e.Acknowledged {
@@ -432,6 +433,15 @@
 	m.pollNow = true
 }
 
+// foreignStopped handles the answer to a stop call for a run that this machine has no
+// record of. A list shows when it has ended.
+func (m *Machine) foreignStopped(now time.Duration, e Stopped) {
+	i := slices.IndexFunc(m.foreign, func(f foreignRun) bool { return f.id == e.Run })
+	if i >= 0 && !e.Acknowledged {
+		m.foreign[i].stopAt = min(m.foreign[i].stopAt, now+unansweredStopRetry)
+	}
+}
+
 // finish removes the open run and emits Finished with its outcome.
 func (m *Machine) finish(now time.Duration, r *run, o wire.Outcome, reason wire.Reason) {
 	delete(m.runs, r.id)
--- a/core/lease/permission_test.go
+++ b/core/lease/permission_test.go
@@ -471,3 +471,21 @@
 			reason, s.finished, s.now-began, s.starts[0].Deadline-s.workerClock(s.now))
 	}
 }
+
+// Guards against the end of all runs at a worker that leaves a few stops of a run without
+// record unanswered, as TestUnansweredStopIsRepeatedSoon does for recorded ones.
+func TestUnansweredStopOfForeignRunIsRepeatedSoon(t *testing.T) {
+	s := newPermissionScript()
+	own := s.start("j", 1, s.now+time.Hour)
+	s.step(Started{Run: own, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	foreign := wire.RunRef{Job: "foreign", Run: 1}
+	s.now += 10 * time.Millisecond
+	s.answerPoll(own, foreign)
+	assert.Equal(t, len(s.stops), 1)
+	for range 20 { // calls time out after 25 ms
+		s.now += 25 * time.Millisecond
+		s.step(Stopped{Run: foreign})
+		s.step(Tick{})
+	}
+	assert.Assert(t, len(s.stops) >= 10, "%d stops in 0.5 s", len(s.stops))
+}
