lease: acknowledge ended runs only soon after an answered poll was sent

Callers would see jobs repeated, or answered as failed, although their runs had succeeded: after a freeze of the agent during which the worker restarted under its name, the agent acknowledged the new incarnation's ended runs by numbers of the earlier one, and the worker discarded them unseen.

Cause: the time for which the worker is assumed to be the same incarnation counted from the handling of the answer, which may be long after the worker gave it. It now counts from the sending of the poll that was answered.

Polls may wait for 150 ms of these 300 ms, so an acknowledgement can be withheld once where it was not before, for instance at a worker that is idle after a single run; this costs a further poll. A poll that withholds one asks for its answer at once, so that the next one acknowledges also if answers are handled 0.2 s late.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -93,8 +93,9 @@
 	// repeated. The lease is not renewed until the run is known to have ended, so all
 	// runs at a worker that left a few stops unanswered would end with it.
 	unansweredStopRetry = 25 * time.Millisecond
-	// minRestartTime is how long after an answer the worker is assumed to be the
-	// same incarnation: a restart takes longer.
+	// minRestartTime is how long after the sending of a poll that was answered the worker
+	// is assumed to be the same incarnation: a restart takes longer. It covers PollWait,
+	// by which the answer may be delayed.
 	minRestartTime = 300 * time.Millisecond
 	// retainedPollInterval is the minimum interval between polls while finished runs
 	// are retained: the worker lists them again in each answer and may answer
@@ -184,7 +185,9 @@
 	ackAt       time.Duration // when a poll is sent just to acknowledge ended runs
 
 	answeredAt time.Duration // when the last poll was answered
-	polling    bool          // a poll is in flight
+	// answeredPollAt is when the last poll that was answered was sent.
+	answeredPollAt time.Duration
+	polling        bool // a poll is in flight
 	// pollFailed is set if the last poll was not answered.
 	pollFailed bool
 	// processGone is set if a poll since the last answer found the worker's process gone.
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -26,6 +26,11 @@
 	default:
 		return
 	}
+	if call.AckUpTo == 0 && m.acked < m.ackLimit() {
+		// Nothing is acknowledged, because the worker may have restarted. An answer that
+		// comes at once shows that it has not, also if answers are always handled late.
+		call.MaxWait = 0
+	}
 	from := min(now, m.renewableUntil())
 	if len(m.ordered) > 0 && now-m.answeredAt < m.opts.Lease/2 && !m.quiesced(now) && now-from < m.opts.Lease {
 		// A worker that does not answer must not get renewals: its runs have to
@@ -68,9 +73,10 @@
 // After a failed poll or a pause the worker may have restarted, and numbers its
 // ended runs from 1 again. An old number would make it discard ended runs that
 // nobody has seen, so the first poll after a failure or a pause acknowledges
-// nothing.
+// nothing. The pause is counted from the sending of the last poll that was answered: the
+// answer may be handled long after the worker gave it, because this process was frozen.
 func (m *Machine) ackNumber(now time.Duration) int {
-	if m.pollFailed || now-m.answeredAt > minRestartTime {
+	if m.pollFailed || now-m.answeredPollAt > minRestartTime {
 		return 0
 	}
 	return m.ackLimit()
@@ -104,6 +110,7 @@
 	}
 	status := e.Status
 	m.answeredAt = now
+	m.answeredPollAt = m.polledAt
 	m.recordClock(now, status.Clock)
 	if m.incarnation != 0 && status.Incarnation != 0 && status.Incarnation != m.incarnation {
 		m.workerRestarted()
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -117,3 +117,65 @@
 	m.Step(now+2*DefaultLease, Tick{})
 	assert.Equal(t, m.OpenRuns(), 0)
 }
+
+// Guards against ends that the worker discards although nobody has seen them: an answer is
+// handled after a freeze of 3 s, in which the worker restarted under the same name. The
+// numbers of ended runs that it contains are those of the earlier incarnation.
+func TestAnswerHandledAfterFreezeAcknowledgesNothing(t *testing.T) {
+	for _, frozen := range []time.Duration{0, 3 * time.Second} {
+		s := newPermissionScript()
+		run := s.start("j", 1, s.now+time.Hour)
+		s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+		s.now += 10 * time.Millisecond
+		s.answerPoll(run) // the next poll is sent at this time
+		s.now += frozen
+		sent := len(s.polls)
+		s.step(Polled{Status: &WorkerStatus{
+			Incarnation: 1, Clock: s.workerClock(s.now - frozen), Running: []wire.RunRef{run},
+			Ended: []EndedRun{{Number: 5, Run: wire.RunRef{Job: "other", Run: 1}, Kind: EndedSucceeded}},
+		}})
+		for i := 0; i < 40 && len(s.polls) == sent; i++ {
+			s.now += 10 * time.Millisecond
+			s.step(Tick{})
+		}
+		assert.Assert(t, len(s.polls) > sent)
+		if frozen > 0 {
+			assert.Equal(t, s.polls[sent].AckUpTo, 0, "answer to a poll that was sent %v before", frozen)
+		}
+	}
+}
+
+// Guards against ended runs that are never acknowledged although nothing has failed: polls
+// of a calm worker wait for PollWait, and their answers are handled late.
+func TestCalmWorkerIsAcknowledged(t *testing.T) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond} {
+		for _, busy := range []bool{false, true} { // whether a run stays in progress
+			s := newPermissionScript()
+			var running []wire.RunRef
+			if busy {
+				run := s.start("j", 1, s.now+time.Hour)
+				s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+				running = append(running, run)
+			}
+			end := EndedRun{Number: 1, Run: wire.RunRef{Job: "other", Run: 1}, Kind: EndedSucceeded}
+			acked := time.Duration(0)
+			for limit := s.now + 4*time.Second; acked == 0 && s.now < limit; {
+				if !s.m.polling {
+					s.now += 50 * time.Millisecond
+					s.step(Tick{})
+					continue
+				}
+				call := s.polls[len(s.polls)-1]
+				s.now += call.MaxWait + delay
+				status := &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now - delay), Running: running}
+				if call.AckUpTo < end.Number {
+					status.Ended = []EndedRun{end}
+				} else {
+					acked = s.now
+				}
+				s.step(Polled{Status: status})
+			}
+			assert.Assert(t, acked > 0, "delay of %v, busy %v", delay, busy)
+		}
+	}
+}
