entry: do not take an earlier agent for the successor of a later one

Callers would wait up to the lost-agent timeout (10 s by default) for the answer to jobs whose runs were at an agent with an HTTP upstream that had been replaced, although its successor was connected when the connection broke.

Cause: the rule of takes an incarnation for a successor only if it took over the worker later. Agents with an HTTP upstream state neither the worker's start time nor a takeover time, so none of them took over after another.

Test, before: TestAttemptsOfReplacedHTTPAgentEndWithItsConnection: assertion failed: 0 (int) != 1 (int)

Of two incarnations that both state no takeover, the one that was first seen later now counts as the successor. Agents that do state it are compared as before. TestEarlierHTTPAgentIsNotTakenForSuccessor keeps the opposite case: the loss of the later agent ends nothing while the earlier one is connected. It passes before and after, and fails if every connected incarnation of the name counts as a successor.

Not covered: the order in which an entry first saw two such incarnations can differ from the order of their starts if it was paused meanwhile. Without a stated time it cannot tell.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -40,6 +40,11 @@
 	return l.takeoverTime > other.takeoverTime
 }
 
+// statesTakeover reports whether the link's agent states when it took over its worker.
+func (l *agentLink) statesTakeover() bool {
+	return l.workerIncarnation != 0 || l.takeoverTime != 0
+}
+
 func (m *Machine) linkUp(now time.Duration, h wire.AgentHello) {
 	link := m.agents[h.Agent]
 	if link == nil {
@@ -150,11 +155,24 @@
 
 // hasConnectedSuccessor reports whether a later incarnation of the same name is
 // connected. An earlier one may be connected too, because it connects again while it is
-// ending or because its end has not been noticed.
+// ending or because its end has not been noticed. Agents with an HTTP upstream do not
+// state when they took over their worker; of two such incarnations the one that was
+// first seen later counts as the later one.
 func (m *Machine) hasConnectedSuccessor(link *agentLink) bool {
-	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
-		return l != link && l.up && l.name == link.name && l.tookOverAfter(link)
-	})
+	if link.name == "" {
+		return false
+	}
+	seenLater := false // whether l was first seen after link
+	for _, l := range m.agentList {
+		switch {
+		case l == link:
+			seenLater = true
+		case !l.up || l.name != link.name:
+		case l.tookOverAfter(link), seenLater && !l.statesTakeover() && !link.statesTakeover():
+			return true
+		}
+	}
+	return false
 }
 
 // markDown marks the link as down and discards what was not sent.
--- a/core/entry/links_test.go
+++ b/core/entry/links_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// Guards against callers that wait for an agent that is gone: an agent with an HTTP
+// upstream states neither worker incarnation nor takeover time, and is restarted.
+func TestAttemptsOfReplacedHTTPAgentEndWithItsConnection(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Second, MaxFailedRuns: 3, Payloads: make([][]byte, 1)})
+	m.Step(1, entry.LinkUp{Hello: wire.AgentHello{Agent: 2, Epoch: 1, Name: "w", Slots: 8}})
+	answers := answersIn(m.Step(2, entry.LinkDown{Agent: 1, Epoch: 1}))
+	assert.Equal(t, len(answers), 1)
+}
+
+// Guards against an answer that says that the outcome is unknown while the agent may still
+// report it: the agent of the lost connection has replaced the one that is connected.
+func TestEarlierHTTPAgentIsNotTakenForSuccessor(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: new(newestAgentScheduler)})
+	m.Step(0, linkUp(1, 0))
+	m.Step(1, entry.LinkUp{Hello: wire.AgentHello{Agent: 2, Epoch: 1, Name: "w", Slots: 8}})
+	submit := entry.Submit{Submission: testJob, Deadline: time.Second, MaxFailedRuns: 3, Payloads: make([][]byte, 1)}
+	assert.DeepEqual(t, startedAt(m.Step(2, submit)), []wire.Incarnation{2})
+	assert.Equal(t, len(answersIn(m.Step(3, entry.LinkDown{Agent: 2, Epoch: 1}))), 0)
+}
+
 // startedAt returns the agents to which starts are sent.
 func startedAt(actions []entry.Action) (out []wire.Incarnation) {
 	for _, a := range actions {
