entry: count only ticks made after a pause towards the hold of starts

After a pause of an entry, a task could be started again within microseconds, before the entry noticed that its caller had left during the pause: two runs of a task are possible once the caller has sent its job to another entry.

Cause: starts are held back for five ticks, and a tick counted when it was handled. Ticks that waited in the event queue since before the pause are all handled at once on waking, and so was the tick of a timer that had been set for a retry.

Test, before: TestTicksQueuedBeforeAPauseDoNotEndTheHold: assertion failed: 2 (m.Stats().Starts uint64) != 1 (uint64): started again 6 us after waking

A tick now carries the time at which it was made (0: when it is handled), and counts only if that is later than the end of the pause. The tick of the retry timer states when the timer was set; that never happens while starts are held back, so it never counts.

The test states when its ticks were made, and then also requires that the fifth tick made after the pause, and none before it, ends the hold. In this form it fails in the same way under the old rule. The model of TestResentJobsRunOnceAtATime states the times of its ticks as well. That internal/entryd sets them is not covered by a test.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -122,6 +122,7 @@
 	draining       bool
 	drained        bool
 	steppedAt      time.Duration // time of the last step
+	resumedAt      time.Duration // end of the last pause
 	heldTicks      int           // ticks until starts are no longer held back after a pause
 	closedBefore   time.Duration // end of the last long pause: nothing is started of jobs received before
 	// storedJobs holds the stored jobs in progress by name. Their tasks may be
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -155,7 +155,12 @@
 type EntriesChanged struct{ List []wire.EntryAddr }
 
 // Tick triggers time-driven work. It should be delivered about every 10 ms.
-type Tick struct{}
+type Tick struct {
+	// MadeAt is when the tick was made, on the machine's clock: a tick that waited in a
+	// queue while the process was paused does not count towards SettleTicks. 0 means now.
+	// A tick of a timer for NextRetry should state when the timer was set.
+	MadeAt time.Duration
+}
 
 // Drain begins the graceful shutdown: new jobs are refused as not run.
 type Drain struct{}
--- a/core/entry/pause.go
+++ b/core/entry/pause.go
@@ -12,7 +12,7 @@
 	// its job then fails: the run ends with its lease at the worker 0.72 s later, before
 	// the caller sends the job again.
 	MinPause = 400 * time.Millisecond
-	// SettleTicks is the number of ticks after a pause during which nothing is started.
+	// SettleTicks is the number of ticks made after a pause during which nothing is started.
 	// The end of a connection that was closed during the pause is noticed as soon as the
 	// process runs; ticks rather than time are counted because a process that wakes may
 	// get little processor time.
@@ -32,10 +32,14 @@
 func (m *Machine) notePause(now time.Duration, ev Event) {
 	gap := now - m.steppedAt
 	m.steppedAt = now
-	_, tick := ev.(Tick)
+	tick, isTick := ev.(Tick)
+	if tick.MadeAt == 0 {
+		tick.MadeAt = now
+	}
 	switch {
 	case m.opts.ResendDelay == 0:
 	case gap >= MinPause:
+		m.resumedAt = now
 		m.heldTicks = SettleTicks
 		if m.pauseObserver != nil {
 			m.pauseObserver.Resumed(now)
@@ -46,7 +50,7 @@
 			closed = m.closeJobs(now)
 		}
 		m.emit(Paused{Duration: gap, Jobs: closed})
-	case m.heldTicks > 0 && tick:
+	case m.heldTicks > 0 && isTick && tick.MadeAt > m.resumedAt:
 		m.heldTicks--
 	}
 }
--- a/core/entry/pause_test.go
+++ b/core/entry/pause_test.go
@@ -242,3 +242,30 @@
 	x.tick(x.now + 120*time.Millisecond)
 	assert.Equal(t, x.starts, 2)
 }
+
+// Guards against starts right after a pause: ticks that were made before it (the core was
+// behind by six, or a timer for a retry was set) are handled at once on waking, before lost callers can be noticed.
+func TestTicksQueuedBeforeAPauseDoNotEndTheHold(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}, ResendDelay: 1300 * time.Millisecond})
+	m.Step(1, linkUp(1, 0))
+	m.Step(2, entry.Tick{})
+	f, _ := mergeFrames(m.Step(3, entry.Submit{Submission: testJob, Deadline: 10 * time.Second, MaxFailedRuns: 3, Payloads: make([][]byte, 1)}))
+	assert.Equal(t, len(f.Starts), 1)
+	wake := 900 * time.Millisecond
+	m.Step(wake, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+		Results: []wire.Result{{Seq: 1, Outcome: wire.Failed, Reason: wire.ReasonRunEnded}},
+	}})
+	made := 10 * time.Millisecond
+	for i := range 6 {
+		m.Step(wake+time.Duration(i)*time.Microsecond, entry.Tick{MadeAt: made})
+		made += 20 * time.Millisecond
+	}
+	m.Step(wake+6*time.Microsecond, entry.Tick{MadeAt: wake})
+	assert.Equal(t, m.Stats().Starts, uint64(1), "started again 6 us after waking")
+	for i := range time.Duration(entry.SettleTicks) {
+		assert.Equal(t, m.Stats().Starts, uint64(1), "started again after %d ticks", i)
+		made := wake + (i+1)*20*time.Millisecond
+		m.Step(made+time.Millisecond, entry.Tick{MadeAt: made})
+	}
+	assert.Equal(t, m.Stats().Starts, uint64(2))
+}
--- a/core/entry/resend_test.go
+++ b/core/entry/resend_test.go
@@ -152,7 +152,7 @@
 		w.closeSilent(h)
 	}
 	if w.now%(4*modelStep) == 0 {
-		w.queue = slices.Insert(w.queue, w.draw(len(w.queue)), entry.Event(entry.Tick{}))
+		w.queue = slices.Insert(w.queue, w.draw(len(w.queue)), entry.Event(entry.Tick{MadeAt: w.now}))
 	}
 	if w.draw(30) == 0 {
 		return // the core gets no processor time; a pause may begin before it handles the events
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -38,6 +38,7 @@
 	links      map[wire.Incarnation]openLink
 	retryTimer *time.Timer   // fires when the next retry is due
 	retryAt    time.Duration // 0 if the timer is not set for a retry
+	retrySetAt time.Duration // when the timer was set
 }
 
 func (e *Entry) coreLoop() {
@@ -49,7 +50,7 @@
 	}
 	c := &core{
 		e: e, machine: entry.New(opts), links: make(map[wire.Incarnation]openLink),
-		retryTimer: time.NewTimer(tickInterval),
+		retryTimer: time.NewTimer(tickInterval), retrySetAt: e.now(),
 	}
 	defer c.retryTimer.Stop()
 	defer func() {
@@ -66,7 +67,9 @@
 			c.handleEvent(ev)
 		case <-c.retryTimer.C:
 			c.retryAt = 0
-			c.step(entry.Tick{})
+			// The timer is not set while starts are held back after a pause, so its ticks
+			// do not count towards entry.SettleTicks.
+			c.step(entry.Tick{MadeAt: c.retrySetAt})
 		}
 		c.resetRetryTimer()
 	}
@@ -80,8 +83,8 @@
 	if !ok || at == c.retryAt {
 		return
 	}
-	c.retryAt = at
-	c.retryTimer.Reset(max(0, at-c.e.now()))
+	c.retryAt, c.retrySetAt = at, c.e.now()
+	c.retryTimer.Reset(max(0, at-c.retrySetAt))
 }
 
 // step passes an event to the machine and applies the resulting actions.
@@ -197,9 +200,10 @@
 		case <-e.ctx.Done():
 			return
 		case <-t.C:
-			e.pauses.tick(e.now())
+			now := e.now()
+			e.pauses.tick(now)
 			select {
-			case e.events <- entry.Tick{}:
+			case e.events <- entry.Tick{MadeAt: now}:
 			default: // the queue is full; a later tick has the same effect
 			}
 		}
