entry: remove lost agents only after the hold that follows a pause

A task of a stored job could run twice at the same time, and callers could be told that an outcome is unknown although the agent of the run was connected.

Cause: internal/entryd answers the hello of an agent before the machine handles its connection, and the answer renews the lease of the runs there. If the entry is paused in between, the first tick afterwards found the agent lost for 1.4 s and removed it, and its tasks started again, while the runs were permitted by the answered hello.

Lost agents are now neither given up nor removed while starts are held back after a pause. Nothing would be started in this time anyway, and connections that were accepted before the pause reach the machine before the hold ends: ticks from before the pause do not count towards it. The agent is then queried instead.

Cancelling the attempts of a removed agent when it connects is not enough: in the second test the agent is paused as well, so that the run ends only with the worker's lease.

Not covered: a machine without ResendDelay notices no pauses, so it still removes the agent. internal/fleet sets ResendDelay.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -259,7 +259,8 @@
 }
 
 // checkLinks sends heartbeats, gives up the attempts at agents that are lost, and removes
-// these agents once their runs must have ended.
+// these agents once their runs must have ended. After a pause it first awaits the connections
+// that were accepted before: they renewed the lease of the runs at agents that count as lost.
 func (m *Machine) checkLinks(now time.Duration) {
 	var expired []*agentLink
 	for _, link := range m.agentList {
@@ -269,6 +270,7 @@
 		switch {
 		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
 			m.scheduleSend(link)
+		case !link.up && m.startsHeld():
 		case !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout):
 			expired = append(expired, link)
 		case !link.up && !link.givenUp && now-link.downAt >= m.opts.LostAgentTimeout:
--- a/core/entry/pause_test.go
+++ b/core/entry/pause_test.go
@@ -269,3 +269,27 @@
 	}
 	assert.Equal(t, m.Stats().Starts, uint64(2))
 }
+
+// Guards against two runs of a task at the same time: entryd answers a hello before the
+// machine knows of it, which renews the lease of the runs at the agent. If the process is
+// paused in between (here from 0.45 s to 1.42 s), a tick precedes the connection.
+func TestAgentWhoseConnectionWasAcceptedBeforePauseIsNotRemoved(t *testing.T) {
+	m := entry.New(entry.Options{
+		Incarnation: 1, Scheduler: new(newestAgentScheduler), LostAgentTimeout: 400 * time.Millisecond, ResendDelay: resendDelay,
+	})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.StoredLease{Until: time.Hour})
+	m.Step(0, entry.Submit{Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, 1), Stored: true})
+	assert.Equal(t, m.Stats().Starts, uint64(1))
+	m.Step(time.Millisecond, entry.LinkUp{Hello: wire.AgentHello{Agent: 2, Epoch: 1, Name: "v", Slots: 8}})
+	m.Step(2*time.Millisecond, entry.LinkDown{Agent: 1, Epoch: 1})
+	m.Step(440*time.Millisecond, entry.Tick{})
+	// 0.45 s: hello of agent 1 answered; its runs are permitted until 0.95 s and end by 1.67 s.
+	m.Step(1420*time.Millisecond, entry.Tick{})
+	f, _ := mergeFrames(m.Step(1421*time.Millisecond, linkUp(2, 0)))
+	assert.DeepEqual(t, f.Queries, []wire.Seq{1})
+	for at := 1440 * time.Millisecond; at < 1700*time.Millisecond; at += 20 * time.Millisecond {
+		m.Step(at, entry.Tick{})
+	}
+	assert.Equal(t, m.Stats().Starts, uint64(1))
+}
--- a/core/entry/resend_test.go
+++ b/core/entry/resend_test.go
@@ -458,6 +458,43 @@
 	}
 }
 
+// Guards against a run that goes on while its task runs again: the connection of its agent
+// was accepted before the entry was paused, and is handled after the agent was removed.
+func TestRunAtAgentThatWasRemovedDoesNotGoOn(t *testing.T) {
+	for _, pause := range []time.Duration{900, 920, 940, 960, 980, 1000, 1040, 1100} {
+		var failure string
+		busyCore := false
+		draw := func(limit int) int {
+			if busyCore {
+				return 0
+			}
+			return limit
+		}
+		w := newResendWorld(2, func(format string, args ...any) { failure = fmt.Sprintf(format, args...) }, draw)
+		w.submitStored()
+		w.advance(200 * time.Millisecond)
+		busy := w.hosts[slices.IndexFunc(w.hosts, func(h *resendHost) bool { return len(h.runs) > 0 })]
+		// The result of another run makes the entry's clock echo as new as possible.
+		busy.toEntry = append(busy.toEntry, entry.Received{Agent: busy.incarnation, Epoch: busy.epoch, Frame: &wire.ToEntry{AgentClock: wire.MicrosOf(w.now)}})
+		w.advance(modelStep)
+		w.queue = append(w.queue, entry.EntriesChanged{List: []wire.EntryAddr{{Incarnation: 1, Peer: "a"}}})
+		w.advance(2 * modelStep)
+		w.resetLink(busy, 440*time.Millisecond)
+		w.advance(430 * time.Millisecond)
+		busyCore = true // accepts connections and makes ticks, but handles no event
+		for !busy.accepted {
+			w.advance(modelStep)
+		}
+		w.advance(4 * modelStep)
+		w.pausedUntil = w.now + pause*time.Millisecond
+		busyCore = false
+		w.advance(modelRunLease - 8*modelStep)
+		busy.pausedUntil = w.now + time.Minute // just before it stops its runs
+		w.advance(6 * time.Second)
+		assert.Equal(t, failure, "", "pause of %v", pause*time.Millisecond)
+	}
+}
+
 // Guards against two runs of a job at the same time while the entry and its agents are
 // paused, connections are cut or break, and callers send their jobs again.
 func TestResentJobsRunOnceAtATime(t *testing.T) {
