entry: count a failed run that is reported again once

Cause: applies the report of a finished run to a task that is queued again after a lost run. It did not check that the run was lost: a failed run whose result had been applied already was counted a second time when its agent reported it again, which it does after 0.7 s without an acknowledgement. The report now applies only to the lost run that the task waits to repeat.

Test: TestFailedRunThatIsReportedAgainCountsOnce (before: the job has ended).

--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -149,7 +149,7 @@
 			m.applyResult(now, t.link, finishedRunResult(t.seq, finished))
 		case t.runLost && t.runNumber == finished.Run.Run && (t.state == taskBackoff || t.state == taskAwaitingGang):
 			m.applyFinishedLostRun(now, t, finished)
-		case t.state == taskQueued && t.seq > 0 && t.runNumber == finished.Run.Run && t.job.steps[t.step].gang == nil:
+		case t.state == taskQueued && t.lostRun > 0 && t.lostRun == finished.Run.Run && t.job.steps[t.step].gang == nil:
 			// The task was queued again after the run was lost and has not been started.
 			m.scheduler.Remove(now, &t.schedTask)
 			t.lostRun = 0
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -236,6 +236,25 @@
 	assert.Equal(t, answers[0].Outcome, entry.Complete)
 }
 
+// Guards against a job that fails before its task has failed often enough: the agent
+// reports the failed run again, because nobody has acknowledged it, while the task is
+// queued for its next run.
+func TestFailedRunThatIsReportedAgainCountsOnce(t *testing.T) {
+	s := &closableScheduler{}
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: s})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+	m.Step(0, entry.Submit{Submission: testJob, Job: "j", Payloads: make([][]byte, 1), Stored: true, MaxFailedRuns: 2})
+	s.closed = true
+	m.Step(1, resultEvent(1, wire.Failed, wire.ReasonUpstreamError))
+	again := []wire.FinishedRun{{Run: wire.RunRef{Job: "j", Run: 1}, Failed: true}}
+	actions := m.Step(2, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{FinishedRuns: again}})
+	assert.Equal(t, len(answersIn(actions)), 0, "the job has ended")
+	s.closed = false
+	m.Step(3, entry.Tick{})
+	assert.Equal(t, int(m.Stats().Starts), 2)
+}
+
 // closableScheduler places no task while it is closed.
 type closableScheduler struct {
 	newestAgentScheduler
