lease: acknowledge nothing after an answer whose clock shows a restart

The owners of stored jobs would start tasks again that had succeeded: a worker that restarted within 300 ms of an answered poll, while the agent made no call, gets a start and then a poll with the number of the ended runs of its earlier incarnation. It discards its first finished runs, which nobody has seen, and the agent reports them as lost.

Cause: only a poll's answer was taken as a sign of a restart, and within minRestartTime the worker is assumed to be the same incarnation. The clock in the answer to the start already shows it: each incarnation counts from 0. A reading that is 0.2 s or more behind the one before now withholds acknowledgements until a poll that was sent later is answered. The tolerance is more than the time by which answers overtake each other.

Tests, before: TestRestartBetweenTwoPollsAcknowledgesNothing: 5 (s.polls[sent].AckUpTo int) != 0 (int) TestAnswersOutOfOrderAreNoRestart passes before and after; it fails without the tolerance.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -77,6 +77,10 @@
 	// maxClockAge bounds the age of the last reading of the worker's clock. The estimate
 	// is then behind that clock by at most 40 ms, 2% of the age.
 	maxClockAge = 2 * time.Second
+	// maxClockReorder is by how much a reading of the worker's clock may be behind the one
+	// that was handled before it, because answers are not handled in the order in which
+	// they were given: the longest wait of a call.
+	maxClockReorder = 200 * time.Millisecond
 	// unreliablePollWait and unreliablePeriod: a worker that has left a call unanswered is
 	// polled with short waits for a time, because it may leave the next poll unanswered
 	// as well, and the ends of runs are not seen until that poll times out.
@@ -192,6 +196,9 @@
 	pollFailed bool
 	// processGone is set if a poll since the last answer found the worker's process gone.
 	processGone bool
+	// clockFellAt is when an answer last showed that the worker's clock started anew, 0 if
+	// none did or if a poll sent since then was answered.
+	clockFellAt time.Duration
 	// unansweredAt is when a call was last found unanswered, 0 if none was.
 	unansweredAt time.Duration
 	polledAt     time.Duration // when the poll in flight was sent
@@ -288,9 +295,14 @@
 	return m.clock + time.Duration(slowestClockRate*float64(at-m.readAt))
 }
 
-// recordClock records a reading of the worker's clock, unless it is 0 (not known).
+// recordClock records a reading of the worker's clock, unless it is 0 (not known). A
+// reading that is far behind the one before is that of another incarnation, whose clock
+// starts from 0.
 func (m *Machine) recordClock(now time.Duration, clock time.Duration) {
 	if clock > 0 {
+		if clock < m.clock-maxClockReorder {
+			m.clockFellAt = now
+		}
 		m.clock = clock
 		m.readAt = now
 	}
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -75,8 +75,9 @@
 // nobody has seen, so the first poll after a failure or a pause acknowledges
 // nothing. The pause is counted from the sending of the last poll that was answered: the
 // answer may be handled long after the worker gave it, because this process was frozen.
+// The same holds after the answer to a start or a stop whose clock shows a restart.
 func (m *Machine) ackNumber(now time.Duration) int {
-	if m.pollFailed || now-m.answeredPollAt > minRestartTime {
+	if m.pollFailed || m.clockFellAt > 0 || now-m.answeredPollAt > minRestartTime {
 		return 0
 	}
 	return m.ackLimit()
@@ -112,6 +113,9 @@
 	m.answeredAt = now
 	m.answeredPollAt = m.polledAt
 	m.recordClock(now, status.Clock)
+	if m.clockFellAt <= m.polledAt {
+		m.clockFellAt = 0
+	}
 	if m.incarnation != 0 && status.Incarnation != 0 && status.Incarnation != m.incarnation {
 		m.workerRestarted()
 	} else {
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -179,3 +179,58 @@
 		}
 	}
 }
+
+// Guards against finished runs that the worker discards although nobody has seen them, so
+// that their tasks are run again: the worker restarted within minRestartTime while no call
+// was made, and a start reaches the new incarnation before any poll does. The low clock
+// in its answer shows the restart.
+func TestRestartBetweenTwoPollsAcknowledgesNothing(t *testing.T) {
+	for _, clock := range []time.Duration{time.Millisecond, time.Second} {
+		for _, stop := range []bool{false, true} { // whether a stop shows the restart, or the start
+			s := newPermissionScript()
+			earlier := s.start("earlier", 1, s.now+time.Hour)
+			s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
+			s.now += time.Millisecond
+			s.step(Polled{Status: &WorkerStatus{
+				Incarnation: 1, Clock: s.workerClock(s.now),
+				Ended: []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}},
+			}})
+			s.now += DefaultAckDelay
+			s.step(Tick{}) // sends the acknowledgement
+			s.answerPoll()
+			assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
+
+			s.now += minRestartTime / 3
+			sent := len(s.polls)
+			run := s.start("j", 2, s.now+time.Hour)
+			if stop {
+				s.step(Stopped{Run: run, Acknowledged: true, Clock: clock})
+			}
+			s.step(Started{Run: run, Result: StartAccepted, Clock: clock})
+			assert.Equal(t, len(s.polls), sent+1)
+			assert.Equal(t, s.polls[sent].AckUpTo, 0)
+
+			s.step(Polled{Status: &WorkerStatus{
+				Incarnation: 2, Clock: clock, Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}},
+			}})
+			assert.Equal(t, s.finished[len(s.finished)-1].Outcome, wire.Succeeded)
+		}
+	}
+}
+
+// Guards against acknowledgements that are withheld for good: answers of one incarnation
+// are handled in another order than they were given.
+func TestAnswersOutOfOrderAreNoRestart(t *testing.T) {
+	s := newPermissionScript()
+	run := s.start("j", 1, s.now+time.Hour)
+	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	s.now += 10 * time.Millisecond
+	s.step(Polled{Status: &WorkerStatus{
+		Incarnation: 1, Clock: s.workerClock(s.now), Running: []wire.RunRef{run},
+		Ended: []EndedRun{{Number: 5, Run: wire.RunRef{Job: "other", Run: 1}, Kind: EndedSucceeded}},
+	}})
+	s.now += 10 * time.Millisecond
+	s.step(Stopped{Run: wire.RunRef{Job: "other", Run: 1}, Acknowledged: true, Clock: s.workerClock(s.now - 30*time.Millisecond)})
+	s.answerPoll(run)
+	assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
+}
