lease, leased: withhold the acknowledgement of a poll that is sent late

The owners of stored jobs would start tasks again that had succeeded: a poll that was emitted before a freeze of the agent and sent after it acknowledges the ended runs of a worker that has restarted under its name and address by numbers of the earlier incarnation.

Cause: whether a poll may acknowledge was decided when it was emitted. It now states until when it may, and leased checks that when it sends it. A call that acknowledged nothing says so in its answer, so the machine repeats the acknowledgement.

--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -117,6 +117,9 @@
 	// ended. A worker that is frozen or cut off does not answer, but is not gone. No
 	// network lies between the agent and its worker that could refuse a connection.
 	ProcessGone bool
+	// AckWithheld states that the call acknowledged nothing, because it was sent after
+	// CallPoll.AckUntil.
+	AckWithheld bool
 }
 
 // Tick triggers time-driven work. Deliver it about every 50 ms.
@@ -149,7 +152,11 @@
 
 // CallPoll asks the caller to poll the worker's lists and to deliver Polled.
 type CallPoll struct {
-	AckUpTo  int           // acknowledges the ended runs up to this number
+	AckUpTo int // acknowledges the ended runs up to this number
+	// AckUntil is the time of the machine after which the call must acknowledge nothing,
+	// see Machine.ackNumber: it may be sent long after it was emitted, because the process
+	// was frozen.
+	AckUntil time.Duration
 	Deadline time.Duration // on the worker's clock; renews the lease until then, 0 for no renewal
 	MaxWait  time.Duration // how long the worker may wait for a run to end before it answers
 }
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -14,7 +14,7 @@
 	if m.polling || now < m.nextPoll {
 		return
 	}
-	call := CallPoll{AckUpTo: m.ackNumber(now)}
+	call := CallPoll{AckUpTo: m.ackNumber(now), AckUntil: m.answeredPollAt + minRestartTime}
 	switch {
 	case m.readAt == 0: // no answer from the worker so far
 	case m.pollFailed: // the worker may restart, and a delayed start may reach its next incarnation
@@ -109,6 +109,9 @@
 		}
 		return
 	}
+	if e.AckWithheld {
+		m.pollAck = 0
+	}
 	status := e.Status
 	m.answeredAt = now
 	m.answeredPollAt = m.polledAt
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -234,3 +234,21 @@
 	s.answerPoll(run)
 	assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
 }
+
+// Guards against ended runs that are never acknowledged: a call that was sent late
+// acknowledged nothing, and the machine counts them as acknowledged.
+func TestWithheldAcknowledgementIsRepeated(t *testing.T) {
+	s := newPermissionScript()
+	run := s.start("j", 1, s.now+time.Hour)
+	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	s.now += time.Millisecond
+	ended := []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}}
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.now += DefaultAckDelay
+	s.step(Tick{})
+	sent := len(s.polls)
+	assert.Equal(t, s.polls[sent-1].AckUpTo, 1)
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}, AckWithheld: true})
+	assert.Equal(t, len(s.polls), sent+1)
+	assert.Equal(t, s.polls[sent].AckUpTo, 1)
+}
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -206,11 +206,15 @@
 }
 
 func (u *Upstream) poll(ctx context.Context, x lease.CallPoll) lease.Event {
+	withheld := u.clock.Now() > x.AckUntil
+	if withheld {
+		x.AckUpTo = 0
+	}
 	status, err := u.opts.Worker.Poll(ctx, x)
 	if err != nil && u.opts.OnPollError != nil {
 		u.opts.OnPollError(err)
 	}
-	return lease.Polled{Status: status, ProcessGone: errors.Is(err, syscall.ECONNREFUSED)}
+	return lease.Polled{Status: status, ProcessGone: errors.Is(err, syscall.ECONNREFUSED), AckWithheld: withheld}
 }
 
 // probe polls the worker without an acknowledgement or a renewal and reports
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -57,6 +57,30 @@
 	assert.Equal(t, (<-worker.started).Run.Job, "j")
 }
 
+// pollRecorder records the polls that it gets.
+type pollRecorder struct {
+	idleWorker
+	polls []lease.CallPoll
+}
+
+func (w *pollRecorder) Poll(_ context.Context, call lease.CallPoll) (*lease.WorkerStatus, error) {
+	w.polls = append(w.polls, call)
+	return &lease.WorkerStatus{Incarnation: 1, Clock: 1}, nil
+}
+
+// Guards against finished runs that a restarted worker discards although nobody has seen
+// them: the process is frozen after a poll was emitted and before it is sent.
+func TestPollSentAfterFreezeAcknowledgesNothing(t *testing.T) {
+	clock := bootclock.New()
+	for until, want := range map[time.Duration]int{clock.Now() - 1: 0, clock.Now() + time.Hour: 5} {
+		w := new(pollRecorder)
+		u := &Upstream{opts: Options{Worker: w}, clock: clock}
+		answer := u.poll(t.Context(), lease.CallPoll{AckUpTo: 5, AckUntil: until})
+		assert.Equal(t, w.polls[0].AckUpTo, want)
+		assert.Equal(t, answer.(lease.Polled).AckWithheld, want == 0)
+	}
+}
+
 // deafWorker runs what is started and leaves every stop unanswered.
 type deafWorker struct {
 	clock bootclock.Clock
