durable: skip records of jobs that no process accepts

Every entry would end, one after the other: the record of an accepted job without steps panics in each entry that takes the job over (index out of range in DriveStoredJob, in the keeper's goroutine). With steps that depend on themselves or have no tasks, the owner would refuse the drive and be offered it again for good; huge times and run numbers overflow.

Cause: only the number of tasks of a decoded record was checked. The record of an accepted job now holds a job that a process accepts from callers, that of a status run numbers that cannot overflow; others are skipped with one log line (event 1210), as undecodable ones are. The bounds are those of the callers' interface or wider.

--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -131,8 +132,50 @@
 	Spec Spec
 }
 
-func (a *acceptance) check() error {
-	return checkStepSizes(a.Spec.stepSizes(), a.Spec.Schedule.Occurrences())
+func (a *acceptance) check() error { return a.Spec.check() }
+
+// Bounds of the values in a record. No caller's job exceeds them, and sums and durations
+// within them cannot overflow.
+const (
+	maxNeed   = 1 << 40
+	maxTimeMs = 1 << 45 // a Unix time in milliseconds, or the time between two
+	maxRun    = 1 << 40 // number of a run
+)
+
+// check reports an error if no process accepts such a job. Its owner could not run it.
+func (s *Spec) check() error {
+	if len(s.Steps) == 0 {
+		return errors.New("job without steps")
+	}
+	if t := &s.Schedule; t.Count < 0 || min(t.StartMs, t.PeriodMs) < 0 || max(t.StartMs, t.PeriodMs) > maxTimeMs {
+		return fmt.Errorf("schedule out of range: %d occurrences from %d ms on, every %d ms", t.Count, t.StartMs, t.PeriodMs)
+	}
+	for i := range s.Steps {
+		if err := checkStep(i, &s.Steps[i]); err != nil {
+			return err
+		}
+	}
+	return checkStepSizes(s.stepSizes(), s.Schedule.Occurrences())
+}
+
+// checkStep checks step i of a job.
+func checkStep(i int, s *entry.Step) error {
+	if s.Tasks < 1 {
+		return fmt.Errorf("step %d has %d tasks, want at least 1", i, s.Tasks)
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= i {
+			return fmt.Errorf("step %d depends on step %d, want an earlier one", i, d)
+		}
+	}
+	n := s.Need
+	if min(n.MilliCores, n.MemoryMB, n.Accelerators) < 0 || max(n.MilliCores, n.MemoryMB, n.Accelerators) > maxNeed {
+		return fmt.Errorf("step %d needs %+v, each must be 0 to %d", i, n, int64(maxNeed))
+	}
+	if s.DeclaredRunTime < 0 || s.DeclaredRunTime > wire.MaxMicros.Duration() || s.MaxPerWorker < 0 {
+		return fmt.Errorf("step %d has a run time of %v and at most %d tasks on a worker", i, s.DeclaredRunTime, s.MaxPerWorker)
+	}
+	return nil
 }
 
 // checkStepSizes reports an error if no accepted job can have these steps.
@@ -165,7 +208,17 @@
 // occurrences returns how many times the steps run, at least 1.
 func (s *jobStatus) occurrences() int { return min(max(1, s.Occurrences), wire.MaxOccurrences) }
 
-func (s *jobStatus) check() error { return checkStepSizes(s.StepSizes, s.occurrences()) }
+func (s *jobStatus) check() error {
+	if s.RunBase < 0 || s.RunBase > maxRun {
+		return fmt.Errorf("run %d out of range", s.RunBase)
+	}
+	for i := range s.Tasks {
+		if t := &s.Tasks[i]; t.Run < 0 || t.Run > maxRun || t.Failures < 0 {
+			return fmt.Errorf("task %d with %d failures and run %d out of range", t.Index, t.Failures, t.Run)
+		}
+	}
+	return checkStepSizes(s.StepSizes, s.occurrences())
+}
 
 // taskStatus is the recorded progress of one task.
 type taskStatus struct {
