entry: count only failed runs as failures of a task

Cause: the agent stops a run of its own accord if its start was left unanswered three times and a list of the worker lacks it. If the worker carries out the start before that stop, it lists the run as stopped, and the agent reports Failed with ReasonStopped, as for a cancel. The entry counted every reason but ReasonRunEnded, ReasonStuck and ReasonWorkerCrashed as a failure of the task, so as many such starts as the class allows attempts failed the job. The record of the job never has these failures, so an entry that takes the job over counts fewer. Gangs and the record counted ReasonUpstreamError alone already.

Now one function, failedByItself, decides it for tasks, gangs and the record: the worker lists the run as failed. ReasonUpstreamError is the only reason of an outcome Failed that says so: a run that reaches its limit (ReasonRunLimit) or loses its connection (ReasonConnectionLost) ends as Unknown, and the other reasons belong to the worker, its lease or a stop. A job that is not stored is bounded by its deadline; a stored job was repeated without bound after ReasonRunEnded before.

Evidence: TestRunsStoppedAfterUnansweredStartsAreNoFailures connects the entry, both state machines of the agent and a worker. Before, the job had failed after 0.25 s, with two runs that were stopped; now it completes after four of them. TestStoppedRunsAreNoFailuresOfTheTask failed for ReasonStopped.

Ruled out: runs that are stopped because their entry was frozen or its link silent. core/lease reports these as ReasonRunEnded. TestRunsStoppedWhileEntryIsFrozenAreNoFailures passed before; it failed with that distinction (!r.orphan) removed by hand.

--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -39,7 +39,7 @@
 		m.gangNotRun(now, t, r.Reason)
 	case wire.Failed:
 		t.job.runRepeated = true
-		g.runFailed = g.runFailed || r.Reason == wire.ReasonUpstreamError
+		g.runFailed = g.runFailed || failedByItself(r)
 		g.runCrashed = g.runCrashed || r.Reason == wire.ReasonWorkerCrashed
 		m.cancelGangMembers(s, t.job)
 	default: // the run is lost; the other members may still succeed
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -52,7 +52,7 @@
 // reportFinishedRun reports a run for recording if the task succeeded or itself
 // failed.
 func (m *Machine) reportFinishedRun(link *agentLink, t *task, r *wire.Result) {
-	failed := r.Outcome == wire.Failed && r.Reason == wire.ReasonUpstreamError
+	failed := failedByItself(r)
 	if r.Outcome == wire.Succeeded || failed {
 		m.emit(RunFinished{Agent: link.incarnation, Run: wire.FinishedRun{Run: t.ref(), Failed: failed, Checkpoint: r.Checkpoint}})
 	}
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -170,17 +170,23 @@
 	return &adjusted
 }
 
+// failedByItself reports whether the task itself failed: its worker lists the run as
+// failed. Only such runs count as failures of the task, in memory as in the record of a
+// stored job. A run that was stopped, or ended with its worker or its lease, says nothing
+// about the task.
+func failedByItself(r *wire.Result) bool {
+	return r.Outcome == wire.Failed && r.Reason == wire.ReasonUpstreamError
+}
+
 // taskFailed runs the task again if its job allows that, and otherwise aborts
-// the job. A run that ended with its worker or was stuck is not a failure of
-// the task, but the crashes of workers under it are counted.
+// the job.
 func (m *Machine) taskFailed(now time.Duration, t *task, r *wire.Result) {
 	j := t.job
-	switch r.Reason {
-	case wire.ReasonRunEnded, wire.ReasonStuck:
-	case wire.ReasonWorkerCrashed:
-		m.countCrash(t, r)
-	default:
+	switch {
+	case failedByItself(r):
 		t.failures++
+	case r.Reason == wire.ReasonWorkerCrashed:
+		m.countCrash(t, r)
 	}
 	reason := t.exhausted()
 	if j.closed {
