entry: count crashes of workers for each member of a gang

Callers could see a job as failed under none of whose tasks two workers had crashed (LOST: a job may be given up once two workers crashed under one task).

Cause: a gang counted its runs in which any worker crashed. Three unrelated crashes, under three members, failed the job. Crashes are now counted for each member, as for other tasks, and the gang fails with the first member that reaches the limit. A member that ends its workers is still started three times. The record keeps the highest count of a member, as its key is the first member; an entry that takes the job over assumes it for all of them, so it may give the gang up a run early, but only after two crashes under one member.

Evidence: TestCrashesUnderDifferentMembersOfGangAreCountedApart failed before: the job ended after three runs with a crash each under another member. TestCrashesUnderGangAreThoseOfOneMember shows what is recorded; the record was right before.

--- a/core/durable/crashes_test.go
+++ b/core/durable/crashes_test.go
@@ -101,3 +101,29 @@
 		assert.Assert(t, r.Key[0] != 'x', "the crash record is kept")
 	}
 }
+
+// Guards against crashes under members of a gang that are lost with their owner, and
+// against the sum of the members' crashes in their place: the gang would be given up
+// although under none of its tasks two workers crashed.
+func TestCrashesUnderGangAreThoseOfOneMember(t *testing.T) {
+	first := newScriptedLog(7, nil)
+	first.step(durable.Submit{Token: 1, Spec: durable.Spec{ID: "j", MaxFailedRuns: 2, Steps: []entry.Step{{Tasks: 3, Gang: true}}}})
+	first.step(durable.Tick{})
+	for _, x := range []durable.RunCrashed{
+		{Run: wire.RunRef{Job: "j", Index: 1, Run: 1}, Crashes: 1},
+		{Run: wire.RunRef{Job: "j", Index: 2, Run: 2}, Crashes: 1},
+		{Run: wire.RunRef{Job: "j", Index: 2, Run: 3}, Crashes: 2},
+		{Run: wire.RunRef{Job: "j", Index: 0, Run: 4}, Crashes: 1},
+	} {
+		first.step(x)
+	}
+	first.step(durable.Tick{})
+
+	second := newScriptedLog(9, first.newest())
+	second.records = first.records
+	for range 100 {
+		second.step(durable.Tick{})
+	}
+	assert.Equal(t, len(second.drives), 1)
+	assert.DeepEqual(t, second.drives[0].Progress, []entry.TaskProgress{{Crashes: 2}, {}, {}})
+}
--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -133,6 +133,43 @@
 	assert.Equal(t, answersIn(last)[0].Reason, entry.ReasonWorkersCrashed)
 }
 
+// Guards against a gang that is given up although under none of its tasks two workers have
+// crashed, and against members that keep ending their workers after a takeover.
+func TestCrashesUnderDifferentMembersOfGangAreCountedApart(t *testing.T) {
+	const members = 3
+	crash := func(m *entry.Machine, run, member int) []entry.Action {
+		now := time.Duration(run+1) * time.Second
+		m.Step(now, entry.Tick{})
+		frame := &wire.ToEntry{}
+		for i := range members {
+			reason := wire.ReasonRunEnded
+			if i == member {
+				reason = wire.ReasonWorkerCrashed
+			}
+			frame.Results = append(frame.Results, wire.Result{Seq: wire.Seq(members*run + i + 1), Outcome: wire.Failed, Reason: reason})
+		}
+		return m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: frame})
+	}
+	start := func(progress []entry.TaskProgress) *entry.Machine {
+		m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+		m.Step(0, linkUp(1, 0))
+		m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+		m.Step(0, entry.Submit{
+			Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, members), Stored: true,
+			Steps: []entry.Step{{Tasks: members, Gang: true}}, Progress: progress,
+		})
+		return m
+	}
+	m := start(nil)
+	for run, member := range []int{0, 1, 2, 2, 1, 0} {
+		assert.Equal(t, len(answersIn(crash(m, run, member))), 0, "run %d", run)
+	}
+	assert.Equal(t, answersIn(crash(m, 6, 1))[0].Reason, entry.ReasonWorkersCrashed)
+
+	m = start([]entry.TaskProgress{{Crashes: 2}, {}, {}})
+	assert.Equal(t, answersIn(crash(m, 0, 2))[0].Reason, entry.ReasonWorkersCrashed)
+}
+
 // Guards against a job that is given up because its task ran beside one that ends the
 // process of its worker: after two crashes a task runs alone.
 func TestTaskRunsAloneAfterTwoCrashes(t *testing.T) {
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -13,12 +13,9 @@
 // Invariant: the members are enqueued together, once the attempts of all
 // members in the previous run are known to have ended.
 type gang struct {
-	failures  int  // runs in which a member itself failed
-	runFailed bool // a member of the current run itself failed
-	// runCrashed is set if a worker crashed under a member of the current run. The
-	// crashes are counted with the first member, once for each run.
-	runCrashed bool
-	retryAt    time.Duration // earliest start of the next run
+	failures  int           // runs in which a member itself failed
+	runFailed bool          // a member of the current run itself failed
+	retryAt   time.Duration // earliest start of the next run
 }
 
 // gangMembers returns the tasks of a gang's step.
@@ -40,7 +37,9 @@
 	case wire.Failed:
 		t.job.runRepeated = true
 		g.runFailed = g.runFailed || failedByItself(r)
-		g.runCrashed = g.runCrashed || r.Reason == wire.ReasonWorkerCrashed
+		if r.Reason == wire.ReasonWorkerCrashed {
+			m.countCrash(t, r)
+		}
 		m.cancelGangMembers(s, t.job)
 	default: // the run is lost; the other members may still succeed
 		t.runLost = true
@@ -108,25 +107,21 @@
 // flight, or aborts the job if the gang may not run again.
 func (m *Machine) retryGang(now time.Duration, j *job, s *step) {
 	members := j.gangMembers(s)
-	run, checkpoint := 0, ""
+	run, checkpoint, crashes := 0, "", 0
 	for i := range members {
 		if members[i].state != taskAwaitingGang {
 			return
 		}
 		run = max(run, members[i].runNumber)
 		checkpoint = max(checkpoint, members[i].checkpoint) // any member's checkpoint is valid for the gang
+		crashes = max(crashes, members[i].crashes)
 	}
 	g := s.gang
 	if g.runFailed {
 		g.runFailed = false
 		g.failures++
 	}
-	if g.runCrashed {
-		g.runCrashed = false
-		members[0].runNumber = run
-		m.countCrash(&members[0], &wire.Result{})
-	}
-	if members[0].crashes >= maxWorkerCrashes {
+	if crashes >= maxWorkerCrashes {
 		j.taskFailed = true
 		m.abortJob(now, j, ReasonWorkersCrashed)
 		return
@@ -153,12 +148,14 @@
 }
 
 // restoreGang restores the progress of a gang, which is recorded with its first
-// member. The success of one member counts for all.
+// member. The success of one member counts for all. The crashes are those of the member
+// under which most workers crashed.
 func (j *job) restoreGang(s *step) {
 	members := j.gangMembers(s)
 	s.gang.failures = members[0].failures
 	for i := range members {
 		members[i].checkpoint = members[0].checkpoint
+		members[i].crashes = members[0].crashes
 	}
 	if members[0].state != taskDone {
 		return
