Log which task failed a job, and how often

The end of a job that failed was logged as "failed task_failed" or "failed workers_crashed". Callers see no change.

Tests of core/entry that expect a failed job now check the line as well.

--- a/core/entry/crashes.go
+++ b/core/entry/crashes.go
@@ -110,7 +110,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if reason := t.exhausted(); t.state != taskDone && reason != "" {
-			j.taskFailed = true
+			j.failBecauseOf(t, wire.ReasonNone)
 			m.abortJob(now, j, reason)
 			return
 		}
--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	assert.Equal(t, len(f.Starts), 0)
 	assert.Equal(t, answersIn(actions)[0].Outcome, entry.Failed)
 	assert.Equal(t, answersIn(actions)[0].Reason, entry.ReasonWorkersCrashed)
+	assert.Equal(t, answersIn(actions)[0].Detail, "task 0.0.0 after run 3: failed runs 0 of 3, worker crashes 3 of 3, last run worker_crashed")
 }
 
 // Guards against a task that uses up its failed runs because its workers crash, and
@@ -84,6 +86,8 @@
 		}
 		assert.Equal(t, len(f.Starts), 0, "%+v", c.progress)
 		assert.Equal(t, answersIn(actions)[0].Reason, c.reason)
+		assert.Equal(t, answersIn(actions)[0].Detail, fmt.Sprintf(
+			"task 0.0.1 after run 0: failed runs %d of 2, worker crashes %d of 3, last run none", c.progress.Failures, c.progress.Crashes))
 		assert.Equal(t, answersIn(actions)[0].Outcome, entry.Failed)
 	}
 }
@@ -137,34 +141,47 @@
 // crashed, and against members that keep ending their workers after a takeover.
 func TestCrashesUnderDifferentMembersOfGangAreCountedApart(t *testing.T) {
 	const members = 3
-	crash := func(m *entry.Machine, run, member int) []entry.Action {
-		now := time.Duration(run+1) * time.Second
-		m.Step(now, entry.Tick{})
-		frame := &wire.ToEntry{}
-		for i := range members {
-			reason := wire.ReasonRunEnded
-			if i == member {
-				reason = wire.ReasonWorkerCrashed
-			}
-			frame.Results = append(frame.Results, wire.Result{Seq: wire.Seq(members*run + i + 1), Outcome: wire.Failed, Reason: reason})
-		}
-		return m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: frame})
+	var open []wire.Start // of the current run
+	record := func(actions []entry.Action) {
+		f, _ := mergeFrames(actions)
+		open = append(open, f.Starts...)
 	}
 	start := func(progress []entry.TaskProgress) *entry.Machine {
+		open = nil
 		m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
 		m.Step(0, linkUp(1, 0))
 		m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
-		m.Step(0, entry.Submit{
+		record(m.Step(0, entry.Submit{
 			Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, members), Stored: true,
 			Steps: []entry.Step{{Tasks: members, Gang: true}}, Progress: progress,
-		})
+		}))
 		return m
 	}
+	// crash ends the run in which the worker of one member crashes.
+	crash := func(m *entry.Machine, run, member int) []entry.Action {
+		now := time.Duration(run+1) * time.Second
+		record(m.Step(now, entry.Tick{}))
+		assert.Equal(t, len(open), members)
+		frame := &wire.ToEntry{}
+		for _, s := range open {
+			reason := wire.ReasonRunEnded
+			if s.Index == member {
+				reason = wire.ReasonWorkerCrashed
+			}
+			frame.Results = append(frame.Results, wire.Result{Seq: s.Seq, Outcome: wire.Failed, Reason: reason})
+		}
+		open = nil
+		actions := m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: frame})
+		record(actions)
+		return actions
+	}
 	m := start(nil)
 	for run, member := range []int{0, 1, 2, 2, 1, 0} {
 		assert.Equal(t, len(answersIn(crash(m, run, member))), 0, "run %d", run)
 	}
-	assert.Equal(t, answersIn(crash(m, 6, 1))[0].Reason, entry.ReasonWorkersCrashed)
+	last := answersIn(crash(m, 6, 1))[0]
+	assert.Equal(t, last.Reason, entry.ReasonWorkersCrashed)
+	assert.Equal(t, last.Detail, "task 0.0.1 after run 7: failed runs 0 of 2, worker crashes 3 of 3, last run worker_crashed")
 
 	m = start([]entry.TaskProgress{{Crashes: 2}, {}, {}})
 	assert.Equal(t, answersIn(crash(m, 0, 2))[0].Reason, entry.ReasonWorkersCrashed)
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -319,7 +319,7 @@
 	Outcome JobOutcome
 	// Reason is a machine-readable name, empty for Complete.
 	Reason string
-	// Detail gives the figures behind a refusal, for the log.
+	// Detail gives the figures behind a refusal or a failed task, for the log.
 	Detail string
 	// RetryAfter is set on Refused if a retry is safe and may succeed.
 	RetryAfter time.Duration
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -13,9 +14,9 @@
 // Invariant: the members are enqueued together, once the attempts of all
 // members in the previous run are known to have ended.
 type gang struct {
-	failures  int           // runs in which a member itself failed
-	runFailed bool          // a member of the current run itself failed
-	retryAt   time.Duration // earliest start of the next run
+	failures     int           // runs in which a member itself failed
+	failedMember *task         // a member that itself failed in the current run, nil if none did
+	retryAt      time.Duration // earliest start of the next run
 }
 
 // gangMembers returns the tasks of a gang's step.
@@ -36,15 +37,17 @@
 		m.gangNotRun(now, t, r.Reason)
 	case wire.Failed:
 		t.job.runRepeated = true
-		g.runFailed = g.runFailed || failedByItself(r)
-		if r.Reason == wire.ReasonWorkerCrashed {
+		switch {
+		case failedByItself(r):
+			g.failedMember = t
+		case r.Reason == wire.ReasonWorkerCrashed:
 			m.countCrash(t, r)
 		}
 		m.cancelGangMembers(s, t.job)
 	default: // the run is lost; the other members may still succeed
 		t.runLost = true
 	}
-	m.retryGang(now, t.job, s)
+	m.retryGang(now, t.job, s, r.Reason)
 	m.finishIfSettled(now, t.job)
 }
 
@@ -104,31 +107,37 @@
 }
 
 // retryGang begins the next run of a gang once none of its members is in
-// flight, or aborts the job if the gang may not run again.
-func (m *Machine) retryGang(now time.Duration, j *job, s *step) {
+// flight, or aborts the job if the gang may not run again. lastEnd is the reason of the
+// attempt that ended last.
+func (m *Machine) retryGang(now time.Duration, j *job, s *step, lastEnd wire.Reason) {
 	members := j.gangMembers(s)
-	run, checkpoint, crashes := 0, "", 0
+	run, checkpoint := 0, ""
+	mostCrashes := &members[0]
 	for i := range members {
 		if members[i].state != taskAwaitingGang {
 			return
 		}
 		run = max(run, members[i].runNumber)
 		checkpoint = max(checkpoint, members[i].checkpoint) // any member's checkpoint is valid for the gang
-		crashes = max(crashes, members[i].crashes)
+		if members[i].crashes > mostCrashes.crashes {
+			mostCrashes = &members[i]
+		}
 	}
 	g := s.gang
-	if g.runFailed {
-		g.runFailed = false
+	failed := cmp.Or(g.failedMember, mostCrashes)
+	if g.failedMember != nil {
+		g.failedMember = nil
 		g.failures++
+		lastEnd = wire.ReasonUpstreamError
 	}
-	if crashes >= maxWorkerCrashes {
-		j.taskFailed = true
+	if mostCrashes.crashes >= maxWorkerCrashes {
+		j.failBecauseOf(mostCrashes, wire.ReasonWorkerCrashed)
 		m.abortJob(now, j, ReasonWorkersCrashed)
 		return
 	}
 	// A job that allows each task a single run fails after any run that ended.
 	if g.failures >= j.maxAttempts || !j.stored && j.maxAttempts < 2 && j.runRepeated {
-		j.taskFailed = true
+		j.failBecauseOf(failed, lastEnd)
 		m.abortJob(now, j, ReasonTaskFailed)
 		return
 	}
--- a/core/entry/gang_test.go
+++ b/core/entry/gang_test.go
@@ -75,6 +75,7 @@
 	assert.Equal(t, len(answersIn(deliverResult(m, 3, wire.Failed, wire.ReasonUpstreamError))), 0)
 	actions = deliverResult(m, 4, wire.Failed, wire.ReasonStopped)
 	assert.Equal(t, answersIn(actions)[0].Reason, entry.ReasonTaskFailed)
+	assert.Equal(t, answersIn(actions)[0].Detail, "task 0.0.0 after run 2: failed runs 2 of 2, worker crashes 0 of 3, last run upstream_error")
 }
 
 // Guards against restarting a gang while a lost member may still run, and
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -48,12 +48,13 @@
 	openTasks     int    // tasks neither done nor dropped
 	startedTasks  int
 	unknownTasks  int
-	stored        bool  // see Submit.Stored
-	longRunning   bool  // runs until it is cancelled
-	startReported bool  // the start of its first task was reported
-	taskFailed    bool  // a task ran and failed
-	runRepeated   bool  // a run ended and its task is to run again
-	answerBytes   int64 // size of the results so far
+	stored        bool   // see Submit.Stored
+	longRunning   bool   // runs until it is cancelled
+	startReported bool   // the start of its first task was reported
+	taskFailed    bool   // a task ran and failed
+	failure       string // describes that task for the log, see describeFailure
+	runRepeated   bool   // a run ended and its task is to run again
+	answerBytes   int64  // size of the results so far
 	longestRun    time.Duration
 	totalRun      time.Duration
 	// lastStartAfter is the time from arrival to the last start, and
@@ -373,7 +374,7 @@
 // as unknown, but do not put the outcome of the job in doubt.
 func incompleteAnswer(j *job) JobAnswer {
 	a := JobAnswer{
-		Outcome: Refused, Reason: j.reason, Started: j.startedTasks, Unknown: j.unknownTasks,
+		Outcome: Refused, Reason: j.reason, Detail: j.failure, Started: j.startedTasks, Unknown: j.unknownTasks,
 		LastStart: j.lastStartAfter, LongestWait: j.longestWait, LongestRun: j.longestRun, TotalRun: j.totalRun,
 	}
 	switch {
--- a/core/entry/stoppedrun_test.go
+++ b/core/entry/stoppedrun_test.go
@@ -249,6 +249,7 @@
 			assert.Equal(t, c.starts, 2)
 			assert.Equal(t, len(c.answers), 1)
 			assert.Equal(t, c.answers[0].Reason, entry.ReasonTaskFailed)
+			assert.Equal(t, c.answers[0].Detail, "task 0.0.0 after run 2: failed runs 2 of 2, worker crashes 0 of 3, last run upstream_error")
 		})
 	}
 }
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -93,7 +93,7 @@
 	}
 	if reason := t.exhausted(); reason != "" {
 		t.markRan(r)
-		t.job.taskFailed = true
+		t.job.failBecauseOf(t, r.Reason)
 		m.abortJob(now, t.job, reason)
 		m.finishIfSettled(now, t.job)
 		return
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/policy"
@@ -198,10 +199,26 @@
 		return
 	}
 	t.markRan(r)
-	j.taskFailed = j.taskFailed || !j.ending
+	if !j.ending {
+		j.failBecauseOf(t, r.Reason)
+	}
 	m.abortJob(now, j, cmp.Or(reason, ReasonTaskFailed))
 }
 
+// failBecauseOf records that the job fails because of the task. lastEnd is the reason of
+// its last run, ReasonNone if the limit was reached before the job was handed to this
+// entry.
+func (j *job) failBecauseOf(t *task, lastEnd wire.Reason) {
+	j.taskFailed = true
+	s := &j.steps[t.step]
+	failures := t.failures
+	if s.gang != nil {
+		failures = s.gang.failures
+	}
+	j.failure = fmt.Sprintf("task %d.%d.%d after run %d: failed runs %d of %d, worker crashes %d of %d, last run %v",
+		s.occurrence, s.index, t.schedTask.Index-s.firstTask, t.runNumber, failures, j.maxAttempts, t.crashes, maxWorkerCrashes, lastEnd)
+}
+
 // taskNotRun schedules a retry of the task, unless its job is ending or the
 // scheduler allows no further retry.
 func (m *Machine) taskNotRun(now time.Duration, t *task, reason wire.Reason) {
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -142,9 +142,13 @@
 	if spec == nil {
 		return false
 	}
+	detail := x.Answer.Outcome.String() + " " + x.Answer.Reason
+	if x.Answer.Detail != "" {
+		detail += ": " + x.Answer.Detail
+	}
 	e.log.Emit(eventlog.StoredJobEnded, eventlog.Fields{
 		Job: spec.ID, Class: spec.Class, Submission: x.Submission.String(),
-		Detail: x.Answer.Outcome.String() + " " + x.Answer.Reason, Count: int64(x.Answer.Started),
+		Detail: detail, Count: int64(x.Answer.Started),
 	})
 	e.opts.StoredJobObserver.DriveEnded(spec.ID, x.Answer.Outcome, x.Answer.Reason)
 	return true
