cli: handle signals that arrive while a process starts

A process that got SIGHUP while it started ended by itself, as it does for any signal without a handler: a change of the settings during a restart took an entry or agent down once more. A SIGTERM between the start of the listeners and the first read of the signals ended it without a graceful shutdown.

Cause: the handler was installed after everything had been started. The commands now install it first, and the signals wait until the process serves them. A signal before the command runs, in the first milliseconds of the program, still ends the process.

--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -24,6 +24,7 @@
 const bytesPerMB = 1 << 20
 
 func (a *agentArgs) run(stdout, stderr io.Writer) int {
+	signals := notifySignals()
 	v, err := settings.Load(settings.RoleAgent, a.File, os.Environ(), a.Set)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -49,7 +50,7 @@
 		return ExitFailed
 	}
 	fmt.Fprintf(stdout, "agent %s: upstream %s, operators %s\n", opts.Name, opts.UpstreamURL, operatorAddr)
-	return serve(agent, v.Duration("drain_timeout"), ids.reload, stderr)
+	return serve(signals, agent, v.Duration("drain_timeout"), ids.reload, stderr)
 }
 
 func agentOptions(v *settings.Values, ids identities) agentd.Options {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -26,6 +26,7 @@
 func (*entryArgs) example() string { return "limpettrail entry deploy/entry.toml" }
 
 func (a *entryArgs) run(stdout, stderr io.Writer) int {
+	signals := notifySignals()
 	v, err := settings.Load(settings.RoleEntry, a.File, os.Environ(), a.Set)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -43,7 +44,7 @@
 	}
 	fmt.Fprintf(stdout, "entry %s: callers %s, peers %s, operators %s\n",
 		v.String("name"), n.Addr(), n.PeerAddr(), n.OperatorAddr())
-	return serve(n, v.Duration("drain_timeout"), ids.reload, stderr)
+	return serve(signals, n, v.Duration("drain_timeout"), ids.reload, stderr)
 }
 
 func startEntry(v *settings.Values, ids identities) (*entrynode.Node, error) {
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -35,6 +35,7 @@
 }
 
 func (a *nodeArgs) run(stdout, stderr io.Writer) int {
+	signals := notifySignals()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -68,7 +69,7 @@
 	if grace <= 0 {
 		grace = defaultStopGrace
 	}
-	return serve(p, max(grace-stopReserve, grace/2), func() error { return nil }, stderr)
+	return serve(signals, p, max(grace-stopReserve, grace/2), func() error { return nil }, stderr)
 }
 
 // reportDroppedLines emits the number of log lines that were dropped in each
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -21,12 +21,21 @@
 	Kill()
 }
 
-// serve waits for signals and returns when p has stopped. The first SIGTERM or
+// signalBuffer is how many signals may wait while a process starts.
+const signalBuffer = 4
+
+// notifySignals returns the channel of the signals that serve handles. Commands call it
+// before they start anything: a signal that has no handler yet ends the process.
+func notifySignals() chan os.Signal {
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// serve handles signals and returns when p has stopped. The first SIGTERM or
 // SIGINT begins the graceful shutdown, a second one kills p. SIGHUP reloads, but
 // is ignored during the shutdown.
-func serve(p process, drain time.Duration, reload func() error, stderr io.Writer) int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func serve(signals chan os.Signal, p process, drain time.Duration, reload func() error, stderr io.Writer) int {
 	defer signal.Stop(signals)
 	for s := range signals {
 		if s != syscall.SIGHUP {
