--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,17 +17,31 @@
 	minInterval = 200 * time.Millisecond
 	maxInterval = 900 * time.Millisecond
 	maxDuration = 4 * time.Second
+	// maxLargeInterval replaces maxInterval with Options.Large.
+	maxLargeInterval = 500 * time.Millisecond
+	// groupInterval is the number of single faults for each group fault.
+	groupInterval = 4
 	// maxDelay bounds the delay of the bytes in one direction through a proxy.
 	maxDelay = 400 * time.Millisecond
 )
 
 // InjectFaults injects n faults, some of which overlap, and returns when all are
-// over. Faults of the same VM's process do not overlap.
+// over. Faults of the same VM's process do not overlap. With Options.Large, every
+// groupInterval-th fault is accompanied by one of a group of processes.
 func (s *System) InjectFaults(ctx context.Context, logf func(string, ...any), r *rand.Rand, n int) {
 	start := time.Now()
 	processMu := make([]sync.Mutex, s.VMs())
 	var wg sync.WaitGroup
-	for range n {
+	maxInterval := maxInterval
+	if s.opts.Large {
+		maxInterval = maxLargeInterval
+	}
+	for i := range n {
+		if s.opts.Large && i%groupInterval == 0 {
+			name, inject := s.groupFault(r, processMu)
+			logf("%v: injecting %s", time.Since(start).Round(time.Millisecond), name)
+			wg.Go(func() { inject(ctx, logf) })
+		}
 		f := s.randomFault(r)
 		logf("%v: injecting %s at VM %d for %v", time.Since(start).Round(time.Millisecond), f.name, f.vm, f.duration)
 		wg.Go(func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,9 +22,11 @@
 // folder given by -soak.logs:
 //
 //	go test ./internal/soak -soak.first 100 -soak.seeds 50 -soak.logs /tmp/soak
+//	go test ./internal/soak -soak.large -soak.first 11 -soak.seeds 4 -soak.logs /tmp/soak
 var (
 	firstSeed = flag.Uint64("soak.first", 0, "first seed")
 	seedCount = flag.Uint64("soak.seeds", 1, "number of seeds")
+	large     = flag.Bool("soak.large", false, "play largeSize, one seed after the other, without failedSeeds")
 	logDir    = flag.String("soak.logs", "", "folder for the logs of failed seeds")
 )
 
@@ -35,13 +37,24 @@
 	41, // a suspended entry took an earlier agent process for the newer one
 }
 
-const (
-	seedTimeout    = 3 * time.Minute
-	jobCount       = 220
-	storedCount    = 90
-	jobInterval    = 25 * time.Millisecond
-	storedInterval = 60 * time.Millisecond
-	faultCount     = 10
+const seedTimeout = 3 * time.Minute
+
+// size is the size of one seed.
+type size struct {
+	entries, workers, jobs, stored, faults int
+	jobInterval, storedInterval            time.Duration
+}
+
+var (
+	defaultSize = size{
+		entries: 2, workers: 3, jobs: 220, jobInterval: 25 * time.Millisecond,
+		stored: 90, storedInterval: 60 * time.Millisecond, faults: 10,
+	}
+	// largeSize is that of issue 41: 11 entries and 62 agents.
+	largeSize = size{
+		entries: 11, workers: 62, jobs: 3000, jobInterval: 5 * time.Millisecond,
+		stored: 900, storedInterval: 15 * time.Millisecond, faults: 40,
+	}
 )
 
 func TestMain(m *testing.M) {
@@ -56,31 +69,38 @@
 func TestPromisesHoldBetweenProcesses(t *testing.T) {
 	bin, err := harness.BuildBinaries(false)
 	assert.NilError(t, err)
-	seeds := slices.Clone(failedSeeds)
+	seeds, extent := slices.Clone(failedSeeds), defaultSize
+	if *large {
+		seeds, extent = nil, largeSize
+	}
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			t.Parallel()
-			runSeed(t, bin.Limpettrail, seed)
+			if !*large {
+				t.Parallel()
+			}
+			runSeed(t, bin.Limpettrail, seed, extent)
 		})
 	}
 }
 
 // runSeed runs the jobs and faults of one seed and checks the promises.
-func runSeed(t *testing.T, binary string, seed uint64) {
+func runSeed(t *testing.T, binary string, seed uint64, extent size) {
 	ctx, cancel := context.WithTimeout(context.Background(), seedTimeout)
 	defer cancel()
-	s, err := soak.Start(ctx, soak.Options{Binary: binary, Dir: t.TempDir(), Entries: 2, Workers: 3, Seed: seed})
+	s, err := soak.Start(ctx, soak.Options{
+		Binary: binary, Dir: t.TempDir(), Entries: extent.entries, Workers: extent.workers, Seed: seed, Large: *large,
+	})
 	assert.NilError(t, err)
 	defer s.Close()
 	defer saveLogs(t, s, seed)
 	replies := make(chan []emulator.Reply, 1)
 	stored := make(chan []emulator.StoredJob, 1)
-	go func() { replies <- s.SubmitJobs(ctx, jobCount, jobInterval) }()
-	go func() { stored <- s.SubmitStoredJobs(ctx, storedCount, storedInterval) }()
-	s.InjectFaults(ctx, t.Logf, rand.New(rand.NewPCG(seed, 7)), faultCount)
+	go func() { replies <- s.SubmitJobs(ctx, extent.jobs, extent.jobInterval) }()
+	go func() { stored <- s.SubmitStoredJobs(ctx, extent.stored, extent.storedInterval) }()
+	s.InjectFaults(ctx, t.Logf, rand.New(rand.NewPCG(seed, 7)), extent.faults)
 	assert.NilError(t, s.Recover(ctx))
 	completed := 0
 	for _, r := range <-replies {
@@ -98,7 +118,7 @@
 	for _, v := range s.Checker.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d of %d jobs completed; %+v", completed, jobCount, s.Checker.Counts())
+	t.Logf("%d of %d jobs completed; %+v", completed, extent.jobs, s.Checker.Counts())
 	assert.Check(t, slices.ContainsFunc(repliesAfter, func(r emulator.Reply) bool { return r.State == "completed" }),
 		"no job completed after the faults: %v", repliesAfter)
 }
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -34,6 +34,8 @@
 	Entries int
 	Workers int
 	Seed    uint64
+	// Large adds faults of groups of processes, at shorter intervals.
+	Large bool
 }
 
 // System is a set of entry and agent processes on an emulated platform.
