soak: faults of the links between entries and agents

The soak had proxies to the store and to the workers only, so an entry that was cut off from its agents, silent in one direction or late was never played. With -soak.all, and with -soak.large, a loopback proxy stands before each entry's listener for agents; a fault delays, holds, silences or cuts all its links or half of them, or refuses new ones, for 0.3 to 2 s.

Agents find entries by the addresses that these publish, so an entry now publishes LIMPETTRAIL_PEER_ADVERTISE if it is set, as peer_advertise does for entries outside the platform. No default changes.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -48,8 +48,11 @@
 }
 
 // Start listens on a free loopback port and relays to target.
-func Start(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(target string) (*Proxy, error) { return StartAt("127.0.0.1:0", target) }
+
+// StartAt listens on an address and relays to target.
+func StartAt(listen, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -60,6 +61,9 @@
 	Listen      string // address for callers
 	ReadyListen string // address for the load balancer's check
 	PeerListen  string
+	// PeerAdvertise is published to agents in place of the address of PeerListen, unless
+	// it is empty.
+	PeerAdvertise string
 	// OperatorListen is the listening address for operators, empty for none.
 	OperatorListen string
 	CallerHandler  func(entryd.Submitter, StoredJobs) http.Handler
@@ -271,7 +275,7 @@
 // followDirectory publishes this entry's address and tells agents about the
 // other entries.
 func (n *EntryNode) followDirectory() {
-	self := EntryAddr{Incarnation: n.entry.Incarnation(), Peer: n.entry.PeerAddr(), Zone: n.opts.Zone}
+	self := EntryAddr{Incarnation: n.entry.Incarnation(), Peer: cmp.Or(n.opts.PeerAdvertise, n.entry.PeerAddr()), Zone: n.opts.Zone}
 	known := []EntryAddr{self}
 	n.entry.SetEntries(known)
 	published := false
--- a/internal/fleet/ready_test.go
+++ b/internal/fleet/ready_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// recordingDirectory passes on the address that an entry publishes.
+type recordingDirectory struct {
+	fakeDirectory
+	published chan EntryAddr
+}
+
+func (d recordingDirectory) Publish(_ context.Context, _ string, e EntryAddr) error {
+	d.published <- e
+	return nil
+}
+
+// Guards against an entry behind a proxy that agents reach at its own address.
+func TestEntryIsListedUnderItsAdvertisedAddress(t *testing.T) {
+	const advertised = "127.0.0.1:18190"
+	d := recordingDirectory{published: make(chan EntryAddr, 1)}
+	n, err := StartEntry(EntryOptions{
+		Name: "e", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerAdvertise: advertised,
+		CallerHandler: func(entryd.Submitter, StoredJobs) http.Handler { return http.NotFoundHandler() },
+		JobLog:        &fakeJobLog{}, Configs: &fakeConfigs{}, Directory: d, Incarnation: 1,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(n.Kill)
+	assert.Equal(t, (<-d.published).Peer, advertised)
+}
+
 // Guards against an entry that reports itself ready before it has read the log of
 // stored jobs: it refuses the jobs that the load balancer then sends to it.
 func TestEntryIsNotReadyBeforeItAcceptsStoredJobs(t *testing.T) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -21,6 +21,10 @@
 	maxLargeInterval = 500 * time.Millisecond
 	// groupInterval is the number of single faults for each group fault.
 	groupInterval = 4
+	// Faults of the links between entries and agents last minLinkFault or up to
+	// maxLinkFault longer.
+	minLinkFault = 300 * time.Millisecond
+	maxLinkFault = 1700 * time.Millisecond
 	// maxDelay bounds the delay of the bytes in one direction through a proxy.
 	maxDelay = 400 * time.Millisecond
 )
@@ -71,7 +75,11 @@
 func (s *System) randomFault(r *rand.Rand) fault {
 	vm := r.IntN(s.VMs())
 	f := fault{vm: vm, duration: 100*time.Millisecond + time.Duration(r.Int64N(int64(maxDuration)))}
-	switch r.IntN(7) {
+	kinds := 7
+	if s.opts.AllFaults {
+		kinds = 8
+	}
+	switch r.IntN(kinds) {
 	case 0:
 		f.name, f.ofProcess = "kill", true
 		f.inject = func(ctx context.Context) error {
@@ -101,6 +109,10 @@
 		f.vm = s.opts.Entries + r.IntN(s.opts.Workers)
 		f.name = "worker"
 		f.inject = s.workerFault(r, s.Workers[f.vm-s.opts.Entries], f.duration)
+	case 7:
+		f.vm = r.IntN(s.opts.Entries)
+		f.name, f.duration = "links", minLinkFault+time.Duration(r.Int64N(int64(maxLinkFault)))
+		f.inject = s.linkFault(r, s.linkProxies[f.vm], f.duration)
 	default:
 		f.name = "store"
 		kind := emulator.StoreFault(1 + r.IntN(3))
@@ -139,6 +151,45 @@
 	}
 }
 
+// linkFault returns a fault of the links between an entry and its agents: of all links,
+// or of each one with a probability of a half.
+func (s *System) linkFault(r *rand.Rand, p *faultproxy.Proxy, duration time.Duration) func(context.Context) error {
+	kind := r.IntN(5)
+	dir := faultproxy.Direction(r.IntN(2))
+	delay := time.Duration(r.Int64N(int64(maxDelay)))
+	all, choice := r.IntN(2) == 0, rand.New(rand.NewPCG(r.Uint64(), 0))
+	return func(ctx context.Context) error {
+		var conns []*faultproxy.Conn
+		for _, c := range p.OpenConns() {
+			if all || choice.IntN(2) == 0 {
+				conns = append(conns, c)
+			}
+		}
+		if kind == 4 && all {
+			p.Refuse(true)
+		}
+		for _, c := range conns {
+			switch kind {
+			case 0:
+				c.SetDelay(dir, delay)
+			case 1:
+				c.Silence(dir)
+			case 2: // the bytes arrive late
+				c.Hold(dir)
+			default:
+				c.Cut()
+			}
+		}
+		ctxsleep.For(ctx, duration)
+		p.Refuse(false)
+		for _, c := range conns {
+			c.SetDelay(dir, 0)
+			c.Release(dir)
+		}
+		return nil
+	}
+}
+
 // workerFault returns a fault of the worker's calls or runs, or a restart of the
 // worker.
 func (s *System) workerFault(r *rand.Rand, w *emulator.Worker, duration time.Duration) func(context.Context) error {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,6 +27,7 @@
 	firstSeed = flag.Uint64("soak.first", 0, "first seed")
 	seedCount = flag.Uint64("soak.seeds", 1, "number of seeds")
 	large     = flag.Bool("soak.large", false, "play largeSize, one seed after the other, without failedSeeds")
+	allFaults = flag.Bool("soak.all", false, "inject all kinds of faults; always on with -soak.large")
 	logDir    = flag.String("soak.logs", "", "folder for the logs of failed seeds")
 )
 
@@ -91,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), seedTimeout)
 	defer cancel()
 	s, err := soak.Start(ctx, soak.Options{
-		Binary: binary, Dir: t.TempDir(), Entries: extent.entries, Workers: extent.workers, Seed: seed, Large: *large,
+		Binary: binary, Dir: t.TempDir(), Entries: extent.entries, Workers: extent.workers, Seed: seed, Large: *large, AllFaults: *large || *allFaults,
 	})
 	assert.NilError(t, err)
 	defer s.Close()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -8,9 +8,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	pollInterval = 20 * time.Millisecond
 	// stopGrace is how long a process may take to exit after SIGTERM.
 	stopGrace = 6 * time.Second
+	// linkPort is the port of the proxies between entries and agents.
+	linkPort = "18190"
 )
 
 // Options configure a System.
@@ -36,6 +40,8 @@
 	Seed    uint64
 	// Large adds faults of groups of processes, at shorter intervals.
 	Large bool
+	// AllFaults adds faults of the links between entries and agents.
+	AllFaults bool
 }
 
 // System is a set of entry and agent processes on an emulated platform.
@@ -47,6 +53,9 @@
 	// proxy.
 	storeProxies  []*faultproxy.Proxy
 	workerProxies []*faultproxy.Proxy
+	// linkProxies hold the proxies between the entries and their agents, by VM; nil
+	// without Options.AllFaults.
+	linkProxies []*faultproxy.Proxy
 
 	mu     sync.Mutex
 	output map[string]string // of processes that have exited, by VM name
@@ -98,6 +107,30 @@
 		settings.WorkerAddr = worker.Addr()
 	}
 	s.workerProxies = append(s.workerProxies, worker)
+	if s.opts.AllFaults {
+		return s.addLinkProxy(settings)
+	}
+	return nil
+}
+
+// addLinkProxy puts a proxy between an entry and all agents. Agents dial every seed at
+// the port of their own settings, and the other entries as these advertise themselves.
+func (s *System) addLinkProxy(settings *platform.Settings) error {
+	host, _, err := net.SplitHostPort(settings.PeerAddr)
+	if err != nil {
+		return err
+	}
+	listen := net.JoinHostPort(host, linkPort)
+	if !s.isEntry(len(s.linkProxies)) {
+		settings.PeerAddr = listen
+		return nil
+	}
+	p, err := faultproxy.StartAt(listen, settings.PeerAddr)
+	if err != nil {
+		return err
+	}
+	settings.PeerAdvertise = listen
+	s.linkProxies = append(s.linkProxies, p)
 	return nil
 }
 
@@ -115,7 +148,7 @@
 	if s.isEntry(vm) {
 		role = "entry"
 	}
-	p, err := harness.StartCommand(name, []string{platform.SettingsVariable + "=" + file}, s.opts.Binary, "node", role)
+	p, err := harness.StartCommand(name, []string{platform.SettingsVariable + "=" + file, platform.AdvertiseVariable + "=" + s.Settings(vm).PeerAdvertise}, s.opts.Binary, "node", role)
 	if err == nil {
 		s.procs[vm] = p
 	}
@@ -212,7 +245,7 @@
 	for vm := range s.procs {
 		s.Kill(vm)
 	}
-	for _, p := range append(s.storeProxies, s.workerProxies...) {
+	for _, p := range slices.Concat(s.storeProxies, s.workerProxies, s.linkProxies) {
 		if p != nil {
 			p.Close()
 		}
