--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// maxLinkFault longer.
 	minLinkFault = 300 * time.Millisecond
 	maxLinkFault = 1700 * time.Millisecond
+	// configCount versions of the configuration are published configInterval apart.
+	configCount    = 8
+	configInterval = 150 * time.Millisecond
 	// maxDelay bounds the delay of the bytes in one direction through a proxy.
 	maxDelay = 400 * time.Millisecond
 )
@@ -77,7 +81,7 @@
 	f := fault{vm: vm, duration: 100*time.Millisecond + time.Duration(r.Int64N(int64(maxDuration)))}
 	kinds := 7
 	if s.opts.AllFaults {
-		kinds = 8
+		kinds = 10
 	}
 	switch r.IntN(kinds) {
 	case 0:
@@ -113,6 +117,13 @@
 		f.vm = r.IntN(s.opts.Entries)
 		f.name, f.duration = "links", minLinkFault+time.Duration(r.Int64N(int64(maxLinkFault)))
 		f.inject = s.linkFault(r, s.linkProxies[f.vm], f.duration)
+	case 8:
+		w := s.Workers[r.IntN(s.opts.Workers)]
+		f.vm, f.name = s.opts.Entries+slices.Index(s.Workers, w), "freeze of the worker"
+		f.inject = func(ctx context.Context) error { w.Freeze(ctx, f.duration); return nil }
+	case 9:
+		f.name, f.duration = "configurations and SIGHUP", configCount*configInterval
+		f.inject = s.changeConfig
 	default:
 		f.name = "store"
 		kind := emulator.StoreFault(1 + r.IntN(3))
@@ -190,6 +201,19 @@
 	}
 }
 
+// changeConfig publishes versions of the configuration in series and sends SIGHUP to
+// every process after each.
+func (s *System) changeConfig(ctx context.Context) error {
+	for i := range configCount {
+		s.Publish(i)
+		for vm := range s.VMs() {
+			s.Reload(vm)
+		}
+		ctxsleep.For(ctx, configInterval)
+	}
+	return nil
+}
+
 // workerFault returns a fault of the worker's calls or runs, or a restart of the
 // worker.
 func (s *System) workerFault(r *rand.Rand, w *emulator.Worker, duration time.Duration) func(context.Context) error {
@@ -217,7 +241,10 @@
 // it after InjectFaults has returned.
 func (s *System) Recover(ctx context.Context) error {
 	for vm := range s.VMs() {
-		if s.procs[vm] == nil {
+		if p := s.process(vm); p != nil && !p.Running() {
+			s.markDown(vm)
+		}
+		if s.process(vm) == nil {
 			if err := s.StartVM(vm); err != nil {
 				return err
 			}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
@@ -27,6 +28,10 @@
 	pollInterval = 20 * time.Millisecond
 	// stopGrace is how long a process may take to exit after SIGTERM.
 	stopGrace = 6 * time.Second
+	// With Options.AllFaults, longShare of the jobs have long tasks, and the callers of
+	// leaveShare leave early.
+	longShare  = 0.1
+	leaveShare = 0.1
 	// linkPort is the port of the proxies between entries and agents.
 	linkPort = "18190"
 )
@@ -40,7 +45,8 @@
 	Seed    uint64
 	// Large adds faults of groups of processes, at shorter intervals.
 	Large bool
-	// AllFaults adds faults of the links between entries and agents.
+	// AllFaults adds faults of the links between entries and agents, long tasks, callers
+	// that leave early, frozen workers and series of configurations with SIGHUP.
 	AllFaults bool
 }
 
@@ -57,15 +63,17 @@
 	// without Options.AllFaults.
 	linkProxies []*faultproxy.Proxy
 
-	mu     sync.Mutex
+	mu     sync.Mutex        // guards procs and output
 	output map[string]string // of processes that have exited, by VM name
 }
 
 // Start starts every process and waits until every entry is ready.
 func Start(ctx context.Context, opts Options) (*System, error) {
-	c, err := emulator.StartCluster(emulator.ClusterOptions{
-		Entries: opts.Entries, Workers: opts.Workers, Seed: opts.Seed, External: true,
-	})
+	clusterOpts := emulator.ClusterOptions{Entries: opts.Entries, Workers: opts.Workers, Seed: opts.Seed, External: true}
+	if opts.AllFaults {
+		clusterOpts.LongShare, clusterOpts.LeaveShare = longShare, leaveShare
+	}
+	c, err := emulator.StartCluster(clusterOpts)
 	if err != nil {
 		return nil, err
 	}
@@ -149,15 +157,34 @@
 		role = "entry"
 	}
 	p, err := harness.StartCommand(name, []string{platform.SettingsVariable + "=" + file, platform.AdvertiseVariable + "=" + s.Settings(vm).PeerAdvertise}, s.opts.Binary, "node", role)
-	if err == nil {
-		s.procs[vm] = p
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.procs[vm] = p
+	return nil
+}
+
+// process returns the process of a VM, nil if it is down.
+func (s *System) process(vm int) *harness.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.procs[vm]
+}
+
+// Reload sends SIGHUP to the process of a VM. One that has just started and does not
+// handle the signal yet exits; Recover starts it again.
+func (s *System) Reload(vm int) {
+	if p := s.process(vm); p != nil {
+		// An error means that the process has exited.
+		_ = p.Signal(syscall.SIGHUP)
 	}
-	return err
 }
 
 // Kill kills the process of a VM.
 func (s *System) Kill(vm int) {
-	if p := s.procs[vm]; p != nil {
+	if p := s.process(vm); p != nil {
 		p.Kill()
 		s.markDown(vm)
 	}
@@ -174,7 +201,7 @@
 // Stop terminates the process of a VM as the platform does. A process that does
 // not exit within stopGrace is killed, and Stop returns an error.
 func (s *System) Stop(ctx context.Context, vm int) error {
-	p := s.procs[vm]
+	p := s.process(vm)
 	if p == nil {
 		return nil
 	}
@@ -193,7 +220,7 @@
 
 // Freeze suspends the process of a VM for d, or until ctx is done.
 func (s *System) Freeze(ctx context.Context, vm int, d time.Duration) error {
-	p := s.procs[vm]
+	p := s.process(vm)
 	if p == nil {
 		return nil
 	}
