--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -152,7 +152,7 @@
 				return false
 			}
 		}
-		if s.Tasks < 1 {
+		if s.Tasks < 1 || s.Tasks > len(e.Payloads) {
 			return false
 		}
 	}
