platform: skip rows of a worker's lists that cannot be read

A worker would be out of use until it restarts: one row with a name, a number or a type that no agent sends, for instance of a run that was started by hand, made the whole reply an error, so the agent never took the worker over, or its polls failed and all its runs ended with their lease. A finished run beyond the limits of links, such as task 570, was put in the agent's hello, which every entry then refused.

Its run cannot be told, so the lists count as cut off: nothing is concluded from a run that they lack. The number of an ended run remains, so that it is acknowledged. Runs are checked against the limits of links when they are read, which now include a bound on the number of a run: a run with number 2^63-1 would have superseded all others of its task.

--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -13,6 +13,8 @@
 	MaxSlots = 4096
 	// MaxLabels bounds the labels of one worker.
 	MaxLabels = 32
+	// MaxRun bounds the number of a run, so that adding to it cannot overflow.
+	MaxRun = 1 << 40
 )
 
 // Check returns an error if a received hello exceeds a limit.
@@ -40,7 +42,7 @@
 		return fmt.Errorf("wire: %d finished runs, at most %d are allowed", len(runs), MaxFinishedRuns)
 	}
 	for i := range runs {
-		if err := errors.Join(runs[i].Run.check(), checkCheckpoint(runs[i].Checkpoint)); err != nil {
+		if err := errors.Join(runs[i].Run.Check(), checkCheckpoint(runs[i].Checkpoint)); err != nil {
 			return err
 		}
 	}
@@ -54,13 +56,17 @@
 	return nil
 }
 
-func (r *RunRef) check() error {
+// Check returns an error if a received run exceeds a limit.
+func (r *RunRef) Check() error {
 	if r.Step < 0 || r.Step >= MaxTasksPerJob || r.Index < 0 || r.Index >= MaxTasksPerJob {
 		return fmt.Errorf("wire: run of task %d in step %d, both must be 0 to %d", r.Index, r.Step, MaxTasksPerJob-1)
 	}
 	if r.Occurrence < 0 || r.Occurrence >= MaxOccurrences {
 		return fmt.Errorf("wire: run of occurrence %d, must be 0 to %d", r.Occurrence, MaxOccurrences-1)
 	}
+	if r.Run < 0 || r.Run > MaxRun {
+		return fmt.Errorf("wire: run with number %d, must be 0 to %d", r.Run, MaxRun)
+	}
 	return checkNames(r.Job)
 }
 
@@ -76,7 +82,7 @@
 func (f *ToAgent) Check() error {
 	for i := range f.Starts {
 		run := f.Starts[i].Ref()
-		if err := run.check(); err != nil {
+		if err := run.Check(); err != nil {
 			return err
 		}
 		if err := checkNames(f.Starts[i].Class); err != nil {
@@ -88,7 +94,7 @@
 	}
 	for _, runs := range [...][]RunRef{f.AcknowledgedRuns, f.SupersededRuns} {
 		for i := range runs {
-			if err := runs[i].check(); err != nil {
+			if err := runs[i].Check(); err != nil {
 				return err
 			}
 		}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -260,9 +260,11 @@
 		takeover, err := n.takeOver(ctx, worker)
 		if err != nil {
 			n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Err: err})
-			continue
 		}
 		status := takeover.Status
+		if status == nil {
+			continue
+		}
 		n.stopRuns(ctx, worker, status.Running)
 		complete := takeover.Fenced && !status.EndedCutOff
 		if len(status.Running) > 0 || !complete && !leaseExpired {
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -39,7 +39,8 @@
 	// Stop requests the end of a run.
 	Stop(ctx context.Context, call lease.CallStop) lease.Stopped
 	// Poll returns the worker's status with its lists of running and ended runs. The
-	// error matches syscall.ECONNREFUSED if nothing listens at the worker's address.
+	// error matches syscall.ECONNREFUSED if nothing listens at the worker's address. An
+	// error beside a status reports parts of the reply that cannot be read.
 	Poll(ctx context.Context, call lease.CallPoll) (*lease.WorkerStatus, error)
 	// Close closes the connections.
 	Close()
@@ -222,6 +223,6 @@
 func (u *Upstream) probe() {
 	ctx, cancel := context.WithTimeout(u.ctx, probeTimeout)
 	defer cancel()
-	_, err := u.opts.Worker.Poll(ctx, lease.CallPoll{})
-	u.report(agent.Probed{Reachable: err == nil})
+	status, _ := u.opts.Worker.Poll(ctx, lease.CallPoll{})
+	u.report(agent.Probed{Reachable: status != nil})
 }
