agent: keep the reported load within the limits of frames

An agent that has more than 4,096 tasks queued or running, as one with more than 2,048 slots may, would lose all of its links, again and again: entries refuse frames that state more. The load now states at most the limit.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -204,8 +204,8 @@
 // Load returns the state that the agent reports in every frame.
 func (m *Machine) Load(now time.Duration) wire.Load {
 	return wire.Load{
-		Running:      len(m.active),
-		Queued:       m.queue.Len(),
+		Running:      min(len(m.active), wire.MaxSlots),
+		Queued:       min(m.queue.Len(), wire.MaxSlots), // entries refuse frames that state more
 		Slots:        m.opts.Slots,
 		Limit:        m.allowedRuns(),
 		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration(), 1)),
--- a/core/agent/extreme_test.go
+++ b/core/agent/extreme_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/internal/extreme"
 	"github.com/limpettrail/limpettrail/core/lease"
@@ -97,3 +99,21 @@
 		}
 	}
 }
+
+// Guards against an agent whose frames every entry refuses, so that all of its links break:
+// it has more queued tasks than a frame may state.
+func TestLoadStaysWithinTheLimitsOfFrames(t *testing.T) {
+	m := agent.New(agent.Options{Incarnation: 1, Slots: wire.MaxSlots})
+	now := time.Second
+	for entry := wire.Incarnation(1); entry <= 3; entry++ {
+		m.Step(now, agent.LinkUp{Entry: entry, Epoch: 1, HelloSentAt: now})
+		for seq := range wire.Seq(agent.DefaultMaxUnsettled) {
+			m.Step(now, agent.Received{Entry: entry, Epoch: 1, Frame: &wire.ToAgent{
+				Starts: []wire.Start{{Seq: seq + 1, Deadline: wire.MaxMicros, MaxWait: wire.MaxMicros, Slack: wire.MaxMicros}},
+			}})
+		}
+	}
+	frame := wire.ToEntry{Load: m.Load(now)}
+	assert.NilError(t, frame.Check())
+	assert.Equal(t, frame.Load.Queued, wire.MaxSlots)
+}
