durable: model with runs that fail and workers that crash

The model of stored jobs had only runs that succeed. In a second property test a sixth of the runs fails and a sixth loses its worker to a crash, while processes are killed, paused and cut off. A job may be shown as failed only if a task of it had three runs that ended failed or three crashes; a task is not started after three failed runs that were acknowledged as counted; every accepted job ends and every finished run is acknowledged.

The part of the model that runs tasks is now in world_runs_test.go.

--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -40,6 +40,13 @@
 	accepted       map[string]bool // jobs that a caller was told are stored
 	cancelled      map[string]bool
 	tasks          map[string]int // number of tasks by job
+
+	// faultyRuns lets a third of the runs fail or lose their worker to a crash.
+	faultyRuns    bool
+	failed, noted map[wire.RunRef]bool // runs that ended failed, and those acknowledged as counted
+	failedRuns    map[string]int       // runs that ended failed at their worker, by task
+	crashedRuns   map[string]int       // runs under which a worker crashed, by task
+	notedFailures map[string]int       // failed runs that were acknowledged as counted, by task
 }
 
 // process is an entry process with the state machine of its keeper.
@@ -74,7 +81,10 @@
 	unfinished []bool // tasks that have not succeeded yet
 	running    int
 	runBase    int
-	lostRuns   []wire.RunRef // runs that ended when their lease expired
+	lostRuns   []wire.RunRef // runs that ended when their lease expired or that failed
+	failures   []int         // failed runs by task
+	crashes    []int         // runs under which a worker crashed, by task
+	failReason string        // why the job has failed, "" if it has not
 }
 
 // tasksPerOccurrence returns the number of tasks of one occurrence.
@@ -89,6 +99,8 @@
 	// agentLost is set if the run's agent is lost too: the run ends with its lease,
 	// and a result before that does not count.
 	agentLost bool
+	fails     bool // the run ends failed
+	crashes   bool // its worker crashes at endAt
 }
 
 // retainedRun is a finished run that its agent retains.
@@ -104,6 +116,7 @@
 	w := &world{
 		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), appended: make(map[string]bool), completedTasks: make(map[string]bool),
 		accepted: make(map[string]bool), cancelled: make(map[string]bool), tasks: make(map[string]int),
+		failed: make(map[wire.RunRef]bool), noted: make(map[wire.RunRef]bool), failedRuns: make(map[string]int), crashedRuns: make(map[string]int), notedFailures: make(map[string]int),
 		readLimit: rapid.SampledFrom([]int{4, 20, 1 << 20}).Draw(t, "records in one read"),
 	}
 	for i := range processes {
@@ -182,6 +195,7 @@
 		p.linksLostAt = 0
 	}
 	w.enforceLease(p)
+	w.endFailedDrives(p)
 	w.restartLostRuns(p)
 	if w.now >= p.nextPoll && !w.logDown && w.now >= p.cutUntil {
 		p.nextPoll = w.now + 30*time.Millisecond
@@ -332,154 +346,26 @@
 	}
 }
 
-func taskName(ref wire.RunRef) string {
-	return fmt.Sprintf("%s.%d.%d", ref.Job, ref.Occurrence, ref.Index)
-}
-
-// drive starts all unfinished tasks of a job.
-func (w *world) drive(p *process, x durable.Drive) {
-	d := &activeDrive{spec: x.Spec, runBase: x.RunBase, unfinished: make([]bool, len(x.Progress))}
-	p.drives[x.Spec.ID] = d
-	for i, task := range x.Progress {
-		d.unfinished[i] = !task.Done
-		if d.unfinished[i] {
-			w.start(p, d, wire.RunRef{Job: x.Spec.ID, Occurrence: i / d.tasksPerOccurrence(), Index: i % d.tasksPerOccurrence(), Run: x.RunBase + 1})
-		}
-	}
-	p.inbox = append(p.inbox, durable.JobStarted{Job: x.Spec.ID})
-	w.endDrive(p, d)
-}
-
-// start starts a run. It fails the test if another run of the task is going on or
-// a run of the task was acknowledged.
-func (w *world) start(p *process, d *activeDrive, ref wire.RunRef) {
-	for _, r := range w.runs {
-		if taskName(r.ref) == taskName(ref) {
-			w.t.Fatalf("%v at %v: run %d starts while run %d is running", taskName(ref), w.now, ref.Run, r.ref.Run)
-		}
-	}
-	if w.completedTasks[taskName(ref)] {
-		w.t.Fatalf("%v at %v: run %d starts after a run of the task was acknowledged", taskName(ref), w.now, ref.Run)
-	}
-	for _, retained := range w.retained {
-		retained.superseded = retained.superseded || taskName(retained.run.Run) == taskName(ref)
-	}
-	w.t.Logf("%v %s: run %d of %s starts", w.now, p.name, ref.Run, taskName(ref))
-	d.running++
-	longest := 1500
-	if rapid.IntRange(0, 2).Draw(w.t, "long") == 2 { // longer than a lease
-		longest = 8000
-	}
-	length := time.Duration(rapid.IntRange(5, longest).Draw(w.t, "length")) * time.Millisecond
-	w.runs = append(w.runs, &run{ref: ref, owner: p, endAt: w.now + length})
-}
-
-// endRuns ends the runs that have finished or whose owner is lost.
-func (w *world) endRuns() {
-	runs := w.runs
-	w.runs = nil
-	for _, r := range runs {
-		switch {
-		case r.lapseAt > 0 && w.now >= r.lapseAt:
-			if d := r.owner.drives[r.ref.Job]; d != nil && d.runBase < r.ref.Run {
-				d.running--
-				d.lostRuns = append(d.lostRuns, r.ref)
-			}
-		case w.now >= r.endAt:
-			w.finish(r)
-		default:
-			w.runs = append(w.runs, r)
-		}
-	}
-}
-
-// finish ends a run that succeeded and reports it to its owner; a paused owner
-// handles the report when it resumes.
-func (w *world) finish(r *run) {
-	finished := wire.FinishedRun{Run: r.ref}
-	if r.agentLost {
-		r.lapseAt = w.now
-		w.runs = append(w.runs, r) // ends when its lease expires
-		return
-	}
-	w.t.Logf("%v %s: run %d of %s is done", w.now, r.owner.name, r.ref.Run, taskName(r.ref))
-	w.retained = append(w.retained, &retainedRun{run: finished, owner: r.owner, reportedTo: make(map[*process]bool), finishedAt: w.now})
-	if !slices.Contains(w.processes, r.owner) {
-		return
-	}
-	p := r.owner
-	d := p.drives[r.ref.Job]
-	if d == nil || d.runBase >= r.ref.Run {
-		return
-	}
-	p.inbox = append(p.inbox, durable.RunFinished{Agent: 1, Run: finished})
-	d.unfinished[r.ref.Occurrence*d.tasksPerOccurrence()+r.ref.Index] = false
-	d.running--
-	w.endDrive(p, d)
-}
-
-// enforceLease halts what a process drives once its lease has expired.
-func (w *world) enforceLease(p *process) {
-	if w.now < p.leaseUntil {
-		return
-	}
-	for _, job := range slices.Sorted(maps.Keys(p.drives)) {
-		w.halt(p, p.drives[job])
-	}
-}
-
-// restartLostRuns starts the tasks of lost runs again.
-func (w *world) restartLostRuns(p *process) {
-	for _, job := range slices.Sorted(maps.Keys(p.drives)) {
-		d := p.drives[job]
-		lost := d.lostRuns
-		d.lostRuns = nil
-		for _, ref := range lost {
-			ref.Run++
-			w.start(p, d, ref)
-		}
-	}
-}
-
-// endDrive reports the end of a drive if none of its tasks runs.
-func (w *world) endDrive(p *process, d *activeDrive) {
-	if d.running > 0 {
-		return
-	}
-	outcome, reason := entry.Complete, ""
-	if slices.Contains(d.unfinished, true) {
-		outcome, reason = entry.Failed, entry.ReasonCancelled
-	}
-	delete(p.drives, d.spec.ID)
-	p.inbox = append(p.inbox, durable.DriveEnded{Job: d.spec.ID, Outcome: outcome, Reason: reason})
-}
-
-// halt stops the runs of a drive.
-func (w *world) halt(p *process, d *activeDrive) {
-	runs := w.runs
-	w.runs = nil
-	for _, r := range runs {
-		if r.owner == p && r.ref.Job == d.spec.ID {
-			d.running--
-			continue
-		}
-		w.runs = append(w.runs, r)
-	}
-	w.endDrive(p, d)
-}
-
 // acknowledge releases finished runs. It fails the test if a run is acknowledged as
 // counted although its task was started again.
 func (w *world) acknowledge(x durable.Acknowledge) {
 	for _, ref := range x.Runs {
 		w.t.Logf("%v acknowledged run %d of %s, superseded %v", w.now, ref.Run, taskName(ref), x.Superseded)
-		w.completedTasks[taskName(ref)] = w.completedTasks[taskName(ref)] || !x.Superseded
+		failed := w.failed[ref]
+		if failed && !x.Superseded && !w.noted[ref] {
+			w.noted[ref] = true
+			w.notedFailures[taskName(ref)]++
+		}
 		w.retained = slices.DeleteFunc(w.retained, func(retained *retainedRun) bool {
-			if retained.run.Run == ref && retained.superseded && !x.Superseded {
+			if retained.run.Run != ref {
+				return false
+			}
+			if retained.superseded && !x.Superseded {
 				w.t.Fatalf("%v: run %d of %s is acknowledged as counted after the task was started again", w.now, ref.Run, taskName(ref))
 			}
-			return retained.run.Run == ref
+			return true
 		})
+		w.completedTasks[taskName(ref)] = w.completedTasks[taskName(ref)] || !x.Superseded && !failed
 	}
 }
 
@@ -508,7 +394,7 @@
 	p.tokens[w.lastNumber] = job
 	w.tasks[job] = tasks
 	p.inbox = append(p.inbox, durable.Submit{Token: w.lastNumber, Spec: durable.Spec{
-		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, MaxFailedRuns: 3,
+		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, MaxFailedRuns: maxFailedRuns,
 		Schedule: durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
 	}})
 }
