lease: report a run that the agent itself stopped as ended, not as stopped

Callers saw a job as failed although no task had failed often enough. A start that gets no answer is stopped by core/lease if a list lacks the run, so that it can no longer take effect. If the worker had carried it out after all, the run was listed as stopped and reported with ReasonStopped, as after a cancel. The entry, which had asked for no stop, counted that as a failure of the task (taskFailed), up to the class's maximum.

Now only the stop that an entry asked for gives ReasonStopped. Other stopped runs have ReasonRunEnded, which counts as no failure and is repeated.

TestRunStoppedByAgentItselfIsNotReportedAsStopped fails without the change: "stopped != run_ended".

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -147,8 +147,8 @@
 	deadline        time.Duration // latest deadline of its start calls, on the worker's clock
 	since           time.Duration // time of the last state change or start call
 	stopRequested   bool          // a stop is due or was sent
+	cancelled       bool          // its entry asked for the stop
 	workerRestarted bool          // the worker restarted after the start was sent
-	orphan          bool          // to be stopped because its entry was lost
 	stopAt          time.Duration // earliest time of the next stop call
 }
 
@@ -403,12 +403,16 @@
 	}
 	r := m.ordered[i]
 	r.fixPermission(e.PermittedUntil)
-	if r.stopRequested {
-		return
+	r.cancelled = r.cancelled || !e.Orphan
+	r.requestStop(now)
+}
+
+// requestStop makes a stop of the run due, unless one was before.
+func (r *run) requestStop(now time.Duration) {
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stopAt = now
 	}
-	r.stopRequested = true
-	r.orphan = e.Orphan
-	r.stopAt = now
 }
 
 // sendStops emits the stop calls that are due.
--- a/core/lease/permission_test.go
+++ b/core/lease/permission_test.go
@@ -489,3 +489,26 @@
 	}
 	assert.Assert(t, len(s.stops) >= 10, "%d stops in 0.5 s", len(s.stops))
 }
+
+// Guards against a task that counts as failed because its unanswered start was carried out
+// after all, and stopped by the agent itself.
+func TestRunStoppedByAgentItselfIsNotReportedAsStopped(t *testing.T) {
+	s := newPermissionScript()
+	run := s.start("j", 1, 0)
+	for range maxStartAttempts {
+		s.now += 25 * time.Millisecond
+		s.step(Started{Run: run, Result: StartUnanswered})
+	}
+	for range 2 { // lists without the run, the second made after the last start call
+		s.now += time.Millisecond
+		s.answerPoll()
+	}
+	assert.Equal(t, len(s.stops), 1)
+	s.step(Stopped{Run: run, Acknowledged: true})
+	s.now += time.Millisecond
+	s.step(Polled{Status: &WorkerStatus{
+		Incarnation: 1, Clock: s.workerClock(s.now), Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedStopped}},
+	}})
+	assert.Equal(t, len(s.finished), 1)
+	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded)
+}
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -173,7 +173,7 @@
 		return wire.Succeeded, wire.ReasonNone
 	case kind == EndedFailed:
 		return wire.Failed, wire.ReasonUpstreamError
-	case kind == EndedStopped && r.stopRequested && !r.orphan:
+	case kind == EndedStopped && r.cancelled:
 		return wire.Failed, wire.ReasonStopped
 	}
 	return wire.Failed, wire.ReasonRunEnded
@@ -192,7 +192,7 @@
 		case r == nil:
 			m.addForeign(now, id)
 		case r.state == runRuledOut: // it started before the start was ruled out
-			r.stopRequested = true
+			r.requestStop(now)
 		case r.state != runRunning:
 			r.state = runRunning
 			r.since = now
@@ -243,7 +243,7 @@
 			m.finishRuledOut(now, r)
 			return true
 		}
-		r.stopRequested = true // so that the start can no longer take effect
+		r.requestStop(now) // so that the start can no longer take effect
 	case runRuledOut:
 		m.finishRuledOut(now, r)
 		return true
