agent: log runs at the worker that the agent has no record of

Event 2040 unrecorded_run. A run that its agent has reported as ended or as not run, but that goes on, is found in the worker's next list and stopped.

--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -178,6 +178,10 @@
 	Age     time.Duration // since the permission expired
 }
 
+// UnrecordedRun reports that a list contains a run that the machine has no record of, and
+// that is stopped.
+type UnrecordedRun struct{ Run wire.RunRef }
+
 // WorkerRestarted reports that the worker has restarted. The caller should request
 // no further run. Runs that reached the new worker incarnation are tracked to their
 // end.
@@ -200,6 +204,7 @@
 
 func (Admission) isAction()       {}
 func (StartExpired) isAction()    {}
+func (UnrecordedRun) isAction()   {}
 func (CallStart) isAction()       {}
 func (CallStop) isAction()        {}
 func (CallPoll) isAction()        {}
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -39,6 +39,7 @@
 			s.finish(x)
 		case lease.WorkerRestarted:
 			s.restarted = true
+		case lease.UnrecordedRun:
 		default:
 			s.send(x)
 		}
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -221,6 +221,7 @@
 func (m *Machine) addForeign(now time.Duration, id wire.RunRef) {
 	if !slices.ContainsFunc(m.foreign, func(f foreignRun) bool { return f.id == id }) {
 		m.foreign = append(m.foreign, foreignRun{id: id, seenAt: now, stopAt: now})
+		m.emit(UnrecordedRun{Run: id})
 	}
 }
 
--- a/internal/eventlog/catalog_agent.go
+++ b/internal/eventlog/catalog_agent.go
@@ -26,6 +26,7 @@
 	StartExpired        = define(2037, "start_expired", zapcore.WarnLevel, false)
 	WorkerTakenOver     = define(2039, "worker_taken_over", zapcore.InfoLevel, false)
 	AnnouncementStale   = define(2038, "announcement_stale", zapcore.WarnLevel, false)
+	UnrecordedRun       = define(2040, "unrecorded_run", zapcore.WarnLevel, false)
 	AnnouncementInvalid = define(2034, "announcement_invalid", zapcore.WarnLevel, false)
 	StartReceived       = define(2100, "start_received", zapcore.DebugLevel, true)
 	StartRefused        = define(2101, "start_refused", zapcore.InfoLevel, false)
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -201,6 +201,7 @@
 			OnWorkerRestart: func() { n.workerRestarted(a) },
 			OnAdmission:     func(x lease.Admission) { n.logAdmission(a.Worker, x) },
 			OnStartExpired:  func(x lease.StartExpired) { n.logStartExpired(a.Worker, x) },
+			OnUnrecordedRun: func(x lease.UnrecordedRun) { n.logUnrecordedRun(a.Worker, x) },
 			OnPollError: func(err error) {
 				n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Peer: a.Worker, Err: err})
 			},
@@ -235,6 +236,11 @@
 	})
 }
 
+// logUnrecordedRun logs a run at the worker that the agent has no record of.
+func (n *AgentNode) logUnrecordedRun(worker string, x lease.UnrecordedRun) {
+	n.opts.Log.Emit(eventlog.UnrecordedRun, eventlog.Fields{Peer: worker, Job: x.Run.Job, Task: x.Run.Index + 1, Count: int64(x.Run.Run)})
+}
+
 // workerRestarted drains the agent of a worker that was found to have
 // restarted. The new incarnation announces itself.
 func (n *AgentNode) workerRestarted(a Announcement) {
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -62,6 +62,9 @@
 	// OnStartExpired is called when a start is refused because its permission had
 	// expired, for logging. It may be nil.
 	OnStartExpired func(lease.StartExpired)
+	// OnUnrecordedRun is called when a run without a record is found at the worker, for
+	// logging. It may be nil.
+	OnUnrecordedRun func(lease.UnrecordedRun)
 }
 
 // Upstream runs the tasks of an agent at one worker. It implements
@@ -190,6 +193,10 @@
 		if u.opts.OnStartExpired != nil {
 			u.opts.OnStartExpired(x)
 		}
+	case lease.UnrecordedRun:
+		if u.opts.OnUnrecordedRun != nil {
+			u.opts.OnUnrecordedRun(x)
+		}
 	case lease.WorkerRestarted:
 		if u.opts.OnWorkerRestart != nil {
 			u.opts.OnWorkerRestart()
