lease: renew nothing after retained runs were released with the lease

Callers of stored jobs could see a task run again although it had succeeded (TWICE, a start after an end that was taken note of).

Cause: when the lease expires, the finished runs that are retained are released, since their ends no longer count. A start that the worker carried out before it noticed the expiry renewed the lease, so that in its view the lease never expired and the ends counted after all. No call renews the lease now until the worker has answered a poll since.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -182,8 +182,9 @@
 	// leaseEnd is when the lease has expired even on the slowest worker clock.
 	leaseEnd time.Duration
 	// lapsedAt is when the lease was found to have expired with runs that are still open, 0
-	// if there are none. unconfirmedAt is when such runs were reported as ended
-	// although no list has shown it, 0 if a list was read since.
+	// if there are none. unconfirmedAt is when such runs were reported as ended, or finished
+	// runs were released with their lease, although the worker has not answered since; 0 if
+	// a list has shown that none of them goes on.
 	lapsedAt      time.Duration
 	silentPolls   int // unanswered polls that were sent lapseTimeout or more after lapsedAt
 	unconfirmedAt time.Duration
@@ -512,6 +513,9 @@
 	if now <= m.leaseEnd {
 		return
 	}
+	if len(m.retained) > 0 {
+		m.unconfirmedAt = now
+	}
 	m.releaseAll()
 	if len(m.ordered) == 0 {
 		m.lapsedAt = 0
@@ -537,8 +541,10 @@
 func (m *Machine) lapsed(now time.Duration) bool { return now > m.leaseEnd && len(m.ordered) > 0 }
 
 // renewalsHeld reports whether no call may renew the lease, because it has expired with runs
-// that no list has shown to have ended. A worker that goes on after it stood still may
-// carry out a call before it looks at its lease: a renewal would prolong those runs.
+// that no list has shown to have ended, or with finished runs that were retained. A worker
+// that goes on after it stood still may carry out a call before it looks at its lease: a
+// renewal would prolong those runs, and finished runs would count although they were
+// released.
 func (m *Machine) renewalsHeld(now time.Duration) bool {
 	return m.unconfirmedAt > 0 || m.lapsed(now)
 }
