entry: take gaps of less than 0.25 s for no pause

Callers of a busy entry would be refused, and its tasks not started, for as long as it is busy: with a processor quota of 0.19 cores a process waits for 81 ms of each 0.1 s, and one tick later that is a gap of 0.1 s.

--- a/core/entry/pause.go
+++ b/core/entry/pause.go
@@ -9,13 +9,14 @@
 const (
 	// MinPause is the length from which on a pause of the process counts: the time between
 	// two steps, or that of several gaps of at least MinGap with fewer than SettleTicks
-	// ticks between two of them. After a shorter one a caller that left is noticed in time even if the agent that runs
-	// its job then fails: the run ends with its lease at the worker 0.72 s later, before
-	// the caller sends the job again.
+	// ticks between two of them. After a shorter one a caller that left is noticed in time
+	// even if the agent that runs its job then fails: the run ends with its lease at the
+	// worker 0.72 s later, before the caller sends the job again.
 	MinPause = 400 * time.Millisecond
 	// MinGap is the time between two steps from which on the process counts as standing
-	// still in between. Ticks are 20 ms apart.
-	MinGap = 100 * time.Millisecond
+	// still in between. A processor quota makes a busy process wait for up to 0.1 s again and
+	// again, which is no pause.
+	MinGap = 250 * time.Millisecond
 	// SettleTicks is the number of ticks made after a pause during which nothing is started.
 	// The end of a connection that was closed during the pause is noticed as soon as the
 	// process runs; ticks rather than time are counted because a process that wakes may
@@ -77,8 +78,9 @@
 func (m *Machine) startsHeld() bool { return m.held }
 
 // closeJobs lets nothing more be started of the jobs that are not stored and were received
-// before closedBefore, and returns their number. A job of which a task is still to be started can no longer be complete
-// and is aborted. The others get the results of their runs.
+// before closedBefore, and returns their number. A job of which a task is still to be
+// started can no longer be complete and is aborted. The others get the results of their
+// runs.
 func (m *Machine) closeJobs(now time.Duration) int {
 	var jobs []*job
 	for _, j := range m.jobs {
