entry: cancel a run again after a reconnect if its cancel may have been lost

Callers saw jobs that did not end. The cancel of a stuck run, or of the other members of a gang, is sent once. If it was lost with the connection to the agent, or there was none at that moment, the entry only queried the attempt over the next connection, because its job goes on, and never cancelled the run again: a task that stands still then holds its job for as long as its worker lives.

Now the attempt that was cancelled last is remembered with its task and cancelled again together with the query.

TestCancelOfStuckRunIsRepeatedAfterReconnect and TestCancelOfGangMemberIsRepeatedAfterReconnect fail before: no cancel is sent.

--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -78,6 +78,7 @@
 	members := j.gangMembers(s)
 	for i := range members {
 		if t := &members[i]; t.state == taskInFlight {
+			t.cancelledSeq = t.seq
 			m.cancelAttempt(t.link, t.seq)
 		}
 	}
--- a/core/entry/gang_test.go
+++ b/core/entry/gang_test.go
@@ -52,6 +52,14 @@
 	assert.Assert(t, again[0] > 16, "must be above the run that the worker knows")
 }
 
+// Guards against a gang that waits for a member whose cancel was lost with the connection.
+func TestCancelOfGangMemberIsRepeatedAfterReconnect(t *testing.T) {
+	m, _ := startGangJob(t, nil)
+	assert.DeepEqual(t, cancelledSeqs(deliverResult(m, 1, wire.NotRun, wire.ReasonBusy)), []wire.Seq{2})
+	m.Step(10*time.Millisecond, entry.LinkDown{Agent: 1, Epoch: 1})
+	assert.DeepEqual(t, cancelledSeqs(m.Step(20*time.Millisecond, linkUp(2, 0))), []wire.Seq{2})
+}
+
 // Guards against running the other members of a gang again after one has
 // succeeded.
 func TestSuccessOfOneMemberCompletesGang(t *testing.T) {
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -114,12 +114,12 @@
 }
 
 // queryInFlight queries every attempt that is still open after the loss of the
-// previous connection. An attempt whose job is ending is also cancelled,
-// because the cancel may have been lost: otherwise the agent would start a task
-// that nobody waits for.
+// previous connection. An attempt that was cancelled is cancelled again, because the
+// cancel may have been lost: otherwise the agent would start a task that nobody waits
+// for, or the job would wait for a run that is stuck or whose gang has ended.
 func (m *Machine) queryInFlight(link *agentLink) {
 	link.attempts.forEach(func(seq wire.Seq, t *task) {
-		if t.job.ending || t.state != taskInFlight {
+		if t.job.ending || t.state != taskInFlight || t.cancelledSeq == seq {
 			m.cancelAttempt(link, seq)
 		}
 		link.outgoing.Queries = append(link.outgoing.Queries, seq)
--- a/core/entry/repeat_test.go
+++ b/core/entry/repeat_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// Guards against a job that waits for ever: the cancel of its stuck run was lost with the
+// connection, or could not be sent without one.
+func TestCancelOfStuckRunIsRepeatedAfterReconnect(t *testing.T) {
+	for _, stuckAt := range []time.Duration{200 * time.Millisecond, 220 * time.Millisecond} { // before and after the loss
+		m := entry.New(entry.Options{Incarnation: 1, Scheduler: new(stuckScheduler)})
+		m.Step(0, linkUp(1, 0))
+		m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Minute, MaxFailedRuns: 3, Payloads: make([][]byte, 1)})
+		if stuckAt < 210*time.Millisecond {
+			assert.Equal(t, len(cancelledSeqs(m.Step(stuckAt, entry.Tick{}))), 1)
+		}
+		m.Step(210*time.Millisecond, entry.LinkDown{Agent: 1, Epoch: 1})
+		if stuckAt > 210*time.Millisecond {
+			assert.Equal(t, len(cancelledSeqs(m.Step(stuckAt, entry.Tick{}))), 0)
+		}
+		f, _ := mergeFrames(m.Step(300*time.Millisecond, linkUp(2, 0)))
+		assert.DeepEqual(t, f.Cancels, []wire.Seq{1})
+		assert.DeepEqual(t, f.Queries, []wire.Seq{1})
+	}
+}
+
 // Guards against a second run of a task that is still running: the agent of an
 // earlier worker incarnation may, while it is ending, connect again after the agent
 // of the later one.
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -36,6 +36,7 @@
 	runLost       bool       // its run was lost; the task waits until that run must have ended
 	lostRun       int        // number of the lost run that the next start repeats, 0 if none
 	stopRequested bool       // the current run was cancelled because it is stuck
+	cancelledSeq  wire.Seq   // the attempt that was cancelled last although its job goes on, 0 if none was
 	checkpoint    string     // latest checkpoint that a worker saved, see wire.Start.Checkpoint
 	link          *agentLink // agent of the current attempt, nil if none is in flight
 	retryAt       time.Duration
@@ -153,6 +154,7 @@
 				return
 			}
 			t.stopRequested = true
+			t.cancelledSeq = seq
 			m.cancelAttempt(link, seq)
 		})
 	}
