--- a/internal/soak/groups.go
+++ b/internal/soak/groups.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
+	"github.com/limpettrail/limpettrail/platform/emulator"
 )
 
 const (
@@ -24,6 +25,8 @@
 	maxStopInterval = 900 * time.Millisecond
 	stopsInSeries   = 14
 	frozenEntries   = 3
+	// maxCallDelay bounds the delay of a disturbed worker's calls.
+	maxCallDelay = 150 * time.Millisecond
 )
 
 // groupStep is a part of a group fault: a fault of one VM's process.
@@ -51,10 +54,18 @@
 		}
 	case 1:
 		name = "stop of agents in series"
+		var faults emulator.WorkerFaults
+		if r.IntN(2) == 0 {
+			name += " beside disturbed workers"
+			faults = emulator.WorkerFaults{DelayedShare: 0.15, LostReplyShare: 0.15, CallDelay: time.Duration(r.Int64N(int64(maxCallDelay)))}
+		}
 		interval := minStopInterval + time.Duration(r.Int64N(int64(maxStopInterval)))
 		for range stopsInSeries {
 			vm := s.opts.Entries + r.IntN(s.opts.Workers)
 			steps = append(steps, groupStep{vm: vm, after: interval, inject: func(ctx context.Context) error {
+				w := s.Workers[vm-s.opts.Entries]
+				w.SetFaults(faults)
+				defer w.SetFaults(emulator.WorkerFaults{})
 				if err := s.Stop(ctx, vm); err != nil {
 					return err
 				}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -32,6 +32,7 @@
 	// leaveShare leave early.
 	longShare  = 0.1
 	leaveShare = 0.1
+	reloadAge  = 3 * time.Second
 	// linkPort is the port of the proxies between entries and agents.
 	linkPort = "18190"
 )
@@ -53,8 +54,9 @@
 // System is a set of entry and agent processes on an emulated platform.
 type System struct {
 	*emulator.Cluster
-	opts  Options
-	procs []*harness.Process // by VM; nil if the process is down
+	opts      Options
+	procs     []*harness.Process // by VM; nil if the process is down
+	startedAt []time.Time        // of the newest process, by VM
 	// storeProxies and workerProxies hold the proxies by VM. An entry has no worker
 	// proxy.
 	storeProxies  []*faultproxy.Proxy
@@ -63,7 +65,7 @@
 	// without Options.AllFaults.
 	linkProxies []*faultproxy.Proxy
 
-	mu     sync.Mutex        // guards procs and output
+	mu     sync.Mutex        // guards procs, startedAt and output
 	output map[string]string // of processes that have exited, by VM name
 }
 
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{Cluster: c, opts: opts, procs: make([]*harness.Process, c.VMs()), output: make(map[string]string)}
+	s := &System{Cluster: c, opts: opts, procs: make([]*harness.Process, c.VMs()), startedAt: make([]time.Time, c.VMs()), output: make(map[string]string)}
 	if err := s.startProcesses(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -162,7 +164,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.procs[vm] = p
+	s.procs[vm], s.startedAt[vm] = p, time.Now()
 	return nil
 }
 
@@ -173,10 +175,13 @@
 	return s.procs[vm]
 }
 
-// Reload sends SIGHUP to the process of a VM. One that has just started and does not
-// handle the signal yet exits; Recover starts it again.
+// Reload sends SIGHUP to the process of a VM unless it was started less than reloadAge
+// ago: a process that does not handle the signal yet exits.
 func (s *System) Reload(vm int) {
-	if p := s.process(vm); p != nil {
+	s.mu.Lock()
+	p, age := s.procs[vm], time.Since(s.startedAt[vm])
+	s.mu.Unlock()
+	if p != nil && age > reloadAge {
 		// An error means that the process has exited.
 		_ = p.Signal(syscall.SIGHUP)
 	}
