--- a/internal/soak/groups.go
+++ b/internal/soak/groups.go
@@ -19,8 +19,8 @@
 	// A group holds minGroupShare of the agents or up to maxGroupShare more.
 	minGroupShare = 0.3
 	maxGroupShare = 0.5
-	// Agents that are stopped in series follow each other after minStopInterval or up to
-	// maxStopInterval later.
+	// Processes that are stopped in series follow each other after minStopInterval or up
+	// to maxStopInterval later.
 	minStopInterval = 100 * time.Millisecond
 	maxStopInterval = 900 * time.Millisecond
 	stopsInSeries   = 14
@@ -46,7 +46,7 @@
 	}
 	var name string
 	var steps []groupStep
-	switch r.IntN(4) {
+	switch r.IntN(5) {
 	case 0:
 		name = "freeze of agents"
 		for _, vm := range s.randomAgents(r, share) {
@@ -58,6 +58,7 @@
 		if r.IntN(2) == 0 {
 			name += " beside disturbed workers"
 			faults = emulator.WorkerFaults{DelayedShare: 0.15, LostReplyShare: 0.15, CallDelay: time.Duration(r.Int64N(int64(maxCallDelay)))}
+			faults.Hang = r.IntN(3) == 0 // the agent does not get to drain
 		}
 		interval := minStopInterval + time.Duration(r.Int64N(int64(maxStopInterval)))
 		for range stopsInSeries {
@@ -83,6 +84,16 @@
 			step.after, after = after, 0
 			steps = append(steps, step)
 		}
+	case 3:
+		name = "restart of workers in series"
+		interval := minStopInterval + time.Duration(r.Int64N(int64(maxStopInterval)))
+		for range stopsInSeries {
+			vm := s.opts.Entries + r.IntN(s.opts.Workers)
+			steps = append(steps, groupStep{vm: vm, after: interval, inject: func(context.Context) error {
+				s.Workers[vm-s.opts.Entries].Restart()
+				return nil
+			}})
+		}
 	default:
 		name = "kill of agents"
 		for _, vm := range s.randomAgents(r, share/2) {
