soak: report processes that exit by themselves

A process that had ended without a fault that ends it was only logged and stayed down. Recover now reports it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -238,10 +240,13 @@
 }
 
 // Recover starts every process that is down and waits until every entry is ready. Call
-// it after InjectFaults has returned.
+// it after InjectFaults has returned. The error names the processes that had exited
+// without a fault that ends them.
 func (s *System) Recover(ctx context.Context) error {
+	var exited error
 	for vm := range s.VMs() {
 		if p := s.process(vm); p != nil && !p.Running() {
+			exited = errors.Join(exited, fmt.Errorf("soak: %s has exited by itself", p.Name))
 			s.markDown(vm)
 		}
 		if s.process(vm) == nil {
@@ -250,5 +255,5 @@
 			}
 		}
 	}
-	return s.AwaitReady(ctx)
+	return errors.Join(exited, s.AwaitReady(ctx))
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,7 +102,9 @@
 	go func() { replies <- s.SubmitJobs(ctx, extent.jobs, extent.jobInterval) }()
 	go func() { stored <- s.SubmitStoredJobs(ctx, extent.stored, extent.storedInterval) }()
 	s.InjectFaults(ctx, t.Logf, rand.New(rand.NewPCG(seed, 7)), extent.faults)
-	assert.NilError(t, s.Recover(ctx))
+	if err := s.Recover(ctx); err != nil {
+		t.Error(err)
+	}
 	completed := 0
 	for _, r := range <-replies {
 		if r.State == "completed" {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -176,12 +176,13 @@
 }
 
 // Reload sends SIGHUP to the process of a VM unless it was started less than reloadAge
-// ago: a process that does not handle the signal yet exits.
+// ago or, frozen since, has logged nothing: a process that does not handle the signal yet
+// exits.
 func (s *System) Reload(vm int) {
 	s.mu.Lock()
 	p, age := s.procs[vm], time.Since(s.startedAt[vm])
 	s.mu.Unlock()
-	if p != nil && age > reloadAge {
+	if p != nil && age > reloadAge && p.Output() != "" {
 		// An error means that the process has exited.
 		_ = p.Signal(syscall.SIGHUP)
 	}
