--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,11 +105,9 @@
 	if err := s.Recover(ctx); err != nil {
 		t.Error(err)
 	}
-	completed := 0
+	answers := make(map[string]int) // by status and state
 	for _, r := range <-replies {
-		if r.State == "completed" {
-			completed++
-		}
+		answers[fmt.Sprintf("%d %s", r.Status, r.State)]++
 	}
 	jobs := <-stored
 	for i := range jobs {
@@ -121,7 +119,7 @@
 	for _, v := range s.Checker.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d of %d jobs completed; %+v", completed, extent.jobs, s.Checker.Counts())
+	t.Logf("answers to %d jobs: %v; %+v", extent.jobs, answers, s.Checker.Counts())
 	assert.Check(t, slices.ContainsFunc(repliesAfter, func(r emulator.Reply) bool { return r.State == "completed" }),
 		"no job completed after the faults: %v", repliesAfter)
 }
