lease: count a crash only under a run that may be its cause

Callers could see a job as failed under none of whose tasks two workers had crashed (LOST).

Cause: an unanswered start of a worker whose process was then found gone, or replaced, ended as ReasonWorkerCrashed. A worker that was silent when the starts were sent need not have begun the run, so three such starts failed the job. Now the crash counts if the worker is known to have had the run (it accepted the start or listed the run), or if it could not be reached when the unanswered start was repeated: a task that crashes a worker before this one answers is found that way. Otherwise the run ends as ReasonRunEnded, and its lease is still waited for.

Evidence: TestCrashCountsUnderUnansweredStartOnlyIfItMayBeTheCause failed before ("silent, then gone": worker_crashed).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -28,7 +28,9 @@
 //     open run that has expired.
 //   - A superseded run is acknowledged only after the lease has expired.
 //   - Finished reports Failed with ReasonWorkerCrashed only if the worker's process was
-//     found to be gone or replaced. A run that it had accepted has ended with it.
+//     found to be gone or replaced, and only if the run was known to be there or the
+//     process was gone when its unanswered start was repeated. A run that the worker had
+//     accepted has ended with it.
 package lease
 
 import (
@@ -159,6 +161,7 @@
 	stopRequested   bool          // a stop is due or was sent
 	cancelled       bool          // its entry asked for the stop
 	workerRestarted bool          // the worker restarted after the start was sent
+	goneOnRepeat    bool          // the worker could not be reached when an unanswered start was repeated
 	stopAt          time.Duration // earliest time of the next stop call
 }
 
@@ -400,6 +403,7 @@
 			r.state = runRuledOut
 		}
 		r.notRunReason = e.Reason
+		r.goneOnRepeat = r.goneOnRepeat || e.Reason == wire.ReasonUpstreamDown
 		m.pollNow = true
 	case StartUnanswered:
 		m.unansweredAt = now
@@ -494,9 +498,12 @@
 	m.emit(finished)
 }
 
-// endReason returns the reason of a run that ended with its worker or its lease.
-func endReason(workerCrashed bool) wire.Reason {
-	if workerCrashed {
+// endReason returns the reason of a run that ended with its worker or its lease. The crash
+// of a worker counts only under a run that the worker is known to have had, or whose start
+// may have crashed it: the worker could not be reached when the start was repeated. Before
+// that a silent worker may have left the start unhandled.
+func (r *run) endReason(workerCrashed bool) wire.Reason {
+	if workerCrashed && (r.state == runRunning || r.goneOnRepeat) {
 		return wire.ReasonWorkerCrashed
 	}
 	return wire.ReasonRunEnded
@@ -533,7 +540,8 @@
 	}
 	m.lapsedAt = 0
 	for len(m.ordered) > 0 {
-		m.finish(now, m.ordered[0], wire.Failed, endReason(m.processGone))
+		r := m.ordered[0]
+		m.finish(now, r, wire.Failed, r.endReason(m.processGone))
 	}
 }
 
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -248,7 +248,7 @@
 	}
 	switch r.state {
 	case runRunning:
-		m.finish(now, r, wire.Failed, endReason(r.workerRestarted))
+		m.finish(now, r, wire.Failed, r.endReason(r.workerRestarted))
 		return true
 	case runUnanswered:
 		if m.clock > r.deadline && !r.workerRestarted {
@@ -269,7 +269,7 @@
 // previous incarnation.
 func (m *Machine) finishRuledOut(now time.Duration, r *run) {
 	if r.workerRestarted {
-		m.finish(now, r, wire.Failed, wire.ReasonWorkerCrashed)
+		m.finish(now, r, wire.Failed, r.endReason(true))
 		return
 	}
 	m.finish(now, r, wire.NotRun, cmp.Or(r.notRunReason, wire.ReasonNotReceived))
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -101,6 +101,53 @@
 	}
 }
 
+// Guards against a task that is blamed for the crash of a worker that never began its run,
+// because it was silent before, and against one whose starts crash worker after worker
+// before these answer.
+func TestCrashCountsUnderUnansweredStartOnlyIfItMayBeTheCause(t *testing.T) {
+	run := wire.RunRef{Job: "j", Run: 1}
+	unanswered := Started{Run: run, Result: StartUnanswered}
+	unreachable := Started{Run: run, Result: StartRefused, Reason: wire.ReasonUpstreamDown}
+	busy := Started{Run: run, Result: StartRefused, Reason: wire.ReasonBusy}
+	gone := Polled{ProcessGone: true}
+	status := func(incarnation int64, running ...wire.RunRef) Polled {
+		return Polled{Status: &WorkerStatus{Incarnation: incarnation, Clock: time.Second, Running: running}}
+	}
+	for _, c := range []struct {
+		name   string
+		events []Event // 10 ms apart
+		want   wire.Reason
+	}{
+		{"silent, then gone", []Event{unanswered, unanswered, unanswered, gone}, wire.ReasonRunEnded},
+		{"silent, then restarted", []Event{unanswered, unanswered, unanswered, Polled{}, status(2), Stopped{Run: run, Acknowledged: true}, status(2)}, wire.ReasonRunEnded},
+		{"silent, then busy, then gone", []Event{unanswered, busy, gone}, wire.ReasonRunEnded},
+		{"gone after the first start", []Event{unanswered, unreachable, gone}, wire.ReasonWorkerCrashed},
+		{"gone after the second start", []Event{unanswered, unanswered, unreachable, gone}, wire.ReasonWorkerCrashed},
+		{"listed, then gone", []Event{unanswered, unanswered, unanswered, status(1, run), gone}, wire.ReasonWorkerCrashed},
+	} {
+		m := New(Options{})
+		now := time.Second
+		m.Step(now, status(1))
+		m.Step(now, Start{Run: run})
+		var got []wire.Reason
+		step := func(ev Event) {
+			for _, a := range m.Step(now, ev) {
+				if f, ok := a.(Finished); ok {
+					got = append(got, f.Reason)
+				}
+			}
+		}
+		for _, ev := range c.events {
+			now += 10 * time.Millisecond
+			step(Tick{}) // sends the poll
+			step(ev)
+		}
+		now += 2 * DefaultLease
+		step(Tick{})
+		assert.Assert(t, slices.Equal(got, []wire.Reason{c.want}), "%s: got %v, want %v", c.name, got, c.want)
+	}
+}
+
 // Guards against tasks of a crashed worker that wait for a lease before they are
 // repeated, and against a run that is repeated while a delayed start may still reach
 // the worker's next incarnation.
