lease: await the timeout after a lapse in the test of unanswered starts

TestCrashCountsUnderUnansweredStartOnlyIfItMayBeTheCause was written before the runs of a lapsed lease waited for a list: after the restart of the worker its run now ends with the next list or after lapseTimeout. The test lets that pass, as TestCrashedWorkerIsToldFromSilentOne does. The expected reasons are unchanged.

--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -144,6 +144,12 @@
 		}
 		now += 2 * DefaultLease
 		step(Tick{})
+		now += lapseTimeout
+		for range 2 * lapsePolls {
+			now += 100 * time.Millisecond
+			step(Tick{})
+			step(Polled{})
+		}
 		assert.Assert(t, slices.Equal(got, []wire.Reason{c.want}), "%s: got %v, want %v", c.name, got, c.want)
 	}
 }
