lease: let a worker that answers again notice the expiry of its lease first

Callers of stored jobs could see a task run again although it had succeeded, and its end taken note of, on a machine so busy that a worker answers calls for some milliseconds before it looks at its lease. The worker answered a poll and carried out a start, which renewed the lease, before it looked.

Cause: one answer counted as proof that the worker goes on as usual. Renewals are now held until it has answered for 0.1 s without leaving a call unanswered. A worker that answers all the time gets starts again with the first answer, as before.

TestExpiredLeaseIsNotRenewedBeforeListIsRead fails without the change: a start is sent with the first answer.

--- a/core/lease/lapse_test.go
+++ b/core/lease/lapse_test.go
@@ -107,6 +107,15 @@
 		s.step(Stopped{Run: run, Acknowledged: true})
 		s.answerPoll() // the run has ended
 		s.start("l", 3, 0)
+		assert.Equal(t, len(s.starts), starts, "the worker may not have noticed the expiry yet")
+		for range lapseSettle / (10 * time.Millisecond) {
+			s.now += 10 * time.Millisecond
+			s.step(Tick{})
+			if s.m.polling {
+				s.answerPoll()
+			}
+		}
+		s.start("m", 4, 0)
 		assert.Equal(t, len(s.starts), starts+1, "starts go on, reported %v", reported)
 	}
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -21,8 +21,8 @@
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired and the worker has not answered for lapseTimeout since. A list that is cut
 //     off need not contain it.
-//   - No call renews the lease after it has expired with open runs, until a list shows
-//     that they have ended.
+//   - No call renews the lease after it has expired with open or retained runs, until the
+//     worker has answered for lapseSettle and a list shows that none goes on.
 //   - No start call is emitted after the start's permission has expired.
 //   - No call extends the lease beyond Options.Lease after the first permission of an
 //     open run that has expired.
@@ -80,6 +80,9 @@
 	// may still have runs in progress: if its process stands still, it ends them when it
 	// goes on. A process that shared a busy machine stood still for 0.4 s beyond the lease.
 	lapseTimeout = time.Second
+	// lapseSettle is how long after a call was left unanswered a worker that answers again
+	// may not have looked at its lease yet.
+	lapseSettle = 100 * time.Millisecond
 	// lapsePolls is the number of polls that must have been left unanswered after
 	// lapseTimeout: one alone may seem unanswered because this process was frozen.
 	lapsePolls = 3
@@ -185,9 +188,8 @@
 	// leaseEnd is when the lease has expired even on the slowest worker clock.
 	leaseEnd time.Duration
 	// lapsedAt is when the lease was found to have expired with runs that are still open, 0
-	// if there are none. unconfirmedAt is when such runs were reported as ended, or finished
-	// runs were released with their lease, although the worker has not answered since; 0 if
-	// a list has shown that none of them goes on.
+	// if there are none. unconfirmedAt is when the lease expired with open runs or with
+	// finished ones that were retained, 0 if the worker is known to have noticed.
 	lapsedAt      time.Duration
 	silentPolls   int // unanswered polls that were sent lapseTimeout or more after lapsedAt
 	unconfirmedAt time.Duration
@@ -292,7 +294,7 @@
 // Idle reports whether the worker has answered, no run is open or known at the
 // worker and every ended run that it listed has been acknowledged.
 func (m *Machine) Idle() bool {
-	return len(m.ordered) == 0 && len(m.foreign) == 0 && m.acked == m.highestSeen && m.readAt > 0
+	return len(m.ordered) == 0 && len(m.foreign) == 0 && m.unconfirmedAt == 0 && m.acked == m.highestSeen && m.readAt > 0
 }
 
 // ackLimit returns the highest number that may be acknowledged. The worker discards
@@ -530,14 +532,12 @@
 	}
 	if m.lapsedAt == 0 {
 		m.lapsedAt, m.silentPolls = now, 0
+		m.unconfirmedAt = now
 		m.pollNow = true
 	}
 	if !m.processGone && m.silentPolls < lapsePolls {
 		return
 	}
-	if !m.processGone {
-		m.unconfirmedAt = now
-	}
 	m.lapsedAt = 0
 	for len(m.ordered) > 0 {
 		r := m.ordered[0]
@@ -548,11 +548,10 @@
 // lapsed reports whether the lease has expired with open runs.
 func (m *Machine) lapsed(now time.Duration) bool { return now > m.leaseEnd && len(m.ordered) > 0 }
 
-// renewalsHeld reports whether no call may renew the lease, because it has expired with runs
-// that no list has shown to have ended, or with finished runs that were retained. A worker
-// that goes on after it stood still may carry out a call before it looks at its lease: a
-// renewal would prolong those runs, and finished runs would count although they were
-// released.
+// renewalsHeld reports whether no call may renew the lease, because it has expired and the
+// worker may not have noticed. A worker that goes on after it stood still may carry out
+// calls before it looks at its lease: a renewal would prolong runs that are repeated, and
+// finished runs would count although they were released.
 func (m *Machine) renewalsHeld(now time.Duration) bool {
 	return m.unconfirmedAt > 0 || m.lapsed(now)
 }
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -18,7 +18,7 @@
 	switch {
 	case m.readAt == 0: // no answer from the worker so far
 	case m.pollFailed: // the worker may restart, and a delayed start may reach its next incarnation
-	case m.pollNow, m.unconfirmedAt > 0:
+	case m.pollNow, m.unconfirmedAt > 0 && now-m.polledAt >= retainedPollInterval:
 	case m.anyRunAtWorker(), len(m.foreign) > 0:
 		if !m.lapsed(now) {
 			call.MaxWait = m.pollWait(now)
@@ -132,7 +132,7 @@
 	m.incarnation = status.Incarnation
 	m.applyEndedRuns(now, status.Ended)
 	m.reconcile(now, status)
-	if m.polledAt >= m.unconfirmedAt && len(m.foreign) == 0 {
+	if m.noticedExpiry(now) {
 		m.unconfirmedAt = 0
 	}
 	m.recordCheckpoints(status.Checkpoints)
@@ -141,6 +141,13 @@
 	}
 }
 
+// noticedExpiry reports whether the worker, which has just answered, has noticed that the
+// lease expired.
+func (m *Machine) noticedExpiry(now time.Duration) bool {
+	answers := m.unansweredAt == 0 || now-m.unansweredAt >= lapseSettle
+	return answers && m.polledAt >= m.unconfirmedAt && len(m.foreign) == 0
+}
+
 // workerRestarted handles a new worker incarnation, which numbers its ended runs
 // from 1 again. Earlier runs have ended with the previous incarnation, unless their
 // start reached the new one: the lists of the new incarnation show which.
