--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -28,6 +29,7 @@
 	seedCount = flag.Uint64("soak.seeds", 1, "number of seeds")
 	large     = flag.Bool("soak.large", false, "play largeSize, one seed after the other, without failedSeeds")
 	allFaults = flag.Bool("soak.all", false, "inject all kinds of faults; always on with -soak.large")
+	binary    = flag.String("soak.binary", "", "path of another build to play, for instance of an earlier commit")
 	logDir    = flag.String("soak.logs", "", "folder for the logs of failed seeds")
 )
 
@@ -82,7 +84,7 @@
 			if !*large {
 				t.Parallel()
 			}
-			runSeed(t, bin.Limpettrail, seed, extent)
+			runSeed(t, cmp.Or(*binary, bin.Limpettrail), seed, extent)
 		})
 	}
 }
