--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -41,7 +41,9 @@
 	entries []*fleetEntry
 	hosts   []*fleetHost
 	jobs    []*fleetJob
-	bySub   map[wire.SubmissionID]*fleetJob
+	bySub   map[wire.SubmissionID]*fleetJob   // submissions that are not answered
+	at      map[wire.SubmissionID]*fleetEntry // the entry of each
+	notices []*fleetNotice
 	nextID  uint64
 	faults  bool
 	failure string
@@ -70,14 +72,20 @@
 
 // fleetJob is the job of one caller.
 type fleetJob struct {
-	name      string
-	tasks     int
-	stored    bool
-	entry     *fleetEntry
-	id        wire.SubmissionID // 0 if no entry has it
-	left      bool
-	unnoticed time.Duration
-	resendAt  time.Duration
+	name     string
+	tasks    int
+	stored   bool
+	entry    *fleetEntry
+	id       wire.SubmissionID // 0 if no entry has it
+	left     bool
+	resendAt time.Duration
+}
+
+// fleetNotice is the end of a caller's connection that its entry has not noticed.
+type fleetNotice struct {
+	entry *fleetEntry
+	id    wire.SubmissionID
+	after time.Duration // for which the entry has to run
 }
 
 // fleetLink is a connection between a host and an entry. Frames wait in it while their
@@ -121,7 +129,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{seed: seed, rng: rand.New(rand.NewPCG(seed, 4141)), now: time.Minute, bySub: make(map[wire.SubmissionID]*fleetJob), faults: true}
+	f := &fleet{seed: seed, rng: rand.New(rand.NewPCG(seed, 4141)), now: time.Minute, bySub: make(map[wire.SubmissionID]*fleetJob), at: make(map[wire.SubmissionID]*fleetEntry), faults: true}
 	for i := range 2 + f.rng.IntN(2) {
 		e := &fleetEntry{index: i, id: wire.Incarnation(10 + i)}
 		e.machine = entry.New(entry.Options{
@@ -265,6 +273,7 @@
 func (f *fleet) answered(e *fleetEntry, x entry.Answer) {
 	j := f.bySub[x.Submission]
 	delete(f.bySub, x.Submission)
+	delete(f.at, x.Submission)
 	if j == nil || j.id != x.Submission {
 		return
 	}
@@ -279,8 +288,8 @@
 	f.nextID++
 	j.id = wire.SubmissionID{}
 	binary.BigEndian.PutUint64(j.id[:], f.nextID)
-	j.entry, j.left, j.unnoticed, j.resendAt = e, false, 0, 0
-	f.bySub[j.id] = j
+	j.entry, j.left, j.resendAt = e, false, 0
+	f.bySub[j.id], f.at[j.id] = j, e
 	f.logf("%s is sent to entry %d", j.name, e.index)
 	s := entry.Submit{
 		Submission: j.id, Class: "c", Deadline: f.millis(500, 6000), ReceivedAt: f.now, MaxFailedRuns: 3, Job: j.name, Payloads: make([][]byte, j.tasks),
@@ -308,23 +317,27 @@
 // leave breaks the connection of a caller, who sends the job again later.
 func (f *fleet) leave(j *fleetJob) {
 	f.logf("the caller of %s leaves", j.name)
-	j.left, j.unnoticed = true, noticeTime
+	j.left = true
+	f.notices = append(f.notices, &fleetNotice{entry: j.entry, id: j.id, after: noticeTime})
 	j.resendAt = f.now + resendDelay
 }
 
 func (f *fleet) runCallers() {
-	for _, j := range f.jobs {
-		if j.unnoticed > 0 && f.now >= j.entry.frozenTill && !j.entry.stopped {
-			j.unnoticed -= chainStep
-			if j.unnoticed == 0 {
-				j.entry.queue = append(j.entry.queue, entry.CancelJob{Submission: j.id})
+	for _, n := range f.notices {
+		if f.now >= n.entry.frozenTill {
+			n.after -= chainStep
+			if n.after == 0 {
+				n.entry.queue = append(n.entry.queue, entry.CancelJob{Submission: n.id})
 			}
 		}
+	}
+	f.notices = slices.DeleteFunc(f.notices, func(n *fleetNotice) bool { return n.after <= 0 || n.entry.stopped })
+	for _, j := range f.jobs {
 		if j.resendAt == 0 || f.now < j.resendAt {
 			continue
 		}
 		e := f.entries[f.rng.IntN(len(f.entries))]
-		if e.stopped || f.now < e.frozenTill || e == j.entry && (j.unnoticed > 0 || j.id != wire.SubmissionID{}) {
+		if e.stopped || f.now < e.frozenTill || f.inProgress(e, j) {
 			continue // tried again in the next step
 		}
 		f.counts.resent++
@@ -332,6 +345,17 @@
 	}
 }
 
+// inProgress reports whether the entry has an earlier submission of the job: the caller
+// would then wait for its answer.
+func (f *fleet) inProgress(e *fleetEntry, j *fleetJob) bool {
+	for id, other := range f.bySub {
+		if other == j && f.at[id] == e {
+			return true
+		}
+	}
+	return false
+}
+
 // stopEntry ends the process of an entry at once, as after the time for its drain. Its
 // callers' connections break.
 func (f *fleet) stopEntry(e *fleetEntry) {
