Tests: stored jobs don't fail without runs

Both tests passed before: the entry goes on with a task of a stored job after every reason of NotRun and Unknown, and a drive that ends for another reason than task_failed or workers_crashed is followed by the next.

--- a/core/durable/failedjobs_test.go
+++ b/core/durable/failedjobs_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/limpettrail/limpettrail/core/durable"
+	"github.com/limpettrail/limpettrail/core/entry"
 )
 
 // Guards against a job that fails although none of its tasks has failed as often as it
@@ -98,3 +100,32 @@
 		w.t.Fatalf("%d finished runs are never acknowledged, the first is %v", len(w.retained), w.retained[0].run.Run)
 	}
 }
+
+// Guards against a job that is recorded as failed because a drive of it ended for another
+// reason than its tasks: such a job is driven again.
+func TestJobIsDrivenAgainUnlessItsTasksFailed(t *testing.T) {
+	final := map[string]bool{entry.ReasonTaskFailed: true, entry.ReasonWorkersCrashed: true}
+	reasons := []string{
+		"", entry.ReasonTaskFailed, entry.ReasonWorkersCrashed, entry.ReasonTaskUnknown, entry.ReasonCancelled, entry.ReasonDraining,
+		entry.ReasonDeadline, entry.ReasonEntryPaused, entry.ReasonRetriesExhausted, entry.ReasonAnswerTooLarge, entry.ReasonBadSteps,
+	}
+	for _, outcome := range []entry.JobOutcome{entry.Failed, entry.Refused, entry.Unknown} {
+		for _, reason := range reasons {
+			l := newScriptedLog(7, nil)
+			l.step(durable.Submit{Token: 1, Spec: durable.Spec{ID: "j", MaxFailedRuns: 2, Steps: []entry.Step{{Tasks: 1}}}})
+			l.step(durable.Tick{})
+			assert.Equal(t, len(l.drives), 1)
+			l.step(durable.DriveEnded{Job: "j", Outcome: outcome, Reason: reason})
+			for range 20 {
+				l.step(durable.Tick{})
+			}
+			state, _ := l.machine.State("j")
+			if outcome == entry.Failed && final[reason] {
+				assert.Equal(t, state, durable.Failed, "%v %s", outcome, reason)
+				continue
+			}
+			assert.Equal(t, state, durable.Queued, "%v %s", outcome, reason)
+			assert.Equal(t, len(l.drives), 2, "%v %s", outcome, reason)
+		}
+	}
+}
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -71,6 +71,27 @@
 	assert.Equal(t, answersIn(refused)[0].Outcome, entry.Refused)
 }
 
+// Guards against a stored job that ends, as failed or otherwise, although none of its tasks
+// has run: no worker takes them, for whatever reason, or their runs are lost.
+func TestStoredJobThatIsNotRunGoesOn(t *testing.T) {
+	for _, outcome := range []wire.Outcome{wire.NotRun, wire.Unknown} {
+		for reason := wire.ReasonNone; reason <= wire.ReasonWorkerCrashed; reason++ {
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+			m.Step(0, linkUp(1, 0))
+			m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+			m.Step(0, entry.Submit{Submission: testJob, MaxFailedRuns: 1, Job: "j", Payloads: make([][]byte, 1), Stored: true})
+			now := time.Duration(0)
+			for seq := wire.Seq(1); seq <= 5; seq++ {
+				now += 2 * time.Second // a lost run has ended by then
+				m.Step(now, entry.Tick{})
+				assert.Equal(t, int(m.Stats().Starts), int(seq), "%v %v", outcome, reason)
+				actions := m.Step(now, resultEvent(seq, outcome, reason))
+				assert.Equal(t, len(answersIn(actions)), 0, "%v %v", outcome, reason)
+			}
+		}
+	}
+}
+
 // Guards against repeating a task while its run at a lost agent may continue,
 // and against ending the job because of the lost run.
 func TestLostRunOfStoredJobIsRepeatedAfterItsLease(t *testing.T) {
