entry: count crashes under long-running gangs

A long-running gang whose member crashes the worker that starts it was started without end: BUDGET allows three more starts after three crashes. Its members' ends were all applied as ReasonRunEnded, so no crash was counted. The reason and the run time of a crash now reach the count, which blames the task only for crashes within 10 s of its start, as for other long-running tasks.

TestLongRunningGangIsBlamedForEarlyCrashesOnly failed before (no end after three early crashes).

--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -187,6 +187,51 @@
 	assert.Equal(t, answersIn(crash(m, 0, 2))[0].Reason, entry.ReasonWorkersCrashed)
 }
 
+// Guards against a long-running gang whose members end the process of each worker that
+// starts them and are started without end, and against one that fails because of
+// unrelated crashes over its life.
+func TestLongRunningGangIsBlamedForEarlyCrashesOnly(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+	var open []wire.Start
+	record := func(actions []entry.Action) {
+		f, _ := mergeFrames(actions)
+		open = append(open, f.Starts...)
+	}
+	record(m.Step(0, entry.Submit{
+		Submission: testJob, MaxFailedRuns: 2, Job: "j", Payloads: make([][]byte, 2), Stored: true, LongRunning: true,
+		Steps: []entry.Step{{Tasks: 2, Gang: true}},
+	}))
+	now := time.Duration(0)
+	crash := func(runTime time.Duration) []entry.Action {
+		now += time.Second // beyond the delay before a restart
+		record(m.Step(now, entry.Tick{}))
+		assert.Equal(t, len(open), 2)
+		frame := &wire.ToEntry{}
+		for _, s := range open {
+			reason := wire.ReasonRunEnded
+			if s.Index == 1 {
+				reason = wire.ReasonWorkerCrashed
+			}
+			frame.Results = append(frame.Results, wire.Result{Seq: s.Seq, Outcome: wire.Failed, Reason: reason, RunTime: wire.MicrosOf(runTime)})
+		}
+		open = nil
+		actions := m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: frame})
+		record(actions)
+		return actions
+	}
+	for range 5 {
+		assert.Equal(t, len(answersIn(crash(time.Minute))), 0)
+	}
+	for range 2 {
+		assert.Equal(t, len(answersIn(crash(time.Second))), 0)
+	}
+	answers := answersIn(crash(time.Second))
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, answers[0].Reason, entry.ReasonWorkersCrashed)
+}
+
 // Guards against a job that is given up because its task ran beside one that ends the
 // process of its worker: after two crashes a task runs alone.
 func TestTaskRunsAloneAfterTwoCrashes(t *testing.T) {
--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -28,7 +28,11 @@
 		if inGang {
 			g := t.job.steps[t.step].gang
 			g.retryAt = max(g.retryAt, now+storedRetryDelay)
-			m.applyGangResult(now, t, &wire.Result{Outcome: wire.Failed, Reason: wire.ReasonRunEnded})
+			ended := &wire.Result{Outcome: wire.Failed, Reason: wire.ReasonRunEnded, RunTime: r.RunTime}
+			if r.Reason == wire.ReasonWorkerCrashed {
+				ended.Reason = r.Reason
+			}
+			m.applyGangResult(now, t, ended)
 			return
 		}
 		m.restartTask(now, t, r)
