--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -153,7 +153,8 @@
 	ReasonConnectionLost
 	// ReasonAgentLost: the agent's incarnation is gone or unreachable.
 	ReasonAgentLost
-	// ReasonStopped: the run was stopped by a cancel.
+	// ReasonStopped: the run was stopped by a cancel, or by the agent because its start had
+	// no answer and the worker did not list it.
 	ReasonStopped
 	// ReasonResultLost: the run ended, but its result was dropped to bound memory.
 	ReasonResultLost
