lease: an unreachable worker has not crashed

The start's result now states whether the connection was refused, as that of a poll does, and only that counts.

TestCrashCountsUnderUnansweredStartOnlyIfItMayBeTheCause failed before in the case "silent, then out of reach, then gone". The poll of a worker whose process is gone decided by the refused connection already.

--- a/core/entry/workerchain_test.go
+++ b/core/entry/workerchain_test.go
@@ -309,7 +309,7 @@
 	out := lease.Started{Run: x.Run, Result: lease.StartAccepted, Clock: h.c.now}
 	switch {
 	case h.c.now < h.goneUntil:
-		return lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonUpstreamDown}
+		return lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonUpstreamDown, ProcessGone: true}
 	case h.loseStarts, h.loseCalls > 0 && h.unanswered(), h.c.now < h.silentUntil:
 		if !slices.Contains(h.late, x.Run) {
 			h.late = append(h.late, x.Run)
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -66,6 +66,9 @@
 	Result StartResult
 	Reason wire.Reason   // set with StartRefused
 	Clock  time.Duration // worker's clock, 0 if not known
+	// ProcessGone states, with StartRefused, that nothing listens at the worker's address,
+	// see Polled.ProcessGone.
+	ProcessGone bool
 }
 
 // Stopped reports the result of a CallStop.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -164,7 +164,7 @@
 	stopRequested   bool          // a stop is due or was sent
 	cancelled       bool          // its entry asked for the stop
 	workerRestarted bool          // the worker restarted after the start was sent
-	goneOnRepeat    bool          // the worker could not be reached when an unanswered start was repeated
+	goneOnRepeat    bool          // the worker's process was gone when an unanswered start was repeated
 	stopAt          time.Duration // earliest time of the next stop call
 }
 
@@ -405,7 +405,7 @@
 			r.state = runRuledOut
 		}
 		r.notRunReason = e.Reason
-		r.goneOnRepeat = r.goneOnRepeat || e.Reason == wire.ReasonUpstreamDown
+		r.goneOnRepeat = e.ProcessGone
 		m.pollNow = true
 	case StartUnanswered:
 		m.unansweredAt = now
@@ -502,8 +502,8 @@
 
 // endReason returns the reason of a run that ended with its worker or its lease. The crash
 // of a worker counts only under a run that the worker is known to have had, or whose start
-// may have crashed it: the worker could not be reached when the start was repeated. Before
-// that a silent worker may have left the start unhandled.
+// may have crashed it: its process was gone when the start was repeated. A worker that was
+// silent before may have left the start unhandled.
 func (r *run) endReason(workerCrashed bool) wire.Reason {
 	if workerCrashed && (r.state == runRunning || r.goneOnRepeat) {
 		return wire.ReasonWorkerCrashed
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -108,6 +108,7 @@
 	run := wire.RunRef{Job: "j", Run: 1}
 	unanswered := Started{Run: run, Result: StartUnanswered}
 	unreachable := Started{Run: run, Result: StartRefused, Reason: wire.ReasonUpstreamDown}
+	refused := Started{Run: run, Result: StartRefused, Reason: wire.ReasonUpstreamDown, ProcessGone: true}
 	busy := Started{Run: run, Result: StartRefused, Reason: wire.ReasonBusy}
 	gone := Polled{ProcessGone: true}
 	status := func(incarnation int64, running ...wire.RunRef) Polled {
@@ -121,8 +122,9 @@
 		{"silent, then gone", []Event{unanswered, unanswered, unanswered, gone}, wire.ReasonRunEnded},
 		{"silent, then restarted", []Event{unanswered, unanswered, unanswered, Polled{}, status(2), Stopped{Run: run, Acknowledged: true}, status(2)}, wire.ReasonRunEnded},
 		{"silent, then busy, then gone", []Event{unanswered, busy, gone}, wire.ReasonRunEnded},
-		{"gone after the first start", []Event{unanswered, unreachable, gone}, wire.ReasonWorkerCrashed},
-		{"gone after the second start", []Event{unanswered, unanswered, unreachable, gone}, wire.ReasonWorkerCrashed},
+		{"silent, then out of reach, then gone", []Event{unanswered, unreachable, gone}, wire.ReasonRunEnded},
+		{"gone after the first start", []Event{unanswered, refused, gone}, wire.ReasonWorkerCrashed},
+		{"gone after the second start", []Event{unanswered, unanswered, refused, gone}, wire.ReasonWorkerCrashed},
 		{"listed, then gone", []Event{unanswered, unanswered, unanswered, status(1, run), gone}, wire.ReasonWorkerCrashed},
 	} {
 		m := New(Options{})
