entryd: close connections in use with their answers at a planned stop

Callers saw EOF or a reset for a request that they sent as the entry stopped as planned, and could not know whether it ran: once nothing was in progress, the stop closed every idle connection at once, also that of a caller that had just got an answer and was sending its next request.

The stop now closes the listener first. Each answer of a draining entry ends its connection, and a connection without a request is closed once it has been idle for 0.2 s. Only connections used within that time prolong the stop.

TestPlannedStopClosesIdleConnections guards against a stop that waits for silent callers; it passes before as well.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -160,6 +160,7 @@
 	callers      net.Listener
 	peers        net.Listener
 	operators    net.Listener   // nil if there is none
+	callerConns  *idleConns     // of the callers' server
 	servers      []*http.Server // the callers' server, then the operators' if there is one
 	table        *jobTable
 	driven       *drivenJobs
@@ -215,8 +216,8 @@
 		opts: opts, clock: bootclock.New(), log: opts.Log, metrics: newEntryMetrics(),
 		events: make(chan any, eventQueueSize),
 		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
-		driven: newDrivenJobs(),
-		ctx:    ctx, cancel: cancel, drained: make(chan struct{}),
+		driven: newDrivenJobs(), callerConns: newIdleConns(),
+		ctx: ctx, cancel: cancel, drained: make(chan struct{}),
 	}
 	e.knownEntries.Store(new([]wire.EntryAddr))
 	e.config.Store(&entry.Configured{Settings: opts.Settings})
@@ -255,16 +256,16 @@
 	e.goroutines.start(e.coreLoop)
 	e.goroutines.start(e.tickLoop)
 	e.goroutines.start(e.acceptLoop)
-	e.serveHTTP(limitConnections(e.callers, e.opts.MaxConnections), e.callerHandler())
+	e.serveHTTP(limitConnections(e.callers, e.opts.MaxConnections), e.closeWhileDraining(e.callerHandler()), e.callerConns.connState)
 	if e.operators != nil {
-		e.serveHTTP(limitConnections(e.operators, maxOperatorConnections), e.operatorHandler())
+		e.serveHTTP(limitConnections(e.operators, maxOperatorConnections), e.operatorHandler(), nil)
 	}
 }
 
-func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
+func (e *Entry) serveHTTP(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: connState,
 	}
 	e.servers = append(e.servers, s)
 	e.goroutines.start(func() { s.Serve(l) })
@@ -335,7 +336,7 @@
 	var err error
 	select {
 	case <-e.drained:
-		err = e.servers[0].Shutdown(ctx) // of the callers' server
+		err = e.shutdownCallers(ctx)
 		e.awaitPeers(ctx)
 	case <-e.ctx.Done():
 	case <-ctx.Done():
--- a/internal/entryd/plannedstop_test.go
+++ b/internal/entryd/plannedstop_test.go
@@ -79,3 +79,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a planned stop that waits for callers that send nothing.
+func TestPlannedStopClosesIdleConnections(t *testing.T) {
+	e := startEntry(t, entryd.Options{})
+	silent, err := net.Dial("tcp", e.Addr()) // sends no request
+	assert.NilError(t, err)
+	defer silent.Close()
+	used, err := net.Dial("tcp", e.Addr())
+	assert.NilError(t, err)
+	defer used.Close()
+	_, err = io.WriteString(used, "GET /v1/jobs/0 HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	answer := make([]byte, 1)
+	_, err = io.ReadFull(used, answer)
+	assert.NilError(t, err)
+	assert.NilError(t, e.Stop(context.Background()))
+	for _, c := range []net.Conn{silent, used} {
+		_, err := io.Copy(io.Discard, c)
+		assert.NilError(t, err, "the connection was reset")
+	}
+}
