timeline: ignore stamps of peers that are years ahead

One frame with an impossible stamp would make the stamps of the process fall back to 0, and with its own frames those of every other process, so that no timeline of a job is in order any more. A stamp of more than a year ahead of the wall clock is now ignored.

Test, before: TestImpossibleStampIsIgnored fails for each of three stamps near the largest.

--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -40,8 +40,16 @@
 	return c.last
 }
 
-// Observe records a stamp received from a peer, so that later stamps are greater.
-func (c *Clock) Observe(s Stamp) {
+// maxAheadMicros is how far a peer's stamp may be ahead of the wall clock, a year. Stamps
+// near the largest one would overflow in each process that the peer's frames reach.
+const maxAheadMicros = 366 * 24 * 3600 * 1_000_000
+
+// Observe records a stamp received from a peer, so that later stamps are greater. A stamp
+// too far ahead of the wall clock is ignored. wallMicros is as for Now.
+func (c *Clock) Observe(wallMicros int64, s Stamp) {
+	if s.Micros() > max(0, wallMicros)+maxAheadMicros {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = max(c.last, s)
--- a/core/timeline/timeline_test.go
+++ b/core/timeline/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -38,7 +39,7 @@
 					continue
 				}
 				m := rapid.IntRange(0, messages-1).Draw(t, "message")
-				clocks[p].Observe(inFlight[m])
+				clocks[p].Observe(wall+clockOffsets[p], inFlight[m])
 				stamp := clocks[p].Now(wall + clockOffsets[p])
 				lists[p] = append(lists[p], timeline.Event{Stamp: stamp, Process: fmt.Sprint(p), Name: fmt.Sprintf("recv-%d", m)})
 			}
@@ -47,6 +48,19 @@
 	})
 }
 
+// Guards against one frame with an impossible stamp after which the stamps of the process
+// fall back to 0, and those of every process that it sends frames to.
+func TestImpossibleStampIsIgnored(t *testing.T) {
+	const wall = 1_800_000_000_000_000
+	for _, s := range []timeline.Stamp{math.MaxUint64, math.MaxUint64 - 1, 1 << 63} {
+		var c timeline.Clock
+		first := c.Now(wall)
+		c.Observe(wall, s)
+		second := c.Now(wall)
+		assert.Assert(t, second > first && second.Micros() == first.Micros(), "%d after %d", second, first)
+	}
+}
+
 func checkOrder(t *rapid.T, events []timeline.MergedEvent, lists [][]timeline.Event) {
 	sent := make(map[string]bool)
 	next := make(map[string]int)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -164,7 +164,7 @@
 // Observe records the timestamp of a received frame, so that later ones exceed it.
 func (l *Log) Observe(s timeline.Stamp) {
 	if l != nil {
-		l.clock.Observe(s)
+		l.clock.Observe(time.Now().UnixMicro(), s)
 	}
 }
 
