entryd: accept connections until those in use are closed at a planned stop

Callers saw a reset on a connection that they had opened, and on which they had sent a request, before the planned stop began: on a busy machine the entry had not accepted it yet, and closing the listener first reset it.

--- a/internal/entryd/idleconns.go
+++ b/internal/entryd/idleconns.go
@@ -58,11 +58,18 @@
 	return len(s.since)
 }
 
-// shutdownCallers closes the listener for callers and ends their connections: those in use
-// with the next answer, the others once they have been idle for stopIdleAge.
+// shutdownCallers ends the connections of callers: those in use with the next answer, the
+// others once they have been idle for stopIdleAge. Then it closes the listener. While
+// connections are in use, further ones may wait to be accepted, which closing it would
+// reset, so it stays open for up to stopIdleAge.
 func (e *Entry) shutdownCallers(ctx context.Context) error {
-	e.callers.Close()
+	began := time.Now()
+	listening := true
 	for e.callerConns.closeIdle(stopIdleAge) > 0 && ctx.Err() == nil {
+		if listening && time.Since(began) >= stopIdleAge {
+			listening = false
+			e.callers.Close()
+		}
 		ctxsleep.For(ctx, stopPollInterval)
 	}
 	if err := e.servers[0].Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
