--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -141,13 +141,6 @@
 	}
 }
 
-// noticedExpiry reports whether the worker, which has just answered, has noticed that the
-// lease expired.
-func (m *Machine) noticedExpiry(now time.Duration) bool {
-	answers := m.unansweredAt == 0 || now-m.unansweredAt >= lapseSettle
-	return answers && m.polledAt >= m.unconfirmedAt && len(m.foreign) == 0
-}
-
 // workerRestarted handles a new worker incarnation, which numbers its ended runs
 // from 1 again. Earlier runs have ended with the previous incarnation, unless their
 // start reached the new one: the lists of the new incarnation show which.
