lease: count the silence of a worker after an expiry from its last answer

Callers could see two runs of one task at a time: the process of a worker stands still beyond its lease, runs for a moment, in which it answers a poll with a list that shows the run, and stands still again. After that the run was reported as ended, and its task repeated, with the third unanswered poll, some 0.1 s later.

Cause: the second of silence was counted from the expiry of the lease, and unanswered polls were added up across answers. The list had just shown that the worker had not noticed the expiry.

Fix: an answer resets the count and begins the second anew, as the package comment has it (not answered for lapseTimeout). A worker that goes on answering is not affected: its lists decide.

--- a/core/lease/lapse.go
+++ b/core/lease/lapse.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// lapseTimeout is how long after the expiry of the lease a worker that does not answer
-	// may still have runs in progress: if its process stands still, it ends them when it
-	// goes on. A process that shared a busy machine stood still for 0.4 s beyond the lease.
+	// lapseTimeout is how long after the expiry of the lease, or after an answer since, a
+	// worker that does not answer may still have runs in progress: if its process stands
+	// still, it ends them when it goes on. A process that shared a busy machine stood still
+	// for 0.4 s beyond the lease.
 	lapseTimeout = time.Second
 	// lapseSettle is how long after a call was left unanswered a worker that answers again
 	// may not have looked at its lease yet.
@@ -24,8 +25,8 @@
 // like those of a worker that was cut off.
 //
 // The open runs end, but a worker whose process stands still ends them only when it goes
-// on. So the next list decides. Runs of a worker that leaves lapsePolls polls unanswered
-// after lapseTimeout count as ended.
+// on. So the next list decides. Runs of a worker that leaves lapsePolls polls in a row
+// unanswered after lapseTimeout count as ended.
 func (m *Machine) expireLease(now time.Duration) {
 	if now <= m.leaseEnd {
 		return
--- a/core/lease/lapse_test.go
+++ b/core/lease/lapse_test.go
@@ -119,3 +119,19 @@
 		assert.Equal(t, len(s.starts), starts+1, "starts go on, reported %v", reported)
 	}
 }
+
+// Guards against a task that runs twice: a worker's process that stands still again and
+// again lists the run as going on, and the polls that it leaves unanswered after that
+// count together with the time before.
+func TestRunIsNotReportedAsEndedSoonAfterListShowedIt(t *testing.T) {
+	s, run := newLapsedScript()
+	s.staySilent(lapseTimeout - 100*time.Millisecond)
+	s.now += 20 * time.Millisecond
+	s.step(Tick{})
+	s.answerPoll(run)
+	s.staySilent(lapseTimeout - 100*time.Millisecond)
+	assert.Equal(t, len(s.finished), 0)
+	s.staySilent(100*time.Millisecond + lapsePolls*50*time.Millisecond)
+	assert.Equal(t, len(s.finished), 1)
+	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded)
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -181,7 +181,7 @@
 	// if there are none. unconfirmedAt is when the lease expired with open runs or with
 	// finished ones that were retained, 0 if the worker is known to have noticed.
 	lapsedAt      time.Duration
-	silentPolls   int // unanswered polls that were sent lapseTimeout or more after lapsedAt
+	silentPolls   int // unanswered polls sent lapseTimeout or more after lapsedAt and the last answer
 	unconfirmedAt time.Duration
 	incarnation   int64 // the worker's incarnation, 0 if not known
 	highestSeen   int   // highest number of an ended run seen
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -105,7 +105,7 @@
 	}
 	if e.Status == nil {
 		m.unansweredAt = now
-		if m.lapsedAt > 0 && m.polledAt-m.lapsedAt >= lapseTimeout {
+		if m.lapsedAt > 0 && m.polledAt-max(m.lapsedAt, m.answeredAt) >= lapseTimeout {
 			m.silentPolls++
 		}
 		m.nextPoll = now + pollRetry
@@ -120,6 +120,7 @@
 	status := e.Status
 	m.answeredAt = now
 	m.answeredPollAt = m.polledAt
+	m.silentPolls = 0
 	m.recordClock(now, status.Clock)
 	if m.clockFellAt <= m.polledAt {
 		m.clockFellAt = 0
