lease: end lapsed runs that cut-off lists don't show after the timeout

Callers could see a job that is never answered, or a stored job that never ends, and a healthy worker that gets no further run: its list of ended runs stays cut off, because it has a row that cannot be read, and the lease expires with a run that is in neither list.

Cause: since the next list decides about runs whose lease has expired, a run that is missing from a cut-off list stays open, renewals are held back and starts refused as busy. As the worker answers, its runs don't count as ended for its silence either.

Evidence: TestLapsedRunMissingFromCutOffListsIsReportedAsEnded failed before (no run reported as ended 2 s after the expiry).

Fix: a run that a list made lapseTimeout or more after the expiry doesn't show as going on counts as ended with its lease, also if the list of ended runs is cut off. A list that is cut off by its length shows its later rows by then, since the expiry releases the retained ones.

--- a/core/lease/lapse_test.go
+++ b/core/lease/lapse_test.go
@@ -135,3 +135,25 @@
 	assert.Equal(t, len(s.finished), 1)
 	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded)
 }
+
+// Guards against runs that are never reported as ended, and a worker that gets no further
+// run: the worker answers, but its list of ended runs stays cut off, because it has a row
+// that cannot be read.
+func TestLapsedRunMissingFromCutOffListsIsReportedAsEnded(t *testing.T) {
+	s, _ := newLapsedScript()
+	lapsed := s.now
+	for s.now < lapsed+2*lapseTimeout && len(s.finished) == 0 {
+		s.now += 10 * time.Millisecond
+		s.step(Tick{})
+		if s.m.polling {
+			s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), EndedCutOff: true}})
+		}
+	}
+	assert.Equal(t, len(s.finished), 1)
+	assert.Assert(t, s.now >= lapsed+lapseTimeout, "reported after %v", s.now-lapsed)
+	assert.Equal(t, s.finished[0].Outcome, wire.Failed)
+	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded)
+	starts := len(s.starts)
+	s.start("k", 2, 0)
+	assert.Equal(t, len(s.starts), starts+1, "starts go on")
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -20,7 +20,7 @@
 //   - Finished reports Failed with ReasonRunEnded only if the run is listed as
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired and the worker has not answered for lapseTimeout since. A list that is cut
-//     off need not contain it.
+//     off need not contain it, unless its lease has expired for lapseTimeout.
 //   - No call renews the lease after it has expired with open or retained runs, until the
 //     worker has answered for lapseSettle and a list shows that none goes on.
 //   - No start call is emitted after the start's permission has expired.
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -239,13 +239,17 @@
 // handleMissing handles an open run that is in neither list. It reports whether it
 // emitted Finished for the run and removed it. If the list of ended runs is cut off,
 // the run may have succeeded, so it stays open until its end is listed or its lease
-// has expired.
+// has expired for lapseTimeout: a list with a row that cannot be read may stay cut off.
 func (m *Machine) handleMissing(now time.Duration, r *run, endedCutOff bool) bool {
 	if r.since >= m.polledAt {
 		return false // the worker may have made the list before it had the run
 	}
 	if endedCutOff {
-		return false
+		if r.state == runStarting || m.lapsedAt == 0 || m.polledAt-m.lapsedAt < lapseTimeout {
+			return false
+		}
+		m.finish(now, r, wire.Failed, r.endReason(r.workerRestarted))
+		return true
 	}
 	switch r.state {
 	case runRunning:
