Record the worker crashes under each member of a gang

Callers could see a stored job as failed (workers_crashed) although under none of its tasks three workers had crashed: two crashes under one member of a gang, then the owner is lost, then one crash under another member.

Cause: crashes under a gang were recorded with its first member, as the highest count, and the next owner took that count for every member.

Fix: the crash record (kind x), which has a count for each task, names the member itself. Other progress stays with the first member. The record's form is the same: counts of the build before go on with the first member, and an entry of the build before reads those of the first member only. During an upgrade a member may therefore get up to two more starts that crash a worker.

--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -199,7 +199,7 @@
 	if j == nil || j.spec == nil || j.state.Final() || !m.owns(j) {
 		return
 	}
-	i := j.taskIndex(e.Run)
+	i := j.memberIndex(e.Run)
 	if i < 0 {
 		return // not a task of this job
 	}
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -75,9 +75,20 @@
 	return out
 }
 
-// taskIndex returns the index of the run's task in the job, or -1 if the job
-// has no such task. The progress of a gang is kept with its first task.
+// taskIndex returns the index of the task that the progress of the run's task is kept
+// with, or -1 if the job has no such task. The progress of a gang is kept with its first
+// task.
 func (j *job) taskIndex(run wire.RunRef) int {
+	i := j.memberIndex(run)
+	if i >= 0 && run.Step < len(j.gangs) && j.gangs[run.Step] {
+		i -= run.Index
+	}
+	return i
+}
+
+// memberIndex returns the index of the run's task in the job, also of a member of a gang,
+// or -1 if the job has no such task.
+func (j *job) memberIndex(run wire.RunRef) int {
 	if run.Step < 0 || run.Step >= len(j.stepSizes) || run.Index < 0 || run.Index >= j.stepSizes[run.Step] {
 		return -1
 	}
@@ -85,9 +96,6 @@
 		return -1
 	}
 	n := run.Index
-	if run.Step < len(j.gangs) && j.gangs[run.Step] {
-		n = 0
-	}
 	for i, size := range j.stepSizes {
 		n += run.Occurrence * size
 		if i < run.Step {
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -158,14 +158,12 @@
 }
 
 // restoreGang restores the progress of a gang, which is recorded with its first
-// member. The success of one member counts for all. The crashes are those of the member
-// under which most workers crashed.
+// member. The success of one member counts for all. Crashes are recorded for each member.
 func (j *job) restoreGang(s *step) {
 	members := j.gangMembers(s)
 	s.gang.failures = members[0].failures
 	for i := range members {
 		members[i].checkpoint = members[0].checkpoint
-		members[i].crashes = members[0].crashes
 	}
 	if members[0].state != taskDone {
 		return
