durable: bound the time until an occurrence is due

Callers would see occurrences of a recurring job run that are due in centuries: an interval of 30 days with 4096 occurrences, as callers may submit it, is enough.

Cause: the time until an occurrence is due was converted to nanoseconds, which overflow after 292 years, and was then negative, as for an overdue occurrence. The bounds of a record allow it as well, although their comment says that durations within them cannot overflow.

Fix: the time is bounded to a hundred years before the conversion.

--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -52,16 +52,21 @@
 // Occurrences returns how many times the job's steps run, at least 1.
 func (s *Schedule) Occurrences() int { return min(max(1, s.Count), wire.MaxOccurrences) }
 
+// maxDueMs bounds the time until an occurrence is due to a hundred years, so that it and
+// its sum with a time of the process cannot overflow.
+const maxDueMs = 100 * 366 * 24 * 3600 * 1000
+
 // Due returns the time from nowMs, a Unix time in milliseconds, until each
-// occurrence is due. It is negative for an overdue occurrence. Due returns nil
-// for a job that does not recur.
+// occurrence is due, at most a hundred years. It is negative for an overdue occurrence.
+// Due returns nil for a job that does not recur.
 func (s *Schedule) Due(nowMs int64) []time.Duration {
 	if s.Count == 0 {
 		return nil
 	}
 	out := make([]time.Duration, s.Occurrences())
 	for k := range out {
-		out[k] = time.Duration(s.StartMs+int64(k)*s.PeriodMs-nowMs) * time.Millisecond
+		ms := s.StartMs + int64(k)*s.PeriodMs - nowMs
+		out[k] = time.Duration(max(-maxDueMs, min(ms, maxDueMs))) * time.Millisecond
 	}
 	return out
 }
