Record crashes of long-running tasks that are forgotten

Callers could see a long-running job as failed (workers_crashed) after a single crash: two early crashes under one of its tasks, later one long after the start of a run, which sets the count to 0, then the owner is lost, and one more early crash.

Cause: the count that was set to 0 wasn't reported for recording, and core/durable kept the highest count that it had seen. So the next owner went on from the crashes that the one before had forgotten.

Evidence: TestForgottenCrashesOfLongRunningTaskAreReportedForRecording (nothing reported, want 0) and TestForgottenCrashesDoNotSurviveTakeover (2 crashes after the takeover, want 0) failed before.

Fix: the entry reports each change of the count, the owner records the newest one, and a reader takes the counts of the newest record in place of the highest. A process skips records of its own, which may be older than what it knows. Those of an earlier owner precede the takeover, because its appends are fenced off before.

--- a/core/durable/crashes_test.go
+++ b/core/durable/crashes_test.go
@@ -102,6 +102,25 @@
 	}
 }
 
+// Guards against a long-running task that fails after a takeover because of crashes that
+// its owner has forgotten.
+func TestForgottenCrashesDoNotSurviveTakeover(t *testing.T) {
+	first := newScriptedLog(7, nil)
+	first.step(durable.Submit{Token: 1, Spec: durable.Spec{ID: "j", MaxFailedRuns: 2, LongRunning: true, Steps: []entry.Step{{Tasks: 2}}}})
+	first.step(durable.Tick{})
+	for run, crashes := range []int{1, 2, 0} {
+		first.step(durable.RunCrashed{Run: wire.RunRef{Job: "j", Index: 1, Run: run + 1}, Crashes: crashes})
+		first.step(durable.Tick{})
+	}
+	follower := newScriptedLog(9, first.records) // reads every record, as it follows the log
+	follower.records = first.records
+	for range 100 {
+		follower.step(durable.Tick{})
+	}
+	assert.Equal(t, len(follower.drives), 1)
+	assert.DeepEqual(t, follower.drives[0].Progress, []entry.TaskProgress{{}, {}})
+}
+
 // Guards against crashes under members of a gang that are lost with their owner, and
 // against the sum of the members' crashes in their place: the gang would be given up
 // although under none of its tasks two workers crashed.
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -203,7 +203,7 @@
 	if i < 0 {
 		return // not a task of this job
 	}
-	j.tasks[i].Crashes = max(j.tasks[i].Crashes, e.Crashes)
+	j.tasks[i].Crashes = e.Crashes
 	j.hasCrashes = true
 	m.maintenance = append(m.maintenance, encode(crashKey(j.id), j.crashes(m.opts.Self)))
 }
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -162,16 +162,23 @@
 	}
 }
 
-// applyCrashes adds the recorded crashes of workers to the progress of a job.
+// applyCrashes sets the crashes of workers in the progress of a job to the recorded ones.
+// A record of this process may be older than what it knows.
 func (m *Machine) applyCrashes(id string, rec *crashRecord) {
 	j := m.jobs[id]
 	if j == nil {
 		return
 	}
 	j.hasCrashes = true
+	if rec.By == m.opts.Self {
+		return
+	}
+	for i := range j.tasks {
+		j.tasks[i].Crashes = 0
+	}
 	for _, t := range rec.Tasks {
 		if t.Index >= 0 && t.Index < len(j.tasks) {
-			j.tasks[t.Index].Crashes = max(j.tasks[t.Index].Crashes, t.Crashes)
+			j.tasks[t.Index].Crashes = max(0, t.Crashes)
 		}
 	}
 }
--- a/core/entry/crashes.go
+++ b/core/entry/crashes.go
@@ -80,15 +80,15 @@
 	return t.schedTask.Job.Need
 }
 
-// countCrash counts a run of the task whose worker crashed, and reports it for
-// recording if the job is stored.
+// countCrash counts a run of the task whose worker crashed, and reports the count for
+// recording if the job is stored and the count has changed.
 func (m *Machine) countCrash(t *task, r *wire.Result) {
+	previous := t.crashes
+	t.crashes++
 	if t.job.longRunning && r.RunTime.Duration() >= longRunBlamePeriod {
 		t.crashes = 0
-		return
 	}
-	t.crashes++
-	if t.job.stored {
+	if t.job.stored && t.crashes != previous {
 		m.emit(RunCrashed{Run: t.ref(), Crashes: t.crashes})
 	}
 }
--- a/core/entry/crashes_test.go
+++ b/core/entry/crashes_test.go
@@ -113,6 +113,24 @@
 	assert.Equal(t, answersIn(crash(time.Second))[0].Reason, entry.ReasonWorkersCrashed)
 }
 
+// Guards against a long-running task that fails after a takeover because of early crashes
+// long ago: the owner forgot them, but the record did not.
+func TestForgottenCrashesOfLongRunningTaskAreReportedForRecording(t *testing.T) {
+	m := startStoredJob(t, true)
+	now := time.Duration(1)
+	for i, c := range []struct {
+		runTime  time.Duration
+		reported []int
+	}{{time.Second, []int{1}}, {time.Second, []int{2}}, {time.Minute, []int{0}}, {time.Minute, nil}, {time.Second, []int{1}}} {
+		now += time.Second
+		m.Step(now, entry.Tick{})
+		actions := m.Step(now, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Results: []wire.Result{
+			{Seq: wire.Seq(i + 1), Outcome: wire.Failed, Reason: wire.ReasonWorkerCrashed, RunTime: wire.MicrosOf(c.runTime)},
+		}}})
+		assert.DeepEqual(t, crashesIn(actions), c.reported)
+	}
+}
+
 // Guards against a gang under which worker after worker crashes.
 func TestGangFailsAfterThreeRunsWithCrashes(t *testing.T) {
 	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
