lease: an unanswered poll may hide a restart of the worker

Callers could see two runs of one task: a start has no answer, the worker is cut off from its agent, restarts behind the cut and carries the start out after the task was started elsewhere. The polls time out in that case, and only a refused or broken connection counted as a sign of a restart, so the run ended with its lease and a second of silence.

Every poll without an answer now counts as a sign: a run with an unanswered start stays open until a poll is answered or the start cannot be carried out any more. Runs that were accepted end as before. Polled.ConnectionBroken is not needed any more.

The case 'behind a cut' of TestUnansweredStartOutlastsRestartOfWorker failed before (ended after 2.17 s). TestDelayedStartAfterWorkerRestartIsStopped waits 13 s in place of 3.4 s until the run is given up; what it checks afterwards is the same.

--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -120,9 +120,6 @@
 	// ended. A worker that is frozen or cut off does not answer, but is not gone. No
 	// network lies between the agent and its worker that could refuse a connection.
 	ProcessGone bool
-	// ConnectionBroken states that the call got no answer for another reason than that it
-	// timed out: the worker may have restarted.
-	ConnectionBroken bool
 	// AckWithheld states that the call acknowledged nothing, because it was sent after
 	// CallPoll.AckUntil.
 	AckWithheld bool
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -103,8 +103,8 @@
 	m.polling = false
 	m.pollFailed = e.Status == nil
 	m.processGone = e.ProcessGone || m.processGone && e.Status == nil
-	if e.ProcessGone || e.ConnectionBroken {
-		m.restartSignAt = now
+	if e.Status == nil {
+		m.restartSignAt = now // a worker that is cut off or silent may restart meanwhile
 	}
 	if e.ProcessGone {
 		m.endRunsOfGoneProcess(now)
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -226,10 +226,7 @@
 	if err != nil && u.opts.OnPollError != nil {
 		u.opts.OnPollError(err)
 	}
-	return lease.Polled{
-		Status: status, ProcessGone: errors.Is(err, syscall.ECONNREFUSED),
-		ConnectionBroken: status == nil && !errors.Is(err, context.DeadlineExceeded), AckWithheld: withheld,
-	}
+	return lease.Polled{Status: status, ProcessGone: errors.Is(err, syscall.ECONNREFUSED), AckWithheld: withheld}
 }
 
 // probe polls the worker without an acknowledgement or a renewal and reports
