entry: end a waiting task whose run is reported as succeeded later

What callers saw: a task of a stored job that was started again after its run was done and acknowledged.

Cause: an entry that had been told that a run had ended, or had not run, and is then told by another agent of the worker that the run has succeeded, reported the success for recording, so that it was acknowledged, while the task stayed in its queue and was started again. Only runs that had been lost were looked up there, and no member of a gang. A start that a restarted worker carries out late comes to light in this way.

Evidence: TestSuccessReportedAfterEndOfRunEndsWaitingTask failed at its first case (2 starts in place of 1, gang false, told failed run_ended) and passes.

--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -158,6 +158,8 @@
 			m.scheduler.Remove(now, &t.schedTask)
 			t.lostRun = 0
 			m.applyOutcome(now, t, finishedRunResult(t.seq, finished))
+		case t.waits() && t.runNumber == finished.Run.Run && !finished.Failed:
+			m.applyLateSuccess(now, t, finished)
 		default:
 			// If a later run was started, the outcome of this one must not count.
 			superseded = t.runNumber > finished.Run.Run && t.state != taskDone
@@ -177,6 +179,28 @@
 	m.applyOutcome(now, t, finishedRunResult(t.seq, finished))
 }
 
+// waits reports whether the task waits for its next start.
+func (t *task) waits() bool {
+	return t.state == taskQueued || t.state == taskBackoff || t.state == taskAwaitingGang
+}
+
+// applyLateSuccess applies the success of the newest run of a task that waits for its next
+// start, because that run was reported as ended or as not run before. The success is
+// recorded and acknowledged, so the task must not start again. A failed run is left to the
+// record: the agent may report one again that was counted before.
+func (m *Machine) applyLateSuccess(now time.Duration, t *task, finished wire.FinishedRun) {
+	if t.job.steps[t.step].gang == nil { // gangSucceeded removes the members of a gang
+		switch t.state {
+		case taskQueued:
+			m.scheduler.Remove(now, &t.schedTask)
+		case taskBackoff:
+			m.retries.Remove(t)
+		}
+	}
+	t.runLost, t.lostRun = false, 0
+	m.applyOutcome(now, t, finishedRunResult(t.seq, finished))
+}
+
 // findStoredTask returns the task of a run of a stored job in progress, or nil
 // if there is none.
 func (m *Machine) findStoredTask(run wire.RunRef) *task {
--- a/core/entry/stored_test.go
+++ b/core/entry/stored_test.go
@@ -257,6 +257,44 @@
 	assert.Equal(t, answers[0].Outcome, entry.Complete)
 }
 
+// Guards against a task that is started again after the success of its run was reported and
+// acknowledged: the entry had been told before that the run had ended or had not run, and
+// the task waits for its next start.
+func TestSuccessReportedAfterEndOfRunEndsWaitingTask(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		for _, told := range []wire.Result{
+			{Outcome: wire.Failed, Reason: wire.ReasonRunEnded},
+			{Outcome: wire.Failed, Reason: wire.ReasonWorkerCrashed},
+			{Outcome: wire.Failed, Reason: wire.ReasonStopped},
+			{Outcome: wire.NotRun, Reason: wire.ReasonNotReceived},
+			{Outcome: wire.NotRun, Reason: wire.ReasonBusy},
+		} {
+			s := &closableScheduler{}
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: s})
+			m.Step(0, linkUp(1, 0))
+			m.Step(0, entry.StoredLease{Until: storedLeaseEnd})
+			m.Step(0, entry.Submit{
+				Submission: testJob, Job: "j", Payloads: make([][]byte, 1), Stored: true, MaxFailedRuns: 2,
+				Steps: []entry.Step{{Tasks: 1, Gang: gang}},
+			})
+			assert.Equal(t, int(m.Stats().Starts), 1)
+			s.closed = true
+			told.Seq = 1
+			m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Results: []wire.Result{told}}})
+			finished := []wire.FinishedRun{{Run: wire.RunRef{Job: "j", Run: 1}}}
+			actions := m.Step(2, entry.LinkUp{Hello: wire.AgentHello{Agent: 2, Epoch: 1, Name: "w", Slots: 8, FinishedRuns: finished}})
+			reported, answers := finishedRunsIn(actions), answersIn(actions)
+			assert.Equal(t, len(reported), 1)
+			assert.Assert(t, !reported[0].Superseded)
+			s.closed = false
+			m.Step(3*time.Second, entry.Tick{})
+			assert.Equal(t, int(m.Stats().Starts), 1, "gang %v, told %v %v: the task is started again", gang, told.Outcome, told.Reason)
+			assert.Equal(t, len(answers), 1, "gang %v, told %v %v", gang, told.Outcome, told.Reason)
+			assert.Equal(t, answers[0].Outcome, entry.Complete)
+		}
+	}
+}
+
 // Guards against a job that fails before its task has failed often enough: the agent
 // reports the failed run again, because nobody has acknowledged it, while the task is
 // queued for its next run.
