lease: acknowledge only right after an answer of the worker

Cause: a poll acknowledged up to 0.3 s after an answered one was sent, because a restart takes longer than that. The emulated worker restarts in 60 ms. An agent that made no call meanwhile sent its next start and the acknowledgement of the earlier incarnation's numbers side by side, or repeated starts that got no answer and then polled.

A poll now acknowledges only within 40 ms of the handling of an answer, and not after a call without an answer until a later poll is answered. An agent whose worker is idle polls once more before it acknowledges.

TestRestartBetweenTwoPollsAcknowledgesNothing and TestWithheldAcknowledgementIsRepeated expected the acknowledgement in the first poll after the delay; it is now in the second. The former also covers both lengths of the idle time.

Evidence: TestPollBesideStartAcknowledgesNothingAfterIdleTime failed (number 5 acknowledged in place of 0) and passes.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -106,6 +106,10 @@
 	// is assumed to be the same incarnation: a restart takes longer. It covers PollWait,
 	// by which the answer may be delayed.
 	minRestartTime = 300 * time.Millisecond
+	// maxAckAge is how long after the handling of an answer to a poll the next poll may
+	// acknowledge ended runs. It is below the 60 ms in which the emulated worker restarts.
+	// minRestartTime alone let a worker restart in between whose agent made no call.
+	maxAckAge = 40 * time.Millisecond
 	// retainedPollInterval is the minimum interval between polls while finished runs
 	// are retained: the worker lists them again in each answer and may answer
 	// without waiting for a new one.
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -14,7 +14,7 @@
 	if m.polling || now < m.nextPoll {
 		return
 	}
-	call := CallPoll{AckUpTo: m.ackNumber(now), AckUntil: m.answeredPollAt + minRestartTime}
+	call := CallPoll{AckUpTo: m.ackNumber(now), AckUntil: m.ackableUntil()}
 	switch {
 	case m.readAt == 0: // no answer from the worker so far
 	case m.pollFailed: // the worker may restart, and a delayed start may reach its next incarnation
@@ -75,16 +75,24 @@
 // After a failed poll or a pause the worker may have restarted, and numbers its
 // ended runs from 1 again. An old number would make it discard ended runs that
 // nobody has seen, so the first poll after a failure or a pause acknowledges
-// nothing. The pause is counted from the sending of the last poll that was answered: the
-// answer may be handled long after the worker gave it, because this process was frozen.
-// The same holds after the answer to a start or a stop whose clock shows a restart.
+// nothing. The same holds after a start that got no answer, and after the answer to a
+// start or a stop whose clock shows a restart, until a poll that was sent later is
+// answered: starts that wait on their way reach the new incarnation with the poll.
 func (m *Machine) ackNumber(now time.Duration) int {
-	if m.pollFailed || m.clockFellAt > 0 || now-m.answeredPollAt > minRestartTime {
+	unanswered := m.unansweredAt > 0 && m.unansweredAt >= m.answeredPollAt
+	if m.pollFailed || unanswered || m.clockFellAt > 0 || now > m.ackableUntil() {
 		return 0
 	}
 	return m.ackLimit()
 }
 
+// ackableUntil returns the time after which a poll must acknowledge nothing. It counts from
+// the handling of the last answer to a poll, and from the sending of that poll: the answer
+// may be handled long after the worker gave it, because this process was frozen.
+func (m *Machine) ackableUntil() time.Duration {
+	return min(m.answeredAt+maxAckAge, m.answeredPollAt+minRestartTime)
+}
+
 // anyRunAtWorker reports whether a run may be at the worker, other than by a start
 // call that is still in flight.
 func (m *Machine) anyRunAtWorker() bool {
@@ -137,7 +145,7 @@
 		m.unconfirmedAt = 0
 	}
 	m.recordCheckpoints(status.Checkpoints)
-	if len(m.retained) > 0 {
+	if len(m.retained) > 0 && m.acked >= m.ackLimit() {
 		m.nextPoll = now + retainedPollInterval
 	}
 }
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -248,37 +248,64 @@
 func TestRestartBetweenTwoPollsAcknowledgesNothing(t *testing.T) {
 	for _, clock := range []time.Duration{time.Millisecond, time.Second} {
 		for _, stop := range []bool{false, true} { // whether a stop shows the restart, or the start
-			s := newPermissionScript()
-			earlier := s.start("earlier", 1, s.now+time.Hour)
-			s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
-			s.now += time.Millisecond
-			s.step(Polled{Status: &WorkerStatus{
-				Incarnation: 1, Clock: s.workerClock(s.now),
-				Ended: []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}},
-			}})
-			s.now += DefaultAckDelay
-			s.step(Tick{}) // sends the acknowledgement
-			s.answerPoll()
-			assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
+			for _, idle := range []time.Duration{maxAckAge / 2, minRestartTime / 3} {
+				s := newPermissionScript()
+				earlier := s.start("earlier", 1, s.now+time.Hour)
+				s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
+				s.now += time.Millisecond
+				ended := []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}}
+				s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+				s.now += DefaultAckDelay
+				s.step(Tick{})
+				s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}}) // sends the acknowledgement
+				s.answerPoll()
+				assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
 
-			s.now += minRestartTime / 3
-			sent := len(s.polls)
-			run := s.start("j", 2, s.now+time.Hour)
-			if stop {
-				s.step(Stopped{Run: run, Acknowledged: true, Clock: clock})
-			}
-			s.step(Started{Run: run, Result: StartAccepted, Clock: clock})
-			assert.Equal(t, len(s.polls), sent+1)
-			assert.Equal(t, s.polls[sent].AckUpTo, 0)
+				s.now += idle
+				sent := len(s.polls)
+				run := s.start("j", 2, s.now+time.Hour)
+				if stop {
+					s.step(Stopped{Run: run, Acknowledged: true, Clock: clock})
+				}
+				s.step(Started{Run: run, Result: StartAccepted, Clock: clock})
+				assert.Equal(t, len(s.polls), sent+1)
+				assert.Equal(t, s.polls[sent].AckUpTo, 0)
 
-			s.step(Polled{Status: &WorkerStatus{
-				Incarnation: 2, Clock: clock, Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}},
-			}})
-			assert.Equal(t, s.finished[len(s.finished)-1].Outcome, wire.Succeeded)
+				s.step(Polled{Status: &WorkerStatus{
+					Incarnation: 2, Clock: clock, Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}},
+				}})
+				assert.Equal(t, s.finished[len(s.finished)-1].Outcome, wire.Succeeded)
+			}
 		}
 	}
 }
 
+// Guards against finished runs that the worker discards although nobody has seen them, so
+// that their tasks are run again: the worker restarted while no call was made, and a start
+// and the poll that acknowledges the ends of the earlier incarnation reach the new one
+// together, the start first. The run ends at once.
+func TestPollBesideStartAcknowledgesNothingAfterIdleTime(t *testing.T) {
+	const restart = 60 * time.Millisecond // the shortest time in which a worker restarts
+	s := newPermissionScript()
+	earlier := s.start("earlier", 1, s.now+time.Hour)
+	s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	s.now += time.Millisecond
+	ended := []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}}
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.now += DefaultAckDelay // the worker restarts meanwhile
+	sent := len(s.polls)
+	s.start("j", 2, s.now+time.Hour)
+	assert.Equal(t, len(s.polls), sent+1)
+	assert.Equal(t, s.polls[sent].AckUpTo, 0)
+	assert.Equal(t, s.polls[sent].MaxWait, time.Duration(0))
+
+	// It has not restarted.
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	assert.Equal(t, len(s.polls), sent+2)
+	assert.Equal(t, s.polls[sent+1].AckUpTo, 5)
+	assert.Assert(t, s.polls[sent+1].AckUntil < s.now+restart, "a poll that is sent later acknowledges nothing")
+}
+
 // Guards against acknowledgements that are withheld for good: answers of one incarnation
 // are handled in another order than they were given.
 func TestAnswersOutOfOrderAreNoRestart(t *testing.T) {
@@ -307,6 +334,7 @@
 	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
 	s.now += DefaultAckDelay
 	s.step(Tick{})
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
 	sent := len(s.polls)
 	assert.Equal(t, s.polls[sent-1].AckUpTo, 1)
 	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}, AckWithheld: true})
