lease: leave the ends at a restarted worker to its next agent

Cause, found by reading: a start that was meant for the earlier incarnation of a worker may be carried out by the next one, after its run was reported as ended. The agent that finds the new incarnation acknowledged the end of such a run, of which it has no record any more, so that the next agent did not report it, and the task was started again.

Evidence: TestEndsAtRestartedWorkerAreLeftToTheNextAgent failed (number 1 acknowledged) and passes.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -188,6 +188,7 @@
 	silentPolls   int // unanswered polls sent lapseTimeout or more after lapsedAt and the last answer
 	unconfirmedAt time.Duration
 	incarnation   int64 // the worker's incarnation, 0 if not known
+	restarted     bool  // WorkerRestarted was emitted
 	highestSeen   int   // highest number of an ended run seen
 	// retained holds the numbers of the finished runs that must not be acknowledged
 	// yet, and superseded those of them that must not be acknowledged before the lease
@@ -292,8 +293,13 @@
 }
 
 // ackLimit returns the highest number that may be acknowledged. The worker discards
-// every ended run up to an acknowledged number.
+// every ended run up to an acknowledged number. The ends at a worker that has restarted are
+// left to the next agent, which reports all of them: a start to the earlier incarnation may
+// have been carried out there after its run was reported as ended.
 func (m *Machine) ackLimit() int {
+	if m.restarted {
+		return 0
+	}
 	n := m.highestSeen
 	for _, number := range m.retained {
 		n = min(n, number-1)
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -154,7 +154,7 @@
 // from 1 again. Earlier runs have ended with the previous incarnation, unless their
 // start reached the new one: the lists of the new incarnation show which.
 func (m *Machine) workerRestarted() {
-	m.highestSeen, m.acked = 0, 0
+	m.highestSeen, m.acked, m.restarted = 0, 0, true
 	m.releaseAll()
 	for _, r := range m.ordered {
 		r.workerRestarted = true
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -306,6 +306,35 @@
 	assert.Assert(t, s.polls[sent+1].AckUntil < s.now+restart, "a poll that is sent later acknowledges nothing")
 }
 
+// Guards against finished runs that are acknowledged although their tasks are repeated: the
+// worker restarts, carries out a start that was meant for its earlier incarnation and whose
+// run was reported as ended, and lists the end of that run.
+func TestEndsAtRestartedWorkerAreLeftToTheNextAgent(t *testing.T) {
+	s := newPermissionScript()
+	run := s.start("j", 1, s.now+time.Hour)
+	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	s.now += time.Millisecond
+	status := &WorkerStatus{Incarnation: 2, Clock: time.Millisecond}
+	s.step(Polled{Status: status})
+	s.now += time.Millisecond
+	s.step(Polled{Status: status})
+	assert.Equal(t, s.finished[0].Reason, wire.ReasonWorkerCrashed)
+	sent := len(s.polls)
+	status.Ended = []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}}
+	for range 100 {
+		s.now += 50 * time.Millisecond
+		s.step(Tick{})
+		if s.m.polling {
+			s.step(Polled{Status: status})
+		}
+	}
+	assert.Assert(t, len(s.polls) > sent)
+	for _, call := range s.polls[sent:] {
+		assert.Equal(t, call.AckUpTo, 0)
+	}
+	assert.Assert(t, len(s.polls) < sent+100, "%d polls in 5 s", len(s.polls)-sent)
+}
+
 // Guards against acknowledgements that are withheld for good: answers of one incarnation
 // are handled in another order than they were given.
 func TestAnswersOutOfOrderAreNoRestart(t *testing.T) {
