lease: judge the age of an answer by when the worker gave it

An answer that waited in a frozen agent for up to 0.3 s let the next poll acknowledge the numbers of an incarnation that had been replaced meanwhile. The time at which the answer was given is now estimated from the longest wait of the poll and from the clock that it states. If nothing can be acknowledged for a second, because answers are always handled late, the bound of 0.3 s alone holds, so that nothing is held back for good.

Evidence: TestAnswerHandledAfterFreezeAcknowledgesNothing, which played a freeze of 3 s, fails with 60 ms and 240 ms on the code before.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -106,10 +106,12 @@
 	// is assumed to be the same incarnation: a restart takes longer. It covers PollWait,
 	// by which the answer may be delayed.
 	minRestartTime = 300 * time.Millisecond
-	// maxAckAge is how long after the handling of an answer to a poll the next poll may
+	// maxAckAge is how long after the worker gave an answer to a poll the next poll may
 	// acknowledge ended runs. It is below the 60 ms in which the emulated worker restarts.
 	// minRestartTime alone let a worker restart in between whose agent made no call.
 	maxAckAge = 40 * time.Millisecond
+	// ackPatience bounds the time for which maxAckAge may hold back acknowledgements.
+	ackPatience = time.Second
 	// retainedPollInterval is the minimum interval between polls while finished runs
 	// are retained: the worker lists them again in each answer and may answer
 	// without waiting for a new one.
@@ -206,6 +208,11 @@
 	ackAt       time.Duration // when a poll is sent just to acknowledge ended runs
 
 	answeredAt time.Duration // when the last poll was answered
+	// answerGivenAt is when the worker gave the last answer to a poll, see answerTime.
+	answerGivenAt time.Duration
+	// unackedSince is when an ended run was last acknowledged, or when none that may be was
+	// left.
+	unackedSince time.Duration
 	// answeredPollAt is when the last poll that was answered was sent.
 	answeredPollAt time.Duration
 	polling        bool // a poll is in flight
@@ -220,6 +227,7 @@
 	unansweredAt time.Duration
 	polledAt     time.Duration // when the poll in flight was sent
 	pollAck      int           // number up to which the poll in flight acknowledges ended runs
+	pollMaxWait  time.Duration // how long the worker may delay the answer to it
 	nextPoll     time.Duration // earliest time of the next poll
 	pollNow      bool          // the state of a run is uncertain: poll without waiting for a run to end
 	foreign      []foreignRun
@@ -245,6 +253,9 @@
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
 	clear(m.actions)
 	m.actions = m.actions[:0]
+	if !m.initialized || m.acked >= m.ackLimit() {
+		m.unackedSince = now
+	}
 	m.initLease(now)
 	switch e := ev.(type) {
 	case Start:
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -14,7 +14,7 @@
 	if m.polling || now < m.nextPoll {
 		return
 	}
-	call := CallPoll{AckUpTo: m.ackNumber(now), AckUntil: m.ackableUntil()}
+	call := CallPoll{AckUpTo: m.ackNumber(now), AckUntil: m.ackableUntil(now)}
 	switch {
 	case m.readAt == 0: // no answer from the worker so far
 	case m.pollFailed: // the worker may restart, and a delayed start may reach its next incarnation
@@ -45,6 +45,7 @@
 	m.polling = true
 	m.polledAt = now
 	m.pollAck = call.AckUpTo
+	m.pollMaxWait = call.MaxWait
 	m.emit(call)
 }
 
@@ -80,17 +81,32 @@
 // answered: starts that wait on their way reach the new incarnation with the poll.
 func (m *Machine) ackNumber(now time.Duration) int {
 	unanswered := m.unansweredAt > 0 && m.unansweredAt >= m.answeredPollAt
-	if m.pollFailed || unanswered || m.clockFellAt > 0 || now > m.ackableUntil() {
+	if m.pollFailed || unanswered || m.clockFellAt > 0 || now > m.ackableUntil(now) {
 		return 0
 	}
 	return m.ackLimit()
 }
 
-// ackableUntil returns the time after which a poll must acknowledge nothing. It counts from
-// the handling of the last answer to a poll, and from the sending of that poll: the answer
-// may be handled long after the worker gave it, because this process was frozen.
-func (m *Machine) ackableUntil() time.Duration {
-	return min(m.answeredAt+maxAckAge, m.answeredPollAt+minRestartTime)
+// ackableUntil returns the time after which a poll must acknowledge nothing. If nothing
+// could be acknowledged for ackPatience, because answers are always handled late, it counts
+// from the sending of the last poll that was answered.
+func (m *Machine) ackableUntil(now time.Duration) time.Duration {
+	until := m.answeredPollAt + minRestartTime
+	if m.acked < m.ackLimit() && now-m.unackedSince > ackPatience {
+		return until
+	}
+	return min(until, m.answerGivenAt+maxAckAge)
+}
+
+// answerTime estimates when the worker gave the answer to a poll that is handled now, from
+// the longest wait of the poll and from the clock that it states: this process may have been
+// frozen since.
+func (m *Machine) answerTime(now, clock time.Duration) time.Duration {
+	at := min(now, m.polledAt+m.pollMaxWait)
+	if clock > 0 && m.readAt > 0 {
+		at = min(at, now-(m.workerClock(now)-clock))
+	}
+	return at
 }
 
 // anyRunAtWorker reports whether a run may be at the worker, other than by a start
@@ -129,14 +145,16 @@
 	m.answeredAt = now
 	m.answeredPollAt = m.polledAt
 	m.silentPolls = 0
+	m.answerGivenAt = m.answerTime(now, status.Clock)
 	m.recordClock(now, status.Clock)
 	if m.clockFellAt <= m.polledAt {
 		m.clockFellAt = 0
 	}
 	if m.incarnation != 0 && status.Incarnation != 0 && status.Incarnation != m.incarnation {
 		m.workerRestarted()
-	} else {
-		m.acked = max(m.acked, m.pollAck)
+	} else if m.pollAck > m.acked {
+		m.acked = m.pollAck
+		m.unackedSince = now
 	}
 	m.incarnation = status.Incarnation
 	m.applyEndedRuns(now, status.Ended)
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -180,10 +180,10 @@
 }
 
 // Guards against ends that the worker discards although nobody has seen them: an answer is
-// handled after a freeze of 3 s, in which the worker restarted under the same name. The
-// numbers of ended runs that it contains are those of the earlier incarnation.
+// handled after a freeze in which the worker restarted under the same name. The numbers of
+// ended runs that it contains are those of the earlier incarnation.
 func TestAnswerHandledAfterFreezeAcknowledgesNothing(t *testing.T) {
-	for _, frozen := range []time.Duration{0, 3 * time.Second} {
+	for _, frozen := range []time.Duration{0, 60 * time.Millisecond, 240 * time.Millisecond, 3 * time.Second} {
 		s := newPermissionScript()
 		run := s.start("j", 1, s.now+time.Hour)
 		s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
