lease: tell the machine which incarnation listed the retained runs

A worker that restarted between the takeover and the first poll of the agent was not noticed as restarted, and the number of a finished run that the takeover had listed was acknowledged to the new incarnation, which discarded a run that nobody had seen.

Evidence: TestRetainedRunsOfEarlierIncarnationAreNotAcknowledged fails on the code before and passes.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,6 +59,9 @@
 	// left in the worker's list. Each is retained there until its AcknowledgeRun
 	// or until the lease has expired.
 	RetainedRuns []EndedRun
+	// Incarnation is the worker incarnation that listed RetainedRuns, 0 if not known. The
+	// numbers of these runs mean nothing to a later one.
+	Incarnation int64
 }
 
 // Defaults of Options.
@@ -240,6 +243,7 @@
 	m := &Machine{
 		opts: opts.withDefaults(), runs: make(map[wire.RunRef]*run),
 		retained: make(map[wire.RunRef]int), superseded: make(map[wire.RunRef]struct{}),
+		incarnation: opts.Incarnation,
 	}
 	for _, end := range opts.RetainedRuns {
 		m.retained[end.Run] = end.Number
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -335,6 +335,28 @@
 	assert.Assert(t, len(s.polls) < sent+100, "%d polls in 5 s", len(s.polls)-sent)
 }
 
+// Guards against finished runs that a restarted worker discards unseen: it restarted between
+// the takeover, which listed finished runs, and the first poll of the machine.
+func TestRetainedRunsOfEarlierIncarnationAreNotAcknowledged(t *testing.T) {
+	m := New(Options{RetainedRuns: []EndedRun{{Number: 5, Run: wire.RunRef{Job: "j", Run: 1}, Kind: EndedSucceeded}}, Incarnation: 1})
+	now := time.Second
+	m.Step(now, Tick{})
+	restarts := 0
+	for range 100 {
+		for _, a := range m.Step(now, Polled{Status: &WorkerStatus{Incarnation: 2, Clock: now}}) {
+			switch x := a.(type) {
+			case CallPoll:
+				assert.Equal(t, x.AckUpTo, 0)
+			case WorkerRestarted:
+				restarts++
+			}
+		}
+		now += 50 * time.Millisecond
+		m.Step(now, Tick{})
+	}
+	assert.Equal(t, restarts, 1)
+}
+
 // Guards against acknowledgements that are withheld for good: answers of one incarnation
 // are handled in another order than they were given.
 func TestAnswersOutOfOrderAreNoRestart(t *testing.T) {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -197,7 +197,7 @@
 		SilenceTimeout: silenceTimeout, MaxRedialDelay: maxRedialDelay, DialTimeout: dialTimeout,
 		NewUpstream: leased.New(leased.Options{
 			Worker:          worker,
-			Lease:           lease.Options{RetainedRuns: unacknowledged},
+			Lease:           lease.Options{RetainedRuns: unacknowledged, Incarnation: status.Incarnation},
 			OnWorkerRestart: func() { n.workerRestarted(a) },
 			OnAdmission:     func(x lease.Admission) { n.logAdmission(a.Worker, x) },
 			OnStartExpired:  func(x lease.StartExpired) { n.logStartExpired(a.Worker, x) },
