lease: model of workers that restart under their names

TestDoneRunsAreNotRepeatedAfterRestartOfWorker connects entries, agents and workers, as the models beside it do. Workers restart in 60 ms, calls wait on their way for up to 0.2 s, or 3 s, and may arrive at the next incarnation. It fails if a task of a stored job is started again after its run was done and acknowledged without an expired lease, or the other way round.

--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -26,6 +26,7 @@
 	noticeTime    = 20 * time.Millisecond   // in which an entry that runs notices that a caller has left
 	lostAgentTime = 400 * time.Millisecond
 	fleetSlots    = 3
+	maxLease      = time.Second // by which a call may extend the lease of a worker
 )
 
 // fleetSeeds is the number of seeds that TestTasksRunOnceAtATime plays.
@@ -50,10 +51,17 @@
 	failure string
 	log     []string
 	counts  fleetCounts
+	// restarts makes workers restart, and calls wait on their way to them. Starts of an
+	// earlier incarnation may then be carried out, so two runs at a time are no failure.
+	restarts bool
+	started  map[wire.RunRef]int  // highest run that was started of each task, by run 0
+	doneRuns map[wire.RunRef]int  // the run that was done and acknowledged, by run 0
+	counted  map[wire.RunRef]int  // the run that counts for each task, by run 0
+	lateRuns map[wire.RunRef]bool // runs whose starts nobody waited for any more
 }
 
 // fleetCounts counts what happened, to show that the faults were met.
-type fleetCounts struct{ runs, resent, agentsStopped, resets, stored int }
+type fleetCounts struct{ runs, resent, agentsStopped, resets, stored, restarts, latePolls, lateBoth int }
 
 // pace tells when a process runs.
 type pace struct {
@@ -76,6 +84,7 @@
 	name     string
 	tasks    int
 	stored   bool
+	failed   bool // it was answered otherwise than as complete
 	entry    *fleetEntry
 	id       wire.SubmissionID // 0 if no entry has it
 	left     bool
@@ -124,13 +133,35 @@
 	calls       []lease.Action
 	answers     []chainAnswer
 	late        []call
-	agentTick   bool
-	leaseTick   bool
-	lateShare   float64
+	inTransit   []*fleetCall  // calls on their way, with fleet.restarts
+	downTill    time.Duration // the worker restarts until then
+	announceAt  time.Duration // when its new incarnation announces itself, 0 if it has
+	token       int64         // fencing token of the agent's client
+	fence       int64         // highest token that the worker's incarnation has seen
+	// workerIncarnation is that of the worker when the agent took it over.
+	workerIncarnation int64
+	finished          []wire.FinishedRun // left at the worker by earlier processes
+	agentTick         bool
+	leaseTick         bool
+	lateShare         float64
+}
+
+// fleetCall is a call on its way to the worker. It may arrive at another incarnation than
+// the one that it was sent to.
+type fleetCall struct {
+	at, timeout time.Duration
+	action      lease.Action
+	token       int64
+	unanswered  bool // the agent no longer waits for the answer
+	withheld    bool // see lease.Polled.AckWithheld
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{seed: seed, rng: rand.New(rand.NewPCG(seed, 4141)), now: time.Minute, bySub: make(map[wire.SubmissionID]*fleetJob), at: make(map[wire.SubmissionID]*fleetEntry), faults: true}
+	f := &fleet{
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 4141)), now: time.Minute, bySub: make(map[wire.SubmissionID]*fleetJob), at: make(map[wire.SubmissionID]*fleetEntry), faults: true,
+		started: make(map[wire.RunRef]int), doneRuns: make(map[wire.RunRef]int),
+		counted: make(map[wire.RunRef]int), lateRuns: make(map[wire.RunRef]bool),
+	}
 	for i := range 2 + f.rng.IntN(2) {
 		e := &fleetEntry{index: i, id: wire.Incarnation(10 + i)}
 		e.machine = entry.New(entry.Options{
@@ -164,6 +195,8 @@
 		for _, h := range f.hosts {
 			h.worker.advance(chainStep)
 			f.carryOutLate(h)
+			f.carryOutInTransit(h)
+			f.announceRestart(h)
 			h.agentTick = h.agentTick || f.now%(50*time.Millisecond) == 0
 			h.leaseTick = h.leaseTick || (f.now+25*time.Millisecond)%(50*time.Millisecond) == 0
 			f.runHost(h)
@@ -183,7 +216,7 @@
 		for id := range h.worker.running {
 			task := id
 			task.Run = 0
-			if other, twice := running[task]; twice && f.failure == "" {
+			if other, twice := running[task]; twice && f.failure == "" && !f.restarts {
 				f.failure = fmt.Sprintf("%v: two runs of %v at the same time, at %s and %s", f.now-time.Minute, task, other, h.name)
 			}
 			running[task] = fmt.Sprintf("%s run %d", h.name, id.Run)
@@ -262,7 +295,10 @@
 				}
 			}
 		case entry.RunFinished:
-			e.queue = append(e.queue, entry.AcknowledgedRuns{Agent: x.Agent, Runs: []wire.RunRef{x.Run.Run}, Superseded: x.Superseded})
+			if j := f.jobNamed(x.Run.Run.Job); j.entry != e {
+				continue // left to the owner of the job
+			}
+			e.queue = append(e.queue, entry.AcknowledgedRuns{Agent: x.Agent, Runs: []wire.RunRef{x.Run.Run}, Superseded: x.Superseded || !f.count(x.Run.Run)})
 		case entry.Answer:
 			f.answered(e, x)
 		}
@@ -280,6 +316,7 @@
 	}
 	f.logf("%s is answered by entry %d as %v %s", j.name, e.index, x.Answer.Outcome, x.Answer.Reason)
 	j.id = wire.SubmissionID{}
+	j.failed = x.Answer.Outcome != entry.Complete
 	if !j.left && !j.stored && (x.Answer.Outcome == entry.Failed || x.Answer.Outcome == entry.Unknown) {
 		j.resendAt = f.now + resendDelay
 	}
@@ -398,7 +435,7 @@
 	l.toAgent = nil
 	l.send(&l.toEntry, f.now+f.millis(0, 5), entry.LinkUp{Hello: wire.AgentHello{
 		Agent: h.incarnation, Epoch: l.epoch, Name: h.name, Slots: fleetSlots, NoLeftoverRuns: true,
-		WorkerIncarnation: 1, TakeoverTime: wire.Micros(h.incarnation),
+		WorkerIncarnation: h.workerIncarnation, TakeoverTime: wire.Micros(h.incarnation), FinishedRuns: h.finished,
 	}})
 }
 
@@ -523,6 +560,8 @@
 			h.toAgent = append(h.toAgent, agent.AdmissionChanged{Closed: x.Closed})
 		case lease.CallStart, lease.CallStop, lease.CallPoll:
 			h.calls = append(h.calls, a)
+		case lease.WorkerRestarted:
+			h.toAgent = append(h.toAgent, agent.Drain{})
 		}
 	}
 }
@@ -530,12 +569,29 @@
 // call sends a call to the worker, which may leave it unanswered and carry it out late.
 func (f *fleet) call(h *fleetHost, a lease.Action) {
 	timeout := f.now + callTimeout
+	if f.restarts {
+		x := &fleetCall{at: f.now, timeout: timeout, action: a, token: h.token}
+		if poll, ok := a.(lease.CallPoll); ok && f.now > poll.AckUntil { // as internal/leased does
+			poll.AckUpTo = 0
+			x.action, x.withheld = poll, true
+		}
+		switch n := f.rng.IntN(20); {
+		case f.rng.Float64() < h.lateShare:
+			x.at = f.now + f.millis(50, 3000)
+		case n < 4:
+			x.at = f.now + f.millis(5, 30)
+		case n < 5:
+			x.at = f.now + f.millis(30, 200)
+		}
+		h.inTransit = append(h.inTransit, x)
+		return
+	}
 	if f.faults && f.rng.Float64() < h.lateShare {
 		h.answers = append(h.answers, chainAnswer{at: timeout, event: noAnswer(a), lost: noAnswer(a)})
 		h.late = append(h.late, call{at: f.now + f.millis(50, 3000), action: a})
 		return
 	}
-	h.answers = append(h.answers, chainAnswer{at: f.now + f.millis(0, 20), timeout: timeout, event: f.execute(h, a), lost: noAnswer(a)})
+	h.answers = append(h.answers, chainAnswer{at: f.now + f.millis(0, 20), timeout: timeout, event: f.execute(h, a, false), lost: noAnswer(a)})
 }
 
 func (f *fleet) carryOutLate(h *fleetHost) {
@@ -546,30 +602,181 @@
 			h.late = append(h.late, x)
 			continue
 		}
-		f.execute(h, x.action)
+		f.execute(h, x.action, true)
+	}
+}
+
+// carryOutInTransit carries out the calls that arrive, and ends the wait for the answers to
+// those that are late. The client raises its token after a poll without an answer.
+func (f *fleet) carryOutInTransit(h *fleetHost) {
+	calls := h.inTransit
+	h.inTransit = nil
+	for _, x := range calls {
+		if !x.unanswered && f.now >= x.timeout {
+			f.leaveUnanswered(h, x)
+		}
+		if f.now < x.at {
+			h.inTransit = append(h.inTransit, x)
+			continue
+		}
+		answer := f.arrive(h, x)
+		switch {
+		case x.unanswered:
+		case answer == nil:
+			f.leaveUnanswered(h, x)
+		default:
+			h.answers = append(h.answers, chainAnswer{at: f.now + f.millis(0, 15), timeout: x.timeout, event: answer, lost: noAnswer(x.action)})
+		}
+	}
+}
+
+func (f *fleet) leaveUnanswered(h *fleetHost, x *fleetCall) {
+	x.unanswered = true
+	h.answers = append(h.answers, chainAnswer{at: f.now, event: noAnswer(x.action), lost: noAnswer(x.action)})
+	if poll, ok := x.action.(lease.CallPoll); ok && poll.AckUpTo > 0 && x.token == h.token {
+		h.token++
+	}
+}
+
+// arrive has the worker carry out a call. It returns nil if there is no answer: the worker
+// is restarting, or has seen a higher token.
+func (f *fleet) arrive(h *fleetHost, x *fleetCall) lease.Event {
+	if f.now < h.downTill || x.token < h.fence {
+		return nil
+	}
+	h.fence = x.token
+	action := x.action
+	switch call := action.(type) { // a call extends the lease by maxLease at most
+	case lease.CallStart:
+		call.Deadline = min(call.Deadline, h.worker.now+maxLease)
+		action = call
+	case lease.CallPoll:
+		call.Deadline = min(call.Deadline, h.worker.now+maxLease)
+		action = call
+		if x.unanswered {
+			f.counts.latePolls++
+		}
 	}
+	answer := f.execute(h, action, x.unanswered)
+	if polled, ok := answer.(lease.Polled); ok && !x.unanswered {
+		if born := int64(polled.Status.Incarnation); h.token < born {
+			h.token, h.fence = born, born // the client polls again
+			polled = f.execute(h, lease.CallPoll{}, false).(lease.Polled)
+		}
+		polled.AckWithheld = x.withheld
+		answer = polled
+	}
+	return answer
+}
+
+// restartWorker restarts the worker of a host under its name, which takes 60 ms. All that
+// it has run or listed is lost, and its clock starts anew.
+func (f *fleet) restartWorker(h *fleetHost) {
+	if h.announceAt > 0 {
+		return
+	}
+	f.logf("%s restarts with %d runs", h.name, len(h.worker.running))
+	f.counts.restarts++
+	w := newWorker()
+	h.downTill = f.now + 60*time.Millisecond
+	w.incarnation = int64(h.downTill / time.Millisecond)
+	h.worker, h.acked, h.fence = w, 0, 0
+	h.announceAt = h.downTill + f.millis(5, 400)
 }
 
-func (f *fleet) execute(h *fleetHost, a lease.Action) lease.Event {
+// announceRestart replaces the agent of a worker that announces a new incarnation.
+func (f *fleet) announceRestart(h *fleetHost) {
+	if h.announceAt == 0 || f.now < h.announceAt {
+		return
+	}
+	h.announceAt = 0
+	if h.agent == nil {
+		return
+	}
+	f.logf("%s announces its new incarnation", h.name)
+	f.stopAgent(h, 300*time.Millisecond)
+}
+
+// startedRun fails if the run is started although an earlier one of its task was done and
+// acknowledged.
+func (f *fleet) startedRun(run wire.RunRef, late bool) {
+	task := run
+	task.Run = 0
+	f.started[task] = max(f.started[task], run.Run)
+	f.lateRuns[run] = late
+	if done := f.doneRuns[task]; f.failure == "" && done > 0 && done < run.Run && f.jobNamed(run.Job).stored {
+		f.failure = fmt.Sprintf("%v: %v starts after run %d was done and acknowledged", f.now-time.Minute, run, done)
+	}
+}
+
+// acknowledge records the ended runs up to a number as acknowledged. It fails if one was
+// done under the present lease and its task was started again. A late poll, which nobody
+// waits for, may discard the end of a late start: neither can be fenced off by a call that
+// has not been made yet.
+func (f *fleet) acknowledge(h *fleetHost, upTo int, late bool) {
+	for _, end := range h.worker.ended[min(h.acked, len(h.worker.ended)):min(max(upTo, h.acked), len(h.worker.ended))] {
+		f.logf("the end of %v at %s is acknowledged", end.Run, h.name)
+		if end.Kind != lease.EndedSucceeded || h.worker.now > h.worker.lease || h.worker.lapses > h.worker.retained[end.Run] {
+			continue
+		}
+		if late && f.lateRuns[end.Run] {
+			f.counts.lateBoth++
+			continue
+		}
+		task := end.Run
+		task.Run = 0
+		f.doneRuns[task] = end.Run.Run
+		if f.failure == "" && f.started[task] > end.Run.Run && f.jobNamed(end.Run.Job).stored {
+			f.failure = fmt.Sprintf("%v: the end of %v is acknowledged after run %d was started", f.now-time.Minute, end.Run, f.started[task])
+		}
+	}
+	h.acked = max(h.acked, min(upTo, len(h.worker.ended)))
+}
+
+// count reports whether the run, which has succeeded, is the one that counts for its task,
+// as in core/durable.
+func (f *fleet) count(run wire.RunRef) bool {
+	task := run
+	task.Run = 0
+	if f.counted[task] == 0 && !f.jobNamed(run.Job).failed {
+		f.counted[task] = run.Run
+	}
+	return f.counted[task] == run.Run
+}
+
+func (f *fleet) jobNamed(name string) *fleetJob {
+	return f.jobs[slices.IndexFunc(f.jobs, func(j *fleetJob) bool { return j.name == name })]
+}
+
+func (f *fleet) execute(h *fleetHost, a lease.Action, late bool) lease.Event {
 	switch x := a.(type) {
 	case lease.CallStart:
 		length := f.millis(5, 1500)
+		if f.restarts && f.rng.IntN(3) == 0 {
+			length = 0
+		}
 		if f.rng.IntN(4) == 0 {
 			length = f.millis(3000, 8000)
 		}
 		before := h.worker.started[x.Run]
+		h.worker.retained[x.Run] = 0 // the worker counts the expiries of its lease since the end
 		answer := h.worker.start(x, length)
 		if !before && h.worker.started[x.Run] {
 			f.counts.runs++
 			f.logf("%s starts %v", h.name, x.Run)
+			f.startedRun(x.Run, late)
 		}
 		return answer
 	case lease.CallStop:
 		f.logf("%s is told to stop %v", h.name, x.Run)
 		return h.worker.stop(x)
 	case lease.CallPoll:
-		h.acked = max(h.acked, x.AckUpTo)
-		return h.worker.poll(x)
+		f.acknowledge(h, x.AckUpTo, late)
+		answer := h.worker.poll(x)
+		if status := answer.Status; status != nil { // an acknowledged end is listed no more
+			status.Ended = slices.DeleteFunc(status.Ended, func(end lease.EndedRun) bool { return end.Number <= h.acked })
+		}
+		return answer
 	}
 	return nil
 }
@@ -598,10 +805,12 @@
 // takeOver lets a new agent process take the worker over, as internal/fleet does: it fences
 // off late calls, stops the runs that are left over and then starts.
 func (f *fleet) takeOver(h *fleetHost) {
-	if f.now < h.startAt || f.now < h.frozenTill {
+	if f.now < h.startAt || f.now < h.frozenTill || f.now < h.downTill {
 		return
 	}
 	h.late = nil
+	h.token = int64(f.now / time.Millisecond)
+	h.fence, h.workerIncarnation = h.token, h.worker.incarnation
 	for id := range h.worker.running {
 		f.logf("%s: leftover %v is stopped", h.name, id)
 		h.worker.stop(lease.CallStop{Run: id})
@@ -620,12 +829,18 @@
 			finished = append(finished, wire.FinishedRun{Run: end.Run})
 		}
 	}
+	h.toLease, h.toAgent, h.calls, h.answers, h.links = nil, nil, nil, nil, f.oldLinks(h)
 	h.agent = agent.New(agent.Options{
 		Incarnation: h.incarnation, Slots: fleetSlots, HeartbeatInterval: heartbeatInterval, RunLease: runLease, LostLinkTimeout: runLease,
 		RetainedRuns: finished,
 	})
-	h.lease = lease.New(lease.Options{RetainedRuns: retained})
-	h.toLease, h.toAgent, h.calls, h.answers, h.links = nil, nil, nil, nil, f.oldLinks(h)
+	h.lease = lease.New(lease.Options{RetainedRuns: retained, Incarnation: h.worker.incarnation})
+	h.finished = finished
+	if f.restarts { // the clock of the machine, unlike that of internal/leased, does not start from 0
+		f.stepLease(h, lease.Tick{})
+		h.calls = nil
+		f.stepLease(h, f.execute(h, lease.CallPoll{}, false))
+	}
 	for _, e := range f.entries {
 		h.links = append(h.links, &fleetLink{entry: e, redialAt: f.now + f.millis(5, 100)})
 	}
@@ -710,8 +925,16 @@
 	})
 }
 
-// playFleets plays the seeds of the model, each after prepare.
-func playFleets(t *testing.T, prepare func(*fleet)) {
+// Guards against tasks of stored jobs that are started again after their run was done and
+// acknowledged: workers restart under their names, and starts and polls that were meant for
+// an earlier incarnation are carried out by the next one.
+func TestDoneRunsAreNotRepeatedAfterRestartOfWorker(t *testing.T) {
+	total := playFleets(t, func(f *fleet) { f.restarts = true })
+	assert.Assert(t, total.restarts > 0 && total.latePolls > 0, "%+v", total)
+}
+
+// playFleets plays the seeds of the model, each after prepare, and returns what happened.
+func playFleets(t *testing.T, prepare func(*fleet)) fleetCounts {
 	var total fleetCounts
 	for seed := range uint64(*fleetSeeds) {
 		f := newFleet(seed)
@@ -719,19 +942,31 @@
 		f.advance(200 * time.Millisecond)
 		for range 60 {
 			f.disturb()
+			if f.restarts {
+				f.newJob(true)
+				if f.rng.IntN(2) == 0 {
+					f.restartWorker(f.hosts[f.rng.IntN(len(f.hosts))])
+				}
+			}
 			f.advance(f.millis(0, 400))
 			if f.failure != "" {
-				t.Fatalf("seed %d: %s\n%s", seed, f.failure, strings.Join(f.log[max(0, len(f.log)-120):], "\n"))
+				break
 			}
 		}
 		f.advance(3 * time.Second)
-		assert.Equal(t, f.failure, "", "seed %d", seed)
+		if f.failure != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, f.failure, strings.Join(f.log[max(0, len(f.log)-120):], "\n"))
+		}
 		total.runs += f.counts.runs
 		total.resent += f.counts.resent
 		total.agentsStopped += f.counts.agentsStopped
 		total.resets += f.counts.resets
 		total.stored += f.counts.stored
+		total.restarts += f.counts.restarts
+		total.latePolls += f.counts.latePolls
+		total.lateBoth += f.counts.lateBoth
 	}
 	t.Logf("%+v", total)
 	assert.Assert(t, total.runs > 0 && total.resent > 0 && total.agentsStopped > 0 && total.resets > 0 && total.stored > 0, "%+v", total)
+	return total
 }
