--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -76,12 +76,9 @@
 // After a failed poll or a pause the worker may have restarted, and numbers its
 // ended runs from 1 again. An old number would make it discard ended runs that
 // nobody has seen, so the first poll after a failure or a pause acknowledges
-// nothing. The same holds after a start that got no answer, and after the answer to a
-// start or a stop whose clock shows a restart, until a poll that was sent later is
-// answered: starts that wait on their way reach the new incarnation with the poll.
+// nothing. The same holds after the answer to a start or a stop whose clock shows a restart.
 func (m *Machine) ackNumber(now time.Duration) int {
-	unanswered := m.unansweredAt > 0 && m.unansweredAt >= m.answeredPollAt
-	if m.pollFailed || unanswered || m.clockFellAt > 0 || now > m.ackableUntil(now) {
+	if m.pollFailed || m.clockFellAt > 0 || now > m.ackableUntil(now) {
 		return 0
 	}
 	return m.ackLimit()
