worker client: a takeover fences off earlier clients also if the time of day was set back

The token of a takeover is made from the worker's start time. A worker that restarts with its time of day set back gave the next client of the agent process a lower token than the last one had. If the earlier client had polled, the worker refused the new one until its clock had caught up. If it had not, the takeover succeeded and reported that it had fenced off earlier starts, but a late one of them took effect (two runs of one task), and from then on the worker refused every call of the new client.

The clients of one process now share the highest token, and each takeover is above it. A client that another one has followed raises its token no more. An agent process that starts later knows no token of the one before; there the worker still refuses calls until its clock has caught up.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,11 +53,12 @@
 	if err != nil {
 		return nil, err
 	}
+	clients := platform.NewWorkerClients(s.WorkerAddr)
 	n := fleet.StartAgent(fleet.AgentOptions{
 		Name: s.Name, Zone: s.Zone, Seeds: s.Seeds,
 		Directory: platform.NewDirectory(platform.NewStore(s.StoreAddr)),
 		NewWorker: func(worker string, incarnation int64) fleet.Worker {
-			return platform.NewWorker(s.WorkerAddr, worker, incarnation)
+			return clients.New(worker, incarnation)
 		},
 		Log: events,
 	})
