agent: use a worker again that restarts with its time of day set back

A worker that restarted beside its agent with its time of day set back was never used again: the agent drained when its poll found the restart, and ignored the announcements of the new incarnation as late ones, because its start time was lower than the announced one. Only an incarnation that answered a takeover in place of the announced one was let through.

The incarnation that answers a poll of the running agent now counts as well.

--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -201,7 +201,7 @@
 // WorkerRestarted reports that the worker has restarted. The caller should request
 // no further run. Runs that reached the new worker incarnation are tracked to their
 // end.
-type WorkerRestarted struct{}
+type WorkerRestarted struct{ Incarnation int64 } // the new one
 
 // Admission reports whether the worker can take further runs. A Start while it cannot
 // is tracked as usual, or ends as not run while the machine lets the lease expire.
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -156,7 +156,7 @@
 		}
 	}
 	if m.incarnation != 0 && status.Incarnation != 0 && status.Incarnation != m.incarnation {
-		m.workerRestarted()
+		m.workerRestarted(status.Incarnation)
 	} else if m.pollAck > m.acked {
 		m.acked = m.pollAck
 		m.unackedSince = now
@@ -176,13 +176,13 @@
 // workerRestarted handles a new worker incarnation, which numbers its ended runs
 // from 1 again. Earlier runs have ended with the previous incarnation, unless their
 // start reached the new one: the lists of the new incarnation show which.
-func (m *Machine) workerRestarted() {
+func (m *Machine) workerRestarted(incarnation int64) {
 	m.highestSeen, m.acked, m.restarted = 0, 0, true
 	m.releaseAll()
 	for _, r := range m.ordered {
 		r.workerRestarted = true
 	}
-	m.emit(WorkerRestarted{})
+	m.emit(WorkerRestarted{Incarnation: incarnation})
 }
 
 // applyEndedRuns emits Finished for the open runs that the worker lists as ended.
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -64,9 +64,9 @@
 	mu        sync.Mutex
 	stopped   bool
 	announced Announcement // newest announcement of the current incarnation
-	// answered is the incarnation that answered the takeover in place of the announced
-	// one, 0 if none did. It may be lower: the worker's time of day may have been set
-	// back.
+	// answered is the incarnation that answered the takeover, or a later poll, in place of
+	// the announced one, 0 if none did. It may be lower: the worker's time of day may
+	// have been set back.
 	answered int64
 	current  *agentd.Agent
 	// workerEvents passes WorkerReplaced and WorkerFenced to current.
@@ -247,7 +247,7 @@
 			Worker:          worker,
 			WorkerEvents:    workerEvents,
 			Lease:           lease.Options{RetainedRuns: unacknowledged, Incarnation: status.Incarnation},
-			OnWorkerRestart: func() { n.workerRestarted(a) },
+			OnWorkerRestart: func(incarnation int64) { n.workerRestarted(a, incarnation) },
 			OnAdmission:     func(x lease.Admission) { n.logAdmission(a.Worker, x) },
 			OnStartExpired:  func(x lease.StartExpired) { n.logStartExpired(a.Worker, x) },
 			OnUnrecordedRun: func(x lease.UnrecordedRun) { n.logUnrecordedRun(a.Worker, x) },
@@ -292,10 +292,11 @@
 
 // workerRestarted drains the agent of a worker that was found to have
 // restarted. The new incarnation announces itself.
-func (n *AgentNode) workerRestarted(a Announcement) {
+func (n *AgentNode) workerRestarted(a Announcement, incarnation int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.announced.Incarnation == a.Incarnation {
+		n.answered = incarnation
 		n.drainLocked("worker has restarted", false)
 	}
 }
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -168,3 +168,42 @@
 	}
 	t.Fatal("no agent was started")
 }
+
+// restartingWorker is a client of a worker that runs nothing. The incarnation that answers
+// changes.
+type restartingWorker struct {
+	goneWorker
+	incarnation *atomic.Int64
+}
+
+func (w restartingWorker) TakeOver(ctx context.Context) (Takeover, error) {
+	status, err := w.Poll(ctx, lease.CallPoll{})
+	return Takeover{Status: status, Fenced: true}, err
+}
+
+func (w restartingWorker) Poll(context.Context, lease.CallPoll) (*lease.WorkerStatus, error) {
+	w.polls.Add(1)
+	return &lease.WorkerStatus{Incarnation: w.incarnation.Load(), Clock: time.Minute}, nil
+}
+
+// Guards against a worker that is never used again: it restarted beside its agent with its
+// time of day set back, so the announcements of the new incarnation are taken for late ones
+// of one before.
+func TestWorkerThatRestartsWithEarlierStartTimeIsUsed(t *testing.T) {
+	incarnation, clients, polls := new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
+	incarnation.Store(9)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
+		clients.Add(1)
+		return restartingWorker{goneWorker{polls}, incarnation}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { return polls.Load() >= 3 }) // the agent has polled the worker as well
+	incarnation.Store(5)
+	sequence := int64(0)
+	await(t, func() bool {
+		sequence++
+		n.HandleAnnouncement(announced(5, sequence, false))
+		return clients.Load() == 2
+	})
+}
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -52,9 +52,9 @@
 	Lease  lease.Options
 	// WorkerEvents delivers WorkerReplaced and WorkerFenced. It may be nil.
 	WorkerEvents <-chan lease.Event
-	// OnWorkerRestart is called when a restart of the worker is detected. It may
-	// be nil.
-	OnWorkerRestart func()
+	// OnWorkerRestart is called with the worker's new incarnation when a restart of the
+	// worker is detected. It may be nil.
+	OnWorkerRestart func(incarnation int64)
 	// OnPollError is called with the error of a failed poll, for logging. It may be
 	// nil.
 	OnPollError func(error)
@@ -203,7 +203,7 @@
 		}
 	case lease.WorkerRestarted:
 		if u.opts.OnWorkerRestart != nil {
-			u.opts.OnWorkerRestart()
+			u.opts.OnWorkerRestart(x.Incarnation)
 		}
 	}
 }
