core/durable: model of records that are removed from the store

Test only; no fault was shown. Records of jobs themselves (acceptances, statuses, cancellations) were not removed: without them jobs are lost in any case.

--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -32,6 +32,7 @@
 	appended       map[string]bool // appends that are in the log, by writer and number
 	logDown        bool            // the log answers no call
 	readLimit      int             // records in one read
+	removed        map[string]int  // number of records when the key was removed from the store, by key
 	processes      []*process
 	lastNumber     uint64 // last number given to an incarnation or a token
 	runs           []*run
@@ -114,7 +115,7 @@
 
 func newWorld(t *rapid.T, opts durable.Options, processes int) *world {
 	w := &world{
-		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), appended: make(map[string]bool), completedTasks: make(map[string]bool),
+		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), removed: make(map[string]int), appended: make(map[string]bool), completedTasks: make(map[string]bool),
 		accepted: make(map[string]bool), cancelled: make(map[string]bool), tasks: make(map[string]int),
 		failed: make(map[wire.RunRef]bool), noted: make(map[wire.RunRef]bool), failedRuns: make(map[string]int), crashedRuns: make(map[string]int), notedFailures: make(map[string]int),
 		readLimit: rapid.SampledFrom([]int{4, 20, 1 << 20}).Draw(t, "records in one read"),
@@ -243,7 +244,7 @@
 			newest[r.Key] = r
 		}
 		for _, r := range newest {
-			if len(r.Value) > 0 {
+			if len(r.Value) > 0 && !w.isRemoved(r) {
 				out = append(out, r)
 			}
 		}
@@ -252,11 +253,24 @@
 		return
 	}
 	end := min(len(w.records), p.offset+w.readLimit)
-	out = slices.Clone(w.records[p.offset:end])
+	out = slices.DeleteFunc(slices.Clone(w.records[p.offset:end]), w.isRemoved)
 	p.offset = end
 	p.inbox = append(p.inbox, durable.Read{Records: out, RequestedAt: w.now, CutOff: end < len(w.records)})
 }
 
+// isRemoved reports whether the store has removed the record.
+func (w *world) isRemoved(r durable.Record) bool { return int(r.Offset) < w.removed[r.Key] }
+
+// removeKeys removes the keys of a kind from the store at once. No process is told.
+func (w *world) removeKeys(kind byte) {
+	w.t.Logf("%v the keys of kind %c are removed", w.now, kind)
+	for _, r := range w.records {
+		if r.Key[0] == kind {
+			w.removed[r.Key] = len(w.records)
+		}
+	}
+}
+
 func (w *world) apply(p *process, action durable.Action) {
 	switch x := action.(type) {
 	case durable.Append:
