core/lease: model of hand-overs, links cut in one direction, power loss and VMs that stand still

The model with several entries and agents gets five further tests: entries with gaps just below 0.25 s for seconds, links of an agent cut in one direction by turns (frames, calls or answers), all entries and agents ended at once and back at different times while workers go on, VMs that stand still with their worker and go on with calls and runs in any order, and agents that were replaced and go on with their links while the worker refuses their calls. The model also checks that a finished run of a stored job is not acknowledged as counted before or after its task is started again, and hellos carry the finished runs that the process before left.

--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -40,23 +40,26 @@
 // workers, and callers that send their jobs again to any entry. Processes are frozen, slow,
 // stopped and replaced, and connections break.
 type fleet struct {
-	seed    uint64
-	rng     *rand.Rand
-	now     time.Duration
-	entries []*fleetEntry
-	hosts   []*fleetHost
-	jobs    []*fleetJob
-	bySub   map[wire.SubmissionID]*fleetJob   // submissions that are not answered
-	at      map[wire.SubmissionID]*fleetEntry // the entry of each
-	notices []*fleetNotice
-	nextID  uint64
-	faults  bool
+	seed     uint64
+	rng      *rand.Rand
+	now      time.Duration
+	entries  []*fleetEntry
+	hosts    []*fleetHost
+	jobs     []*fleetJob
+	bySub    map[wire.SubmissionID]*fleetJob   // submissions that are not answered
+	at       map[wire.SubmissionID]*fleetEntry // the entry of each
+	notices  []*fleetNotice
+	nextID   uint64
+	faults   bool
+	longRuns bool // all runs take seconds
 	// lateSpan is how late workers may carry out calls, 0 for 3 s.
 	lateSpan time.Duration
 	calm     bool // no process is frozen, and none is slow by much
-	failure  string
-	log      []string
-	counts   fleetCounts
+	// disturbFurther makes a disturbance of one test in place of every third one, nil for none.
+	disturbFurther func(*fleetHost, *fleetEntry)
+	failure        string
+	log            []string
+	counts         fleetCounts
 	// restarts makes workers restart, and calls wait on their way to them. Starts of an
 	// earlier incarnation may then be carried out, so two runs at a time are no failure.
 	restarts bool
@@ -77,6 +80,7 @@
 // pace tells when a process runs.
 type pace struct {
 	frozenTill, slowTill, gap time.Duration
+	shortestGap               time.Duration // a quarter of gap if it is less
 }
 
 func (p *pace) slow(now time.Duration) bool { return now < p.slowTill }
@@ -120,6 +124,8 @@
 	heardAt, heardBy time.Duration // when the agent, and the entry, last received something
 	toAgent          []fleetFrame
 	toEntry          []fleetFrame
+	// Until these times nothing arrives at the agent, and at the entry.
+	agentCutTill, entryCutTill time.Duration
 }
 
 type fleetFrame struct {
@@ -132,7 +138,8 @@
 	pace
 	name        string
 	worker      *worker
-	acked       int // ended runs that were acknowledged
+	finished    []wire.FinishedRun // that the process before left in the worker's list
+	acked       int                // ended runs that were acknowledged
 	incarnation wire.Incarnation
 	agent       *agent.Machine // nil while there is no process, or it takes the worker over
 	lease       *lease.Machine
@@ -155,7 +162,12 @@
 	fence       int64         // highest token that the worker's incarnation has seen
 	// workerIncarnation is that of the worker when the agent took it over.
 	workerIncarnation int64
-	finished          []wire.FinishedRun // left at the worker by earlier processes
+	// Until these times no call arrives at the worker, and no answer at the agent.
+	callsCutTill, answersCutTill time.Duration
+	// callsFirst lets the worker carry out calls before it ends the runs whose lease has
+	// expired, after it stood still.
+	callsFirst bool
+	replaced   bool // the next process has taken the worker over
 }
 
 // fleetCall is a call on its way to the worker. It may arrive at another incarnation than
@@ -175,15 +187,7 @@
 		counted: make(map[wire.RunRef]int), lateRuns: make(map[wire.RunRef]bool),
 	}
 	for i := range 2 + f.rng.IntN(2) {
-		e := &fleetEntry{index: i, id: wire.Incarnation(10 + i)}
-		e.machine = entry.New(entry.Options{
-			Incarnation: e.id, Scheduler: policy.New(policy.Options{Seed: seed + uint64(i)}), HeartbeatInterval: heartbeatInterval,
-			LostAgentTimeout: lostAgentTime, ResendDelay: resendDelay,
-		})
-		f.entries = append(f.entries, e)
-		e.machine.Step(f.now, entry.Tick{})
-		e.machine.Step(f.now, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: 10 * time.Second, TargetShare: 1}}}})
-		e.machine.Step(f.now, entry.StoredLease{Until: time.Hour})
+		f.entries = append(f.entries, f.newEntry(i, wire.Incarnation(10+i)))
 	}
 	for i := range 2 + f.rng.IntN(2) {
 		h := &fleetHost{name: fmt.Sprintf("w%d", i), worker: newWorker(), startAt: f.now, lateShare: []float64{0, 0, 0.2}[f.rng.IntN(3)]}
@@ -193,6 +197,18 @@
 	return f
 }
 
+func (f *fleet) newEntry(index int, id wire.Incarnation) *fleetEntry {
+	e := &fleetEntry{index: index, id: id}
+	e.machine = entry.New(entry.Options{
+		Incarnation: e.id, Scheduler: policy.New(policy.Options{Seed: f.seed + uint64(index)}), HeartbeatInterval: heartbeatInterval,
+		LostAgentTimeout: lostAgentTime, ResendDelay: resendDelay,
+	})
+	e.machine.Step(f.now, entry.Tick{})
+	e.machine.Step(f.now, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: 10 * time.Second, TargetShare: 1}}}})
+	e.machine.Step(f.now, entry.StoredLease{Until: time.Hour})
+	return e
+}
+
 func (f *fleet) logf(format string, args ...any) {
 	f.log = append(f.log, fmt.Sprintf("%v: ", f.now-time.Minute)+fmt.Sprintf(format, args...))
 }
@@ -205,6 +221,10 @@
 	for end := f.now + d; f.now < end && f.failure == ""; {
 		f.now += chainStep
 		for _, h := range f.hosts {
+			if h.callsFirst && h.worker.now+chainStep >= h.worker.stalledUntil {
+				h.callsFirst = false
+				f.carryOutLate(h)
+			}
 			h.worker.advance(chainStep)
 			f.carryOutLate(h)
 			f.carryOutInTransit(h)
@@ -225,6 +245,9 @@
 func (f *fleet) check() {
 	running := make(map[wire.RunRef]string)
 	for _, h := range f.hosts {
+		if h.worker.stalled() {
+			continue // nobody can end its runs
+		}
 		for id := range h.worker.running {
 			task := id
 			task.Run = 0
@@ -239,7 +262,8 @@
 // wait lets a slow process run for one step of the model at a time.
 func (f *fleet) wait(p *pace) {
 	if p.slow(f.now) {
-		p.frozenTill = max(p.frozenTill, f.now+p.gap/4+time.Duration(f.rng.Int64N(int64(p.gap*3/4)+1)))
+		shortest := min(p.gap, max(p.gap/4, p.shortestGap))
+		p.frozenTill = max(p.frozenTill, f.now+shortest+time.Duration(f.rng.Int64N(int64(p.gap-shortest)+1)))
 	}
 }
 
@@ -270,7 +294,7 @@
 
 // readAgent reads what an agent has sent on a connection.
 func (f *fleet) readAgent(h *fleetHost, l *fleetLink) {
-	for len(l.toEntry) > 0 && l.toEntry[0].at <= f.now {
+	for len(l.toEntry) > 0 && l.toEntry[0].at <= f.now && l.entryCutTill <= f.now {
 		ev := l.toEntry[0].ev
 		l.toEntry = l.toEntry[1:]
 		l.heardBy = f.now
@@ -493,7 +517,7 @@
 func (f *fleet) ready(h *fleetHost) []func() {
 	var steps []func()
 	for _, l := range h.links {
-		if len(l.toAgent) > 0 && l.toAgent[0].at <= f.now {
+		if len(l.toAgent) > 0 && l.toAgent[0].at <= f.now && l.agentCutTill <= f.now {
 			steps = append(steps, func() {
 				ev := l.toAgent[0].ev.(agent.Event)
 				l.toAgent = l.toAgent[1:]
@@ -590,10 +614,20 @@
 
 // call sends a call to the worker, which may leave it unanswered and carry it out late.
 func (f *fleet) call(h *fleetHost, a lease.Action) {
+	timeout := f.now + callTimeout
+	if blocked := max(h.callsCutTill, f.now+h.worker.stalledUntil-h.worker.now); blocked > f.now {
+		h.answers = append(h.answers, chainAnswer{at: timeout, event: noAnswer(a), lost: noAnswer(a)})
+		h.late = append(h.late, call{at: blocked, action: a})
+		return
+	}
+	if f.now < h.answersCutTill {
+		f.execute(h, a, false)
+		h.answers = append(h.answers, chainAnswer{at: timeout, event: noAnswer(a), lost: noAnswer(a)})
+		return
+	}
 	if f.callFailed(h, a) {
 		return
 	}
-	timeout := f.now + callTimeout
 	if f.restarts {
 		x := &fleetCall{at: f.now, timeout: timeout, action: a, token: h.token}
 		if poll, ok := a.(lease.CallPoll); ok && f.now > poll.AckUntil { // as internal/leased does
@@ -623,6 +657,9 @@
 }
 
 func (f *fleet) carryOutLate(h *fleetHost) {
+	if h.worker.stalled() && !(h.worker.now+chainStep >= h.worker.stalledUntil) {
+		return
+	}
 	due := h.late
 	h.late = nil
 	for _, x := range due {
@@ -749,7 +786,7 @@
 		if end.Kind != lease.EndedSucceeded || h.worker.now > h.worker.lease || h.worker.lapses > h.worker.retained[end.Run] {
 			continue
 		}
-		if late && f.lateRuns[end.Run] {
+		if late && f.lateRuns[end.Run] && (f.restarts || h.process.runs != nil) {
 			f.counts.lateBoth++
 			continue
 		}
@@ -785,7 +822,7 @@
 		if f.restarts && f.rng.IntN(3) == 0 {
 			length = 0
 		}
-		if f.rng.IntN(4) == 0 {
+		if f.longRuns || f.rng.IntN(4) == 0 {
 			length = f.millis(3000, 8000)
 		}
 		before := h.worker.started[x.Run]
@@ -839,7 +876,7 @@
 // takeOver lets a new agent process take the worker over, as internal/fleet does: it fences
 // off late calls, stops the runs that are left over and then starts.
 func (f *fleet) takeOver(h *fleetHost) {
-	if f.now < h.startAt || f.now < h.frozenTill || f.now < h.downTill || !f.answers(h) {
+	if f.now < h.startAt || f.now < h.frozenTill || f.now < h.downTill || h.replaced || !f.answers(h) {
 		return
 	}
 	h.late = nil
@@ -896,6 +933,10 @@
 // disturb makes one random disturbance.
 func (f *fleet) disturb() {
 	h, e := f.hosts[f.rng.IntN(len(f.hosts))], f.entries[f.rng.IntN(len(f.entries))]
+	if f.disturbFurther != nil && f.rng.IntN(3) == 0 {
+		f.disturbFurther(h, e)
+		return
+	}
 	span, gap, kind := f.millis(20, 2500), f.millis(20, 395), f.rng.IntN(20)
 	if f.calm {
 		gap = min(gap, 150*time.Millisecond)
--- a/core/lease/modelworker_test.go
+++ b/core/lease/modelworker_test.go
@@ -13,6 +13,7 @@
 type worker struct {
 	now          time.Duration
 	incarnation  int64
+	runsFirst    bool                          // runs are completed before their lease is looked at after the process stood still
 	stalledUntil time.Duration                 // until when the process stands still; its clock goes on
 	fenceAt      time.Duration                 // when the first call of the next agent ends the runs of the earlier one
 	lease        time.Duration                 // when all runs end without a renewal
@@ -46,11 +47,25 @@
 
 func (w *worker) advance(d time.Duration) {
 	w.now += d
+	if !w.stalled() && w.runsFirst {
+		w.runsFirst = false
+		w.completeRuns()
+	}
 	if !w.stalled() {
 		w.endRuns()
 	}
 }
 
+// completeRuns ends the runs that are complete, whether or not their lease has expired.
+func (w *worker) completeRuns() {
+	for id, end := range w.running {
+		if w.now >= end {
+			w.completed[id] = true
+			w.end(id, lease.EndedSucceeded)
+		}
+	}
+}
+
 // endRuns ends the runs that are complete or whose lease has expired.
 func (w *worker) endRuns() {
 	if w.fenceAt > 0 && w.now >= w.fenceAt {
