entryd: answer requests that wait to be read at a planned stop

Callers saw EOF or a reset for requests that they had sent before a planned stop closed their connection. Three causes, all on a busy machine: - A connection counted as idle until the server had read a whole request header, although the request had arrived and the process had not got to read it. - The listener was closed after 0.2 s, or at once if no connection was open, also while connections waited to be accepted. - Idle time was taken from the clock, so time in which neither the process nor the callers on its machine ran counted as idle.

The stop now asks the kernel whether bytes or connections wait, notes reads on the connection, counts a connection from its acceptance, and closes it when 20 searches in a row have found it idle, or at once if it was idle for 1 s before. A caller that is kept from sending for longer still gets EOF.

--- a/internal/entryd/idleconns.go
+++ b/internal/entryd/idleconns.go
@@ -6,29 +6,47 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 )
 
 const (
-	// stopIdleAge is how long a connection of a caller must have been idle before a planned
-	// stop closes it. A caller that has just got an answer may be sending its next request,
-	// and cannot know whether that request ran if the connection is closed meanwhile. It is
-	// less than the time without requests for which a leaving entry of internal/fleet waits
-	// before it stops, so that the stop takes no longer there.
-	stopIdleAge = 200 * time.Millisecond
 	// stopPollInterval is the interval between two searches for idle connections.
 	stopPollInterval = 10 * time.Millisecond
+	// stopIdlePolls is in how many searches a connection of a caller must be idle before a
+	// planned stop closes it, which takes 0.2 s. A caller that has just got an answer may be
+	// sending its next request, and cannot know whether that request ran if the connection is
+	// closed meanwhile. Searches are counted rather than time because a busy machine may keep
+	// the process and its callers from running.
+	stopIdlePolls = 20
+	// stopIdleAge is how long before the stop a connection must have been idle to be closed
+	// at once. A leaving entry of internal/fleet ends connections with their answers for
+	// longer than that before it stops, so that the stop takes no longer there.
+	stopIdleAge = time.Second
+	// maxAcceptDelay bounds how long a planned stop accepts connections. A machine under
+	// load kept the process from accepting those that waited for more than 0.2 s.
+	maxAcceptDelay = time.Second
 )
 
 // idleConns knows since when each connection of a server has been idle.
 type idleConns struct {
 	mu    sync.Mutex
-	since map[net.Conn]time.Time // zero while a request is in progress
+	conns map[net.Conn]*connUse
+}
+
+// connUse is the use of one connection.
+type connUse struct {
+	idleSince time.Time // zero while a request is in progress
+	polls     int       // calls of closeIdle that found it idle
+	readAt    int64     // that of the watchedConn at the last of them
 }
 
-func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
+func newIdleConns() *idleConns { return &idleConns{conns: make(map[net.Conn]*connUse)} }
 
 // connState is the ConnState hook of the server.
 func (s *idleConns) connState(c net.Conn, state http.ConnState) {
@@ -36,37 +54,133 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		s.since[c] = time.Now()
+		s.conns[c] = &connUse{idleSince: time.Now()}
 	case http.StateActive:
-		s.since[c] = time.Time{}
+		s.conns[c] = new(connUse)
 	case http.StateClosed, http.StateHijacked:
-		delete(s.since, c)
+		delete(s.conns, c)
 	}
 }
 
-// closeIdle closes the connections that have been idle for the given time and returns the
-// number of the other ones.
-func (s *idleConns) closeIdle(age time.Duration) int {
+// closeIdle closes the connections that were idle in the last stopIdlePolls calls, or since
+// stopIdleAge before the stop began, and returns the number of the other ones.
+func (s *idleConns) closeIdle(stopBegan time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, since := range s.since {
-		if !since.IsZero() && time.Since(since) >= age {
-			delete(s.since, c)
+	for c, use := range s.conns {
+		if use.idle(c) && (use.polls > stopIdlePolls || stopBegan.Sub(use.idleSince) >= stopIdleAge) {
+			delete(s.conns, c)
 			c.Close()
 		}
 	}
-	return len(s.since)
+	return len(s.conns)
+}
+
+// idle reports whether the connection is idle, and counts that. A connection on which bytes
+// have arrived is not, although the server has not got to read the request.
+func (u *connUse) idle(c net.Conn) bool {
+	if u.idleSince.IsZero() {
+		return false
+	}
+	u.polls++
+	w, ok := c.(*watchedConn)
+	if !ok {
+		return true
+	}
+	waits := inputWaits(w.socket)
+	readAt := w.readAt.Load() // after that, or bytes that are read meanwhile would be missed
+	if waits || readAt != u.readAt && readAt > u.idleSince.UnixNano() {
+		u.idleSince, u.polls = time.Now(), 0
+	}
+	u.readAt = readAt
+	return u.polls > 0
+}
+
+// watchedListener accepts connections as watchedConn. They count as open from then on: the
+// server calls the ConnState hook a little later.
+type watchedListener struct {
+	net.Listener
+	conns *idleConns
+}
+
+// Accept implements net.Listener.
+func (l watchedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	w := &watchedConn{Conn: c, socket: socketOf(c)}
+	l.conns.connState(w, http.StateNew)
+	return w, nil
+}
+
+// watchedConn notes when bytes were read last: the server calls the ConnState hook only
+// once it has read a whole request header.
+type watchedConn struct {
+	net.Conn
+	socket syscall.Conn // nil if it is not known
+	readAt atomic.Int64 // Unix time in nanoseconds
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// socketOf returns the socket of a connection or listener, nil if it is not known.
+func socketOf(c any) syscall.Conn {
+	switch x := c.(type) {
+	case syscall.Conn:
+		return x
+	case *slotConn:
+		return socketOf(x.Conn)
+	case interface{ NetConn() net.Conn }: // a connection with TLS
+		return socketOf(x.NetConn())
+	}
+	return nil
+}
+
+// inputWaits reports whether the process has not read everything that has arrived at a
+// socket: bytes, the end of the connection, or connections at that of a listener.
+func inputWaits(socket syscall.Conn) bool {
+	if socket == nil {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	// An error means that the socket is closed: nothing waits.
+	_ = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = err == nil && n > 0
+	})
+	return waits
 }
 
 // shutdownCallers ends the connections of callers: those in use with the next answer, the
-// others once they have been idle for stopIdleAge. Then it closes the listener. While
-// connections are in use, further ones may wait to be accepted, which closing it would
-// reset, so it stays open for up to stopIdleAge.
+// others once they have been idle for a time, see closeIdle. Connections that wait to be
+// accepted would be reset with the listener, so it stays open while connections are in use,
+// for up to stopIdlePolls, and until all that wait are accepted, for up to maxAcceptDelay.
 func (e *Entry) shutdownCallers(ctx context.Context) error {
 	began := time.Now()
-	listening := true
-	for e.callerConns.closeIdle(stopIdleAge) > 0 && ctx.Err() == nil {
-		if listening && time.Since(began) >= stopIdleAge {
+	listening, listener := true, socketOf(e.callers)
+	// One search that finds nothing does not do: a connection that is just being accepted
+	// neither waits nor is open.
+	for polls, quiet := 0, 0; ctx.Err() == nil; polls++ {
+		waiting := listening && inputWaits(listener) && time.Since(began) < maxAcceptDelay
+		open := e.callerConns.closeIdle(began)
+		if open > 0 || waiting {
+			quiet = 0
+		} else if quiet++; quiet == 2 {
+			break
+		}
+		if listening && !waiting && polls >= stopIdlePolls {
 			listening = false
 			e.callers.Close()
 		}
