--- a/core/lease/modelworker_test.go
+++ b/core/lease/modelworker_test.go
@@ -186,6 +186,9 @@
 
 func (w *worker) renew(deadline time.Duration) {
 	w.lease = max(w.lease, min(deadline, w.now+maxRenewal))
+	if w.now <= w.lease {
+		w.lapsed = false // its expiry counts also if the process stands still until then
+	}
 }
 
 func (w *worker) restart() {
--- a/internal/entryd/idleconns.go
+++ b/internal/entryd/idleconns.go
@@ -43,7 +43,7 @@
 type connUse struct {
 	idleSince time.Time // zero while a request is in progress
 	polls     int       // calls of closeIdle that found it idle
-	readAt    int64     // that of the watchedConn at the last of them
+	reads     uint64    // that of the watchedConn when it became idle or at the last of them
 }
 
 func newIdleConns() *idleConns { return &idleConns{conns: make(map[net.Conn]*connUse)} }
@@ -54,7 +54,7 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		s.conns[c] = &connUse{idleSince: time.Now()}
+		s.conns[c] = &connUse{idleSince: time.Now(), reads: readsOf(c)}
 	case http.StateActive:
 		s.conns[c] = new(connUse)
 	case http.StateClosed, http.StateHijacked:
@@ -88,14 +88,22 @@
 		return true
 	}
 	waits := inputWaits(w.socket)
-	readAt := w.readAt.Load() // after that, or bytes that are read meanwhile would be missed
-	if waits || readAt != u.readAt && readAt > u.idleSince.UnixNano() {
+	reads := w.reads.Load() // after that, or bytes that are read meanwhile would be missed
+	if waits || reads != u.reads {
 		u.idleSince, u.polls = time.Now(), 0
 	}
-	u.readAt = readAt
+	u.reads = reads
 	return u.polls > 0
 }
 
+// readsOf returns how often bytes were read from the connection, 0 if it is not known.
+func readsOf(c net.Conn) uint64 {
+	if w, ok := c.(*watchedConn); ok {
+		return w.reads.Load()
+	}
+	return 0
+}
+
 // watchedListener accepts connections as watchedConn. They count as open from then on: the
 // server calls the ConnState hook a little later.
 type watchedListener struct {
@@ -114,19 +122,19 @@
 	return w, nil
 }
 
-// watchedConn notes when bytes were read last: the server calls the ConnState hook only
+// watchedConn counts the reads that returned bytes: the server calls the ConnState hook only
 // once it has read a whole request header.
 type watchedConn struct {
 	net.Conn
 	socket syscall.Conn // nil if it is not known
-	readAt atomic.Int64 // Unix time in nanoseconds
+	reads  atomic.Uint64
 }
 
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.readAt.Store(time.Now().UnixNano())
+		c.reads.Add(1)
 	}
 	return n, err
 }
