lease: pause between polls of a restarted worker that lists ended runs

An agent that has found a new incarnation acknowledges nothing there, so the worker lists the same ends in each answer and answers at once. While a run was open or being stopped there, polls followed each other without a pause.

TestPollsOfRestartedWorkerWithListedEndsPause failed before with 990 polls in a second of model time, in which a poll takes 1 ms.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -123,8 +123,8 @@
 	// ackPatience bounds the time for which maxAckAge may hold back acknowledgements.
 	ackPatience = time.Second
 	// retainedPollInterval is the minimum interval between polls while finished runs
-	// are retained: the worker lists them again in each answer and may answer
-	// without waiting for a new one.
+	// are retained or left to the next agent: the worker lists them again in each answer
+	// and may answer without waiting for a new one.
 	retainedPollInterval = 15 * time.Millisecond
 )
 
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -168,7 +168,7 @@
 		m.unconfirmedAt = 0
 	}
 	m.recordCheckpoints(status.Checkpoints)
-	if len(m.retained) > 0 && m.acked >= m.ackLimit() {
+	if (len(m.retained) > 0 || m.restarted && m.highestSeen > 0) && m.acked >= m.ackLimit() {
 		m.nextPoll = now + retainedPollInterval
 	}
 }
