entry: a late success does not end a long-running job

A task of a long-running job that waits for its next start was taken as done when the agent of a restarted worker reported the success of its newest run: takeovers report every finished run that the worker lists.

TestLateSuccessRestartsTaskOfLongRunningJob failed before for a run told as failed: the job was answered. The record of the job still counts the run as done, which the next owner reads; that is not changed here.

--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -151,6 +151,7 @@
 		case t == nil:
 		case t.state == taskInFlight && t.runNumber == finished.Run.Run && t.link != link:
 			m.applyResult(now, t.link, finishedRunResult(t.seq, finished))
+		case t.waits() && t.job.longRunning: // restarted however its run ended
 		case t.runLost && t.runNumber == finished.Run.Run && (t.state == taskBackoff || t.state == taskAwaitingGang):
 			m.applyFinishedLostRun(now, t, finished)
 		case t.state == taskQueued && t.lostRun > 0 && t.lostRun == finished.Run.Run && t.job.steps[t.step].gang == nil:
