agent: a drain during a takeover does not leave the replaced agent waiting

If the worker announced that it drains, or deregistered, while its new incarnation was being taken over, the takeover was cancelled. It may have fenced off the replaced agent by then, whose polls are refused from then on, so its runs with an unanswered start stayed open for 12.5 s.

TestDrainDuringTakeoverDoesNotLeaveReplacedAgentWaiting timed out before.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -142,7 +142,13 @@
 // workerLeaving states that the worker has announced that it leaves. n.mu must be held.
 func (n *AgentNode) drainLocked(reason string, workerLeaving bool) {
 	n.opts.Log.Emit(eventlog.WorkerLeaving, eventlog.Fields{Peer: n.announced.Worker, Detail: reason})
-	if n.cancelStart != nil {
+	switch {
+	case n.cancelStart == nil:
+	case len(n.replaced) > 0:
+		// The takeover may have fenced off the replaced agents already, so that they learn
+		// from it alone that their starts have no effect. No agent starts afterwards.
+		time.AfterFunc(maxReplacedTime, n.cancelStart)
+	default:
 		n.cancelStart()
 		n.cancelStart = nil
 	}
@@ -236,6 +242,10 @@
 		return
 	}
 	n.cancelStart = nil
+	if n.announced.Draining {
+		worker.Close()
+		return
+	}
 	workerEvents := make(chan lease.Event, workerEventBuffer)
 	n.workerEvents = workerEvents
 	n.current = agentd.Start(agentd.Options{
--- /dev/null
+++ b/internal/fleet/review_test.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/lease"
+)
+
+// slowTakeoverWorker is a client whose takeover reaches the worker and is answered only
+// once answers is set.
+type slowTakeoverWorker struct {
+	goneWorker
+	incarnation int64
+	answers     *atomic.Bool
+}
+
+func (w slowTakeoverWorker) TakeOver(ctx context.Context) (Takeover, error) {
+	w.polls.Add(1)
+	if w.incarnation > 9 && !w.answers.Load() {
+		return Takeover{}, errWorkerGone
+	}
+	return Takeover{Status: &lease.WorkerStatus{Incarnation: w.incarnation, Clock: time.Minute}, Fenced: true}, nil
+}
+
+// Guards against runs that wait for 12.5 s: a worker restarts, its takeover has fenced off the
+// replaced agent, whose polls are refused from then on, and the worker announces that it is
+// draining or deregisters before the takeover is answered.
+func TestDrainDuringTakeoverDoesNotLeaveReplacedAgentWaiting(t *testing.T) {
+	for _, deregister := range []bool{false, true} {
+		polls, answers := new(atomic.Int64), new(atomic.Bool)
+		n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+			return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
+		}})
+		t.Cleanup(n.Kill)
+		n.HandleAnnouncement(announced(9, 1, false))
+		await(t, func() bool { _, running := n.Status(); return running })
+		n.HandleAnnouncement(announced(10, 1, false))
+		began := polls.Load()
+		await(t, func() bool { return polls.Load() > began+2 })
+		if deregister {
+			n.HandleDeregister("w", 10)
+		} else {
+			n.HandleAnnouncement(announced(10, 2, true))
+		}
+		answers.Store(true)
+		await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) == 0 })
+		time.Sleep(2 * leftoverRetryDelay)
+		_, running := n.Status()
+		assert.Assert(t, !running, "an agent runs beside a worker that leaves")
+	}
+}
