agent: an announcement of another name alone ends no unanswered starts

The announcement may be a late one of an earlier worker whose start time is later, because the time of day was set back since. The current worker may then still carry the starts out. Only the takeover under the new name shows that it is the current one, and it fences off the starts anyway.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -99,14 +99,10 @@
 	}
 	drainingChanged := a.Draining != n.announced.Draining
 	capacityChanged := a.Capacity != n.announced.Capacity
-	renamed := a.Worker != n.announced.Worker
 	n.announced = a
 	n.answered = 0
 	if newIncarnation {
 		n.replaceLocked(a)
-		if renamed { // a worker refuses calls that state another name
-			n.fencedLocked(nil)
-		}
 		return
 	}
 	if capacityChanged {
--- a/internal/fleet/review_test.go
+++ b/internal/fleet/review_test.go
@@ -54,3 +54,23 @@
 		assert.Assert(t, !running, "an agent runs beside a worker that leaves")
 	}
 }
+
+// Guards against two runs of one task: a late announcement of an earlier worker of another
+// name arrives, whose start time is later because the time of day was set back, and unanswered
+// starts at the current worker are given up although it may still carry them out.
+func TestAnnouncementOfAnotherNameAloneEndsNoStarts(t *testing.T) {
+	polls, answers := new(atomic.Int64), new(atomic.Bool)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { _, running := n.Status(); return running })
+	late := announced(10, 1, false)
+	late.Worker = "earlier"
+	n.HandleAnnouncement(late)
+	replaced := func() int { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) }
+	assert.Equal(t, replaced(), 1, "nothing has been taken over")
+	answers.Store(true)
+	await(t, func() bool { return replaced() == 0 })
+}
