lease: silence of the worker does not relax when a poll acknowledges

If nothing could be acknowledged for a second, a poll acknowledges up to 0.3 s after an answered one was sent in place of 40 ms, so that ends are acknowledged also if answers are always handled late. A second of polls without an answer had the same effect: an agent that then stood still for 60 ms to 0.3 s beside a restarting worker acknowledged numbers of the earlier incarnation. Five answers must now have come meanwhile.

TestAcknowledgementAfterSilenceIsBoundedByAnswer failed before.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -122,6 +122,9 @@
 	maxAckAge = 40 * time.Millisecond
 	// ackPatience bounds the time for which maxAckAge may hold back acknowledgements.
 	ackPatience = time.Second
+	// ackPatienceAnswers is the number of answers that must have come meanwhile: a worker
+	// that was silent for that time, or a process that stood still, is no reason.
+	ackPatienceAnswers = 5
 	// retainedPollInterval is the minimum interval between polls while finished runs
 	// are retained or left to the next agent: the worker lists them again in each answer
 	// and may answer without waiting for a new one.
@@ -223,6 +226,9 @@
 	// unackedSince is when an ended run was last acknowledged, or when none that may be was
 	// left.
 	unackedSince time.Duration
+	// unackedAnswers is the number of polls since then that were answered and acknowledged
+	// nothing.
+	unackedAnswers int
 	// answeredPollAt is when the last poll that was answered was sent.
 	answeredPollAt time.Duration
 	polling        bool // a poll is in flight
@@ -270,7 +276,7 @@
 	clear(m.actions)
 	m.actions = m.actions[:0]
 	if !m.initialized || m.acked >= m.ackLimit() {
-		m.unackedSince = now
+		m.unackedSince, m.unackedAnswers = now, 0
 	}
 	m.initLease(now)
 	switch e := ev.(type) {
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -88,11 +88,11 @@
 }
 
 // ackableUntil returns the time after which a poll must acknowledge nothing. If nothing
-// could be acknowledged for ackPatience, because answers are always handled late, it counts
-// from the sending of the last poll that was answered.
+// could be acknowledged for ackPatience and with ackPatienceAnswers answers, because they are
+// always handled late, it counts from the sending of the last poll that was answered.
 func (m *Machine) ackableUntil(now time.Duration) time.Duration {
 	until := m.answeredPollAt + minRestartTime
-	if m.acked < m.ackLimit() && now-m.unackedSince > ackPatience {
+	if m.acked < m.ackLimit() && now-m.unackedSince > ackPatience && m.unackedAnswers >= ackPatienceAnswers {
 		return until
 	}
 	return min(until, m.answerGivenAt+maxAckAge)
@@ -159,7 +159,9 @@
 		m.workerRestarted(status.Incarnation)
 	} else if m.pollAck > m.acked {
 		m.acked = m.pollAck
-		m.unackedSince = now
+		m.unackedSince, m.unackedAnswers = now, 0
+	} else if m.acked < m.ackLimit() {
+		m.unackedAnswers++
 	}
 	m.incarnation = status.Incarnation
 	m.applyEndedRuns(now, status.Ended)
--- a/core/lease/review_test.go
+++ b/core/lease/review_test.go
@@ -52,3 +52,35 @@
 	assert.Equal(t, m.OpenRuns(), 1)
 	assert.Assert(t, polls > 3 && polls < 100, "%d polls in a second", polls)
 }
+
+// Guards against an acknowledgement to an incarnation that nobody has seen: after a second of
+// unanswered polls, the first poll that was answered let the next one acknowledge for 0.3 s,
+// in which the worker may restart while this process stands still.
+func TestAcknowledgementAfterSilenceIsBoundedByAnswer(t *testing.T) {
+	m := lease.New(lease.Options{})
+	now, clock := time.Second, time.Minute
+	m.Step(now, lease.Tick{})
+	run := wire.RunRef{Job: "j", Run: 1}
+	status := func() *lease.WorkerStatus {
+		return &lease.WorkerStatus{Incarnation: 1, Clock: clock + now, Ended: []lease.EndedRun{{Number: 1, Run: run, Kind: lease.EndedSucceeded}}}
+	}
+	m.Step(now, lease.Polled{Status: status()})
+	for end := now + 1200*time.Millisecond; now < end; now += 20 * time.Millisecond {
+		m.Step(now, lease.Tick{})
+		m.Step(now+25*time.Millisecond, lease.Polled{})
+		now += 25 * time.Millisecond
+	}
+	var acks int
+	for range 4 {
+		now += 60 * time.Millisecond
+		for _, ev := range []lease.Event{lease.Tick{}, lease.Polled{Status: status()}} {
+			for _, a := range m.Step(now, ev) {
+				if x, ok := a.(lease.CallPoll); ok && x.AckUpTo > 0 {
+					acks++
+					assert.Assert(t, x.AckUntil <= now+40*time.Millisecond, "may acknowledge until %v later", x.AckUntil-now)
+				}
+			}
+		}
+	}
+	assert.Assert(t, acks > 0)
+}
