agent: a late takeover answer does not replace the agent of the current worker

The takeover for an earlier announcement may be answered by the current incarnation and be handled after that one has announced itself. Its next announcement then counted as one of a new incarnation: the agent was replaced and the takeover stopped its runs.

TestLateTakeoverAnswerReplacesNoAgent failed before.

--- a/internal/fleet/review_test.go
+++ b/internal/fleet/review_test.go
@@ -74,3 +74,19 @@
 	answers.Store(true)
 	await(t, func() bool { return replaced() == 0 })
 }
+
+// Guards against an agent that is replaced beside its worker, whose runs end: the takeover for
+// an earlier announcement was answered by the current incarnation and handled after that one
+// had announced itself.
+func TestLateTakeoverAnswerReplacesNoAgent(t *testing.T) {
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+		return slowTakeoverWorker{goneWorker{new(atomic.Int64)}, incarnation, new(atomic.Bool)}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { _, running := n.Status(); return running })
+	assert.Assert(t, n.staleAnnouncement(8, &lease.WorkerStatus{Incarnation: 9, Clock: time.Minute}, 0) != "")
+	n.HandleAnnouncement(announced(9, 2, false))
+	_, running := n.Status()
+	assert.Assert(t, running, "the agent was replaced")
+}
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -62,7 +62,9 @@
 func (n *AgentNode) staleAnnouncement(incarnation int64, status *lease.WorkerStatus, waited time.Duration) string {
 	if incarnation != 0 && status.Incarnation != 0 && incarnation != status.Incarnation {
 		n.mu.Lock()
-		n.answered = status.Incarnation
+		if n.announced.Incarnation == incarnation { // no later one was announced meanwhile
+			n.answered = status.Incarnation
+		}
 		n.mu.Unlock()
 		return "another incarnation answers"
 	}
