lease: one rule for runs with an unanswered start

Every unanswered poll counts as a sign that the worker may have restarted, so the separate record of such signs decided nothing: a run with an unanswered start stays open at a worker that does not answer until maxStartDelay after the start.

--- a/core/lease/lapse.go
+++ b/core/lease/lapse.go
@@ -75,14 +75,12 @@
 func (r *run) startInDoubt() bool { return r.state != runRunning || r.startsSent > 1 }
 
 // startMayTakeEffect reports whether a start of the run may still be carried out although
-// the lease has expired. Its deadline proves that it is not, but only on the clock of the
-// process that it was meant for: that of the next one begins again, and until a poll is
-// answered nothing fences off earlier starts there.
+// the lease has expired and the worker does not answer. Its deadline proves that it is not,
+// but only on the clock of the process that it was meant for: the worker may have restarted,
+// the clock of its next process begins again, and until a poll is answered nothing fences
+// off earlier starts there.
 func (m *Machine) startMayTakeEffect(now time.Duration, r *run) bool {
-	if !r.startInDoubt() || m.restartSignAt == 0 && now-m.polledAt < minRestartTime {
-		return false
-	}
-	return now-r.since < maxStartDelay // since the last start call or later
+	return r.startInDoubt() && now-r.since < maxStartDelay // since the last start call or later
 }
 
 // lapsed reports whether the lease has expired with open runs.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -21,8 +21,8 @@
 //     ended, is missing from a list that must contain it, or its lease has
 //     expired and the worker has not answered for lapseTimeout since. A list that is cut
 //     off need not contain it, unless its lease has expired for lapseTimeout.
-//   - Without an answered poll or WorkerFenced, no run with an unanswered start ends while
-//     the worker may have restarted since, until maxStartDelay after the last of them.
+//   - Without an answered poll or WorkerFenced, no run with an unanswered start ends until
+//     maxStartDelay after the last of them: the worker may have restarted since.
 //   - No start call is emitted while the worker's process is known to be gone or replaced,
 //     until a poll is answered.
 //   - No call renews the lease after it has expired with open or retained runs, until the
@@ -238,9 +238,6 @@
 	processGone bool
 	// replacedAt is when WorkerReplaced was handled, 0 if a poll sent since then was answered.
 	replacedAt time.Duration
-	// restartSignAt is when the last sign was found that the worker may have restarted, 0 if
-	// a poll sent since then was answered.
-	restartSignAt time.Duration
 	// clockFellAt is when an answer last showed that the worker's clock started anew, 0 if
 	// none did or if a poll sent since then was answered.
 	clockFellAt time.Duration
@@ -297,7 +294,7 @@
 	case SupersedeRun:
 		m.supersede(now, e.Run)
 	case WorkerReplaced:
-		m.replacedAt, m.restartSignAt = now, now
+		m.replacedAt = now
 	case WorkerFenced:
 		m.endUnansweredStarts(now, e.Ended)
 	case Tick:
@@ -361,7 +358,6 @@
 	if clock > 0 {
 		if clock < m.clock-maxClockReorder {
 			m.clockFellAt = now
-			m.restartSignAt = now
 		}
 		m.clock = clock
 		m.readAt = now
@@ -430,7 +426,7 @@
 func (m *Machine) started(now time.Duration, e Started) {
 	m.recordClock(now, e.Clock)
 	if e.ProcessGone {
-		m.processGone, m.restartSignAt, m.pollNow = true, now, true
+		m.processGone, m.pollNow = true, true
 	}
 	r := m.runs[e.Run]
 	if r == nil || r.state != runStarting {
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -41,9 +41,6 @@
 		// an open run has expired at every poll. The worker ignores an earlier deadline.
 		call.Deadline = m.renew(from)
 	}
-	if now-m.polledAt >= minRestartTime {
-		m.restartSignAt = now // without a poll that found the process gone
-	}
 	m.pollNow = false
 	m.polling = true
 	m.polledAt = now
@@ -124,9 +121,6 @@
 	m.polling = false
 	m.pollFailed = e.Status == nil
 	m.processGone = e.ProcessGone || m.processGone && e.Status == nil
-	if e.Status == nil {
-		m.restartSignAt = now // a worker that is cut off or silent may restart meanwhile
-	}
 	if e.ProcessGone {
 		m.endRunsOfGoneProcess(now)
 	}
@@ -150,7 +144,7 @@
 	m.silentPolls = 0
 	m.answerGivenAt = m.answerTime(now, status.Clock)
 	m.recordClock(now, status.Clock)
-	for _, at := range []*time.Duration{&m.clockFellAt, &m.replacedAt, &m.restartSignAt} {
+	for _, at := range []*time.Duration{&m.clockFellAt, &m.replacedAt} {
 		if *at <= m.polledAt {
 			*at = 0
 		}
