lease: log how many starts are unanswered at a worker that takes no run

No decision changes; the tests of core/lease, internal/fleet, internal/leased and internal/eventlog pass.

--- a/core/lease/backlog.go
+++ b/core/lease/backlog.go
@@ -81,5 +81,19 @@
 		return
 	}
 	m.closed = closed
-	m.emit(Admission{Closed: closed, UnackedRuns: unacked, OpenRuns: len(m.ordered), SupersededRuns: len(m.superseded), LeaseExpiring: m.expiring(now), LeaseExpired: m.renewalsHeld(now)})
+	m.emit(Admission{
+		Closed: closed, UnackedRuns: unacked, OpenRuns: len(m.ordered), SupersededRuns: len(m.superseded),
+		UnansweredStarts: m.unansweredStarts(), LeaseExpiring: m.expiring(now), LeaseExpired: m.renewalsHeld(now),
+	})
+}
+
+// unansweredStarts returns the number of open runs with a start that was left unanswered.
+func (m *Machine) unansweredStarts() int {
+	n := 0
+	for _, r := range m.ordered {
+		if r.state != runStarting && r.startInDoubt() {
+			n++
+		}
+	}
+	return n
 }
--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -210,6 +210,9 @@
 	UnackedRuns    int // ended runs that are not acknowledged
 	OpenRuns       int
 	SupersededRuns int // those of UnackedRuns that wait for the lease to expire
+	// UnansweredStarts is the number of open runs with a start that was left unanswered.
+	// They stay open while the worker does not answer.
+	UnansweredStarts int
 	// LeaseExpiring states that the lease is not renewed because the permission of an
 	// open run has expired, and that half of it has passed.
 	LeaseExpiring bool
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -281,6 +281,9 @@
 	if x.LeaseExpired {
 		detail += ", lease expired"
 	}
+	if x.UnansweredStarts > 0 {
+		detail += fmt.Sprintf(", %d unanswered starts", x.UnansweredStarts)
+	}
 	n.opts.Log.Emit(eventlog.WorkerAdmission, eventlog.Fields{Peer: worker, Count: int64(x.UnackedRuns), Detail: detail})
 }
 
