entry: a finished run that is reported before its result ends the task

Cause: an agent reports a finished run that is not acknowledged for 0.7 s also to the entry that waits for its result. applyFinishedRuns recorded and acknowledged it, but left the task in flight if the report came on the connection of the attempt, because its result was expected there. If that connection was lost before the result arrived, the attempt counted as lost and the task was repeated.

Change: the report ends the attempt, as one from another agent does. The result that follows is late and changes nothing.

Evidence: TestFinishedRunReportedBeforeItsResultEndsTask fails on the code before (no answer).

--- a/core/entry/stored.go
+++ b/core/entry/stored.go
@@ -149,7 +149,7 @@
 		superseded := false
 		switch {
 		case t == nil:
-		case t.state == taskInFlight && t.runNumber == finished.Run.Run && t.link != link:
+		case t.state == taskInFlight && t.runNumber == finished.Run.Run:
 			m.applyResult(now, t.link, finishedRunResult(t.seq, finished))
 		case t.waits() && t.job.longRunning: // restarted however its run ended
 		case t.runLost && t.runNumber == finished.Run.Run && (t.state == taskBackoff || t.state == taskAwaitingGang):
