lease: no start before the worker's clock was read

What callers saw: a task of a stored job that ran again after its run was done and acknowledged.

Cause: the first poll of a new agent had no answer. A start that followed bore a deadline from a clock reading that did not exist, which a worker whose clock is behind this process takes as a lease of 1 s, its maximum. The agent reckoned with 0.7 s, released the finished run too early and acknowledged it while it still counted. A worker whose clock is ahead refuses such a start as late.

Change: a start that arrives before the first answer of the worker ends as not run (busy), and its entry places it again.

--- a/core/lease/latecalls_test.go
+++ b/core/lease/latecalls_test.go
@@ -60,3 +60,17 @@
 	s.staySilent(time.Second)
 	assert.Equal(t, len(s.finished), 2)
 }
+
+// Guards against runs that outlast the lease that this side reckons with: the worker has not
+// answered yet, so the deadline of a start would be on no known clock.
+func TestNothingIsStartedBeforeClockOfWorkerIsKnown(t *testing.T) {
+	s := &permissionScript{m: New(Options{}), now: time.Minute}
+	s.step(Tick{})
+	s.start("j", 1, 0)
+	assert.Equal(t, len(s.starts), 0)
+	assert.Equal(t, len(s.finished), 1)
+	assert.Equal(t, s.finished[0].Outcome, wire.NotRun)
+	s.answerPoll()
+	s.start("k", 2, 0)
+	assert.Equal(t, len(s.starts), 1)
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -27,6 +27,7 @@
 //     until a poll is answered.
 //   - No call renews the lease after it has expired with open or retained runs, until the
 //     worker has answered for lapseSettle and a list shows that none goes on.
+//   - No start call is emitted before the worker's clock was read, which states its deadline.
 //   - No start call is emitted after the start's permission has expired.
 //   - No call extends the lease beyond Options.Lease after the first permission of an
 //     open run that has expired.
@@ -389,7 +390,7 @@
 		m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonUpstreamDown})
 		return
 	}
-	if m.quiescing(now) || m.expiring(now) || m.renewalsHeld(now) {
+	if m.readAt == 0 || m.quiescing(now) || m.expiring(now) || m.renewalsHeld(now) {
 		m.emit(Finished{Attempt: e.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonBusy})
 		return
 	}
