agent: a start is not sent long after it was decided

A process stood still between the decision to start a task and the call. When it went on, its worker had restarted, and the new incarnation, which nobody had fenced off, carried the start out; the entry had given the agent up and repeated the task.

Cause: the permission and the deadline of a start are checked when the call is decided. Polls state until when they may be sent (AckUntil), starts did not; the deadline that they bear is on the clock of the earlier incarnation.

Change: CallStart.SendUntil, 150 ms after the decision. internal/leased refuses a start that it comes to send later, as not run (expired), and its entry places it again.

What remains is a process that stands still within the call.

--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -161,6 +161,9 @@
 	Payload    []byte
 	Checkpoint string        // checkpoint to resume from, empty for none
 	Deadline   time.Duration // on the worker's clock; also renews the lease
+	// SendUntil is the time of the machine after which the call must not be sent: the
+	// process may have been frozen since it was emitted, and the worker restarted.
+	SendUntil time.Duration
 }
 
 // CallStop asks the caller to send a stop to the worker and to deliver Stopped.
--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -607,6 +607,10 @@
 // call sends a call to the worker, which may leave it unanswered and carry it out late.
 func (f *fleet) call(h *fleetHost, a lease.Action) {
 	timeout := f.now + callTimeout
+	if x, ok := a.(lease.CallStart); ok && f.now > x.SendUntil { // as internal/leased does
+		h.answers = append(h.answers, chainAnswer{at: f.now, timeout: timeout, event: lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonExpired}, lost: noAnswer(a)})
+		return
+	}
 	if blocked := max(h.callsCutTill, f.now+h.worker.stalledUntil-h.worker.now); blocked > f.now {
 		h.answers = append(h.answers, chainAnswer{at: timeout, event: noAnswer(a), lost: noAnswer(a)})
 		h.late = append(h.late, call{at: blocked, action: a})
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -110,6 +110,9 @@
 	// repeated. The lease is not renewed until the run is known to have ended, so all
 	// runs at a worker that left a few stops unanswered would end with it.
 	unansweredStopRetry = 25 * time.Millisecond
+	// maxSendDelay is how long after it was emitted a start may be sent. A process whose
+	// quota is used up waits for up to 100 ms.
+	maxSendDelay = 150 * time.Millisecond
 	// minRestartTime is how long after the sending of a poll that was answered the worker
 	// is assumed to be the same incarnation: a restart takes longer. It covers PollWait,
 	// by which the answer may be delayed.
@@ -423,7 +426,7 @@
 	r.since = now
 	deadline := m.renew(now, min(now, m.renewableUntil()))
 	r.deadline = max(r.deadline, deadline)
-	m.emit(CallStart{Run: r.id, Payload: r.payload, Checkpoint: r.checkpoint, Deadline: deadline})
+	m.emit(CallStart{Run: r.id, Payload: r.payload, Checkpoint: r.checkpoint, Deadline: deadline, SendUntil: now + maxSendDelay})
 }
 
 func (m *Machine) started(now time.Duration, e Started) {
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -11,6 +11,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/lease"
+	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/bootclock"
 )
@@ -181,7 +182,7 @@
 func (u *Upstream) apply(action lease.Action) {
 	switch x := action.(type) {
 	case lease.CallStart:
-		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.opts.Worker.Start(ctx, x) })
+		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.start(ctx, x) })
 	case lease.CallStop:
 		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.opts.Worker.Stop(ctx, x) })
 	case lease.CallPoll:
@@ -219,6 +220,14 @@
 	})
 }
 
+// start sends a start, unless it is late: see lease.CallStart.SendUntil.
+func (u *Upstream) start(ctx context.Context, x lease.CallStart) lease.Started {
+	if u.clock.Now() > x.SendUntil {
+		return lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonExpired}
+	}
+	return u.opts.Worker.Start(ctx, x)
+}
+
 func (u *Upstream) poll(ctx context.Context, x lease.CallPoll) lease.Event {
 	withheld := u.clock.Now() > x.AckUntil
 	if withheld {
