lease model: a takeover fences off all calls of the client before

The model dropped late calls only at the first fence of an incarnation. A call that the earlier client sent between that fence and a takeover was carried out afterwards, although the token of a takeover is above every token before it (platform.Worker, TestTakeOverOfWorkerWithEarlierStartTimeFencesOffStarts). No check is changed.

--- a/core/lease/fleetrestart_test.go
+++ b/core/lease/fleetrestart_test.go
@@ -92,6 +92,7 @@
 	if p.replaced && !p.takenOver && f.answers(h) {
 		p.takenOver = true
 		f.fence(h)
+		h.late = nil // the token of a takeover is above that of each call before, also of those since the fence
 		for id := range h.worker.running {
 			h.worker.stop(lease.CallStop{Run: id})
 		}
