agent: a draining incarnation is taken over for the replaced agent

Callers waited up to 12.5 s for tasks whose start had no answer: a worker restarted again while it was being taken over, and the first announcement that arrived of its third incarnation said that it was draining.

Cause: no takeover began for a worker that is announced as draining. The one before had fenced off the replaced agent, whose polls count as unanswered from then on, so that nothing but time ended its runs. Meanwhile the third incarnation carried out late starts, because no call with a higher token came, and nobody stopped them.

The takeover now begins if agents of earlier incarnations wait for it, for at most maxReplacedTime, as after a drain during a takeover. startIncarnation starts no agent beside a draining worker.

TestDrainingIncarnationIsTakenOverForReplacedAgent fails before (nothing was taken over within 30 s), 10 of 10 runs pass with the race detector.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -176,11 +176,15 @@
 		n.replaced = append(n.replaced, replacedAgent{n.workerEvents, fenced})
 		n.replacedStops.Go(func() { n.stopReplaced(old, fenced) })
 	}
-	if a.Draining {
+	if a.Draining && len(n.replaced) == 0 {
 		return
 	}
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.cancelStart = cancel
+	if a.Draining {
+		// The worker is taken over for the replaced agents alone, see drainLocked.
+		time.AfterFunc(maxReplacedTime, cancel)
+	}
 	n.wg.Go(func() { n.startIncarnation(ctx, a) })
 }
 
--- a/internal/fleet/replaced_test.go
+++ b/internal/fleet/replaced_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against runs that wait for 12.5 s, and against unanswered starts that are carried out
+// meanwhile: a worker restarts again while it is being taken over, which has fenced off the
+// replaced agent, and the first announcement of the third incarnation says that it is draining.
+func TestDrainingIncarnationIsTakenOverForReplacedAgent(t *testing.T) {
+	polls, answers := new(atomic.Int64), new(atomic.Bool)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { _, running := n.Status(); return running })
+	n.HandleAnnouncement(announced(10, 1, false))
+	n.HandleAnnouncement(announced(11, 2, true))
+	answers.Store(true)
+	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) == 0 })
+	time.Sleep(2 * leftoverRetryDelay)
+	_, running := n.Status()
+	assert.Assert(t, !running, "an agent runs beside a worker that leaves")
+}
+
 // Guards against two runs of one task: an agent process is stopped while its worker restarts,
 // and entries start the tasks of the lost agent again, although the next incarnation may still
 // carry out its unanswered starts. That incarnation restarts as well in one of the cases.
