agent: a late announcement does not hide a restart that was found

Callers saw a worker that was never used again: it restarted with its time of day set back, its agent found that by a poll and drained, and then an announcement of the earlier incarnation arrived late.

Cause: HandleAnnouncement reset the incarnation that had answered with each announcement that it accepted, also with a late one of the announced incarnation. The announcements of the new one state an earlier start time, so they were ignored as late ones from then on, and the machine reports a restart once only.

The incarnation that answered is now kept until another one is announced.

TestLateAnnouncementDoesNotHideRestartWithEarlierStartTime: 3 of 3 runs fail before, 10 of 10 pass with the race detector.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -103,8 +103,8 @@
 	drainingChanged := a.Draining != n.announced.Draining
 	capacityChanged := a.Capacity != n.announced.Capacity
 	n.announced = a
-	n.answered = 0
 	if newIncarnation {
+		n.answered = 0
 		n.replaceLocked(a)
 		return
 	}
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -207,3 +207,25 @@
 		return clients.Load() == 2
 	})
 }
+
+// Guards against a worker that is never used again: as above, and an announcement of the
+// earlier incarnation arrives after the agent has found the new one and before that one
+// announces itself.
+func TestLateAnnouncementDoesNotHideRestartWithEarlierStartTime(t *testing.T) {
+	incarnation, clients, polls := new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
+	incarnation.Store(9)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
+		clients.Add(1)
+		return restartingWorker{goneWorker{polls}, incarnation}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { return polls.Load() >= 3 }) // the agent has polled the worker as well
+	incarnation.Store(5)
+	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.answered == 5 })
+	n.HandleAnnouncement(announced(9, 2, false))
+	n.HandleAnnouncement(announced(5, 1, false))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	assert.Equal(t, n.announced.Incarnation, int64(5), "the announcement of the new incarnation was ignored")
+}
