agent: a worker that has deregistered is not used again

Callers saw runs lost at a worker that had left: its deregistration arrived before an announcement that it had sent earlier, at an agent process that had just started, or that knew only the incarnation before. A worker whose deregistration gets no answer goes on for some seconds, so it could be taken over.

Cause: a deregistration had an effect only on the announced incarnation and was forgotten otherwise. The announcement that came after it started an agent; its age delayed that by 4 s at most.

The agent now keeps the incarnation that deregistered last and handles its announcements as draining. An incarnation of 0, which says that the worker did not state it, is not kept.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -70,6 +70,7 @@
 	// the announced one, 0 if none did. It may be lower: the worker's time of day may
 	// have been set back.
 	answered int64
+	left     leftWorker // the last that has deregistered
 	current  *agentd.Agent
 	// workerEvents passes WorkerReplaced and WorkerFenced to current.
 	workerEvents chan lease.Event
@@ -95,6 +96,9 @@
 	if n.ctx.Err() != nil || n.stopped && len(n.replaced) == 0 {
 		return
 	}
+	if n.left == (leftWorker{a.Worker, a.Incarnation}) {
+		a.Draining = true // it was sent before the deregistration
+	}
 	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation ||
 		a.Worker == n.announced.Worker && a.Incarnation == n.answered
 	if !newIncarnation && (a.Incarnation < n.announced.Incarnation || a.Worker != n.announced.Worker || a.Sequence <= n.announced.Sequence) {
@@ -125,11 +129,20 @@
 	}
 }
 
+// leftWorker is a worker incarnation that has deregistered.
+type leftWorker struct {
+	worker      string
+	incarnation int64 // 0 if none has deregistered, or if it was not stated
+}
+
 // HandleDeregister handles the deregistration of a worker. That of an earlier incarnation
 // is ignored. incarnation is 0 if it is not known.
 func (n *AgentNode) HandleDeregister(worker string, incarnation int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if incarnation != 0 {
+		n.left = leftWorker{worker, incarnation}
+	}
 	earlier := incarnation != 0 && incarnation < n.announced.Incarnation
 	if n.announced.Worker == worker && !earlier {
 		n.announced.Draining = true
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// Guards against a worker that has left and is used again: its deregistration arrives before
+// the announcement that it sent first, at a process that has just started or that knows only the
+// incarnation before. The worker goes on for some seconds if the deregistration gets no answer.
+func TestAnnouncementAfterDeregistrationStartsNoAgent(t *testing.T) {
+	for _, knowsEarlier := range []bool{false, true} {
+		clients := new(atomic.Int64)
+		n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+			clients.Add(1)
+			return liveWorker{goneWorker{new(atomic.Int64)}, incarnation, time.Minute}
+		}})
+		t.Cleanup(n.Kill)
+		if knowsEarlier {
+			n.HandleAnnouncement(announced(4, 1, false))
+			await(t, func() bool { _, running := n.Status(); return running })
+		}
+		n.HandleDeregister("w", 5)
+		n.HandleAnnouncement(announced(5, 1, false))
+		n.HandleAnnouncement(announced(5, 2, false))
+		await(t, func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.announced.Incarnation == 5 && n.cancelStart == nil
+		})
+		_, running := n.Status()
+		assert.Assert(t, !running, "an agent runs beside a worker that has left")
+		n.HandleAnnouncement(announced(6, 1, false))
+		await(t, func() bool { _, running := n.Status(); return running })
+	}
+}
+
 // otherWorker answers as another incarnation than the announced one.
 type otherWorker struct{ goneWorker }
 
