leased: send no start whose deadline has passed

Two runs of one task were possible: the agent process is frozen between the decision to start a run and the sending of the call, and the worker restarts meanwhile. The worker refuses a late start for its deadline, but the clock of its next incarnation begins anew and nothing has been fenced off there, so it accepts the start, up to 1 s of lease included, long after the permission of the entry has expired. A poll that renews the lease lengthens it in the same way.

Cause: the time limit of a call began when its goroutine ran. Only the acknowledgement of a poll was judged when it is sent.

The incarnation that the call is meant for would refuse it as well, so nothing is lost without a restart. It is a bound, not a proof: freezes below 0.7 s, and one within the system call that writes the request, remain.

Ruled out: a limit of 0.1 s.

TestStartsAndRenewalsAreNotSentAfterFreeze fails without the check. Tests of internal/leased pass twice with the race detector.

--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -3,6 +3,7 @@
 package leased
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/lease"
+	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/agentd"
 	"github.com/limpettrail/limpettrail/internal/bootclock"
 )
@@ -62,7 +64,8 @@
 	// again, for logging. It may be nil.
 	OnAdmission func(lease.Admission)
 	// OnStartExpired is called when a start is refused because its permission had
-	// expired, for logging. It may be nil.
+	// expired, or because its deadline passed before it was sent, for logging. Its Attempt is not set
+	// in the second case. It may be nil.
 	OnStartExpired func(lease.StartExpired)
 	// OnUnrecordedRun is called when a run without a record is found at the worker, for
 	// logging. It may be nil.
@@ -173,19 +176,21 @@
 }
 
 func (u *Upstream) step(m *lease.Machine, ev lease.Event) {
-	for _, action := range m.Step(u.clock.Now(), ev) {
-		u.apply(action)
+	now := u.clock.Now()
+	for _, action := range m.Step(now, ev) {
+		u.apply(now, action)
 	}
 }
 
-func (u *Upstream) apply(action lease.Action) {
+// apply carries out an action that was decided at the given time.
+func (u *Upstream) apply(decidedAt time.Duration, action lease.Action) {
 	switch x := action.(type) {
 	case lease.CallStart:
-		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.opts.Worker.Start(ctx, x) })
+		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.start(ctx, decidedAt, x) })
 	case lease.CallStop:
 		u.call(callTimeout, func(ctx context.Context) lease.Event { return u.opts.Worker.Stop(ctx, x) })
 	case lease.CallPoll:
-		u.call(callTimeout+x.MaxWait, func(ctx context.Context) lease.Event { return u.poll(ctx, x) })
+		u.call(callTimeout+x.MaxWait, func(ctx context.Context) lease.Event { return u.poll(ctx, decidedAt, x) })
 	case lease.Finished:
 		u.report(agent.Finished{Attempt: x.Attempt, Outcome: x.Outcome, Reason: x.Reason, RunTime: x.RunTime, Checkpoint: x.Checkpoint})
 	case lease.Admission:
@@ -217,8 +222,31 @@
 	})
 }
 
-func (u *Upstream) poll(ctx context.Context, x lease.CallPoll) lease.Event {
-	withheld := u.clock.Now() > x.AckUntil
+// deadline returns when the deadline of a call that was decided at the given time has passed.
+// The worker judges it as well, but only by the clock of the process that the call was meant
+// for: this process may have been frozen before it sent the call, and the clock of a worker
+// that has restarted meanwhile begins anew.
+func (u *Upstream) deadline(decidedAt time.Duration) time.Duration {
+	return decidedAt + cmp.Or(u.opts.Lease.Lease, lease.DefaultLease)
+}
+
+// start sends a start, unless its deadline has passed.
+func (u *Upstream) start(ctx context.Context, decidedAt time.Duration, x lease.CallStart) lease.Event {
+	if late := u.clock.Now() - u.deadline(decidedAt); late > 0 {
+		if u.opts.OnStartExpired != nil {
+			u.opts.OnStartExpired(lease.StartExpired{Run: x.Run, Age: late})
+		}
+		return lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonExpired}
+	}
+	return u.opts.Worker.Start(ctx, x)
+}
+
+func (u *Upstream) poll(ctx context.Context, decidedAt time.Duration, x lease.CallPoll) lease.Event {
+	now := u.clock.Now()
+	if now > u.deadline(decidedAt) {
+		x.Deadline = 0
+	}
+	withheld := now > x.AckUntil
 	if withheld {
 		x.AckUpTo = 0
 	}
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -75,12 +75,32 @@
 	for until, want := range map[time.Duration]int{clock.Now() - 1: 0, clock.Now() + time.Hour: 5} {
 		w := new(pollRecorder)
 		u := &Upstream{opts: Options{Worker: w}, clock: clock}
-		answer := u.poll(t.Context(), lease.CallPoll{AckUpTo: 5, AckUntil: until})
+		answer := u.poll(t.Context(), clock.Now(), lease.CallPoll{AckUpTo: 5, AckUntil: until})
 		assert.Equal(t, w.polls[0].AckUpTo, want)
 		assert.Equal(t, answer.(lease.Polled).AckWithheld, want == 0)
 	}
 }
 
+// Guards against two runs of one task: the process is frozen after a start or a renewal was
+// decided and before it is sent. The worker restarts meanwhile, and its next incarnation, whose
+// clock begins anew, accepts a start that is no longer permitted and lengthens the lease.
+func TestStartsAndRenewalsAreNotSentAfterFreeze(t *testing.T) {
+	clock := bootclock.New()
+	for decidedAt, sent := range map[time.Duration]bool{clock.Now() - lease.DefaultLease - 1: false, clock.Now() + time.Hour: true} {
+		w := &pollRecorder{idleWorker: idleWorker{started: make(chan lease.CallStart, 1)}}
+		expired := 0
+		u := &Upstream{opts: Options{Worker: w, OnStartExpired: func(lease.StartExpired) { expired++ }}, clock: clock}
+		started := u.start(t.Context(), decidedAt, lease.CallStart{Run: wire.RunRef{Job: "j", Run: 1}}).(lease.Started)
+		assert.Equal(t, len(w.started) == 1, sent)
+		assert.Equal(t, expired == 0, sent)
+		assert.Equal(t, started.Result, lease.StartRefused)
+		assert.Equal(t, started.Reason == wire.ReasonExpired, !sent)
+		assert.Equal(t, started.Run.Job, "j")
+		u.poll(t.Context(), decidedAt, lease.CallPoll{Deadline: time.Second})
+		assert.Equal(t, w.polls[0].Deadline > 0, sent)
+	}
+}
+
 // deafWorker runs what is started and leaves every stop unanswered.
 type deafWorker struct {
 	clock bootclock.Clock
