--- a/core/lease/events.go
+++ b/core/lease/events.go
@@ -177,7 +177,10 @@
 	// was frozen.
 	AckUntil time.Duration
 	Deadline time.Duration // on the worker's clock; renews the lease until then, 0 for no renewal
-	MaxWait  time.Duration // how long the worker may wait for a run to end before it answers
+	// RenewUntil is the time of the machine after which the call must not renew the lease, see
+	// CallStart.SendUntil.
+	RenewUntil time.Duration
+	MaxWait    time.Duration // how long the worker may wait for a run to end before it answers
 }
 
 // Finished reports the outcome of a Start.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -110,9 +110,9 @@
 	// repeated. The lease is not renewed until the run is known to have ended, so all
 	// runs at a worker that left a few stops unanswered would end with it.
 	unansweredStopRetry = 25 * time.Millisecond
-	// maxSendDelay is how long after it was emitted a start may be sent. A process whose
-	// quota is used up waits for up to 100 ms.
-	maxSendDelay = 150 * time.Millisecond
+	// maxSendDelay is how long after it was emitted a call may be sent that starts a run or
+	// renews the lease. It is below the 400 ms after which an entry gives up a lost agent.
+	maxSendDelay = 350 * time.Millisecond
 	// minRestartTime is how long after the sending of a poll that was answered the worker
 	// is assumed to be the same incarnation: a restart takes longer. It covers PollWait,
 	// by which the answer may be delayed.
--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -40,6 +40,7 @@
 		// to that time: while runs are cancelled one after another, the permission of
 		// an open run has expired at every poll. The worker ignores an earlier deadline.
 		call.Deadline = m.renew(now, from)
+		call.RenewUntil = now + maxSendDelay
 	}
 	m.pollNow = false
 	m.polling = true
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -60,6 +60,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// replacedStops counts the agents of earlier worker incarnations that have not stopped.
+	replacedStops sync.WaitGroup
 
 	mu        sync.Mutex
 	stopped   bool
@@ -68,6 +70,7 @@
 	// the announced one, 0 if none did. It may be lower: the worker's time of day may
 	// have been set back.
 	answered int64
+	left     leftWorker // the last that has deregistered
 	current  *agentd.Agent
 	// workerEvents passes WorkerReplaced and WorkerFenced to current.
 	workerEvents chan lease.Event
@@ -89,9 +92,13 @@
 func (n *AgentNode) HandleAnnouncement(a Announcement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.stopped {
+	// While a replaced agent waits, a later incarnation is taken over also during a stop.
+	if n.ctx.Err() != nil || n.stopped && len(n.replaced) == 0 {
 		return
 	}
+	if n.left == (leftWorker{a.Worker, a.Incarnation}) {
+		a.Draining = true // it was sent before the deregistration
+	}
 	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation ||
 		a.Worker == n.announced.Worker && a.Incarnation == n.answered
 	if !newIncarnation && (a.Incarnation < n.announced.Incarnation || a.Worker != n.announced.Worker || a.Sequence <= n.announced.Sequence) {
@@ -100,8 +107,8 @@
 	drainingChanged := a.Draining != n.announced.Draining
 	capacityChanged := a.Capacity != n.announced.Capacity
 	n.announced = a
-	n.answered = 0
 	if newIncarnation {
+		n.answered = 0
 		n.replaceLocked(a)
 		return
 	}
@@ -122,11 +129,20 @@
 	}
 }
 
+// leftWorker is a worker incarnation that has deregistered.
+type leftWorker struct {
+	worker      string
+	incarnation int64 // 0 if none has deregistered, or if it was not stated
+}
+
 // HandleDeregister handles the deregistration of a worker. That of an earlier incarnation
 // is ignored. incarnation is 0 if it is not known.
 func (n *AgentNode) HandleDeregister(worker string, incarnation int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if incarnation != 0 {
+		n.left = leftWorker{worker, incarnation}
+	}
 	earlier := incarnation != 0 && incarnation < n.announced.Incarnation
 	if n.announced.Worker == worker && !earlier {
 		n.announced.Draining = true
@@ -171,13 +187,17 @@
 		n.workerEvents <- lease.WorkerReplaced{}
 		fenced := make(chan struct{})
 		n.replaced = append(n.replaced, replacedAgent{n.workerEvents, fenced})
-		n.wg.Go(func() { n.stopReplaced(old, fenced) })
+		n.replacedStops.Go(func() { n.stopReplaced(old, fenced) })
 	}
-	if a.Draining {
+	if a.Draining && len(n.replaced) == 0 {
 		return
 	}
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.cancelStart = cancel
+	if a.Draining {
+		// The worker is taken over for the replaced agents alone, see drainLocked.
+		time.AfterFunc(maxReplacedTime, cancel)
+	}
 	n.wg.Go(func() { n.startIncarnation(ctx, a) })
 }
 
@@ -446,7 +466,9 @@
 	return current.Status()
 }
 
-// Stop drains the agent. It returns when the agent is drained or ctx ends.
+// Stop drains the agent. It returns when the agent is drained, and those of earlier worker
+// incarnations have stopped, or when ctx ends: entries start the tasks of a lost agent again
+// although the worker may still carry out its starts, see stopReplaced.
 func (n *AgentNode) Stop(ctx context.Context) error {
 	n.mu.Lock()
 	n.stopped = true
@@ -456,6 +478,13 @@
 	if current != nil {
 		err = current.Stop(ctx)
 	}
+	stopped := make(chan struct{})
+	go func() { n.replacedStops.Wait(); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	n.Kill()
 	return err
 }
@@ -470,5 +499,6 @@
 	if current != nil {
 		current.Kill()
 	}
+	n.replacedStops.Wait()
 	n.wg.Wait()
 }
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+// Guards against a worker that has left and is used again: its deregistration arrives before
+// the announcement that it sent first, at a process that has just started or that knows only the
+// incarnation before. The worker goes on for some seconds if the deregistration gets no answer.
+func TestAnnouncementAfterDeregistrationStartsNoAgent(t *testing.T) {
+	for _, knowsEarlier := range []bool{false, true} {
+		clients := new(atomic.Int64)
+		n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+			clients.Add(1)
+			return liveWorker{goneWorker{new(atomic.Int64)}, incarnation, time.Minute}
+		}})
+		t.Cleanup(n.Kill)
+		if knowsEarlier {
+			n.HandleAnnouncement(announced(4, 1, false))
+			await(t, func() bool { _, running := n.Status(); return running })
+		}
+		n.HandleDeregister("w", 5)
+		n.HandleAnnouncement(announced(5, 1, false))
+		n.HandleAnnouncement(announced(5, 2, false))
+		await(t, func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.announced.Incarnation == 5 && n.cancelStart == nil
+		})
+		_, running := n.Status()
+		assert.Assert(t, !running, "an agent runs beside a worker that has left")
+		n.HandleAnnouncement(announced(6, 1, false))
+		await(t, func() bool { _, running := n.Status(); return running })
+	}
+}
+
 // otherWorker answers as another incarnation than the announced one.
 type otherWorker struct{ goneWorker }
 
@@ -207,3 +237,25 @@
 		return clients.Load() == 2
 	})
 }
+
+// Guards against a worker that is never used again: as above, and an announcement of the
+// earlier incarnation arrives after the agent has found the new one and before that one
+// announces itself.
+func TestLateAnnouncementDoesNotHideRestartWithEarlierStartTime(t *testing.T) {
+	incarnation, clients, polls := new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
+	incarnation.Store(9)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
+		clients.Add(1)
+		return restartingWorker{goneWorker{polls}, incarnation}
+	}})
+	t.Cleanup(n.Kill)
+	n.HandleAnnouncement(announced(9, 1, false))
+	await(t, func() bool { return polls.Load() >= 3 }) // the agent has polled the worker as well
+	incarnation.Store(5)
+	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.answered == 5 })
+	n.HandleAnnouncement(announced(9, 2, false))
+	n.HandleAnnouncement(announced(5, 1, false))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	assert.Equal(t, n.announced.Incarnation, int64(5), "the announcement of the new incarnation was ignored")
+}
--- a/internal/leased/leased.go
+++ b/internal/leased/leased.go
@@ -62,8 +62,9 @@
 	// OnAdmission is called when the worker can take no further run, and when it can
 	// again, for logging. It may be nil.
 	OnAdmission func(lease.Admission)
-	// OnStartExpired is called when a start is refused because its permission had
-	// expired, for logging. It may be nil.
+	// OnStartExpired is called when a start is refused because its permission had expired, or
+	// because it was to be sent too late, for logging. Its Attempt is not set in the second
+	// case. It may be nil.
 	OnStartExpired func(lease.StartExpired)
 	// OnUnrecordedRun is called when a run without a record is found at the worker, for
 	// logging. It may be nil.
@@ -222,14 +223,21 @@
 
 // start sends a start, unless it is late: see lease.CallStart.SendUntil.
 func (u *Upstream) start(ctx context.Context, x lease.CallStart) lease.Started {
-	if u.clock.Now() > x.SendUntil {
+	if late := u.clock.Now() - x.SendUntil; late > 0 {
+		if u.opts.OnStartExpired != nil {
+			u.opts.OnStartExpired(lease.StartExpired{Run: x.Run, Age: late})
+		}
 		return lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonExpired}
 	}
 	return u.opts.Worker.Start(ctx, x)
 }
 
 func (u *Upstream) poll(ctx context.Context, x lease.CallPoll) lease.Event {
-	withheld := u.clock.Now() > x.AckUntil
+	now := u.clock.Now()
+	if now > x.RenewUntil {
+		x.Deadline = 0
+	}
+	withheld := now > x.AckUntil
 	if withheld {
 		x.AckUpTo = 0
 	}
--- a/internal/leased/leased_test.go
+++ b/internal/leased/leased_test.go
@@ -67,9 +67,11 @@
 func TestStartIsNotSentLate(t *testing.T) {
 	worker := idleWorker{started: make(chan lease.CallStart, 1)}
 	events := make(chan agent.Event, 1)
-	u := New(Options{Worker: worker})(bootclock.New(), func(ev agent.Event) { events <- ev }).(*Upstream)
+	expired := 0
+	u := New(Options{Worker: worker, OnStartExpired: func(lease.StartExpired) { expired++ }})(bootclock.New(), func(ev agent.Event) { events <- ev }).(*Upstream)
 	defer u.Close()
 	ev := u.start(t.Context(), lease.CallStart{SendUntil: 1})
+	assert.Equal(t, expired, 1, "the refusal is logged")
 	assert.Equal(t, ev.Result, lease.StartRefused)
 	assert.Equal(t, ev.Reason, wire.ReasonExpired)
 	assert.Equal(t, len(worker.started), 0)
@@ -100,6 +102,19 @@
 	}
 }
 
+// Guards against two runs of one task: the process is frozen after a renewal was decided and
+// before it is sent. The worker restarts meanwhile, and its next incarnation, whose clock
+// begins anew, lengthens the lease.
+func TestRenewalIsNotSentLate(t *testing.T) {
+	clock := bootclock.New()
+	for until, renewed := range map[time.Duration]bool{clock.Now() - 1: false, clock.Now() + time.Hour: true} {
+		w := new(pollRecorder)
+		u := &Upstream{opts: Options{Worker: w}, clock: clock}
+		u.poll(t.Context(), lease.CallPoll{Deadline: 5, RenewUntil: until})
+		assert.Equal(t, w.polls[0].Deadline == 5, renewed)
+	}
+}
+
 // deafWorker runs what is started and leaves every stop unanswered.
 type deafWorker struct {
 	clock bootclock.Clock
