lease: finished runs outlast the lease that a late call may have given

What callers could see: a task of a stored job that runs again after its run was done and acknowledged. Found by reading, in an audit of the bounds that stand for "by now it can have no effect".

Cause: an agent that takes a worker over retains the finished runs that it finds there for 0.77 s, the lease of its predecessor. A renewal that was meant for an earlier incarnation and is carried out late gives the longest lease that the worker grants, 1 s on its own clock, so a finished run may still count when it is acknowledged.

Change: they are retained for wire.MaxLateRun, 1.1 s, unless their owner acknowledges them before.

--- a/core/lease/latecalls_test.go
+++ b/core/lease/latecalls_test.go
@@ -74,3 +74,23 @@
 	s.start("k", 2, 0)
 	assert.Equal(t, len(s.starts), 1)
 }
+
+// Guards against a task that runs again after its run was done and acknowledged: an agent
+// process takes the worker over beside a renewal that was meant for an earlier incarnation,
+// whose lease is the longest that the worker grants.
+func TestRetainedRunsOutlastTheLongestLateLease(t *testing.T) {
+	end := EndedRun{Number: 1, Run: wire.RunRef{Job: "j", Run: 1}, Kind: EndedSucceeded}
+	s := &permissionScript{m: New(Options{RetainedRuns: []EndedRun{end}, Incarnation: 1}), now: time.Minute}
+	began := s.now
+	s.step(Tick{})
+	acknowledged := time.Duration(0)
+	for acknowledged == 0 && s.now-began < 5*time.Second {
+		s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: []EndedRun{end}}})
+		s.now += 20 * time.Millisecond
+		s.step(Tick{})
+		if s.polls[len(s.polls)-1].AckUpTo > 0 {
+			acknowledged = s.now - began
+		}
+	}
+	assert.Assert(t, acknowledged > 1080*time.Millisecond && acknowledged < 2*time.Second, "after %v", acknowledged)
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -312,10 +312,11 @@
 }
 
 // initLease sets the lease on the first Step such that the finished runs left by an
-// earlier process are retained for as long as that process's last renewal may last.
+// earlier process are retained for as long as that process's last renewal may last. It may
+// have been meant for an earlier incarnation of the worker, whose clock was another one.
 func (m *Machine) initLease(now time.Duration) {
 	if !m.initialized && len(m.retained) > 0 {
-		m.leaseEnd = m.leaseExpiry(now)
+		m.leaseEnd = now + wire.MaxLateRun
 	}
 	m.initialized = true
 }
