entry: a hello ends no attempts at a connected agent that may be later

What callers saw: two runs of one task. A worker restarted with its time of day set back, its agent process was replaced, and the late hello of the earlier agent came to an entry beside the connection of the later one.

Cause: agents are ordered by the start time of the worker that they state. Of two worker incarnations the later one may state the earlier time, so the hello of the agent that is gone counted as the later takeover, and its "no run is left over" ended the attempts of the agent whose runs went on.

Only within one worker incarnation are the takeover times of one clock, so only there does a hello end the attempts at an agent that is connected. Otherwise that agent is no longer used, its attempts stay until it reports their ends, and when its connection is lost they wait until its runs must have ended (1.4 s). It is used again once the other connection is gone. No field is added: a hello with one more could not be read by builds before.

Cost: none for a restarted agent process (same worker incarnation), nor where the connection of the agent before is already down: its attempts end with the hello as before. An agent that its own process replaces ends its attempts itself before it closes its connections. An entry that was frozen and handles the hello of the next incarnation before the end of the connection waits for 1.4 s.

What remains: if the connection of the later agent is down when the late hello comes, its attempts end with the hello.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -21,6 +21,8 @@
 	up                bool
 	downAt            time.Duration // when the connection was lost
 	givenUp           bool          // see Machine.giveUpAttempts
+	superseded        bool          // see Machine.supersede
+	info              policy.AgentInfo
 	sentAt            time.Duration // when the last frame was sent
 	agentClock        wire.Micros   // latest reading of the agent's clock that was received
 	checkedClock      wire.Micros   // the latest one received before the last CallersChecked
@@ -56,11 +58,12 @@
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
-	if link.up && h.Epoch <= link.epoch {
+	if link.up && h.Epoch <= link.epoch || link.superseded && m.isReplaced(link) {
 		return
 	}
 	link.up = true
 	link.givenUp = false
+	link.superseded = false
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.configVersion = h.ConfigVersion
@@ -76,11 +79,12 @@
 		link.outgoing.Entries = m.entries
 		m.scheduleSend(link)
 	}
-	m.scheduler.AgentUp(now, policy.AgentInfo{
+	link.info = policy.AgentInfo{
 		Agent: h.Agent, Name: h.Name, Zone: h.Zone, Rack: h.Rack,
 		Slots: h.Slots, Capacity: h.Capacity, Pool: h.Pool, Labels: h.Labels,
 		Load: wire.Load{Slots: h.Slots, Limit: h.Slots},
-	})
+	}
+	m.scheduler.AgentUp(now, link.info)
 }
 
 // hasLaterIncarnation reports whether an agent of the same name is known that took over
@@ -94,16 +98,20 @@
 // removeOlderIncarnations removes the earlier incarnations of the same name
 // whose link is down: a worker has one agent, so a new incarnation proves that
 // the old one is gone. If no run is left over at the worker, the runs of the
-// earlier incarnations have ended, and those whose link is still up are removed
-// as well.
+// earlier incarnations have ended. Those whose link is still up are then removed as
+// well if they are proved to be earlier; otherwise they are not used any more.
 func (m *Machine) removeOlderIncarnations(now time.Duration, newer *agentLink, noLeftoverRuns bool) {
 	if newer.name == "" {
 		return
 	}
 	var older []*agentLink
 	for _, link := range m.agentList {
-		if link.name == newer.name && link != newer && !link.tookOverAfter(newer) && (noLeftoverRuns || !link.up) {
+		switch {
+		case link.name != newer.name || link == newer || link.tookOverAfter(newer):
+		case !link.up || noLeftoverRuns && newer.provablyAfter(link):
 			older = append(older, link)
+		case noLeftoverRuns:
+			m.supersede(now, link)
 		}
 	}
 	for _, link := range older {
@@ -154,7 +162,7 @@
 	}
 }
 
-// hasConnectedSuccessor reports whether a later incarnation of the same name is
+// hasConnectedSuccessor reports whether a provably later incarnation of the same name is
 // connected. An earlier one may be connected too, because it connects again while it is
 // ending or because its end has not been noticed. Agents with an HTTP upstream do not
 // state when they took over their worker; of two such incarnations the one that was
@@ -169,7 +177,7 @@
 		case l == link:
 			seenLater = true
 		case !l.up || l.name != link.name:
-		case l.tookOverAfter(link), seenLater && !l.statesTakeover() && !link.statesTakeover():
+		case l.tookOverAfter(link) && l.provablyAfter(link), seenLater && !l.statesTakeover() && !link.statesTakeover():
 			return true
 		}
 	}
@@ -182,6 +190,7 @@
 	link.downAt = now
 	link.outgoing = wire.ToAgent{}
 	m.scheduler.AgentDown(now, link.incarnation)
+	m.useSuperseded(now, link.name)
 }
 
 // removeAgent removes an agent incarnation. The outcomes of its attempts become
