--- a/internal/fleet/replaced_test.go
+++ b/internal/fleet/replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,3 +151,34 @@
 	_, running := n.Status()
 	assert.Assert(t, running, "the agent was replaced")
 }
+
+// Guards against a process that stands still, and against replaced agents that are left
+// waiting: a worker restarts again and again while it is being taken over, drains and
+// deregisters, and its announcements arrive late.
+func TestAgentFollowsWorkerThatRestartsAgainAndAgain(t *testing.T) {
+	const first, last = 10, 60 // incarnations
+	r := rand.New(rand.NewPCG(1, 1))
+	polls, answers := new(atomic.Int64), new(atomic.Bool)
+	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
+	}})
+	t.Cleanup(n.Kill)
+	for incarnation := int64(first); incarnation <= last; incarnation++ {
+		answers.Store(r.IntN(2) == 0)
+		n.HandleAnnouncement(announced(incarnation, 1, r.IntN(8) == 0))
+		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+		switch r.IntN(4) {
+		case 0:
+			n.HandleDeregister("w", incarnation-int64(r.IntN(2)))
+		case 1:
+			n.HandleAnnouncement(announced(incarnation-1, 2, r.IntN(2) == 0))
+		case 2:
+			n.HandleAnnouncement(announced(incarnation, 2, r.IntN(4) == 0))
+		}
+	}
+	answers.Store(true)
+	n.HandleAnnouncement(announced(last+1, 1, false))
+	await(t, func() bool { _, running := n.Status(); return running })
+	n.replacedStops.Wait()
+	assert.NilError(t, n.Stop(t.Context()))
+}
