durable: a name stands for processes of one VM at one address

What callers saw: two runs of one task of a stored job, after an entry process was replaced by one of the same VM name at another address, which was started before the earlier one had ended.

Cause: a process counts an earlier one with its name as ended and drives its jobs 1.4 s after its own start, without the 2.5 s of the lease. The name was that of the VM. Only a listener proves that the process before has ended, and only at its own address.

The name in the records is now that of the VM and the address at which the process listens for agents, and at a wildcard address, which does not tell the VM, one of its own. The records keep their form: builds before and this one take each other for processes of other VMs, the longer rule. Lease records of all processes of the VM are cleaned up as before. The core of an entry that was stopped handles no further event: after its listeners are closed the next process may count it as ended.

The model of core/durable plays both: a process that is restarted at its address, where the earlier one has ended, and one at another address beside it. It played all of them as one name before, which the log cannot tell apart any more.

A process at another address or at a wildcard address, and the first restart after an update, waits up to 2.5 s more for the jobs of the one before.

--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -18,7 +18,7 @@
 //     its newest append was sent less than Options.Lease ago.
 //   - Jobs are taken over only after their owner was fenced off in the log. They
 //     are driven only once no run of that owner can still be going on: unless the
-//     owner has left or ran on the same VM, Options.Lease plus
+//     owner has left or has the same name, Options.Lease plus
 //     Options.OrphanRunTime after its last record was read.
 //   - A finished run is acknowledged only after it is recorded with its job, or if
 //     its job has ended or was never recorded.
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -25,7 +25,22 @@
 type ProcessID struct {
 	_           struct{} `cbor:",toarray"`
 	Incarnation wire.Incarnation
-	Name        string // of its VM, which runs at most one such process at a time
+	// Name is the same for processes of which each one has ended before the next one
+	// starts, see ProcessName. Processes of earlier builds have that of their VM.
+	Name string
+}
+
+// ProcessName returns the name of the processes of a VM at one place: a process that starts
+// there proves that the ones before have ended, for instance because it listens at their
+// address.
+func ProcessName(vm, place string) string { return vm + "@" + place }
+
+// vm returns the name of the process's VM.
+func (p ProcessID) vm() string {
+	if i := strings.LastIndexByte(p.Name, '@'); i >= 0 {
+		return p.Name[:i]
+	}
+	return p.Name
 }
 
 // Spec is a job as it was accepted.
--- a/core/durable/replaced_test.go
+++ b/core/durable/replaced_test.go
@@ -12,7 +12,9 @@
 )
 
 // Guards against a task that runs twice at the same time while the process before goes on
-// beside the one that replaced it on its VM, also paused or cut off from the log.
+// beside the one that replaced it under the name of its VM at another address, also paused
+// or cut off from the log. At the same address the process before has ended: its listener
+// would keep the next one from starting.
 func TestJobsRunOnceWhileReplacedProcessGoesOn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, durable.Options{}, rapid.IntRange(1, 3).Draw(t, "processes"))
@@ -23,10 +25,13 @@
 			p := w.processes[i]
 			span := time.Duration(rapid.IntRange(100, 6000).Draw(t, "span")) * time.Millisecond
 			switch rapid.IntRange(0, 8).Draw(t, "event") {
-			case 0, 1:
+			case 0:
 				if len(w.processes) < 6 {
-					w.processes = append(w.processes, w.newProcess(p.name))
+					w.addresses++
+					w.processes = append(w.processes, w.newProcessAt(p.vm, w.addresses))
 				}
+			case 1:
+				w.restart(i)
 			case 2:
 				w.pause(p, span)
 			case 3:
@@ -48,10 +53,10 @@
 func (w *world) endReplaced() {
 	newest := make(map[string]*process)
 	for _, p := range w.processes {
-		newest[p.name] = p
+		newest[p.vm] = p
 	}
 	w.processes = slices.DeleteFunc(w.processes, func(p *process) bool {
-		if newest[p.name] == p {
+		if newest[p.vm] == p {
 			return false
 		}
 		w.loseLinks(p)
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -344,7 +344,7 @@
 // processes of this VM.
 func (m *Machine) scheduleLeaseCleanup(now time.Duration) {
 	for id, p := range m.processes {
-		if p.owner.Name == m.opts.Self.Name && id != m.opts.Self.Incarnation {
+		if p.owner.vm() == m.opts.Self.vm() && id != m.opts.Self.Incarnation {
 			m.cleanups = append(m.cleanups, cleanup{at: now + cleanupDelay, key: leaseKey(id)})
 		}
 	}
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -34,6 +34,7 @@
 	readLimit      int             // records in one read
 	removed        map[string]int  // number of records when the key was removed from the store, by key
 	processes      []*process
+	addresses      int    // addresses that were used besides the first ones of the VMs
 	lastNumber     uint64 // last number given to an incarnation or a token
 	runs           []*run
 	retained       []*retainedRun  // finished runs that no process has acknowledged
@@ -52,7 +53,9 @@
 
 // process is an entry process with the state machine of its keeper.
 type process struct {
-	name        string
+	vm          string
+	address     int    // where it listens
+	name        string // of vm and address
 	self        wire.Incarnation
 	machine     *durable.Machine
 	pausedUntil time.Duration // does nothing until then
@@ -126,11 +129,16 @@
 	return w
 }
 
-// newProcess returns a process with a new incarnation, which has read nothing yet.
-func (w *world) newProcess(name string) *process {
+// newProcess returns a process with a new incarnation, which has read nothing yet, at the
+// first address of its VM.
+func (w *world) newProcess(vm string) *process { return w.newProcessAt(vm, 0) }
+
+// newProcessAt returns such a process at another address.
+func (w *world) newProcessAt(vm string, address int) *process {
 	w.lastNumber++
+	name := durable.ProcessName(vm, fmt.Sprint(address))
 	p := &process{
-		name: name, self: wire.Incarnation(w.lastNumber*7919 + 1),
+		vm: vm, address: address, name: name, self: wire.Incarnation(w.lastNumber*7919 + 1),
 		drives: make(map[string]*activeDrive), tokens: make(map[uint64]string),
 	}
 	opts := w.opts
@@ -144,7 +152,7 @@
 	old := w.processes[i]
 	w.loseLinks(old)
 	old.pausedUntil = 1 << 62
-	w.processes[i] = w.newProcess(old.name)
+	w.processes[i] = w.newProcessAt(old.vm, old.address)
 }
 
 // loseLinks breaks the links of a process to the agents.
@@ -225,7 +233,7 @@
 	}
 	w.t.Logf("%v %s (%x): superseded", w.now, p.name, p.self)
 	unacknowledged := p.machine.UnacknowledgedRuns()
-	replacement := w.newProcess(p.name)
+	replacement := w.newProcessAt(p.vm, p.address)
 	p.self, p.machine, p.nextAppend, p.hasOffset = replacement.self, replacement.machine, 0, false
 	p.drives, p.tokens, p.inbox = replacement.drives, replacement.tokens, nil
 	for _, run := range unacknowledged {
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -63,7 +63,9 @@
 		}
 	}()
 	c.step(entry.Configured{Settings: e.opts.Settings})
-	for {
+	// The end is looked for first: once the listeners are closed, a process at the same
+	// addresses may take jobs over, and events of this one must not renew leases.
+	for e.ctx.Err() == nil {
 		select {
 		case <-e.ctx.Done():
 			return
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	n.entry = e
-	n.keeper = keeper.Start(keeper.Options{Name: opts.Name, Log: opts.JobLog, Driver: e, Clock: e.Clock(), Events: opts.Log})
+	n.keeper = keeper.Start(keeper.Options{Name: processName(opts.Name, e.PeerAddr(), e.Incarnation()), Log: opts.JobLog, Driver: e, Clock: e.Clock(), Events: opts.Log})
 	close(n.serving)
 	if err := n.serveReady(); err != nil {
 		n.Kill()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -80,7 +80,7 @@
 
 // Options configures a Keeper.
 type Options struct {
-	Name    string // of the VM
+	Name    string // see durable.ProcessID.Name
 	Log     Log
 	Driver  Driver
 	Clock   bootclock.Clock // must be the driver's clock too
