fleet: ask the worker whether it is the one that a renamed announcement names

What callers saw: a worker that restarted under another name with its time of day set back was never used again.

Cause: its announcements state an earlier start than the current worker's, as a late announcement of an earlier worker does, and were ignored. Under the same name the agent learns of the restart from its polls; a worker refuses calls for another name.

Such an announcement is now followed by one poll under the name and the start that it states. It renews and acknowledges nothing; a worker with the current name refuses it, and one that an agent has taken over has seen a higher token. Only if a worker answers as exactly that incarnation does the agent switch to it. One poll at a time; nothing else changes.

TestLateAnnouncementOfEarlierNameIsIgnored and TestPollUnderAnnouncedNameTellsCurrentWorker guard the other side.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -68,6 +68,7 @@
 	// the announced one, 0 if none did. It may be lower: the worker's time of day may
 	// have been set back.
 	answered int64
+	probing  bool // see probeRenamedLocked
 	current  *agentd.Agent
 	// workerEvents passes WorkerReplaced and WorkerFenced to current.
 	workerEvents chan lease.Event
@@ -85,7 +86,8 @@
 }
 
 // HandleAnnouncement handles an announcement of the worker. Announcements of an
-// earlier incarnation and those that arrive out of order are ignored.
+// earlier incarnation and those that arrive out of order are ignored, but see
+// probeRenamedLocked.
 func (n *AgentNode) HandleAnnouncement(a Announcement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -94,6 +96,10 @@
 	}
 	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation ||
 		a.Worker == n.announced.Worker && a.Incarnation == n.answered
+	if !newIncarnation && a.Incarnation < n.announced.Incarnation && a.Worker != n.announced.Worker {
+		n.probeRenamedLocked(a)
+		return
+	}
 	if !newIncarnation && (a.Incarnation < n.announced.Incarnation || a.Worker != n.announced.Worker || a.Sequence <= n.announced.Sequence) {
 		return
 	}
@@ -102,7 +108,7 @@
 	n.announced = a
 	n.answered = 0
 	if newIncarnation {
-		n.replaceLocked(a)
+		n.replaceLocked(a, nil)
 		return
 	}
 	if capacityChanged {
@@ -158,9 +164,9 @@
 	}
 }
 
-// replaceLocked switches to the announced incarnation of the worker. n.mu must be
-// held.
-func (n *AgentNode) replaceLocked(a Announcement) {
+// replaceLocked switches to the announced incarnation of the worker. worker is its client if
+// there is one. n.mu must be held.
+func (n *AgentNode) replaceLocked(a Announcement, worker Worker) {
 	n.opts.Log.Emit(eventlog.WorkerAnnounced, eventlog.Fields{Peer: a.Worker, Detail: a.Pool, Count: a.Incarnation})
 	if n.cancelStart != nil {
 		n.cancelStart()
@@ -178,7 +184,10 @@
 	}
 	ctx, cancel := context.WithCancel(n.ctx)
 	n.cancelStart = cancel
-	n.wg.Go(func() { n.startIncarnation(ctx, a) })
+	if worker == nil {
+		worker = n.opts.NewWorker(a.Worker, a.Incarnation)
+	}
+	n.wg.Go(func() { n.startIncarnation(ctx, a, worker) })
 }
 
 // replacedAgent is the agent of an earlier worker incarnation.
@@ -220,8 +229,7 @@
 
 // startIncarnation stops the runs that an earlier incarnation of this process
 // left at the worker, and then starts the agent.
-func (n *AgentNode) startIncarnation(ctx context.Context, a Announcement) {
-	worker := n.opts.NewWorker(a.Worker, a.Incarnation)
+func (n *AgentNode) startIncarnation(ctx context.Context, a Announcement, worker Worker) {
 	status := n.stopLeftovers(ctx, worker, a.Incarnation)
 	if status == nil {
 		worker.Close()
