entry: a late hello ends no attempts at an interrupted agent that may be later

A worker restarts with its time of day set back, so its earlier incarnation has the higher number. While the connection of the newer agent is interrupted for a moment, the hello of the replaced agent arrives and counts as a takeover: the attempts at the newer agent ended at once and their tasks were started again beside their runs. The check that spares agents that are connected left out those whose connection is down.

Such an agent now stays until its runs must have ended, 1.4 s after the connection was lost, unless both state the same worker incarnation.

TestLateHelloOfReplacedAgentEndsNoRunsAtAgentThatIsDown: before, the task is started again with the hello, 40 ms after the connection was lost; after, 1.4 s after it.

--- a/core/entry/latehello_test.go
+++ b/core/entry/latehello_test.go
@@ -51,3 +51,15 @@
 	assert.Equal(t, len(answersIn(m.Step(6, entry.LinkDown{Agent: 1, Epoch: 1}))), 0, "its runs may go on")
 	assert.DeepEqual(t, startedAt(submit(7, 3)), []wire.Incarnation{2})
 }
+
+// Guards against two runs of one task: a worker has restarted with its time of day set back,
+// and the hello of the agent of the earlier incarnation arrives while the connection of the
+// newer agent, whose run goes on, is interrupted.
+func TestLateHelloOfReplacedAgentEndsNoRunsAtAgentThatIsDown(t *testing.T) {
+	s := newLostAgentScript(true)
+	s.now += 40 * time.Millisecond
+	f, _ := mergeFrames(s.step(s.hello(3, "w", workerIncarnation+1)))
+	assert.Equal(t, len(f.Starts), 0, "the task is started again while its run goes on")
+	after := 40*time.Millisecond + s.startAfter(5*time.Second)
+	assert.Assert(t, after >= 1400*time.Millisecond && after < 1500*time.Millisecond, "started again after %v", after)
+}
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -97,9 +97,11 @@
 
 // removeOlderIncarnations removes the earlier incarnations of the same name
 // whose link is down: a worker has one agent, so a new incarnation proves that
-// the old one is gone. If no run is left over at the worker, the runs of the
-// earlier incarnations have ended. Those whose link is still up are then removed as
-// well if they are proved to be earlier; otherwise they are not used any more.
+// the old one is gone. One that is not proved to be earlier stays until its runs must
+// have ended: it may be the later one, whose connection is interrupted. If no run is
+// left over at the worker, the runs of the earlier incarnations have ended. Those whose
+// link is still up are then removed as well if they are proved to be earlier; otherwise
+// they are not used any more.
 func (m *Machine) removeOlderIncarnations(now time.Duration, newer *agentLink, noLeftoverRuns bool) {
 	if newer.name == "" {
 		return
@@ -108,8 +110,9 @@
 	for _, link := range m.agentList {
 		switch {
 		case link.name != newer.name || link == newer || link.tookOverAfter(newer):
-		case !link.up || noLeftoverRuns && newer.provablyAfter(link):
+		case newer.provablyAfter(link) && (!link.up || noLeftoverRuns), m.lostRunsEnded(now, link):
 			older = append(older, link)
+		case !link.up: // see endLostRuns
 		case noLeftoverRuns:
 			m.supersede(now, link)
 		}
@@ -286,7 +289,7 @@
 		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
 			m.scheduleSend(link)
 		case !link.up && m.startsHeld():
-		case !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout):
+		case m.lostRunsEnded(now, link):
 			expired = append(expired, link)
 		case !link.up && !link.givenUp && now-link.downAt >= m.opts.LostAgentTimeout:
 			m.giveUpAttempts(now, link)
--- a/core/entry/lostruns.go
+++ b/core/entry/lostruns.go
@@ -20,6 +20,12 @@
 	}
 }
 
+// lostRunsEnded reports whether the connection to the agent has been lost for so long that the
+// runs that its worker had accepted must have ended.
+func (m *Machine) lostRunsEnded(now time.Duration, link *agentLink) bool {
+	return !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout)
+}
+
 // endLostRuns ends the attempts at a lost agent whose runs must have ended, and removes the
 // agent once none is left. A task of a stored job whose start may not be settled is repeated
 // after lostStartTimeout, or as soon as the agent that has taken the worker over connects.
