entry: a start at a lost agent is over if the next agent was connected before

A task of a stored job whose start was not settled waited 15 s at a lost agent although the agent that had taken the worker over was connected: only a hello that arrived after the connection of the replaced agent was lost ended the wait. The entry now also looks for such an agent once the accepted runs must have ended, 1.4 s after the connection was lost. A replaced agent whose number is higher because the time of day was set back is gone by then: it ends 0.3 s after the takeover.

TestStoredTaskIsRepeatedIfNextAgentHadTakenOverBefore: before, started again after 15 s; after, within 1.5 s.

--- a/core/entry/lostruns.go
+++ b/core/entry/lostruns.go
@@ -28,10 +28,10 @@
 
 // endLostRuns ends the attempts at a lost agent whose runs must have ended, and removes the
 // agent once none is left. A task of a stored job whose start may not be settled is repeated
-// after lostStartTimeout, or as soon as the agent that has taken the worker over connects.
+// after lostStartTimeout, or as soon as the agent that has taken the worker over is connected.
 // The callers of other jobs were answered before.
 func (m *Machine) endLostRuns(now time.Duration, link *agentLink) {
-	if !link.statesTakeover() || now-link.downAt >= lostStartTimeout {
+	if !link.statesTakeover() || now-link.downAt >= lostStartTimeout || m.isReplaced(link) {
 		m.removeAgent(now, link)
 		return
 	}
--- a/core/entry/lostruns_test.go
+++ b/core/entry/lostruns_test.go
@@ -100,3 +100,17 @@
 	}
 	assert.Assert(t, answered > 0 && answered < 1600*time.Millisecond, "answered after %v", answered)
 }
+
+// Guards against a task that waits for 15 s for a late start although the agent that has taken
+// the worker over was connected when the connection of the replaced one was lost.
+func TestStoredTaskIsRepeatedIfNextAgentHadTakenOverBefore(t *testing.T) {
+	s := &lostAgentScript{m: entry.New(entry.Options{Incarnation: 1, Scheduler: new(newestAgentScheduler), LostAgentTimeout: 400 * time.Millisecond})}
+	s.step(entry.StoredLease{Until: time.Hour})
+	s.step(s.hello(1, "w", workerIncarnation))
+	s.step(entry.Submit{Submission: testJob, Job: "j", Payloads: make([][]byte, 1), MaxFailedRuns: 3, Stored: true})
+	f, _ := mergeFrames(s.step(s.hello(2, "w", workerIncarnation+1)))
+	assert.Equal(t, len(f.Starts), 0)
+	s.step(entry.LinkDown{Agent: 1, Epoch: 1})
+	after := s.startAfter(20 * time.Second)
+	assert.Assert(t, after >= 1400*time.Millisecond && after < 1500*time.Millisecond, "started again after %v", after)
+}
