entry: a lost agent that is kept for its starts refuses no next agent

An agent that is lost with a start in doubt is kept for 15 s, and while it was known, agents that state an earlier takeover of the same worker were refused. A worker that restarts with its time of day set back therefore stayed unused for up to 15 s, where it was 1.4 s before such agents were kept. They do not count once their runs must have ended.

TestNextAgentIsUsedWhileStartAtLostAgentIsInDoubt: before, the next agent is not used; after, it is.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -52,7 +52,7 @@
 	link := m.agents[h.Agent]
 	if link == nil {
 		link = &agentLink{incarnation: h.Agent, name: h.Name, capacity: h.Capacity, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
-		if m.hasLaterIncarnation(link) {
+		if m.hasLaterIncarnation(now, link) {
 			return // the agent is gone or ending; it closes a connection without frames
 		}
 		m.agents[h.Agent] = link
@@ -88,10 +88,11 @@
 }
 
 // hasLaterIncarnation reports whether an agent of the same name is known that took over
-// the worker later.
-func (m *Machine) hasLaterIncarnation(link *agentLink) bool {
+// the worker later. One whose runs must have ended does not count: it is kept only for
+// starts in doubt, and the worker's time of day may have been set back since.
+func (m *Machine) hasLaterIncarnation(now time.Duration, link *agentLink) bool {
 	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
-		return l.name == link.name && l.tookOverAfter(link)
+		return l.name == link.name && l.tookOverAfter(link) && !m.lostRunsEnded(now, l)
 	})
 }
 
--- a/core/entry/lostruns_test.go
+++ b/core/entry/lostruns_test.go
@@ -114,3 +114,16 @@
 	after := s.startAfter(20 * time.Second)
 	assert.Assert(t, after >= 1400*time.Millisecond && after < 1500*time.Millisecond, "started again after %v", after)
 }
+
+// Guards against a worker that is not used for 15 s: its time of day was set back, it
+// restarted, and a start at its lost agent, which states the later takeover, is in doubt.
+func TestNextAgentIsUsedWhileStartAtLostAgentIsInDoubt(t *testing.T) {
+	s := newLostAgentScript(false)
+	s.now += 2 * time.Second
+	s.step(entry.Tick{})
+	s.step(s.hello(3, "w", workerIncarnation-1))
+	other := testJob
+	other[0]++
+	started := startedAt(s.step(entry.Submit{Submission: other, Payloads: make([][]byte, 1), MaxFailedRuns: 3, Deadline: time.Minute}))
+	assert.DeepEqual(t, started, []wire.Incarnation{3})
+}
