--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -52,7 +52,7 @@
 	link := m.agents[h.Agent]
 	if link == nil {
 		link = &agentLink{incarnation: h.Agent, name: h.Name, capacity: h.Capacity, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
-		if m.hasLaterIncarnation(link) {
+		if m.hasLaterIncarnation(now, link) {
 			return // the agent is gone or ending; it closes a connection without frames
 		}
 		m.agents[h.Agent] = link
@@ -88,18 +88,21 @@
 }
 
 // hasLaterIncarnation reports whether an agent of the same name is known that took over
-// the worker later.
-func (m *Machine) hasLaterIncarnation(link *agentLink) bool {
+// the worker later. One whose runs must have ended does not count: it is kept only for
+// starts in doubt, and the worker's time of day may have been set back since.
+func (m *Machine) hasLaterIncarnation(now time.Duration, link *agentLink) bool {
 	return link.name != "" && slices.ContainsFunc(m.agentList, func(l *agentLink) bool {
-		return l.name == link.name && l.tookOverAfter(link)
+		return l.name == link.name && l.tookOverAfter(link) && !m.lostRunsEnded(now, l)
 	})
 }
 
 // removeOlderIncarnations removes the earlier incarnations of the same name
 // whose link is down: a worker has one agent, so a new incarnation proves that
-// the old one is gone. If no run is left over at the worker, the runs of the
-// earlier incarnations have ended. Those whose link is still up are then removed as
-// well if they are proved to be earlier; otherwise they are not used any more.
+// the old one is gone. One that is not proved to be earlier stays until its runs must
+// have ended: it may be the later one, whose connection is interrupted. If no run is
+// left over at the worker, the runs of the earlier incarnations have ended. Those whose
+// link is still up are then removed as well if they are proved to be earlier; otherwise
+// they are not used any more.
 func (m *Machine) removeOlderIncarnations(now time.Duration, newer *agentLink, noLeftoverRuns bool) {
 	if newer.name == "" {
 		return
@@ -108,8 +111,9 @@
 	for _, link := range m.agentList {
 		switch {
 		case link.name != newer.name || link == newer || link.tookOverAfter(newer):
-		case !link.up || noLeftoverRuns && newer.provablyAfter(link):
+		case newer.provablyAfter(link) && (!link.up || noLeftoverRuns), m.lostRunsEnded(now, link):
 			older = append(older, link)
+		case !link.up: // see endLostRuns
 		case noLeftoverRuns:
 			m.supersede(now, link)
 		}
@@ -286,7 +290,7 @@
 		case link.up && now-link.sentAt >= m.opts.HeartbeatInterval:
 			m.scheduleSend(link)
 		case !link.up && m.startsHeld():
-		case !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout):
+		case m.lostRunsEnded(now, link):
 			expired = append(expired, link)
 		case !link.up && !link.givenUp && now-link.downAt >= m.opts.LostAgentTimeout:
 			m.giveUpAttempts(now, link)
--- a/core/entry/lostruns.go
+++ b/core/entry/lostruns.go
@@ -20,12 +20,18 @@
 	}
 }
 
+// lostRunsEnded reports whether the connection to the agent has been lost for so long that the
+// runs that its worker had accepted must have ended.
+func (m *Machine) lostRunsEnded(now time.Duration, link *agentLink) bool {
+	return !link.up && now-link.downAt >= max(m.opts.LostAgentTimeout, lostRunTimeout)
+}
+
 // endLostRuns ends the attempts at a lost agent whose runs must have ended, and removes the
 // agent once none is left. A task of a stored job whose start may not be settled is repeated
-// after lostStartTimeout, or as soon as the agent that has taken the worker over connects.
+// after lostStartTimeout, or as soon as the agent that has taken the worker over is connected.
 // The callers of other jobs were answered before.
 func (m *Machine) endLostRuns(now time.Duration, link *agentLink) {
-	if !link.statesTakeover() || now-link.downAt >= lostStartTimeout {
+	if !link.statesTakeover() || now-link.downAt >= lostStartTimeout || m.isReplaced(link) {
 		m.removeAgent(now, link)
 		return
 	}
--- a/core/entry/lostruns_test.go
+++ b/core/entry/lostruns_test.go
@@ -100,3 +100,30 @@
 	}
 	assert.Assert(t, answered > 0 && answered < 1600*time.Millisecond, "answered after %v", answered)
 }
+
+// Guards against a task that waits for 15 s for a late start although the agent that has taken
+// the worker over was connected when the connection of the replaced one was lost.
+func TestStoredTaskIsRepeatedIfNextAgentHadTakenOverBefore(t *testing.T) {
+	s := &lostAgentScript{m: entry.New(entry.Options{Incarnation: 1, Scheduler: new(newestAgentScheduler), LostAgentTimeout: 400 * time.Millisecond})}
+	s.step(entry.StoredLease{Until: time.Hour})
+	s.step(s.hello(1, "w", workerIncarnation))
+	s.step(entry.Submit{Submission: testJob, Job: "j", Payloads: make([][]byte, 1), MaxFailedRuns: 3, Stored: true})
+	f, _ := mergeFrames(s.step(s.hello(2, "w", workerIncarnation+1)))
+	assert.Equal(t, len(f.Starts), 0)
+	s.step(entry.LinkDown{Agent: 1, Epoch: 1})
+	after := s.startAfter(20 * time.Second)
+	assert.Assert(t, after >= 1400*time.Millisecond && after < 1500*time.Millisecond, "started again after %v", after)
+}
+
+// Guards against a worker that is not used for 15 s: its time of day was set back, it
+// restarted, and a start at its lost agent, which states the later takeover, is in doubt.
+func TestNextAgentIsUsedWhileStartAtLostAgentIsInDoubt(t *testing.T) {
+	s := newLostAgentScript(false)
+	s.now += 2 * time.Second
+	s.step(entry.Tick{})
+	s.step(s.hello(3, "w", workerIncarnation-1))
+	other := testJob
+	other[0]++
+	started := startedAt(s.step(entry.Submit{Submission: other, Payloads: make([][]byte, 1), MaxFailedRuns: 3, Deadline: time.Minute}))
+	assert.DeepEqual(t, started, []wire.Incarnation{3})
+}
