core/lease: play random subsets of all kinds of disturbances together

What: TestTasksRunOnceAtATimeUnderAnyDisturbances draws for each seed a random subset of the kinds of disturbances of the other models and plays them together: processes that freeze, are slow, end and are replaced, links that break or are cut in one direction, workers that restart at any time (also before the incarnation before was taken over, and while their agent is away), are mute or stand still with their VM, callers that leave or were refused and send their jobs again, calls that are late by 2 to 12 s. Calls bear the fencing token of their client and wait on their way to the worker, which may be another incarnation by then. -fleet.first is now the first seed of all models of the fleet. The disturbances of the other models became functions; their tests draw and check the same.

Why: each model had a kind of its own. Two together bring about two runs of one task: an agent that is silent while its worker restarts, and a late start.

Two runs of a job that is stored, or that its entry repeats, always fail. Two runs of one that its caller sent again fail as well, unless one of them is a late start at an incarnation of its worker that no client has fenced off until then; those are counted and printed.

--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -31,11 +32,22 @@
 	maxLease      = time.Second // by which a call may extend the lease of a worker
 )
 
-// fleetSeeds is the number of seeds that TestTasksRunOnceAtATime plays.
-var fleetSeeds = flag.Int("fleet.seeds", 100, "seeds of the model with several entries and agents")
+// Seeds that each test of the model plays.
+var (
+	fleetSeeds = flag.Int("fleet.seeds", 100, "seeds of the model with several entries and agents")
+	fleetFirst = flag.Uint64("fleet.first", 0, "first seed of the model with several entries and agents")
+)
+
+// fleetSeedRange returns the seeds that each test of the model plays.
+func fleetSeedRange() iter.Seq[uint64] { return seedRange(*fleetFirst, *fleetSeeds) }
 
-// fleetFirst is the first seed of TestTasksRunOnceAtATimeWhileWorkersRestart.
-var fleetFirst = flag.Uint64("fleet.first", 0, "first seed of the model with workers that restart")
+// seedRange returns n seeds from the first one on.
+func seedRange(first uint64, n int) iter.Seq[uint64] {
+	return func(yield func(uint64) bool) {
+		for seed := first; seed < first+uint64(n) && yield(seed); seed++ {
+		}
+	}
+}
 
 // fleet is a model of entries, the two state machines of several agent processes, their
 // workers, and callers that send their jobs again to any entry. Processes are frozen, slow,
@@ -65,6 +77,7 @@
 	failure        string
 	log            []string
 	counts         fleetCounts
+	swarm          *swarm // nil in the other tests
 	// restarts makes workers restart, and calls wait on their way to them. Starts of an
 	// earlier incarnation may then be carried out, so two runs at a time are no failure.
 	restarts bool
@@ -176,6 +189,10 @@
 	// expired, after it stood still.
 	callsFirst bool
 	replaced   bool // the next process has taken the worker over
+	// successor is the host of the next process, with fleet.swarm, nil for none. The worker
+	// is there.
+	successor *fleetHost
+	born      int64 // start time of the worker's incarnation, see docs/platform.md
 }
 
 func newFleet(seed uint64) *fleet {
@@ -220,14 +237,7 @@
 	for end := f.now + d; f.now < end && f.failure == ""; {
 		f.now += chainStep
 		for _, h := range f.hosts {
-			if h.callsFirst && h.worker.now+chainStep >= h.worker.stalledUntil {
-				h.callsFirst = false
-				f.carryOutLate(h)
-			}
-			h.worker.advance(chainStep)
-			f.carryOutLate(h)
-			f.carryOutInTransit(h)
-			f.announceRestart(h)
+			f.advanceWorker(h)
 			h.agentTick = h.agentTick || f.now%(50*time.Millisecond) == 0
 			h.leaseTick = h.leaseTick || (f.now+25*time.Millisecond)%(50*time.Millisecond) == 0
 			f.runHost(h)
@@ -240,16 +250,44 @@
 	}
 }
 
+// advanceWorker moves the time of the worker of a host forward.
+func (f *fleet) advanceWorker(h *fleetHost) {
+	if h.successor != nil {
+		return
+	}
+	if h.callsFirst && h.worker.now+chainStep >= h.worker.stalledUntil {
+		h.callsFirst = false
+		if f.swarm != nil {
+			f.carryOutSwarm(h, false)
+		}
+		f.carryOutLate(h)
+	}
+	h.worker.advance(chainStep)
+	if f.swarm != nil {
+		f.carryOutSwarm(h, h.worker.stalled())
+		return
+	}
+	f.carryOutLate(h)
+	f.carryOutInTransit(h)
+	f.announceRestart(h)
+}
+
 // check fails if two runs of one task are in progress.
 func (f *fleet) check() {
 	running := make(map[wire.RunRef]string)
+	first := make(map[wire.RunRef]swarmRun)
 	for _, h := range f.hosts {
-		if h.worker.stalled() {
+		if h.worker.stalled() || h.successor != nil {
 			continue // nobody can end its runs
 		}
 		for id := range h.worker.running {
 			task := id
 			task.Run = 0
+			if other, twice := first[task]; twice && f.swarm != nil {
+				f.twice(other, swarmRun{h, id})
+				continue
+			}
+			first[task] = swarmRun{h, id}
 			if other, twice := running[task]; twice && f.failure == "" && !f.restarts {
 				f.failure = fmt.Sprintf("%v: two runs of %v at the same time, at %s and %s", f.now-time.Minute, task, other, h.name)
 			}
@@ -360,6 +398,9 @@
 	for _, a := range slices.Clone(e.machine.Step(f.now, ev)) {
 		switch x := a.(type) {
 		case entry.Send:
+			if f.swarm != nil {
+				f.swarm.recordOrder(e, x.Frame)
+			}
 			for _, h := range f.hosts {
 				for _, l := range h.links {
 					if l.entry == e && h.incarnation == x.Agent && l.epoch == x.Epoch && l.accepted {
@@ -371,6 +412,7 @@
 			if j := f.jobNamed(x.Run.Run.Job); j.entry != e {
 				continue // left to the owner of the job
 			}
+			f.logf("entry %d hears that %v has succeeded, superseded: %v", e.index, x.Run.Run, x.Superseded)
 			e.queue = append(e.queue, entry.AcknowledgedRuns{Agent: x.Agent, Runs: []wire.RunRef{x.Run.Run}, Superseded: x.Superseded || !f.count(x.Run.Run)})
 		case entry.Answer:
 			f.answered(e, x)
@@ -390,7 +432,7 @@
 	f.logf("%s is answered by entry %d as %v %s", j.name, e.index, x.Answer.Outcome, x.Answer.Reason)
 	j.id = wire.SubmissionID{}
 	j.failed = x.Answer.Outcome != entry.Complete
-	if !j.left && !j.stored && (x.Answer.Outcome == entry.Failed || x.Answer.Outcome == entry.Unknown) {
+	if !j.left && !j.stored && (x.Answer.Outcome == entry.Failed || x.Answer.Outcome == entry.Unknown || f.swarm.refusedAgain(x.Answer.Outcome)) {
 		j.resendAt = f.now + resendDelay
 	}
 }
@@ -433,6 +475,16 @@
 	j.resendAt = f.now + resendDelay
 }
 
+// leaveOne breaks the connection of one caller.
+func (f *fleet) leaveOne() {
+	for _, j := range f.jobs {
+		if !j.left && !j.stored && (j.id != wire.SubmissionID{}) {
+			f.leave(j)
+			return
+		}
+	}
+}
+
 func (f *fleet) runCallers() {
 	for _, n := range f.notices {
 		if f.now >= n.entry.frozenTill {
@@ -444,7 +496,7 @@
 	}
 	f.notices = slices.DeleteFunc(f.notices, func(n *fleetNotice) bool { return n.after <= 0 || n.entry.stopped })
 	for _, j := range f.jobs {
-		if j.resendAt == 0 || f.now < j.resendAt {
+		if j.resendAt == 0 || f.now < j.resendAt || f.swarm.ending() {
 			continue
 		}
 		e := f.entries[f.rng.IntN(len(f.entries))]
@@ -634,6 +686,9 @@
 	h.recordStart(ev)
 	actions := slices.Clone(h.lease.Step(f.now, ev))
 	f.recordEnds(h, actions)
+	if f.swarm != nil {
+		f.recordSteps(h, ev, actions)
+	}
 	for _, a := range actions {
 		switch x := a.(type) {
 		case lease.Finished:
@@ -658,6 +713,10 @@
 		h.answers = append(h.answers, chainAnswer{at: f.now, timeout: timeout, event: lease.Started{Run: x.Run, Result: lease.StartRefused, Reason: wire.ReasonExpired}, lost: noAnswer(a)})
 		return
 	}
+	if f.swarm != nil {
+		f.send(h, a)
+		return
+	}
 	if blocked := max(h.callsCutTill, f.now+h.worker.stalledUntil-h.worker.now); blocked > f.now {
 		h.answers = append(h.answers, chainAnswer{at: timeout, event: noAnswer(a), lost: noAnswer(a)})
 		h.late = append(h.late, call{at: blocked, action: a})
@@ -739,6 +798,10 @@
 			f.logf("%s starts %v", h.name, x.Run)
 			f.startedRun(x.Run, late)
 		}
+		if _, runs := h.worker.running[x.Run]; runs && !running && f.swarm != nil {
+			f.recordBeginning(h, x.Run)
+			f.logf("%s begins %v", h.name, x.Run)
+		}
 		if _, runs := h.worker.running[x.Run]; runs && !running && late { // the worker may have had it before it restarted
 			f.lateRuns[x.Run] = true
 		}
@@ -788,6 +851,10 @@
 	h.process.fencedFor = h.worker.incarnation
 	h.process.announceAt, h.process.replaced, h.process.takenOver = 0, false, false
 	h.token = int64(f.now / time.Millisecond)
+	if f.swarm != nil {
+		f.takeOverSwarm(h)
+		h.token = h.fence
+	}
 	h.fence, h.workerIncarnation = h.token, h.worker.incarnation
 	for id := range h.worker.running {
 		f.logf("%s: leftover %v is stopped", h.name, id)
@@ -814,7 +881,7 @@
 	})
 	h.lease = lease.New(lease.Options{RetainedRuns: retained, Incarnation: h.worker.incarnation})
 	h.finished = finished
-	if f.restarts { // the clock of the machine, unlike that of internal/leased, does not start from 0
+	if f.restarts || f.swarm != nil { // the clock of the machine, unlike that of internal/leased, does not start from 0
 		f.stepLease(h, lease.Tick{})
 		h.calls = nil
 		f.stepLease(h, f.execute(h, lease.CallPoll{}, false))
@@ -869,12 +936,7 @@
 	case 7, 8, 9:
 		f.stopAgent(h, span)
 	case 10, 11, 12:
-		for _, j := range f.jobs {
-			if !j.left && !j.stored && (j.id != wire.SubmissionID{}) {
-				f.leave(j)
-				return
-			}
-		}
+		f.leaveOne()
 	case 13:
 		f.newJob(true)
 	case 14:
@@ -910,7 +972,7 @@
 // playFleets plays the seeds of the model, each after prepare, and returns what happened.
 func playFleets(t *testing.T, prepare func(*fleet)) fleetCounts {
 	var total fleetCounts
-	for seed := range uint64(*fleetSeeds) {
+	for seed := range fleetSeedRange() {
 		f := newFleet(seed)
 		prepare(f)
 		f.advance(200 * time.Millisecond)
--- a/core/lease/fleetrestart_test.go
+++ b/core/lease/fleetrestart_test.go
@@ -32,6 +32,9 @@
 
 // answers reports whether the worker process of the host answers calls.
 func (f *fleet) answers(h *fleetHost) bool {
+	if f.swarm != nil && (h.worker.stalled() || f.now < h.callsCutTill || f.now < h.answersCutTill) {
+		return false
+	}
 	return f.now >= h.process.downTill && f.now >= h.process.muteTill
 }
 
@@ -82,6 +85,9 @@
 // is drained at the announcement, and ends when the new incarnation was taken over.
 func (f *fleet) runReplaced(h *fleetHost) {
 	p := &h.process
+	if p.announceAt > 0 && f.now >= p.announceAt && p.replaced {
+		p.announceAt = 0 // restarted again: the agent of the earlier incarnation waits on
+	}
 	if p.announceAt > 0 && f.now >= p.announceAt {
 		p.announceAt = 0
 		p.replaced = true
@@ -93,6 +99,9 @@
 		p.takenOver = true
 		f.fence(h)
 		h.late = nil // the token of a takeover is above that of each call before, also of those since the fence
+		if f.swarm != nil {
+			f.takeOverSwarm(h)
+		}
 		for id := range h.worker.running {
 			h.worker.stop(lease.CallStop{Run: id})
 		}
@@ -218,7 +227,7 @@
 // returns what happened.
 func playRestarts(t *testing.T, disturb func(*fleet)) fleetCounts {
 	var total fleetCounts
-	for seed := *fleetFirst; seed < *fleetFirst+uint64(*fleetSeeds); seed++ {
+	for seed := range fleetSeedRange() {
 		f := newFleet(seed)
 		f.lateSpan = 12 * time.Second
 		for _, h := range f.hosts {
@@ -258,6 +267,8 @@
 	c.restarts += other.restarts
 	c.lateStarts += other.lateStarts
 	c.tooLate += other.tooLate
+	c.latePolls += other.latePolls
+	c.lateBoth += other.lateBoth
 }
 
 // recordEnds records when runs ended as far as their agent knows.
--- a/core/lease/fleettransit_test.go
+++ b/core/lease/fleettransit_test.go
@@ -19,6 +19,8 @@
 	token       int64
 	unanswered  bool // the agent no longer waits for the answer
 	withheld    bool // see lease.Polled.AckWithheld
+	lost        bool // it never arrives, with fleet.swarm
+	origin      swarmOrigin
 }
 
 // carryOutInTransit carries out the calls that arrive, and ends the wait for the answers to
