core/lease: tell in the swarm's failures what the agents knew of the runs

What: the failure names for each of the two runs whether it began late, by another incarnation than it was sent to, and whether its agent is gone, stands still, has reported the run as ended or has it open.

Why: the cause of a violation shows without its log.

--- a/core/lease/fleetswarm_test.go
+++ b/core/lease/fleetswarm_test.go
@@ -56,6 +56,7 @@
 	at, sentAt      time.Duration
 	sentTo, arrived int64 // incarnations of the worker
 	late, unfenced  bool
+	origin          swarmOrigin
 }
 
 // swarmKind is a kind of disturbance.
@@ -233,15 +234,35 @@
 	x := f.swarm.arriving
 	f.swarm.begun[swarmRun{h, run}] = swarmStart{
 		attempt: x.origin.attempt, submission: f.swarm.submissions[x.origin.attempt], at: f.now, sentAt: x.origin.sentAt,
-		sentTo: x.origin.incarnation, arrived: h.worker.incarnation, late: x.unanswered, unfenced: h.unfenced(),
+		sentTo: x.origin.incarnation, arrived: h.worker.incarnation, late: x.unanswered, unfenced: h.unfenced(), origin: x.origin,
 	}
 }
 
-func (s swarmStart) String() string {
-	if s.sentTo == s.arrived {
-		return fmt.Sprintf("sent %v, begun %v at incarnation %d", s.sentAt-time.Minute, s.at-time.Minute, s.arrived)
+// describe tells how a run began, and what its agent knew of it.
+func (f *fleet) describe(r swarmRun) string {
+	s := f.swarm.begun[r]
+	out := fmt.Sprintf("run %d at %s, sent %v, begun %v", r.run.Run, r.host.name, s.sentAt-time.Minute, s.at-time.Minute)
+	if s.late {
+		out += ", late"
 	}
-	return fmt.Sprintf("sent %v to incarnation %d, begun %v at incarnation %d, unfenced then: %v", s.sentAt-time.Minute, s.sentTo, s.at-time.Minute, s.arrived, s.unfenced)
+	if s.sentTo != s.arrived {
+		out += fmt.Sprintf(", by incarnation %d in place of %d", s.arrived, s.sentTo)
+	}
+	if s.unfenced {
+		out += ", not fenced off"
+	}
+	end, ended := f.swarm.ends[s.attempt]
+	switch {
+	case ended:
+		out += fmt.Sprintf(", reported as ended %v", end.at-time.Minute)
+	case s.origin.host.lease != s.origin.client:
+		out += ", its agent is gone"
+	case f.now < s.origin.host.frozenTill:
+		out += ", its agent stands still"
+	default:
+		out += ", open at its agent"
+	}
+	return out
 }
 
 // lateAtUnfenced is the cause of two runs that the protocol leaves open for a job that is not
@@ -269,8 +290,7 @@
 		}
 	}
 	if f.failure == "" {
-		f.failure = fmt.Sprintf("%v: two runs of %v at the same time, job %s: run %d at %s (%v) and run %d at %s (%v)",
-			f.now-time.Minute, a.run, class, a.run.Run, a.host.name, first, b.run.Run, b.host.name, second)
+		f.failure = fmt.Sprintf("%v: two runs of %v at the same time, job %s: %s; %s", f.now-time.Minute, a.run, class, f.describe(a), f.describe(b))
 	}
 }
 
