core/lease: look for two runs at a time without a text for each run

What: the check of the fleet model keeps the runs of a step in one map and makes its message only when it fails; the workers' calls in transit stay in one slice.

Why: a third of the time of the swarm went into maps, slices and texts.

--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -137,24 +137,23 @@
 
 // check fails if two runs of one task are in progress.
 func (f *fleet) check() {
-	running := make(map[wire.RunRef]string)
 	first := make(map[wire.RunRef]swarmRun)
 	for _, h := range f.hosts {
 		if h.worker.stalled() || h.successor != nil {
 			continue // nobody can end its runs
 		}
-		for id := range h.worker.running {
+		for _, id := range h.worker.runsInOrder() {
 			task := id
 			task.Run = 0
-			if other, twice := first[task]; twice && f.swarm != nil {
+			other, twice := first[task]
+			switch {
+			case !twice:
+				first[task] = swarmRun{h, id}
+			case f.swarm != nil:
 				f.twice(other, swarmRun{h, id})
-				continue
+			case f.failure == "" && !f.restarts:
+				f.failure = fmt.Sprintf("%v: two runs of %v at the same time, at %s run %d and %s", f.now-time.Minute, task, other.host.name, other.run.Run, h.name)
 			}
-			first[task] = swarmRun{h, id}
-			if other, twice := running[task]; twice && f.failure == "" && !f.restarts {
-				f.failure = fmt.Sprintf("%v: two runs of %v at the same time, at %s and %s", f.now-time.Minute, task, other, h.name)
-			}
-			running[task] = fmt.Sprintf("%s run %d", h.name, id.Run)
 		}
 	}
 }
--- a/core/lease/fleetswarmcalls_test.go
+++ b/core/lease/fleetswarmcalls_test.go
@@ -88,7 +88,7 @@
 // carryOutSwarm carries out the calls that arrive at the worker of a host.
 func (f *fleet) carryOutSwarm(h *fleetHost, stalled bool) {
 	calls := h.inTransit
-	h.inTransit = nil
+	h.inTransit = calls[:0]
 	for _, x := range calls {
 		if !x.unanswered && f.now >= x.timeout {
 			f.giveUp(x)
--- a/core/lease/modelworker_test.go
+++ b/core/lease/modelworker_test.go
@@ -61,6 +61,9 @@
 // runsInOrder returns the runs in progress in an order that depends on nothing else, so that
 // one seed gives one run of the model.
 func (w *worker) runsInOrder() []wire.RunRef {
+	if len(w.running) == 0 {
+		return nil
+	}
 	return slices.SortedFunc(maps.Keys(w.running), func(a, b wire.RunRef) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), a.Index-b.Index, a.Run-b.Run)
 	})
