core/lease: leave out late starts of clients that a takeover has fenced off

What: in the swarm a start to an earlier incarnation of the worker has no effect if its client was fenced off by a takeover before the worker restarted, also if the client sent it after the takeover. Before, only starts in transit at the takeover were left out.

A process that was replaced 20 ms before sends a copy of a start; it is carried out 9.1 s later by the fifth incarnation, which knows no token. Nothing in the protocol survives a restart of the worker, see docs/platform.md.

--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -21,10 +21,11 @@
 	maxLease      = time.Second // by which a call may extend the lease of a worker
 )
 
-// Seeds that each test of the model plays.
+// Seeds that each test of the model plays, and what it prints.
 var (
 	fleetSeeds = flag.Int("fleet.seeds", 100, "seeds of the model with several entries and agents")
 	fleetFirst = flag.Uint64("fleet.first", 0, "first seed of the model with several entries and agents")
+	fleetLog   = flag.Int("fleet.log", 120, "lines of its log that a failure of the model with any disturbances prints")
 )
 
 // fleetSeedRange returns the seeds that each test of the model plays.
--- a/core/lease/fleethost_test.go
+++ b/core/lease/fleethost_test.go
@@ -49,6 +49,9 @@
 	// is there.
 	successor *fleetHost
 	born      int64 // start time of the worker's incarnation, see docs/platform.md
+	// takeoverToken is the token of the last takeover, which may have been at an earlier
+	// incarnation of the worker.
+	takeoverToken int64
 }
 
 // runHost lets the agent process of a host run.
