core/lease: keep the ends of connections that an entry has not noticed

What: when a connection of the fleet model breaks, the ends of earlier ones that still wait for the entry behind a cut are no longer lost.

Why: the entry held an agent as connected that had ended, for good. Its own limit of silence ends such a connection.

--- a/core/lease/fleetlink_test.go
+++ b/core/lease/fleetlink_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
@@ -63,7 +64,12 @@
 	f.counts.resets++
 	l.accepted = false
 	l.toAgent = []fleetFrame{{f.now, agent.LinkDown{Entry: l.entry.id, Epoch: l.epoch}}}
-	l.toEntry = []fleetFrame{{f.now, entry.LinkDown{Agent: h.incarnation, Epoch: l.epoch}}}
+	// The ends of earlier connections that the entry has not noticed yet are not lost.
+	l.toEntry = slices.DeleteFunc(l.toEntry, func(frame fleetFrame) bool {
+		_, down := frame.ev.(entry.LinkDown)
+		return !down
+	})
+	l.send(&l.toEntry, f.now, entry.LinkDown{Agent: h.incarnation, Epoch: l.epoch})
 	l.redialAt = f.now + redialAfter + chainStep
 }
 
