entryd: one check of the callers serves all queued hellos

Each hello of an agent had the core ask the kernel about all callers and visit all agents, so the cost of agents that connect again at the same time grew with the square of their number. A request that had arrived before the last check needs none of its own, like the frames of agents.

TestOneCheckOfCallersServesAllQueuedHellos: before, 3 checks for 3 queued requests; after, one.

--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -176,14 +176,17 @@
 	}
 	checked := c.checkedEvents > 0
 	c.checkedEvents = max(0, c.checkedEvents-1)
+	due := c.e.now()-c.checkedAt >= maxCheckInterval
 	switch ev.(type) {
-	case entry.Tick, checkRequest:
-		return c.checkCallers()
+	case entry.Tick:
+		due = true
+	case checkRequest:
+		due = !checked
 	}
-	if c.e.now()-c.checkedAt < maxCheckInterval {
-		return checked
+	if due {
+		return c.checkCallers()
 	}
-	return c.checkCallers()
+	return checked
 }
 
 // checkCallers cancels the jobs whose callers have left by now, so that the lease of the
