entryd: answer no hello if the callers could not be checked

The answer to the hello of an agent renews the lease of its runs as of the hello. It was also sent if the kernel did not say which callers had left, so the runs of these were prolonged. The agent is now refused and connects again, as frames renew no lease in that case either. Found by reading; poll(2) fails if the kernel lacks memory.

--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -141,8 +141,9 @@
 // callersLeft lets the core handle the callers that have left.
 type callersLeft struct{}
 
-// checkRequest has the core check the callers and close done.
-type checkRequest struct{ done chan<- struct{} }
+// checkRequest has the core check the callers and report whether all are known. known has
+// room for the report.
+type checkRequest struct{ known chan<- bool }
 
 // submitCallerJob submits a job unless its callers left before.
 func (c *core) submitCallerJob(x callerJob) {
@@ -203,16 +204,18 @@
 	return known
 }
 
-// awaitCallersChecked returns once the core has checked the callers. The answer to the hello
-// of an agent renews the lease of its runs as of the hello.
-func (e *Entry) awaitCallersChecked() {
+// awaitCallersChecked returns once the core has checked the callers, and reports whether all
+// are known. The answer to the hello of an agent renews the lease of its runs as of the hello.
+func (e *Entry) awaitCallersChecked() bool {
 	if e.opts.Core.ResendDelay == 0 {
-		return
+		return true
 	}
-	done := make(chan struct{})
-	e.send(checkRequest{done})
+	known := make(chan bool, 1)
+	e.send(checkRequest{known})
 	select {
-	case <-done:
+	case ok := <-known:
+		return ok
 	case <-e.ctx.Done():
+		return false
 	}
 }
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -124,7 +124,7 @@
 	case callersLeft:
 		c.cancelAbandoned()
 	case checkRequest:
-		close(x.done)
+		x.known <- checked
 	case entry.Event:
 		c.step(x)
 	}
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -115,7 +115,9 @@
 		return hello, fmt.Errorf("entryd: agent hello: got protocol %d, agent %d, slots %d; want this protocol version, nonzero agent and epoch, slots from 1 to the limit, and names and entries within their limits",
 			hello.Protocol, hello.Agent, hello.Slots)
 	}
-	e.awaitCallersChecked()
+	if !e.awaitCallersChecked() {
+		return hello, errors.New("entryd: agent hello: the callers' connections could not be checked")
+	}
 	known := *e.knownEntries.Load()
 	return hello, errors.Join(conn.Write(wire.EntryHello{
 		Protocol: wire.ProtocolVersion, Entry: e.Incarnation(), Epoch: hello.Epoch,
