core/lease: let the first seed of the other models be a flag

What: -chain.first, and -fleet.first for the test of callers that leave an entry between gaps.

Why: each of their tests was played from seed 0 on.

--- a/core/lease/chain_test.go
+++ b/core/lease/chain_test.go
@@ -24,8 +24,11 @@
 	longestRenewal = 725 * time.Millisecond
 )
 
-// chainSeeds is the number of seeds that TestRunsEndSoonAfterTheirEntryIsLost plays.
-var chainSeeds = flag.Int("chain.seeds", 60, "seeds of the model with frozen processes")
+// Seeds that each test of the model plays.
+var (
+	chainSeeds = flag.Int("chain.seeds", 60, "seeds of the model with frozen processes")
+	chainFirst = flag.Uint64("chain.first", 0, "first seed of the model with frozen processes")
+)
 
 // chain connects entries, the two state machines of an agent process and a worker. The
 // process may be frozen between any two of its steps: between an event and its handling,
@@ -467,7 +470,7 @@
 // playChains plays the seeds of the model, each after prepare.
 func playChains(t *testing.T, prepare func(*chain)) {
 	var total chainCounts
-	for seed := range uint64(*chainSeeds) {
+	for seed := range seedRange(*chainFirst, *chainSeeds) {
 		c := newChain(t, seed)
 		prepare(c)
 		c.advance(8 * time.Second)
--- a/core/lease/fleetfaults_test.go
+++ b/core/lease/fleetfaults_test.go
@@ -126,7 +126,7 @@
 func TestRunOfCallerThatLeftEndsInTimeWhileEntryRunsBetweenGaps(t *testing.T) {
 	for gap := 50 * time.Millisecond; gap < entry.MinPause; gap += 15 * time.Millisecond {
 		for after := 100 * time.Millisecond; after <= 1300*time.Millisecond; after += 50 * time.Millisecond {
-			for seed := range uint64(3) {
+			for seed := range seedRange(*fleetFirst, 3) {
 				for _, slowNotices := range []bool{false, true} {
 					f := newFleet(seed)
 					f.faults, f.slowNotices = false, slowNotices
