Comments: what an unanswered start waits for, what checkedEvents counts

Found in review: the comment of endRunsOfGoneProcess named the lease, which no longer ends such a run, and that of checkedEvents was hard to follow. No code is changed.

--- a/core/lease/poll.go
+++ b/core/lease/poll.go
@@ -53,8 +53,8 @@
 // endRunsOfGoneProcess ends the runs that the worker had accepted: they have ended with
 // its process. One that was accepted after the poll was sent may be at the worker's next
 // process, because results may be handled late; the next poll decides. A run of which a
-// start call is unanswered stays open until its lease expires, because that call may still
-// reach the next incarnation.
+// start call is unanswered stays open: that call may still reach the next incarnation, see
+// startMayTakeEffect.
 func (m *Machine) endRunsOfGoneProcess(now time.Duration) {
 	for i := 0; i < len(m.ordered); {
 		if r := m.ordered[i]; !r.startInDoubt() && r.since < m.polledAt {
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -39,8 +39,8 @@
 	retryTimer *time.Timer   // fires when the next retry is due
 	retryAt    time.Duration // 0 if the timer is not set for a retry
 	retrySetAt time.Duration // when the timer was set
-	// checkedAt is when the callers were last checked, and checkedEvents the number of the
-	// next events that had arrived before.
+	// checkedAt is when the callers were last checked. checkedEvents is how many of the queued
+	// events had arrived before that.
 	checkedAt     time.Duration
 	checkedEvents int
 }
