fleet: abort a held request whose caller half-closes its connection

A caller that half-closes its connection counts as one that has left. If that happened between the opening of the listeners and the end of the start of an entry process, the handler returned, and net/http answered with status 200 and an empty body: a stored job was reported as accepted and a job that is not stored as completed, although the request had no effect. The window is some milliseconds long, longer if the process stands still in it. The handler now ends the connection without a reply, as elsewhere.

Found by reading. Failed before: TestRequestIsNotAnsweredBeforeProcessServes ("HTTP/1.1 200 OK", Content-Length 0).

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -341,7 +341,7 @@
 		select {
 		case <-n.serving:
 		case <-r.Context().Done():
-			return
+			panic(http.ErrAbortHandler) // a handler that returns replies with status 200
 		}
 		for time.Since(n.started) < startHoldTimeout && !n.Ready() && r.Context().Err() == nil {
 			ctxsleep.For(r.Context(), startPollInterval)
--- a/internal/fleet/ready_test.go
+++ b/internal/fleet/ready_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,6 +147,30 @@
 	await(t, n.Ready)
 }
 
+// Guards against an empty reply with status 200, which reports a job as accepted or completed,
+// to a caller that half-closes its connection while the process starts.
+func TestRequestIsNotAnsweredBeforeProcessServes(t *testing.T) {
+	n := &EntryNode{serving: make(chan struct{})}
+	received, handled := make(chan struct{}), false
+	held := n.holdWhileStarting(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled = true }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(received)
+		held.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = io.WriteString(c, "POST /a/0123456789abcdef HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	<-received
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	reply, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, string(reply), "")
+	assert.Assert(t, !handled)
+}
+
 func TestJobLogSettles(t *testing.T) {
 	for _, c := range []struct {
 		loaded, failed bool
