entryd: test requests that join a job while its last caller leaves

A request that joins a keyed job in the moment in which the job's last caller leaves gets the answer of the job that is being cancelled. It must not start the job anew, because the cancelled run is still being stopped.

--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -30,10 +30,15 @@
 func (e *Entry) AwaitCallersChecked() { e.awaitCallersChecked() }
 
 // Cancels returns the number of cancels that were sent to agents.
-func (e *Entry) Cancels() int {
+func (e *Entry) Cancels() int { return int(e.coreStatus().Stats.Cancels) }
+
+// Jobs returns the number of jobs in progress.
+func (e *Entry) Jobs() int { return e.coreStatus().Jobs }
+
+func (e *Entry) coreStatus() coreStatus {
 	reply := make(chan coreStatus, 1)
 	e.send(statusQuery{reply})
-	return int((<-reply).Stats.Cancels)
+	return <-reply
 }
 
 // Waiters returns the number of requests that wait for an answer.
--- a/internal/entryd/fixture_test.go
+++ b/internal/entryd/fixture_test.go
@@ -57,6 +57,7 @@
 	conn       *link.Conn
 	slots      int
 	run        func(wire.Start) wire.Result
+	cancel     func(wire.Seq) // called for each cancel, may be nil
 	mu         sync.Mutex
 	startCount int // starts received
 	wg         sync.WaitGroup
@@ -95,6 +96,11 @@
 		a.mu.Lock()
 		a.startCount += len(f.Starts)
 		a.mu.Unlock()
+		for _, seq := range f.Cancels {
+			if a.cancel != nil {
+				a.cancel(seq)
+			}
+		}
 		for _, s := range f.Starts {
 			a.wg.Go(func() {
 				r := a.run(s)
