core/entry: check that no run goes on uncancelled after the answer

A caller that gets 502 or 504 sends its job again 1.3 s later, so runs that go on then have to be cancelled with the answer. The random model now checks after each step that an attempt of an answered job at a connected agent was cancelled over that connection, by the step that gave the answer or one before, or by the step in which the agent connected again.

--- a/core/entry/faults_test.go
+++ b/core/entry/faults_test.go
@@ -28,6 +28,7 @@
 }
 
 func (sim *simulation) connect(a *modelAgent) {
+	a.forgotten = a.forgotten || !a.up && a.downAt > 0 && sim.now-a.downAt >= entry.DefaultLostAgentTimeout
 	a.epoch++
 	a.up = true
 	a.inbox = nil
@@ -136,7 +137,7 @@
 
 func (sim *simulation) loseLink(t *rapid.T) {
 	a := sim.pickAgent(t, func(a *modelAgent) bool { return a.up })
-	a.up = false
+	a.up, a.downAt = false, sim.now
 	a.inbox = nil
 	sim.step(entry.LinkDown{Agent: a.incarnation, Epoch: a.epoch})
 }
--- a/core/entry/model_test.go
+++ b/core/entry/model_test.go
@@ -121,6 +121,8 @@
 	attempts    map[wire.Seq]*modelAttempt
 	notReceived map[wire.Seq]bool // attempts that were reported as not received
 	inbox       []*wire.ToAgent
+	downAt      time.Duration // when its connection was lost
+	forgotten   bool          // it was without a connection for so long that the entry has removed it
 }
 
 // attemptsIn returns the attempts in a state, in the order of Seq.
--- a/core/entry/property_test.go
+++ b/core/entry/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"flag"
+	"maps"
 	"os"
 	"slices"
 	"testing"
@@ -53,6 +54,7 @@
 	// startsInTransit holds the starts sent to each agent, so that the report
 	// that one was not received can end its attempt.
 	startsInTransit map[wire.Incarnation]map[taskID]wire.Seq
+	cancelledEpochs map[wire.Incarnation]map[wire.Seq]wire.Epoch // connection of the last cancel
 	drained         bool
 }
 
@@ -61,6 +63,7 @@
 	sim := &simulation{
 		t: t, scheduler: s, jobs: map[wire.SubmissionID]*modelJob{},
 		startCounts: map[taskID]int{}, liveAttempts: map[taskID]int{}, nextIncarnation: 100,
+		cancelledEpochs: map[wire.Incarnation]map[wire.Seq]wire.Epoch{},
 		startsInTransit: map[wire.Incarnation]map[taskID]wire.Seq{}, outcomeKnown: map[taskID]bool{}, ranAndFailed: map[taskID]bool{},
 	}
 	sim.m = entry.New(entry.Options{Incarnation: 1, Scheduler: s, MaxAnswerBytes: 200})
@@ -73,6 +76,7 @@
 func (sim *simulation) newAgent(name string) *modelAgent {
 	sim.nextIncarnation++
 	sim.startsInTransit[sim.nextIncarnation] = map[taskID]wire.Seq{}
+	sim.cancelledEpochs[sim.nextIncarnation] = map[wire.Seq]wire.Epoch{}
 	return &modelAgent{
 		name: name, incarnation: sim.nextIncarnation,
 		attempts: map[wire.Seq]*modelAttempt{}, notReceived: map[wire.Seq]bool{},
@@ -94,9 +98,29 @@
 			sim.drained = true
 		}
 	}
+	sim.checkCancelled()
+}
+
+// checkCancelled fails if an agent is connected whose run, or queued task, of an answered job
+// was not cancelled over that connection. The caller may send the job again.
+func (sim *simulation) checkCancelled() {
+	for _, a := range sim.agents {
+		if a.dead || !a.up || a.forgotten {
+			continue
+		}
+		for _, seq := range slices.Sorted(maps.Keys(a.attempts)) {
+			at := a.attempts[seq]
+			if at.state != ended && sim.jobs[at.task.sub].answer != nil && sim.cancelledEpochs[a.incarnation][seq] != a.epoch {
+				sim.t.Fatalf("the job of task %v is answered, but its attempt %d at %s was not cancelled", at.task, seq, a.name)
+			}
+		}
+	}
 }
 
 func (sim *simulation) recordStarts(action entry.Send) {
+	for _, seq := range action.Frame.Cancels {
+		sim.cancelledEpochs[action.Agent][seq] = action.Epoch
+	}
 	for _, s := range action.Frame.Starts {
 		id := taskID{s.Submission, s.Index}
 		sim.liveAttempts[id]++
@@ -246,7 +270,7 @@
 // Guards against tasks that start twice, answers that are partial, wrong,
 // repeated or missing, and refusals of jobs that ran, when agents refuse
 // starts, lose links, crash, and deliver results late, twice or on the wrong
-// link.
+// link; and against runs that go on at connected agents after their job was answered.
 func TestEntryInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
