--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -1,6 +1,9 @@
 package entryd
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // EventQueueFull reports whether the core's event queue is full.
 func (e *Entry) EventQueueFull() bool { return len(e.events) == cap(e.events) }
@@ -27,10 +30,15 @@
 func (e *Entry) AwaitCallersChecked() { e.awaitCallersChecked() }
 
 // Cancels returns the number of cancels that were sent to agents.
-func (e *Entry) Cancels() int {
+func (e *Entry) Cancels() int { return int(e.coreStatus().Stats.Cancels) }
+
+// Jobs returns the number of jobs in progress.
+func (e *Entry) Jobs() int { return e.coreStatus().Jobs }
+
+func (e *Entry) coreStatus() coreStatus {
 	reply := make(chan coreStatus, 1)
 	e.send(statusQuery{reply})
-	return int((<-reply).Stats.Cancels)
+	return <-reply
 }
 
 // Waiters returns the number of requests that wait for an answer.
@@ -39,3 +47,9 @@
 	defer e.waiters.mu.Unlock()
 	return len(e.waiters.list)
 }
+
+// ArrivalOf returns when the request with the context arrived, on the entry's clock.
+func ArrivalOf(ctx context.Context) (at time.Duration, known bool) {
+	at, known = ctx.Value(arrivalKey{}).(time.Duration)
+	return at, known
+}
