core/agent: the answer to a hello renews the lease with the first frame behind it

Callers saw (in the model, no play shows it): a job that is not stored runs twice at the same time. Its caller leaves, the connection to the agent of its run is lost with the cancel, and the agent connects again. The answer to each hello renewed the lease of the entry's runs at once, but the cancel is only repeated in the first frame behind it. If the connection breaks between the two, again and again, the run of the caller that has left goes on, beside the one that another entry starts 1.3 s later.

Cause: a hello that is answered was taken as a proof that the entry still wants its runs. It is one only together with the queries and cancels that the entry sends as soon as it handles the connection. The entry always sends that frame, so the lease is now renewed as of the hello when the first frame on the connection is received.

Tests of core/agent, core/entry, core/lease, internal/agentd, internal/fleet, internal/entryd and internal/leased pass.

--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -66,6 +66,7 @@
 	downAt      time.Duration // when the link went down
 	sentAt      time.Duration // when the last frame was sent
 	aliveAt     time.Duration // latest time at which the entry is known to have been alive
+	helloSentAt time.Duration // of the last link, counts with each frame on it, see renewLease
 	// reportedUntil is the permission that was reported last, see Permissions.
 	reportedUntil time.Duration
 	lowestOpen    wire.Seq // newest wire.ToAgent.LowestOpenSeq: attempts below it are settled
@@ -173,7 +174,7 @@
 	rec.up = true
 	rec.epoch = e.Epoch
 	rec.sentAt = now
-	rec.renewLease(min(e.HelloSentAt, now))
+	rec.helloSentAt = min(e.HelloSentAt, now)
 	rec.discardOutput()
 	rec.queueSettledStarts()
 	rec.heartbeatDue = true
@@ -297,7 +298,9 @@
 }
 
 // renewLease renews the lease of the entry's runs with a time at which the agent sent
-// something that the entry has answered.
+// something that the entry has answered. The answer to a hello counts with the first frame
+// behind it, which repeats the cancels that were lost with the connection before: if the
+// connections broke again and again after the hello, a cancelled run would go on for good.
 func (rec *entryRecord) renewLease(echo time.Duration) { rec.aliveAt = max(rec.aliveAt, echo) }
 
 // removable reports whether the record of an entry can be removed: its link has
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -16,7 +16,8 @@
 	Epoch wire.Epoch
 	// HelloSentAt is when the agent sent the hello that the entry answered. The entry
 	// was alive then or later. The answer may have waited in the socket while this
-	// process was paused, so the time of this event is no evidence.
+	// process was paused, so the time of this event is no evidence. It renews the lease of
+	// the entry's runs when the first frame on the connection is received.
 	HelloSentAt time.Duration
 	// ConfigVersion is the configuration version stated in the entry's hello.
 	ConfigVersion int64
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -22,7 +22,7 @@
 	if rec == nil || !rec.up || rec.epoch != e.Epoch {
 		return // frame of a replaced connection
 	}
-	rec.renewLease(min(e.Frame.ClockEcho.Duration(), now))
+	rec.renewLease(max(rec.helloSentAt, min(e.Frame.ClockEcho.Duration(), now)))
 	m.adoptConfig(now, rec, e.Frame.Config)
 	m.settleBelow(rec, e.Frame.LowestOpenSeq)
 	e.Frame.RestorePayloads()
