soak: plays a site at its own size, with workers and callers as processes

Its jobs were over within 3 s with tasks of at most 1 s, its callers had 3 s for all tries, its workers were goroutines of the test process, and the paths of callers were never disturbed, so hardly a run was open when something broke.

A site file now gives zones, classes with run times, widths and deadlines, offered load, sizes of workers and the habits of callers. Workers and callers run as processes of their own and record what they do on the clock of the machine; the check reads these records. Faults of whole VMs, processes, all four kinds of paths, the store and the workers start 0.1 to 0.6 s apart and overlap; entries are replaced by others at new addresses. The check also reports refused jobs that ran and completed jobs with tasks that were not done.

--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -14,14 +14,15 @@
 type Clock struct{ start time.Duration }
 
 // New returns a clock that starts at zero.
-func New() Clock { return Clock{start: sinceBoot()} }
+func New() Clock { return Clock{start: SinceBoot()} }
 
 // Now returns the time since the clock was created.
-func (c Clock) Now() time.Duration { return sinceBoot() - c.start }
+func (c Clock) Now() time.Duration { return SinceBoot() - c.start }
 
-// sinceBoot returns the time since boot. clock_gettime does not fail for a valid
+// SinceBoot returns the time since the boot of the machine, which is the same for all of its
+// processes. clock_gettime does not fail for a valid
 // clock, and without a clock no lease could be measured, so a failure panics.
-func sinceBoot() time.Duration {
+func SinceBoot() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic("bootclock: " + err.Error())
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -78,6 +78,17 @@
 	return startCmd(name, func([]byte) (Event, bool) { return Event{}, false }, cmd)
 }
 
+// StartWithInput starts a binary as StartCommand does and returns its standard input.
+func StartWithInput(name, path string, args ...string) (*Process, io.WriteCloser, error) {
+	cmd := exec.Command(path, args...)
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := startCmd(name, func([]byte) (Event, bool) { return Event{}, false }, cmd)
+	return p, input, err
+}
+
 // startProcess starts a binary whose output is parsed for events.
 func startProcess(name string, parse parseFunc, path string, args ...string) (*Process, error) {
 	return startCmd(name, parse, exec.Command(path, args...))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -114,14 +114,14 @@
 	case 5:
 		f.vm = s.opts.Entries + r.IntN(s.opts.Workers)
 		f.name = "worker"
-		f.inject = s.workerFault(r, s.Workers[f.vm-s.opts.Entries], f.duration)
+		f.inject = s.workerFault(r, s.workers[f.vm-s.opts.Entries], f.duration)
 	case 7:
 		f.vm = r.IntN(s.opts.Entries)
 		f.name, f.duration = "links", minLinkFault+time.Duration(r.Int64N(int64(maxLinkFault)))
 		f.inject = s.linkFault(r, s.linkProxies[f.vm], f.duration)
 	case 8:
-		w := s.Workers[r.IntN(s.opts.Workers)]
-		f.vm, f.name = s.opts.Entries+slices.Index(s.Workers, w), "freeze of the worker"
+		w := s.workers[r.IntN(s.opts.Workers)]
+		f.vm, f.name = s.opts.Entries+slices.Index(s.workers, w), "freeze of the worker"
 		f.inject = func(ctx context.Context) error { w.Freeze(ctx, f.duration); return nil }
 	case 9:
 		f.name, f.duration = "configurations and SIGHUP", configCount*configInterval
@@ -218,7 +218,7 @@
 
 // workerFault returns a fault of the worker's calls or runs, or a restart of the
 // worker.
-func (s *System) workerFault(r *rand.Rand, w *emulator.Worker, duration time.Duration) func(context.Context) error {
+func (s *System) workerFault(r *rand.Rand, w worker, duration time.Duration) func(context.Context) error {
 	kind := r.IntN(5)
 	return func(ctx context.Context) error {
 		switch kind {
@@ -249,7 +249,7 @@
 			exited = errors.Join(exited, fmt.Errorf("soak: %s has exited by itself", p.Name))
 			s.markDown(vm)
 		}
-		if s.process(vm) == nil {
+		if s.process(vm) == nil && !s.isRemoved(vm) {
 			if err := s.StartVM(vm); err != nil {
 				return err
 			}
--- a/internal/soak/groups.go
+++ b/internal/soak/groups.go
@@ -64,7 +64,7 @@
 		for range stopsInSeries {
 			vm := s.opts.Entries + r.IntN(s.opts.Workers)
 			steps = append(steps, groupStep{vm: vm, after: interval, inject: func(ctx context.Context) error {
-				w := s.Workers[vm-s.opts.Entries]
+				w := s.workers[vm-s.opts.Entries]
 				w.SetFaults(faults)
 				defer w.SetFaults(emulator.WorkerFaults{})
 				if err := s.Stop(ctx, vm); err != nil {
@@ -90,7 +90,7 @@
 		for range stopsInSeries {
 			vm := s.opts.Entries + r.IntN(s.opts.Workers)
 			steps = append(steps, groupStep{vm: vm, after: interval, inject: func(context.Context) error {
-				s.Workers[vm-s.opts.Entries].Restart()
+				s.workers[vm-s.opts.Entries].Restart()
 				return nil
 			}})
 		}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -49,6 +49,14 @@
 	// AllFaults adds faults of the links between entries and agents, long tasks, callers
 	// that leave early, frozen workers and series of configurations with SIGHUP.
 	AllFaults bool
+	// Site, if not nil, gives the numbers of entries and workers in place of the fields
+	// above, and starts the workers as processes of their own.
+	Site *Site
+	// NodeBinary is the path of the binary of the stand-ins. Needed with Site.
+	NodeBinary string
+	// LateLease means that the workers of a site carry out a call before they notice that
+	// their lease has expired, as a worker that stood still may.
+	LateLease bool
 }
 
 // System is a set of entry and agent processes on an emulated platform.
@@ -61,9 +69,18 @@
 	// proxy.
 	storeProxies  []*faultproxy.Proxy
 	workerProxies []*faultproxy.Proxy
+	workerAddrs   []string // of the workers themselves, by worker
 	// linkProxies hold the proxies between the entries and their agents, by VM; nil
 	// without Options.AllFaults.
 	linkProxies []*faultproxy.Proxy
+	// callerProxies hold the proxies between callers and entries, by VM; nil without
+	// Options.Site.
+	callerProxies []*faultproxy.Proxy
+	workers       []worker
+	callers       *callerProcess // nil unless StartCallers was called
+	removed       []bool         // entries that are not to be started again, by VM
+	unstarted     []int          // VMs of the spare entries that were not started yet
+	processMu     []sync.Mutex   // by VM; held by faults of the VM's processes with Options.Site
 
 	mu     sync.Mutex        // guards procs, startedAt and output
 	output map[string]string // of processes that have exited, by VM name
@@ -75,11 +92,16 @@
 	if opts.AllFaults {
 		clusterOpts.LongShare, clusterOpts.LeaveShare = longShare, leaveShare
 	}
+	if opts.Site != nil {
+		opts.Entries, opts.Workers = opts.Site.entries()+opts.Site.SpareEntries, opts.Site.workers()
+		clusterOpts.Entries, clusterOpts.Workers, clusterOpts.ExternalWorkers = opts.Entries, opts.Workers, true
+		clusterOpts.Zones, clusterOpts.Routes = len(opts.Site.Zones), opts.Site.routes()
+	}
 	c, err := emulator.StartCluster(clusterOpts)
 	if err != nil {
 		return nil, err
 	}
-	s := &System{Cluster: c, opts: opts, procs: make([]*harness.Process, c.VMs()), startedAt: make([]time.Time, c.VMs()), output: make(map[string]string)}
+	s := &System{Cluster: c, opts: opts, removed: make([]bool, c.VMs()), processMu: make([]sync.Mutex, c.VMs()), procs: make([]*harness.Process, c.VMs()), startedAt: make([]time.Time, c.VMs()), output: make(map[string]string)}
 	if err := s.startProcesses(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -93,7 +115,15 @@
 			return err
 		}
 	}
+	if err := s.addWorkers(); err != nil {
+		return err
+	}
 	for vm := range s.VMs() {
+		if s.isSpare(vm) {
+			s.removed[vm] = true
+			s.unstarted = append(s.unstarted, vm)
+			continue
+		}
 		if err := s.StartVM(vm); err != nil {
 			return err
 		}
@@ -101,6 +131,24 @@
 	return s.AwaitReady(ctx)
 }
 
+// addWorkers starts the workers of a site, or takes those of the cluster.
+func (s *System) addWorkers() error {
+	for _, w := range s.Workers {
+		s.workers = append(s.workers, w)
+	}
+	if s.opts.Site == nil {
+		return nil
+	}
+	for i := range s.opts.Workers {
+		w := &workerProcess{system: s, index: i, listen: s.workerAddrs[i]}
+		s.workers = append(s.workers, w)
+		if err := w.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // addProxies puts proxies in front of the store and the worker of a VM.
 func (s *System) addProxies(settings *platform.Settings) error {
 	store, err := faultproxy.Start(settings.StoreAddr)
@@ -111,13 +159,21 @@
 	s.storeProxies = append(s.storeProxies, store)
 	var worker *faultproxy.Proxy
 	if settings.WorkerAddr != "" {
+		s.workerAddrs = append(s.workerAddrs, settings.WorkerAddr)
 		if worker, err = faultproxy.Start(settings.WorkerAddr); err != nil {
 			return err
 		}
 		settings.WorkerAddr = worker.Addr()
 	}
 	s.workerProxies = append(s.workerProxies, worker)
-	if s.opts.AllFaults {
+	if s.opts.Site != nil && settings.WorkerAddr == "" {
+		p, err := faultproxy.Start(settings.CallerAddr)
+		if err != nil {
+			return err
+		}
+		s.callerProxies = append(s.callerProxies, p)
+	}
+	if s.opts.AllFaults || s.opts.Site != nil {
 		return s.addLinkProxy(settings)
 	}
 	return nil
@@ -147,8 +203,23 @@
 // isEntry reports whether the VM runs an entry.
 func (s *System) isEntry(vm int) bool { return vm < s.opts.Entries }
 
-// StartVM starts the process of a VM that is down.
+// isSpare reports whether the VM runs an entry that is started in place of another one.
+func (s *System) isSpare(vm int) bool {
+	return s.opts.Site != nil && s.isEntry(vm) && vm >= s.opts.Site.entries()
+}
+
+// isRemoved reports whether the VM was removed or is a spare one that was not started yet.
+func (s *System) isRemoved(vm int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.removed[vm]
+}
+
+// StartVM starts the process of a VM that is down, unless the VM was removed.
 func (s *System) StartVM(vm int) error {
+	if s.isRemoved(vm) {
+		return nil
+	}
 	name := s.Settings(vm).Name
 	file := filepath.Join(s.opts.Dir, name+".yaml")
 	if err := os.WriteFile(file, s.SettingsFile(vm), 0o600); err != nil {
@@ -168,6 +239,13 @@
 	return nil
 }
 
+// worker is a worker of this process or a process of its own.
+type worker interface {
+	SetFaults(f emulator.WorkerFaults)
+	Freeze(ctx context.Context, d time.Duration)
+	Restart()
+}
+
 // process returns the process of a VM, nil if it is down.
 func (s *System) process(vm int) *harness.Process {
 	s.mu.Lock()
@@ -240,6 +318,9 @@
 // AwaitReady waits until every entry is ready.
 func (s *System) AwaitReady(ctx context.Context) error {
 	for vm := range s.opts.Entries {
+		if s.isRemoved(vm) {
+			continue
+		}
 		for !ready(ctx, s.Settings(vm).ReadyAddr) {
 			if ctx.Err() != nil {
 				return errors.Join(ctx.Err(), fmt.Errorf("soak: %s is not ready", s.Settings(vm).Name))
@@ -275,10 +356,18 @@
 
 // Close stops everything that was started.
 func (s *System) Close() {
+	if s.callers != nil {
+		s.callers.proc.Kill()
+	}
 	for vm := range s.procs {
 		s.Kill(vm)
 	}
-	for _, p := range slices.Concat(s.storeProxies, s.workerProxies, s.linkProxies) {
+	for _, w := range s.workers {
+		if w, ok := w.(*workerProcess); ok {
+			w.kill()
+		}
+	}
+	for _, p := range slices.Concat(s.storeProxies, s.workerProxies, s.linkProxies, s.callerProxies) {
 		if p != nil {
 			p.Close()
 		}
