--- a/core/lease/lapse_test.go
+++ b/core/lease/lapse_test.go
@@ -21,17 +21,6 @@
 	return s, run
 }
 
-// staySilent lets the worker leave polls unanswered for d.
-func (s *permissionScript) staySilent(d time.Duration) {
-	for end := s.now + d; s.now < end; {
-		s.now += 10 * time.Millisecond
-		s.step(Tick{})
-		if s.m.polling {
-			s.step(Polled{})
-		}
-	}
-}
-
 // Guards against a task that runs twice: the worker's process stands still for longer than
 // the lease, its run goes on and is reported as ended.
 func TestRunOfSilentWorkerIsNotReportedAsEndedWhenItsLeaseExpires(t *testing.T) {
