lease tests: share the lines that stood several times

Two tests of crashed workers had the same loop over events, expiry of the lease and silence; it is reasonsOfEnds now. A start that the worker accepts at once (9 places) is startAccepted, and an answer with ended runs only (9 places) answerPollWithEnds. Events, their order and their times are the same.

--- a/core/lease/lapse_test.go
+++ b/core/lease/lapse_test.go
@@ -13,8 +13,7 @@
 // worker that has not answered since it accepted the run.
 func newLapsedScript() (*permissionScript, wire.RunRef) {
 	s := newPermissionScript()
-	run := s.start("j", 1, 0)
-	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	run := s.startAccepted("j", 1, 0)
 	for s.now <= s.m.leaseEnd {
 		s.staySilent(10 * time.Millisecond)
 	}
@@ -34,9 +33,7 @@
 	assert.Equal(t, len(s.finished), 0)
 	assert.Equal(t, len(s.stops), 1, "the run is stopped")
 	s.step(Stopped{Run: run, Acknowledged: true})
-	s.step(Polled{Status: &WorkerStatus{
-		Incarnation: 1, Clock: s.workerClock(s.now), Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedStopped}},
-	}})
+	s.answerPollWithEnds(EndedRun{Number: 1, Run: run, Kind: EndedStopped})
 	assert.Equal(t, len(s.finished), 1)
 	assert.Equal(t, s.finished[0].Outcome, wire.Failed)
 	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded, "not stopped at the request of its entry")
--- a/core/lease/latecalls_test.go
+++ b/core/lease/latecalls_test.go
@@ -85,7 +85,7 @@
 	s.step(Tick{})
 	acknowledged := time.Duration(0)
 	for acknowledged == 0 && s.now-began < 5*time.Second {
-		s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: []EndedRun{end}}})
+		s.answerPollWithEnds(end)
 		s.now += 20 * time.Millisecond
 		s.step(Tick{})
 		if s.polls[len(s.polls)-1].AckUpTo > 0 {
--- a/core/lease/poll_test.go
+++ b/core/lease/poll_test.go
@@ -48,6 +48,33 @@
 	assert.Equal(t, answer(true), DefaultPollWait)
 }
 
+// reasonsOfEnds lets events happen that are the given time apart, and then the worker stay
+// silent until its lease has expired and for the given time after that. It returns the reasons
+// of the ends that the machine reports meanwhile.
+func reasonsOfEnds(m *Machine, now time.Duration, events []Event, apart, silence time.Duration) (reasons []wire.Reason) {
+	step := func(ev Event) {
+		for _, a := range m.Step(now, ev) {
+			if f, ok := a.(Finished); ok {
+				reasons = append(reasons, f.Reason)
+			}
+		}
+	}
+	for _, ev := range events {
+		now += apart
+		step(Tick{}) // sends the poll
+		step(ev)
+	}
+	now += 2 * DefaultLease
+	step(Tick{})
+	now += silence
+	for range 2 * lapsePolls {
+		now += 100 * time.Millisecond
+		step(Tick{})
+		step(Polled{})
+	}
+	return reasons
+}
+
 // Guards against a task that is blamed for a worker that only stopped answering, and
 // against one under which worker after worker crashes unnoticed.
 func TestCrashedWorkerIsToldFromSilentOne(t *testing.T) {
@@ -61,14 +88,14 @@
 	}
 	for _, c := range []struct {
 		name  string
-		polls []Polled // 100 ms apart
+		polls []Event // 100 ms apart
 		want  wire.Reason
 	}{
-		{"frozen or cut off", []Polled{silent, silent}, wire.ReasonRunEnded},
-		{"process gone", []Polled{silent, gone}, wire.ReasonWorkerCrashed},
-		{"process gone, then the machine", []Polled{gone, silent}, wire.ReasonWorkerCrashed},
-		{"restarted within the lease", []Polled{silent, idle(2)}, wire.ReasonWorkerCrashed},
-		{"alive without the run", []Polled{idle(1)}, wire.ReasonRunEnded},
+		{"frozen or cut off", []Event{silent, silent}, wire.ReasonRunEnded},
+		{"process gone", []Event{silent, gone}, wire.ReasonWorkerCrashed},
+		{"process gone, then the machine", []Event{gone, silent}, wire.ReasonWorkerCrashed},
+		{"restarted within the lease", []Event{silent, idle(2)}, wire.ReasonWorkerCrashed},
+		{"alive without the run", []Event{idle(1)}, wire.ReasonRunEnded},
 	} {
 		m := New(Options{})
 		now := time.Second
@@ -76,27 +103,7 @@
 		m.Step(now, Start{Run: run})
 		m.Step(now, Started{Run: run, Result: StartAccepted})
 		m.Step(now, running(1))
-		var got []wire.Reason
-		step := func(ev Event) {
-			for _, a := range m.Step(now, ev) {
-				if f, ok := a.(Finished); ok {
-					got = append(got, f.Reason)
-				}
-			}
-		}
-		for _, p := range c.polls {
-			now += 100 * time.Millisecond
-			step(Tick{}) // sends the poll
-			step(p)
-		}
-		now += 2 * DefaultLease
-		step(Tick{})
-		now += lapseTimeout
-		for range 2 * lapsePolls {
-			now += 100 * time.Millisecond
-			step(Tick{})
-			step(Polled{})
-		}
+		got := reasonsOfEnds(m, now, c.polls, 100*time.Millisecond, lapseTimeout)
 		assert.Assert(t, slices.Equal(got, []wire.Reason{c.want}), "%s: got %v, want %v", c.name, got, c.want)
 	}
 }
@@ -131,27 +138,7 @@
 		now := time.Second
 		m.Step(now, status(1))
 		m.Step(now, Start{Run: run})
-		var got []wire.Reason
-		step := func(ev Event) {
-			for _, a := range m.Step(now, ev) {
-				if f, ok := a.(Finished); ok {
-					got = append(got, f.Reason)
-				}
-			}
-		}
-		for _, ev := range c.events {
-			now += 10 * time.Millisecond
-			step(Tick{}) // sends the poll
-			step(ev)
-		}
-		now += 2 * DefaultLease
-		step(Tick{})
-		now += wire.MaxCallDelay + wire.MaxLateRun
-		for range 2 * lapsePolls {
-			now += 100 * time.Millisecond
-			step(Tick{})
-			step(Polled{})
-		}
+		got := reasonsOfEnds(m, now, c.events, 10*time.Millisecond, wire.MaxCallDelay+wire.MaxLateRun)
 		assert.Assert(t, slices.Equal(got, []wire.Reason{c.want}), "%s: got %v, want %v", c.name, got, c.want)
 	}
 }
@@ -189,8 +176,7 @@
 func TestAnswerHandledAfterFreezeAcknowledgesNothing(t *testing.T) {
 	for _, frozen := range []time.Duration{0, 60 * time.Millisecond, 240 * time.Millisecond, 3 * time.Second} {
 		s := newPermissionScript()
-		run := s.start("j", 1, s.now+time.Hour)
-		s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+		run := s.startAccepted("j", 1, s.now+time.Hour)
 		s.now += 10 * time.Millisecond
 		s.answerPoll(run) // the next poll is sent at this time
 		s.now += frozen
@@ -218,8 +204,7 @@
 			s := newPermissionScript()
 			var running []wire.RunRef
 			if busy {
-				run := s.start("j", 1, s.now+time.Hour)
-				s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+				run := s.startAccepted("j", 1, s.now+time.Hour)
 				running = append(running, run)
 			}
 			end := EndedRun{Number: 1, Run: wire.RunRef{Job: "other", Run: 1}, Kind: EndedSucceeded}
@@ -254,14 +239,13 @@
 		for _, stop := range []bool{false, true} { // whether a stop shows the restart, or the start
 			for _, idle := range []time.Duration{maxAckAge / 2, minRestartTime / 3} {
 				s := newPermissionScript()
-				earlier := s.start("earlier", 1, s.now+time.Hour)
-				s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
+				earlier := s.startAccepted("earlier", 1, s.now+time.Hour)
 				s.now += time.Millisecond
 				ended := []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}}
-				s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+				s.answerPollWithEnds(ended...)
 				s.now += DefaultAckDelay
 				s.step(Tick{})
-				s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}}) // sends the acknowledgement
+				s.answerPollWithEnds(ended...) // sends the acknowledgement
 				s.answerPoll()
 				assert.Equal(t, s.polls[len(s.polls)-1].AckUpTo, 5)
 
@@ -291,11 +275,10 @@
 func TestPollBesideStartAcknowledgesNothingAfterIdleTime(t *testing.T) {
 	const restart = 60 * time.Millisecond // the shortest time in which a worker restarts
 	s := newPermissionScript()
-	earlier := s.start("earlier", 1, s.now+time.Hour)
-	s.step(Started{Run: earlier, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	earlier := s.startAccepted("earlier", 1, s.now+time.Hour)
 	s.now += time.Millisecond
 	ended := []EndedRun{{Number: 5, Run: earlier, Kind: EndedSucceeded}}
-	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.answerPollWithEnds(ended...)
 	s.now += DefaultAckDelay // the worker restarts meanwhile
 	sent := len(s.polls)
 	s.start("j", 2, s.now+time.Hour)
@@ -304,7 +287,7 @@
 	assert.Equal(t, s.polls[sent].MaxWait, time.Duration(0))
 
 	// It has not restarted.
-	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.answerPollWithEnds(ended...)
 	assert.Equal(t, len(s.polls), sent+2)
 	assert.Equal(t, s.polls[sent+1].AckUpTo, 5)
 	assert.Assert(t, s.polls[sent+1].AckUntil < s.now+restart, "a poll that is sent later acknowledges nothing")
@@ -315,8 +298,7 @@
 // run was reported as ended, and lists the end of that run.
 func TestEndsAtRestartedWorkerAreLeftToTheNextAgent(t *testing.T) {
 	s := newPermissionScript()
-	run := s.start("j", 1, s.now+time.Hour)
-	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	run := s.startAccepted("j", 1, s.now+time.Hour)
 	s.now += time.Millisecond
 	status := &WorkerStatus{Incarnation: 2, Clock: time.Millisecond}
 	s.step(Polled{Status: status})
@@ -365,8 +347,7 @@
 // are handled in another order than they were given.
 func TestAnswersOutOfOrderAreNoRestart(t *testing.T) {
 	s := newPermissionScript()
-	run := s.start("j", 1, s.now+time.Hour)
-	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	run := s.startAccepted("j", 1, s.now+time.Hour)
 	s.now += 10 * time.Millisecond
 	s.step(Polled{Status: &WorkerStatus{
 		Incarnation: 1, Clock: s.workerClock(s.now), Running: []wire.RunRef{run},
@@ -382,14 +363,13 @@
 // acknowledged nothing, and the machine counts them as acknowledged.
 func TestWithheldAcknowledgementIsRepeated(t *testing.T) {
 	s := newPermissionScript()
-	run := s.start("j", 1, s.now+time.Hour)
-	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	run := s.startAccepted("j", 1, s.now+time.Hour)
 	s.now += time.Millisecond
 	ended := []EndedRun{{Number: 1, Run: run, Kind: EndedSucceeded}}
-	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.answerPollWithEnds(ended...)
 	s.now += DefaultAckDelay
 	s.step(Tick{})
-	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+	s.answerPollWithEnds(ended...)
 	sent := len(s.polls)
 	assert.Equal(t, s.polls[sent-1].AckUpTo, 1)
 	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}, AckWithheld: true})
--- a/core/lease/script_test.go
+++ b/core/lease/script_test.go
@@ -48,6 +48,11 @@
 	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Running: running}})
 }
 
+// answerPollWithEnds answers a poll now, with a list of ended runs and none in progress.
+func (s *permissionScript) answerPollWithEnds(ended ...EndedRun) {
+	s.step(Polled{Status: &WorkerStatus{Incarnation: 1, Clock: s.workerClock(s.now), Ended: ended}})
+}
+
 func (s *permissionScript) workerClock(t time.Duration) time.Duration { return t - 10*time.Second }
 
 // start requests the run of a task whose entry permits it until the given time.
@@ -57,6 +62,13 @@
 	return run
 }
 
+// startAccepted requests a run as start does, and lets the worker accept it now.
+func (s *permissionScript) startAccepted(job string, seq wire.Seq, permittedUntil time.Duration) wire.RunRef {
+	run := s.start(job, seq, permittedUntil)
+	s.step(Started{Run: run, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	return run
+}
+
 // staySilent lets the worker leave polls unanswered for d.
 func (s *permissionScript) staySilent(d time.Duration) {
 	for end := s.now + d; s.now < end; {
--- a/core/lease/stops_test.go
+++ b/core/lease/stops_test.go
@@ -34,8 +34,7 @@
 // record unanswered, as TestUnansweredStopIsRepeatedSoon does for recorded ones.
 func TestUnansweredStopOfForeignRunIsRepeatedSoon(t *testing.T) {
 	s := newPermissionScript()
-	own := s.start("j", 1, s.now+time.Hour)
-	s.step(Started{Run: own, Result: StartAccepted, Clock: s.workerClock(s.now)})
+	own := s.startAccepted("j", 1, s.now+time.Hour)
 	foreign := wire.RunRef{Job: "foreign", Run: 1}
 	s.now += 10 * time.Millisecond
 	s.answerPoll(own, foreign)
@@ -64,9 +63,7 @@
 	assert.Equal(t, len(s.stops), 1)
 	s.step(Stopped{Run: run, Acknowledged: true})
 	s.now += time.Millisecond
-	s.step(Polled{Status: &WorkerStatus{
-		Incarnation: 1, Clock: s.workerClock(s.now), Ended: []EndedRun{{Number: 1, Run: run, Kind: EndedStopped}},
-	}})
+	s.answerPollWithEnds(EndedRun{Number: 1, Run: run, Kind: EndedStopped})
 	assert.Equal(t, len(s.finished), 1)
 	assert.Equal(t, s.finished[0].Reason, wire.ReasonRunEnded)
 }
