durable tests: share the play of jobs beside faults

The random tests of removed keys and of replaced processes had the same loop over events, with other faults.

--- a/core/durable/replaced_test.go
+++ b/core/durable/replaced_test.go
@@ -1,7 +1,6 @@
 package durable_test
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -18,13 +17,9 @@
 func TestJobsRunOnceWhileReplacedProcessGoesOn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, durable.Options{}, rapid.IntRange(1, 3).Draw(t, "processes"))
-		w.advance(100 * time.Millisecond)
-		jobs := 0
-		for range rapid.IntRange(5, 30).Draw(t, "events") {
-			i := rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")
+		w.playJobsBesideFaults(func(event, i int, span time.Duration) bool {
 			p := w.processes[i]
-			span := time.Duration(rapid.IntRange(100, 6000).Draw(t, "span")) * time.Millisecond
-			switch rapid.IntRange(0, 8).Draw(t, "event") {
+			switch event {
 			case 0:
 				if len(w.processes) < 6 {
 					w.addresses++
@@ -37,11 +32,10 @@
 			case 3:
 				p.cutUntil = w.now + span
 			default:
-				jobs++
-				w.submit(p, fmt.Sprintf("j%d", jobs), rapid.IntRange(1, 4).Draw(t, "tasks"))
+				return false
 			}
-			w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
-		}
+			return true
+		})
 		w.endReplaced()
 		w.endFaults()
 		w.advance(recoveryTime)
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -147,6 +147,24 @@
 	return p
 }
 
+// playJobsBesideFaults lets 5 to 30 events happen at processes that are drawn. fault carries
+// out the event of a number from 0 to 8 at the process of an index, or returns false; then a
+// new job is submitted there.
+func (w *world) playJobsBesideFaults(fault func(event, process int, span time.Duration) bool) {
+	w.advance(100 * time.Millisecond)
+	jobs := 0
+	for range rapid.IntRange(5, 30).Draw(w.t, "events") {
+		i := rapid.IntRange(0, len(w.processes)-1).Draw(w.t, "process")
+		p := w.processes[i]
+		span := time.Duration(rapid.IntRange(100, 6000).Draw(w.t, "span")) * time.Millisecond
+		if !fault(rapid.IntRange(0, 8).Draw(w.t, "event"), i, span) {
+			jobs++
+			w.submit(p, fmt.Sprintf("j%d", jobs), rapid.IntRange(1, 4).Draw(w.t, "tasks"))
+		}
+		w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(w.t, "pause")) * time.Millisecond)
+	}
+}
+
 // restart kills a process and starts a new one on its VM.
 func (w *world) restart(i int) {
 	old := w.processes[i]
