fleet tests: share the start of agents beside such workers

Six places in replaced_test.go started the same agent beside a worker whose takeover is answered late (startBesideSlowTakeover now), two waited in the same way for replaced agents to stop (awaitReplacedStops), and two tests in takeover_test.go began with the same restart with an earlier start time (startBesideRestarting).

--- a/internal/fleet/replaced_test.go
+++ b/internal/fleet/replaced_test.go
@@ -28,16 +28,31 @@
 	return Takeover{Status: &lease.WorkerStatus{Incarnation: w.incarnation, Clock: time.Minute}, Fenced: true}, nil
 }
 
+// startBesideSlowTakeover starts the agent of a VM with such workers, whose polls are counted.
+func startBesideSlowTakeover(t *testing.T) (n *AgentNode, polls *atomic.Int64, answers *atomic.Bool) {
+	polls, answers = new(atomic.Int64), new(atomic.Bool)
+	n = StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
+		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
+	}})
+	t.Cleanup(n.Kill)
+	return n, polls, answers
+}
+
+// awaitReplacedStops waits until starts of the replaced agents can have no effect, and checks
+// that no agent is started after that.
+func awaitReplacedStops(t *testing.T, n *AgentNode) {
+	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) == 0 })
+	time.Sleep(2 * leftoverRetryDelay)
+	_, running := n.Status()
+	assert.Assert(t, !running, "an agent runs beside a worker that leaves")
+}
+
 // Guards against runs that wait for 12.5 s: a worker restarts, its takeover has fenced off the
 // replaced agent, whose polls are refused from then on, and the worker announces that it is
 // draining or deregisters before the takeover is answered.
 func TestDrainDuringTakeoverDoesNotLeaveReplacedAgentWaiting(t *testing.T) {
 	for _, deregister := range []bool{false, true} {
-		polls, answers := new(atomic.Int64), new(atomic.Bool)
-		n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-			return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
-		}})
-		t.Cleanup(n.Kill)
+		n, polls, answers := startBesideSlowTakeover(t)
 		n.HandleAnnouncement(announced(9, 1, false))
 		await(t, func() bool { _, running := n.Status(); return running })
 		n.HandleAnnouncement(announced(10, 1, false))
@@ -49,10 +64,7 @@
 			n.HandleAnnouncement(announced(10, 2, true))
 		}
 		answers.Store(true)
-		await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) == 0 })
-		time.Sleep(2 * leftoverRetryDelay)
-		_, running := n.Status()
-		assert.Assert(t, !running, "an agent runs beside a worker that leaves")
+		awaitReplacedStops(t, n)
 	}
 }
 
@@ -60,20 +72,13 @@
 // meanwhile: a worker restarts again while it is being taken over, which has fenced off the
 // replaced agent, and the first announcement of the third incarnation says that it is draining.
 func TestDrainingIncarnationIsTakenOverForReplacedAgent(t *testing.T) {
-	polls, answers := new(atomic.Int64), new(atomic.Bool)
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
-	}})
-	t.Cleanup(n.Kill)
+	n, _, answers := startBesideSlowTakeover(t)
 	n.HandleAnnouncement(announced(9, 1, false))
 	await(t, func() bool { _, running := n.Status(); return running })
 	n.HandleAnnouncement(announced(10, 1, false))
 	n.HandleAnnouncement(announced(11, 2, true))
 	answers.Store(true)
-	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.replaced) == 0 })
-	time.Sleep(2 * leftoverRetryDelay)
-	_, running := n.Status()
-	assert.Assert(t, !running, "an agent runs beside a worker that leaves")
+	awaitReplacedStops(t, n)
 }
 
 // Guards against two runs of one task: an agent process is stopped while its worker restarts,
@@ -81,11 +86,7 @@
 // carry out its unanswered starts. That incarnation restarts as well in one of the cases.
 func TestStopDuringTakeoverWaitsForReplacedAgent(t *testing.T) {
 	for _, restartsAgain := range []bool{false, true} {
-		polls, answers := new(atomic.Int64), new(atomic.Bool)
-		n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-			return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
-		}})
-		t.Cleanup(n.Kill)
+		n, polls, answers := startBesideSlowTakeover(t)
 		n.HandleAnnouncement(announced(9, 1, false))
 		await(t, func() bool { _, running := n.Status(); return running })
 		n.HandleAnnouncement(announced(10, 1, false))
@@ -120,11 +121,7 @@
 // name arrives, whose start time is later because the time of day was set back, and unanswered
 // starts at the current worker are given up although it may still carry them out.
 func TestAnnouncementOfAnotherNameAloneEndsNoStarts(t *testing.T) {
-	polls, answers := new(atomic.Int64), new(atomic.Bool)
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
-	}})
-	t.Cleanup(n.Kill)
+	n, _, answers := startBesideSlowTakeover(t)
 	n.HandleAnnouncement(announced(9, 1, false))
 	await(t, func() bool { _, running := n.Status(); return running })
 	late := announced(10, 1, false)
@@ -140,10 +137,7 @@
 // an earlier announcement was answered by the current incarnation and handled after that one
 // had announced itself.
 func TestLateTakeoverAnswerReplacesNoAgent(t *testing.T) {
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-		return slowTakeoverWorker{goneWorker{new(atomic.Int64)}, incarnation, new(atomic.Bool)}
-	}})
-	t.Cleanup(n.Kill)
+	n, _, _ := startBesideSlowTakeover(t)
 	n.HandleAnnouncement(announced(9, 1, false))
 	await(t, func() bool { _, running := n.Status(); return running })
 	assert.Assert(t, n.staleAnnouncement(8, &lease.WorkerStatus{Incarnation: 9, Clock: time.Minute}, 0) != "")
@@ -158,11 +152,7 @@
 func TestAgentFollowsWorkerThatRestartsAgainAndAgain(t *testing.T) {
 	const first, last = 10, 60 // incarnations
 	r := rand.New(rand.NewPCG(1, 1))
-	polls, answers := new(atomic.Int64), new(atomic.Bool)
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(_ string, incarnation int64) Worker {
-		return slowTakeoverWorker{goneWorker{polls}, incarnation, answers}
-	}})
-	t.Cleanup(n.Kill)
+	n, _, answers := startBesideSlowTakeover(t)
 	for incarnation := int64(first); incarnation <= last; incarnation++ {
 		answers.Store(r.IntN(2) == 0)
 		n.HandleAnnouncement(announced(incarnation, 1, r.IntN(8) == 0))
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -216,13 +216,13 @@
 	return &lease.WorkerStatus{Incarnation: w.incarnation.Load(), Clock: time.Minute}, nil
 }
 
-// Guards against a worker that is never used again: it restarted beside its agent with its
-// time of day set back, so the announcements of the new incarnation are taken for late ones
-// of one before.
-func TestWorkerThatRestartsWithEarlierStartTimeIsUsed(t *testing.T) {
-	incarnation, clients, polls := new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
+// startBesideRestarting starts the agent of a VM whose worker then restarts with its time of day
+// set back: the incarnation after 9 is 5. It returns the agent and how often a client was made.
+func startBesideRestarting(t *testing.T) (n *AgentNode, clients *atomic.Int64) {
+	clients = new(atomic.Int64)
+	incarnation, polls := new(atomic.Int64), new(atomic.Int64)
 	incarnation.Store(9)
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
+	n = StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
 		clients.Add(1)
 		return restartingWorker{goneWorker{polls}, incarnation}
 	}})
@@ -230,6 +230,14 @@
 	n.HandleAnnouncement(announced(9, 1, false))
 	await(t, func() bool { return polls.Load() >= 3 }) // the agent has polled the worker as well
 	incarnation.Store(5)
+	return n, clients
+}
+
+// Guards against a worker that is never used again: it restarted beside its agent with its
+// time of day set back, so the announcements of the new incarnation are taken for late ones
+// of one before.
+func TestWorkerThatRestartsWithEarlierStartTimeIsUsed(t *testing.T) {
+	n, clients := startBesideRestarting(t)
 	sequence := int64(0)
 	await(t, func() bool {
 		sequence++
@@ -242,16 +250,7 @@
 // earlier incarnation arrives after the agent has found the new one and before that one
 // announces itself.
 func TestLateAnnouncementDoesNotHideRestartWithEarlierStartTime(t *testing.T) {
-	incarnation, clients, polls := new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)
-	incarnation.Store(9)
-	n := StartAgent(AgentOptions{Name: "a", Zone: "z", NewWorker: func(string, int64) Worker {
-		clients.Add(1)
-		return restartingWorker{goneWorker{polls}, incarnation}
-	}})
-	t.Cleanup(n.Kill)
-	n.HandleAnnouncement(announced(9, 1, false))
-	await(t, func() bool { return polls.Load() >= 3 }) // the agent has polled the worker as well
-	incarnation.Store(5)
+	n, _ := startBesideRestarting(t)
 	await(t, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.answered == 5 })
 	n.HandleAnnouncement(announced(9, 2, false))
 	n.HandleAnnouncement(announced(5, 1, false))
