entry: call agents that get no more starts withdrawn

superseded stood for two things in core/entry: a finished run that does not count, and a connected agent at which nothing more is started because another one states a later takeover. The second is withdrawn now (agentLink.withdrawn, withdraw, useWithdrawn). Only unexported names change.

go test -race ./core/entry passes, 102 tests as before.

--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -21,7 +21,7 @@
 	up                bool
 	downAt            time.Duration // when the connection was lost
 	givenUp           bool          // see Machine.giveUpAttempts
-	superseded        bool          // see Machine.supersede
+	withdrawn         bool          // see Machine.withdraw
 	info              policy.AgentInfo
 	sentAt            time.Duration // when the last frame was sent
 	agentClock        wire.Micros   // latest reading of the agent's clock that was received
@@ -58,12 +58,12 @@
 		m.agents[h.Agent] = link
 		m.agentList = append(m.agentList, link)
 	}
-	if link.up && h.Epoch <= link.epoch || link.superseded && m.isReplaced(link) {
+	if link.up && h.Epoch <= link.epoch || link.withdrawn && m.isReplaced(link) {
 		return
 	}
 	link.up = true
 	link.givenUp = false
-	link.superseded = false
+	link.withdrawn = false
 	link.epoch = h.Epoch
 	link.sentAt = now
 	link.configVersion = h.ConfigVersion
@@ -115,7 +115,7 @@
 			older = append(older, link)
 		case !link.up: // see endLostRuns
 		case noLeftoverRuns:
-			m.supersede(now, link)
+			m.withdraw(now, link)
 		}
 	}
 	for _, link := range older {
@@ -194,7 +194,7 @@
 	link.downAt = now
 	link.outgoing = wire.ToAgent{}
 	m.scheduler.AgentDown(now, link.incarnation)
-	m.useSuperseded(now, link.name)
+	m.useWithdrawn(now, link.name)
 }
 
 // removeAgent removes an agent incarnation. The outcomes of its attempts become
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -17,10 +17,10 @@
 	return l.workerIncarnation == other.workerIncarnation
 }
 
-// supersede lets nothing more be started at an agent that is connected while one is that
+// withdraw lets nothing more be started at an agent that is connected while one is that
 // states a later takeover. Its attempts stay: it reports their ends if it has been replaced.
-func (m *Machine) supersede(now time.Duration, link *agentLink) {
-	link.superseded = true
+func (m *Machine) withdraw(now time.Duration, link *agentLink) {
+	link.withdrawn = true
 	m.scheduler.AgentDown(now, link.incarnation)
 }
 
@@ -32,11 +32,11 @@
 	})
 }
 
-// useSuperseded uses connected agents of the name again that no other one replaces.
-func (m *Machine) useSuperseded(now time.Duration, name string) {
+// useWithdrawn uses connected agents of the name again that no other one replaces.
+func (m *Machine) useWithdrawn(now time.Duration, name string) {
 	for _, link := range m.agentList {
-		if link.name == name && link.superseded && link.up && !m.isReplaced(link) {
-			link.superseded = false
+		if link.name == name && link.withdrawn && link.up && !m.isReplaced(link) {
+			link.withdrawn = false
 			m.scheduler.AgentUp(now, link.info)
 		}
 	}
