durable, keeper: call a process whose jobs were taken over fenced off

superseded stood for two things: a finished run that does not count, and a process whose appends the log refuses because another one takes over its jobs. The second is fenced off now, as for clients of workers: durable.FencedOff (an AppendOutcome), durable.Machine.FencedOff and keeper.FencedOff, in place of Superseded. The event keeps its name, keeper_superseded.

--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -7,7 +7,7 @@
 // flush writes everything that is waiting in one append: requests of callers,
 // the status of owned jobs, and the lease if it is due for renewal.
 func (m *Machine) flush(now time.Duration) {
-	if m.inFlight != nil || now < m.nextAppendAt || !m.loaded || m.superseded || m.left {
+	if m.inFlight != nil || now < m.nextAppendAt || !m.loaded || m.fencedOff || m.left {
 		return
 	}
 	b := &batch{sentAt: now}
@@ -124,8 +124,8 @@
 		m.refuseUntil = now + refusalBackoff
 		m.nextAppendAt = m.refuseUntil
 		m.abort(b)
-	case Superseded:
-		m.superseded = true
+	case FencedOff:
+		m.fencedOff = true
 		m.abort(b)
 	}
 }
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -192,7 +192,7 @@
 	leaseSentAt  time.Duration // when the newest recorded append was sent
 	leaseGranted bool          // whether leaseSentAt is valid
 	refuseUntil  time.Duration // new jobs are refused until then
-	superseded   bool          // another process has taken over this one's jobs
+	fencedOff    bool          // another process has taken over this one's jobs
 
 	driveQueue     []*job // owned jobs that are not being driven
 	driveCount     int    // jobs that are being driven
@@ -281,8 +281,8 @@
 // Loaded reports whether the whole log has been read.
 func (m *Machine) Loaded() bool { return m.loaded }
 
-// Superseded reports whether another process has taken over this one's jobs.
-func (m *Machine) Superseded() bool { return m.superseded }
+// FencedOff reports whether another process has taken over this one's jobs.
+func (m *Machine) FencedOff() bool { return m.fencedOff }
 
 // ViewAge returns the age of the view, which contains every record that was in the
 // log that long ago.
@@ -317,7 +317,7 @@
 
 // mayDrive reports whether this process holds a valid lease.
 func (m *Machine) mayDrive(now time.Duration) bool {
-	return m.leaseGranted && !m.superseded && !m.leaving && now-m.leaseSentAt < m.opts.Lease
+	return m.leaseGranted && !m.fencedOff && !m.leaving && now-m.leaseSentAt < m.opts.Lease
 }
 
 func (m *Machine) owns(j *job) bool { return j.owner.Incarnation == m.opts.Self.Incarnation }
--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -55,9 +55,9 @@
 	Recorded AppendOutcome = iota + 1
 	// NotRecorded: the records are not in the log and never will be.
 	NotRecorded
-	// Superseded: another process has fenced this one off and takes over its jobs.
+	// FencedOff: another process has fenced this one off and takes over its jobs.
 	// The machine must be replaced by one with a new incarnation.
-	Superseded
+	FencedOff
 )
 
 // Fenced reports the outcome of a Fence.
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -20,7 +20,7 @@
 		return
 	}
 	switch {
-	case !m.loaded || m.leaving || m.superseded || m.logUnresponsive(now) || now < m.refuseUntil:
+	case !m.loaded || m.leaving || m.fencedOff || m.logUnresponsive(now) || now < m.refuseUntil:
 		m.emit(Reply{Token: e.Token, Result: Unavailable})
 		return
 	case m.ownedCount+len(m.pending) >= m.opts.MaxJobs:
@@ -58,7 +58,7 @@
 func (m *Machine) resolveCancel(now time.Duration, c pendingCancel) bool {
 	j := m.jobs[c.Job]
 	switch {
-	case m.superseded || m.left || m.logUnresponsive(now) || now < m.refuseUntil:
+	case m.fencedOff || m.left || m.logUnresponsive(now) || now < m.refuseUntil:
 		m.emit(Reply{Token: c.Token, Result: Unavailable})
 	case j == nil && m.viewAt <= c.at:
 		return false
@@ -291,7 +291,7 @@
 	if !m.leaving || m.left || m.driveCount > 0 || m.inFlight != nil {
 		return
 	}
-	if m.ownedCount == 0 || m.superseded {
+	if m.ownedCount == 0 || m.fencedOff {
 		m.left = true
 		m.emit(Left{})
 	}
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -354,7 +354,7 @@
 // scan looks for jobs of lost processes and for records that are no longer
 // needed.
 func (m *Machine) scan(now time.Duration) {
-	if now < m.nextScanAt || !m.loaded || m.superseded {
+	if now < m.nextScanAt || !m.loaded || m.fencedOff {
 		return
 	}
 	m.nextScanAt = now + scanInterval
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -232,14 +232,14 @@
 		p.nextTick = w.now + 25*time.Millisecond
 		p.inbox = append(p.inbox, durable.Tick{})
 	}
-	for len(p.inbox) > 0 && !p.machine.Superseded() {
+	for len(p.inbox) > 0 && !p.machine.FencedOff() {
 		ev := p.inbox[0]
 		p.inbox = p.inbox[1:]
 		for _, a := range slices.Clone(p.machine.Step(w.now, ev)) {
 			w.apply(p, a)
 		}
 	}
-	if p.machine.Superseded() {
+	if p.machine.FencedOff() {
 		w.replaceMachine(p)
 	}
 }
@@ -249,7 +249,7 @@
 	for _, job := range slices.Sorted(maps.Keys(p.drives)) {
 		w.halt(p, p.drives[job])
 	}
-	w.t.Logf("%v %s (%x): superseded", w.now, p.name, p.self)
+	w.t.Logf("%v %s (%x): fenced off", w.now, p.name, p.self)
 	unacknowledged := p.machine.UnacknowledgedRuns()
 	replacement := w.newProcessAt(p.vm, p.address)
 	p.self, p.machine, p.nextAppend, p.hasOffset = replacement.self, replacement.machine, 0, false
@@ -343,7 +343,7 @@
 	carryOut := func() durable.AppendOutcome {
 		id := fmt.Sprint(self, ".", number)
 		if w.fenced[self] {
-			return durable.Superseded
+			return durable.FencedOff
 		}
 		if !w.appended[id] {
 			w.appended[id] = true
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -38,8 +38,8 @@
 	Appended AppendResult = iota + 1
 	// Rejected: this attempt had no effect.
 	Rejected
-	// Superseded: the writer was fenced off.
-	Superseded
+	// FencedOff: another process has fenced the writer off.
+	FencedOff
 	// NoAnswer: the attempt may have been carried out, or may still be.
 	NoAnswer
 )
@@ -285,7 +285,7 @@
 			k.drivenJobs[d.Spec.ID] = true
 		}
 	}
-	halted := k.replaceSuperseded()
+	halted := k.replaceFencedOff()
 	k.mu.Unlock()
 	for _, a := range actions {
 		k.apply(a)
@@ -295,10 +295,10 @@
 	}
 }
 
-// replaceSuperseded starts a new incarnation if another process has taken the
+// replaceFencedOff starts a new incarnation if another process has taken the
 // jobs over. It returns the jobs whose runs must stop.
-func (k *Keeper) replaceSuperseded() []string {
-	if !k.machine.Superseded() {
+func (k *Keeper) replaceFencedOff() []string {
+	if !k.machine.FencedOff() {
 		return nil
 	}
 	k.opts.Events.Emit(eventlog.KeeperSuperseded, eventlog.Fields{Count: int64(len(k.drivenJobs))})
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -123,8 +123,8 @@
 		switch {
 		case result == Appended:
 			return durable.Recorded
-		case result == Superseded:
-			return durable.Superseded
+		case result == FencedOff:
+			return durable.FencedOff
 		case result == Rejected && !unresolved:
 			k.opts.Events.Emit(eventlog.JobAppendRejected, eventlog.Fields{Count: int64(len(records)), Err: err})
 			return durable.NotRecorded
