fleet: name the deregistered worker and the changed announcement

AgentNode.left was the worker incarnation that has deregistered; in internal/entryd and in the models left says that a caller has gone. It is deregistered now, its type deregisteredWorker. In probeRenamedLocked, superseded was an announced worker that has changed meanwhile, not a finished run; it is changed now. Only unexported names change.

go test -race ./internal/fleet passes.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -70,9 +70,10 @@
 	// the announced one, 0 if none did. It may be lower: the worker's time of day may
 	// have been set back.
 	answered int64
-	left     leftWorker // the last that has deregistered
-	probing  bool       // see probeRenamedLocked
-	current  *agentd.Agent
+	// deregistered is the last worker incarnation that has deregistered.
+	deregistered deregisteredWorker
+	probing      bool // see probeRenamedLocked
+	current      *agentd.Agent
 	// workerEvents passes WorkerReplaced and WorkerFenced to current.
 	workerEvents chan lease.Event
 	replaced     []replacedAgent    // agents of earlier incarnations, until starts of theirs can have no effect
@@ -98,7 +99,7 @@
 	if n.ctx.Err() != nil || n.stopped && len(n.replaced) == 0 {
 		return
 	}
-	if n.left == (leftWorker{a.Worker, a.Incarnation}) {
+	if n.deregistered == (deregisteredWorker{a.Worker, a.Incarnation}) {
 		a.Draining = true // it was sent before the deregistration
 	}
 	newIncarnation := n.announced.Worker == "" || a.Incarnation > n.announced.Incarnation ||
@@ -135,8 +136,8 @@
 	}
 }
 
-// leftWorker is a worker incarnation that has deregistered.
-type leftWorker struct {
+// deregisteredWorker is a worker incarnation that has deregistered.
+type deregisteredWorker struct {
 	worker      string
 	incarnation int64 // 0 if none has deregistered, or if it was not stated
 }
@@ -147,7 +148,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if incarnation != 0 {
-		n.left = leftWorker{worker, incarnation}
+		n.deregistered = deregisteredWorker{worker, incarnation}
 	}
 	earlier := incarnation != 0 && incarnation < n.announced.Incarnation
 	if n.announced.Worker == worker && !earlier {
--- a/internal/fleet/renamed.go
+++ b/internal/fleet/renamed.go
@@ -26,8 +26,8 @@
 		defer n.mu.Unlock()
 		n.probing = false
 		isCurrent := status != nil && status.Incarnation != 0 && status.Incarnation == a.Incarnation
-		superseded := n.announced.Worker != current.Worker || n.announced.Incarnation != current.Incarnation
-		if !isCurrent || superseded || n.stopped {
+		changed := n.announced.Worker != current.Worker || n.announced.Incarnation != current.Incarnation
+		if !isCurrent || changed || n.stopped {
 			worker.Close()
 			return
 		}
