--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -25,6 +25,7 @@
 var (
 	siteFile      = flag.String("soak.site", "testdata/small-site.toml", "site file that TestTasksRunOnceAtATimeOnSite plays")
 	lateLease     = flag.Bool("soak.latelease", false, "workers notice the end of their lease only with their next step")
+	keepNames     = flag.Bool("soak.keepnames", false, "workers come back under their names after a restart")
 	siteFaultTime = flag.Duration("soak.faulttime", 8*time.Second, "how long faults are injected")
 )
 
@@ -49,7 +50,7 @@
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			playSite(t, soak.Options{
-				Binary: cmp.Or(*binary, bin.Limpettrail), NodeBinary: bin.Node, Dir: t.TempDir(), Seed: seed, Site: site, LateLease: *lateLease,
+				Binary: cmp.Or(*binary, bin.Limpettrail), NodeBinary: bin.Node, Dir: t.TempDir(), Seed: seed, Site: site, LateLease: *lateLease, KeepNames: *keepNames,
 			})
 		})
 	}
--- a/internal/soak/siteprocesses.go
+++ b/internal/soak/siteprocesses.go
@@ -19,7 +19,8 @@
 // workerRestartDelay is how long a restarted worker process is down.
 const workerRestartDelay = 60 * time.Millisecond
 
-// workerProcess is a worker that runs as a process of its own. Each process has a new name.
+// workerProcess is a worker that runs as a process of its own. Each process has a new name
+// unless Options.KeepNames is set.
 type workerProcess struct {
 	system *System
 	index  int
@@ -43,7 +44,11 @@
 	defer w.mu.Unlock()
 	site, settings := w.system.opts.Site, w.system.Settings(w.system.opts.Entries+w.index)
 	life := len(w.lives)
-	name := fmt.Sprintf("i-%d-%d", w.index, life)
+	process := fmt.Sprintf("i-%d-%d", w.index, life)
+	name := process
+	if w.system.opts.KeepNames {
+		name = fmt.Sprintf("i-%d", w.index)
+	}
 	cfg := WorkerConfig{
 		Name: name, Listen: w.listen, Zone: settings.Zone, Rack: fmt.Sprintf("r%d", w.index/7), AgentAddr: settings.AnnounceAddr,
 		CPU: site.Workers.CPU[w.index%len(site.Workers.CPU)], MemMb: site.Workers.MemMb,
@@ -53,7 +58,7 @@
 		Age:       time.Duration((w.index*37+life*11)%300) * time.Second,
 		Seed:      w.system.opts.Seed<<16 + uint64(w.index)<<8 + uint64(life),
 	}
-	p, input, record, err := w.system.startStandIn(name, "worker", cfg)
+	p, input, record, err := w.system.startStandIn(process, "worker", cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -54,6 +54,8 @@
 	Site *Site
 	// NodeBinary is the path of the binary of the stand-ins. Needed with Site.
 	NodeBinary string
+	// KeepNames means that a worker of a site comes back under its name after a restart.
+	KeepNames bool
 	// LateLease means that the workers of a site carry out a call before they notice that
 	// their lease has expired, as a worker that stood still may.
 	LateLease bool
