entryd: state to the machine when a request arrived

After a pause of a second or more an entry starts nothing more of jobs that are not stored and were received more than a second ago, because their callers may have sent them again 1.3 s after their connection broke. A request that waited in its socket during the pause was taken as received when it was read, so the same job was refused if it had been read before the pause and started if not. Its caller may have left without the end of the connection arriving; the run then went on until the deadline, beside that of the second request.

Such requests are refused as not run.

Found by reading.

--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -53,3 +53,11 @@
 	at, known = ctx.Value(arrivalKey{}).(time.Duration)
 	return at, known
 }
+
+// StallCore keeps the core goroutine from running for d.
+func (e *Entry) StallCore(d time.Duration) {
+	reply := make(chan coreStatus) // without room, so the core waits for the receiver
+	e.send(statusQuery{reply})
+	time.Sleep(d)
+	<-reply
+}
--- a/internal/entryd/latereads_test.go
+++ b/internal/entryd/latereads_test.go
@@ -238,3 +238,16 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: a request that arrived before a pause is
+// read after it, and its job is started, although its caller may have sent it again.
+func TestRequestThatArrivedBeforePauseStartsNothingAfterIt(t *testing.T) {
+	l := startLateEntry(t, time.Minute)
+	write(t, l.dial(t), jobHeader+jobBody)
+	l.StallCore(resendDelay)
+	l.accept()
+	answer := <-l.answers
+	assert.Equal(t, answer.Reason, entry.ReasonEntryPaused)
+	assert.Equal(t, answer.Outcome, entry.Refused)
+	assert.Equal(t, l.agent.starts(), 0)
+}
--- a/internal/entryd/submit.go
+++ b/internal/entryd/submit.go
@@ -47,7 +47,9 @@
 	}
 	// The machine may have been suspended as a whole, and the kernel have got the request
 	// only afterwards, so the time of the pause counts as well.
-	waited = max(waited, sinceArrival(ctx, receivedAt))
+	age := sinceArrival(ctx, receivedAt)
+	arrivedAt := max(1, receivedAt-age) // 0 means now to the machine
+	waited = max(waited, age)
 	if waited > 0 {
 		shortened := *j
 		shortened.Deadline -= waited
@@ -66,7 +68,7 @@
 				Duration: j.DeclaredRunTime, Age: j.Deadline, Version: e.ConfigVersion(),
 			})
 		}
-		e.send(callerJob{sub, j.submitEvent(sub.id, receivedAt)})
+		e.send(callerJob{sub, j.submitEvent(sub.id, receivedAt, arrivedAt)})
 	}
 	return e.waitForAnswer(ctx, w)
 }
@@ -101,10 +103,11 @@
 	return newSubmission(&r)
 }
 
-// submitEvent returns the event that submits the job to the machine.
-func (j *Job) submitEvent(id wire.SubmissionID, receivedAt time.Duration) entry.Submit {
+// submitEvent returns the event that submits the job to the machine. The job's deadline counts
+// from receivedAt.
+func (j *Job) submitEvent(id wire.SubmissionID, receivedAt, arrivedAt time.Duration) entry.Submit {
 	return entry.Submit{
-		Submission: id, Class: j.Class, Deadline: j.Deadline, ReceivedAt: receivedAt, Need: j.Need, DeclaredRunTime: j.DeclaredRunTime,
+		Submission: id, Class: j.Class, Deadline: j.Deadline + receivedAt - arrivedAt, ReceivedAt: arrivedAt, Need: j.Need, DeclaredRunTime: j.DeclaredRunTime,
 		Payloads: j.Payloads, Job: j.Name, MaxFailedRuns: j.MaxFailedRuns, Steps: j.Steps,
 	}
 }
