entryd: take the arrival of requests on MPTCP connections as unknown

Go's listeners accept MPTCP. For such a socket the kernel answers TCP_INFO with the values of the first path alone. If a request comes on another path, the age of the last data there is too large, by any amount: its deadline would be over before it was sent, and the job refused. The deadline of these jobs counts from the reading, as it does wherever the kernel does not tell.

Found by reading; a connection of two paths was not tried, because that needs other settings of the machine. Failed before: TestArrivalOnConnectionOfSeveralPathsIsNotKnown (kernel 6.18, one path).

--- a/internal/entryd/arrival.go
+++ b/internal/entryd/arrival.go
@@ -40,10 +40,14 @@
 // lastDataAge returns how long ago the last data arrived in the kernel on the connection of
 // a request, with the resolution of the kernel's timer, 10 ms or less. Segments without data,
 // such as the end of the connection, and repeated ones do not count. If more requests follow
-// on the connection, the age is that of the last one.
+// on the connection, the age is that of the last one. With MPTCP, which Go's listeners accept,
+// the kernel tells the age on the first path only, and the data may have come on another one.
 func lastDataAge(ctx context.Context) (age time.Duration, ok bool) {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
 	controlSocket(c, func(fd int) {
+		if p, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_PROTOCOL); err != nil || p != unix.IPPROTO_TCP {
+			return
+		}
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			age, ok = time.Duration(info.Last_data_recv)*time.Millisecond, true
 		}
--- a/internal/entryd/latereads_test.go
+++ b/internal/entryd/latereads_test.go
@@ -251,3 +251,28 @@
 	assert.Equal(t, answer.Outcome, entry.Refused)
 	assert.Equal(t, l.agent.starts(), 0)
 }
+
+// Guards against jobs that are refused as too late: a connection of several paths (MPTCP)
+// takes data on any of them, but the kernel tells the age of the data on the first one.
+func TestArrivalOnConnectionOfSeveralPathsIsNotKnown(t *testing.T) {
+	known := make(chan bool, 1)
+	e := startEntry(t, entryd.Options{
+		Core: entry.Options{ResendDelay: resendDelay},
+		CallerHandler: func(entryd.Submitter) http.Handler {
+			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, ok := entryd.ArrivalOf(r.Context())
+				known <- ok
+			})
+		},
+	})
+	var dialer net.Dialer
+	dialer.SetMultipathTCP(true)
+	c, err := dialer.Dial("tcp", e.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	if multipath, err := c.(*net.TCPConn).MultipathTCP(); err != nil || !multipath {
+		t.Skip("the kernel does not support MPTCP")
+	}
+	write(t, c, firstRequest)
+	assert.Assert(t, !<-known)
+}
