soak: start a spare entry only once

A planned replacement took the spare entry for in use while the entry that it replaces was still stopping. A kill or a stop in turn that was drawn for the spare one meanwhile found it down and started it, and the replacement started it as well. The spare entry is now in use from its start, under the lock of the faults of its processes. It is started also if the other one had to be killed.

Found by reading. No soak was run with the change.

--- a/internal/soak/sitefaults.go
+++ b/internal/soak/sitefaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -374,7 +375,7 @@
 		}
 		next := s.unstarted[0]
 		s.unstarted = s.unstarted[1:]
-		s.removed[vm], s.removed[next] = true, false
+		s.removed[vm] = true
 		s.mu.Unlock()
 		var err error
 		if planned {
@@ -384,15 +385,23 @@
 			s.Kill(vm)
 			s.leaveRotationLater(vm, 2*rotationDelay)
 		}
-		if err != nil {
-			return err
-		}
-		err = s.StartVM(next)
-		s.joinRotation(ctx, next)
-		return err
+		return errors.Join(err, s.startSpare(ctx, next))
 	})
 }
 
+// startSpare starts a spare entry. Other faults find it in use only once it runs: they would
+// start it as well.
+func (s *System) startSpare(ctx context.Context, vm int) error {
+	s.processMu[vm].Lock()
+	defer s.processMu[vm].Unlock()
+	s.mu.Lock()
+	s.removed[vm] = false
+	s.mu.Unlock()
+	err := s.StartVM(vm)
+	s.joinRotation(ctx, vm)
+	return err
+}
+
 // removedWorkers drains workers, removes their VMs and starts others at their addresses.
 func (s *System) removedWorkers(r *rand.Rand) siteFault {
 	left := between(r, 500*time.Millisecond, drainTime)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -101,7 +101,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{Cluster: c, opts: opts, removed: make([]bool, c.VMs()), processMu: make([]sync.Mutex, c.VMs()), procs: make([]*harness.Process, c.VMs()), startedAt: make([]time.Time, c.VMs()), output: make(map[string]string)}
+	s := &System{Cluster: c, opts: opts}
+	s.allocate()
 	if err := s.startProcesses(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -109,6 +110,13 @@
 	return s, nil
 }
 
+// allocate allocates the state of the VMs.
+func (s *System) allocate() {
+	n := s.VMs()
+	s.removed, s.processMu, s.output = make([]bool, n), make([]sync.Mutex, n), make(map[string]string)
+	s.procs, s.startedAt = make([]*harness.Process, n), make([]time.Time, n)
+}
+
 func (s *System) startProcesses(ctx context.Context) error {
 	for vm := range s.VMs() {
 		if err := s.addProxies(s.Settings(vm)); err != nil {
