--- a/internal/entryd/latereads_test.go
+++ b/internal/entryd/latereads_test.go
@@ -238,3 +238,41 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: a request that arrived before a pause is
+// read after it, and its job is started, although its caller may have sent it again.
+func TestRequestThatArrivedBeforePauseStartsNothingAfterIt(t *testing.T) {
+	l := startLateEntry(t, time.Minute)
+	write(t, l.dial(t), jobHeader+jobBody)
+	l.StallCore(resendDelay)
+	l.accept()
+	answer := <-l.answers
+	assert.Equal(t, answer.Reason, entry.ReasonEntryPaused)
+	assert.Equal(t, answer.Outcome, entry.Refused)
+	assert.Equal(t, l.agent.starts(), 0)
+}
+
+// Guards against jobs that are refused as too late: a connection of several paths (MPTCP)
+// takes data on any of them, but the kernel tells the age of the data on the first one.
+func TestArrivalOnConnectionOfSeveralPathsIsNotKnown(t *testing.T) {
+	known := make(chan bool, 1)
+	e := startEntry(t, entryd.Options{
+		Core: entry.Options{ResendDelay: resendDelay},
+		CallerHandler: func(entryd.Submitter) http.Handler {
+			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, ok := entryd.ArrivalOf(r.Context())
+				known <- ok
+			})
+		},
+	})
+	var dialer net.Dialer
+	dialer.SetMultipathTCP(true)
+	c, err := dialer.Dial("tcp", e.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	if multipath, err := c.(*net.TCPConn).MultipathTCP(); err != nil || !multipath {
+		t.Skip("the kernel does not support MPTCP")
+	}
+	write(t, c, firstRequest)
+	assert.Assert(t, !<-known)
+}
