soak: tell how long the test process stood still

The proxies and the store of a site run in the test process. On a machine with much other work it gets its turn late, and a run that overlaps by less than that may be the fault of a proxy. The summary now gives the longest gap.

--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -65,6 +65,7 @@
 	defer s.Close()
 	defer saveSiteLogs(t, s, opts)
 	assert.NilError(t, s.StartCallers())
+	longestGap := soak.WatchGaps(ctx)
 	time.Sleep(warmUp)
 	faults := s.InjectSiteFaults(ctx, t.Logf, rand.New(rand.NewPCG(opts.Seed, 11)), *siteFaultTime)
 	if err := s.Recover(ctx); err != nil {
@@ -77,7 +78,7 @@
 	for _, v := range violations {
 		t.Error(v)
 	}
-	t.Logf("%+v", summary)
+	t.Logf("longest gap of this process %v; %+v", longestGap().Round(time.Millisecond), summary)
 	assert.Check(t, summary.CompletedBefore >= minCompletedBefore, "of the jobs before the first fault only %.2f were completed", summary.CompletedBefore)
 }
 
--- a/internal/soak/sitefaults.go
+++ b/internal/soak/sitefaults.go
@@ -54,6 +54,32 @@
 	return times
 }
 
+// gapInterval is the interval at which WatchGaps looks at the clock.
+const gapInterval = 5 * time.Millisecond
+
+// WatchGaps looks at the clock until ctx is done. The function that it returns tells the
+// longest time between two looks: as long, this process may have delayed what its proxies and
+// its store pass on, which the faults do not show.
+func WatchGaps(ctx context.Context) (longest func() time.Duration) {
+	var mu sync.Mutex
+	var gap time.Duration
+	go func() {
+		for previous := time.Now(); ctx.Err() == nil; {
+			ctxsleep.For(ctx, gapInterval)
+			now := time.Now()
+			mu.Lock()
+			gap = max(gap, now.Sub(previous))
+			mu.Unlock()
+			previous = now
+		}
+	}()
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return gap
+	}
+}
+
 func between(r *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(r.Int64N(int64(high-low)))
 }
