soak: cheaper proxies and callers

Each read of a proxy allocated 32 KB, and each job's spec was built byte by byte, some 2 MB of garbage a job: the callers took a whole core.

--- a/internal/faultproxy/conn.go
+++ b/internal/faultproxy/conn.go
@@ -1,6 +1,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -122,12 +123,12 @@
 
 func (c *Conn) read(d Direction, queue chan<- chunk) {
 	src := c.peers[numDirections-1-d] // the peer that sends in direction d
+	buf := make([]byte, chunkBytes)
 	for {
-		buf := make([]byte, chunkBytes)
 		n, err := src.Read(buf)
 		if n > 0 {
 			select {
-			case queue <- chunk{data: buf[:n], readAt: time.Now()}:
+			case queue <- chunk{data: bytes.Clone(buf[:n]), readAt: time.Now()}:
 			case <-c.done:
 				return
 			}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -159,10 +160,8 @@
 // spec returns the spec of a job, which tells workers the run time of its tasks.
 func (c *Class) spec(cpu int) string {
 	text := fmt.Sprintf("run=%g,%g,%g ", c.RunMs.Mean, c.RunMs.Spread, c.RunMs.Max)
-	for len(text) < c.SpecBytes {
-		text += "."
-	}
-	return fmt.Sprintf("%s cpu=%d", text, cpu)
+	padding := strings.Repeat(".", max(0, c.SpecBytes-len(text)))
+	return fmt.Sprintf("%s%s cpu=%d", text, padding, cpu)
 }
 
 // runTime returns how long a task of a job with this spec runs.
