faultproxy: go on accepting after too many open files

A proxy stopped accepting for good at the first error, such as too many open files in a process with hundreds of proxies.

Failed before: TestProxyAcceptsAfterFailure.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -56,10 +57,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return StartOn(l, target), nil
+}
+
+// StartOn relays the connections of a listener, which the proxy closes, to target.
+func StartOn(l net.Listener, target string) *Proxy {
 	p := &Proxy{target: target, listener: l}
 	p.wg.Add(1)
 	go p.accept()
-	return p, nil
+	return p
 }
 
 // Addr returns the listening address.
@@ -188,9 +194,13 @@
 	defer p.wg.Done()
 	for {
 		client, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // for instance too many open files, which a later call may survive
+			time.Sleep(pollInterval)
+			continue
+		}
 		p.wg.Add(1)
 		go func() {
 			defer p.wg.Done()
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/limpettrail/limpettrail/internal/faultproxy"
@@ -143,3 +144,30 @@
 	send(t, newConn, "passedagain")
 	expectText(t, newConn, "passedagain")
 }
+
+// failingListener fails to accept before it accepts a connection.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, unix.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// TestProxyAcceptsAfterFailure guards against a proxy that stops accepting for good when the
+// process has too many open files for a moment.
+func TestProxyAcceptsAfterFailure(t *testing.T) {
+	target := startEcho(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := faultproxy.StartOn(&failingListener{Listener: l, failures: 2}, target.Addr())
+	t.Cleanup(p.Close)
+	c := dial(t, p)
+	send(t, c, "passed on")
+	expectText(t, c, "passed on")
+}
