soak: workers of a site restart with later start times

A worker that restarted within 11 s stated an earlier start time than the process before, as if its time of day had been set back: the emulated start time is the time of the start less the reading of the clock, which rose by 11 s with each process. All processes now begin at the same reading.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// linkFault returns a fault of the links between an entry and its agents: of all links,
-// or of each one with a probability of a half.
+// linkFault returns a fault of the open connections of a proxy in front of an entry: of all of
+// them, or of each one with a probability of a half.
 func (s *System) linkFault(r *rand.Rand, p *faultproxy.Proxy, duration time.Duration) func(context.Context) error {
 	kind := r.IntN(5)
 	dir := faultproxy.Direction(r.IntN(2))
--- a/internal/soak/siteprocesses.go
+++ b/internal/soak/siteprocesses.go
@@ -16,8 +16,13 @@
 	"github.com/limpettrail/limpettrail/platform/emulator"
 )
 
-// workerRestartDelay is how long a restarted worker process is down.
-const workerRestartDelay = 60 * time.Millisecond
+const (
+	// workerRestartDelay is how long a restarted worker process is down.
+	workerRestartDelay = 60 * time.Millisecond
+	workersPerRack     = 7
+	// workerAge is what the clock of a worker reads at its start.
+	workerAge = time.Minute
+)
 
 // workerProcess is a worker that runs as a process of its own. Each process has a new name
 // unless Options.KeepNames is set.
@@ -50,12 +55,12 @@
 		name = fmt.Sprintf("i-%d", w.index)
 	}
 	cfg := WorkerConfig{
-		Name: name, Listen: w.listen, Zone: settings.Zone, Rack: fmt.Sprintf("r%d", w.index/7), AgentAddr: settings.AnnounceAddr,
+		Name: name, Listen: w.listen, Zone: settings.Zone, Rack: fmt.Sprintf("r%d", w.index/workersPerRack), AgentAddr: settings.AnnounceAddr,
 		CPU: site.Workers.CPU[w.index%len(site.Workers.CPU)], MemMb: site.Workers.MemMb,
 		Heartbeat: time.Duration(site.Workers.HeartbeatMs) * time.Millisecond,
 		Slowness:  site.Workers.Slowness[w.index%len(site.Workers.Slowness)],
 		LateLease: w.system.opts.LateLease,
-		Age:       time.Duration((w.index*37+life*11)%300) * time.Second,
+		Age:       workerAge,
 		Seed:      w.system.opts.Seed<<16 + uint64(w.index)<<8 + uint64(life),
 	}
 	p, input, record, err := w.system.startStandIn(process, "worker", cfg)
