soak: workers of a site handle calls out of order

On a machine with more processes than processors the calls to a worker overtake each other: a start that is sent again after 25 ms may come first, be refused for lack of room, and the earlier copy be accepted. Faults of a site now have all workers handle each call up to 20 to 150 ms late.

--- a/internal/soak/sitefaults.go
+++ b/internal/soak/sitefaults.go
@@ -88,7 +88,7 @@
 func (s *System) randomSiteFault(r *rand.Rand) siteFault {
 	kinds := []func(*rand.Rand) siteFault{
 		s.killOfVMs, s.killOfProcesses, s.freezeOfEntries, s.freezeOfVMs, s.freezeOfVMs, s.slowProcesses, s.slowProcesses, s.stopsInTurn,
-		s.linksOfEntry, s.linksOfCallers, s.workerPaths, s.storeOfVMs, s.lateCalls, s.lateCalls, s.lostAnswers, s.crashOfWorkers,
+		s.linksOfEntry, s.linksOfCallers, s.workerPaths, s.storeOfVMs, s.lateCalls, s.lateCalls, s.reorderedCalls, s.reorderedCalls, s.lostAnswers, s.crashOfWorkers,
 		s.flappingWorkers, s.greyWorkers, s.replacedEntry, s.removedWorkers, s.burst, s.callersLeave, s.configSeries,
 	}
 	return kinds[r.IntN(len(kinds))](r)
@@ -341,6 +341,13 @@
 	return s.withWorkerFaults("calls carried out late", s.someAgents(r, 1, 1.1), between(r, time.Second, 6*time.Second), f)
 }
 
+// reorderedCalls has all workers handle their calls late and out of order, as on a machine
+// with more processes than processors.
+func (s *System) reorderedCalls(r *rand.Rand) siteFault {
+	f := emulator.WorkerFaults{CallJitter: between(r, 20*time.Millisecond, maxCallDelay)}
+	return s.withWorkerFaults(fmt.Sprintf("calls out of order, up to %v late", f.CallJitter), s.someAgents(r, 1, 1.1), between(r, time.Second, 6*time.Second), f)
+}
+
 func (s *System) lostAnswers(r *rand.Rand) siteFault {
 	f := emulator.WorkerFaults{LostReplyShare: 0.02 + 0.4*r.Float64()}
 	return s.withWorkerFaults("answers of workers lost", s.someAgents(r, 0.2, 0.8), between(r, time.Second, 6*time.Second), f)
