Show that a lasting task that failed once is not restarted

Cause: after one failure beside many successes an entry allows the agent one attempt in flight. A lasting task of another job is that attempt and never ends, so the failed task is never started again there.

Two checks that the first review has already are removed from the stand-ins, and the processes of the cases are started without GOMAXPROCS=1, which the deploy file does not set.

--- a/review/standin-2/limited.go
+++ b/review/standin-2/limited.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// calmTime is how long lasting tasks are at work before a disruption.
+	calmTime = 5 * time.Second
 	// warmUpJobs are served before, as on a day with traffic.
 	warmUpJobs = 60
 	// loadPause is the pause between two jobs of the traffic that goes on.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,8 +32,6 @@
 	"limited": playLimited,
 	"grown":   playGrown,
 	"foreign": playForeign,
-	"avail":   playAvail,
-	"pending": playPending,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -232,7 +232,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(binary, "node", n.role)
-	cmd.Env = []string{"LIMPETTRAIL_NODE_FILE=" + n.file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
+	cmd.Env = []string{"LIMPETTRAIL_NODE_FILE=" + n.file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -49,7 +49,6 @@
 	ended    []taskEnd
 	seen     int   // ends up to this number are forgotten
 	reported int64 // capacity of the last heartbeat that was acknowledged
-	busy     bool  // refuses all starts with 429
 	wake     chan struct{}
 }
 
@@ -158,9 +157,6 @@
 func runKey(task string, attempt int) string { return task + "#" + strconv.Itoa(attempt) }
 
 func (w *worker) startRun(call *workerCall) (int, workerReply) {
-	if w.busy {
-		return http.StatusTooManyRequests, workerReply{}
-	}
 	if !w.accept(call) {
 		return refused("fence")
 	}
@@ -274,13 +270,6 @@
 	w.sys.rec.printf("executor %s: capacity is now %d thousandths of a core", w.opts.id, cpu)
 }
 
-func (w *worker) setBusy(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.busy = on
-	w.sys.rec.printf("executor %s: refuses starts: %v", w.opts.id, on)
-}
-
 func (w *worker) heartbeatLoop() {
 	for {
 		w.heartbeat()
