--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -173,7 +173,7 @@
 	body, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "r-quotes", "host": routeHost, "pathPrefix": routePrefix, "type": "unsafe", "timeoutMs": 1500,
+			"name": "r-quotes", "host": routeHost, "pathPrefix": routePrefix, "type": "unsafe", "timeoutMs": 10000,
 			"targetLatencyMs": 60, "priority": 0, "service": serviceName, "maxAttempts": 4, "slackFactor": 1.6,
 		}},
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "preconditions": true}},
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -49,6 +49,7 @@
 	ended    []taskEnd
 	seen     int   // ends up to this number are forgotten
 	reported int64 // capacity of the last heartbeat that was acknowledged
+	grey     bool  // what it starts fails
 	wake     chan struct{}
 }
 
@@ -176,7 +177,7 @@
 	case used+need > w.cpu:
 		return refused("room")
 	}
-	r := &taskRun{task: call.Task, attempt: call.Attempt, cpu: need, fails: specField(call.Spec, "fail") > 0}
+	r := &taskRun{task: call.Task, attempt: call.Attempt, cpu: need, fails: w.grey}
 	if ms := specField(call.Spec, "run"); ms > 0 {
 		r.endsAt = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
@@ -270,6 +271,14 @@
 	w.sys.rec.printf("executor %s: capacity is now %d thousandths of a core", w.opts.id, cpu)
 }
 
+// setGrey sets whether all runs that begin from now on fail.
+func (w *worker) setGrey(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.grey = on
+	w.sys.rec.printf("executor %s: fails all that it starts: %v", w.opts.id, on)
+}
+
 func (w *worker) heartbeatLoop() {
 	for {
 		w.heartbeat()
