--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -8,14 +8,15 @@
 
 // proxy relays the connections of one machine to the store. During a one-way cut the bytes
 // from the machine still arrive on open connections, and nothing comes back: neither
-// answers nor new connections.
+// answers nor new connections. What the cut holds up arrives after it, unless the machine
+// has closed the connection by then.
 type proxy struct {
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	cut   bool
-	conns map[net.Conn]bool // those of the machine; true if an answer was lost on it
+	mu     sync.Mutex
+	healed chan struct{} // closed when the cut ends, nil without a cut
+	conns  map[net.Conn]bool
 }
 
 func startProxy(listen, target string) (*proxy, error) {
@@ -35,19 +36,17 @@
 			return
 		}
 		p.mu.Lock()
-		lost := p.cut // a new connection during the cut gets no answer to its first packet
-		p.conns[c] = lost
+		p.conns[c] = true
 		p.mu.Unlock()
-		if !lost {
-			go p.relay(c)
-		}
+		go p.relay(c)
 	}
 }
 
 func (p *proxy) relay(c net.Conn) {
+	defer p.drop(c)
+	p.awaitPath() // the answer to the first packet is held up too
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
-		p.drop(c)
 		return
 	}
 	go func() {
@@ -57,27 +56,27 @@
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := server.Read(buf)
-		if n > 0 && p.deliver(c) {
+		p.awaitPath()
+		if n > 0 {
 			c.Write(buf[:n])
 		}
 		if err != nil {
-			if p.deliver(c) { // the end of a connection is not seen during the cut either
-				p.drop(c)
-			}
 			return
 		}
 	}
 }
 
-// deliver reports whether bytes may go to the machine. A connection on which an answer was
-// lost returns nothing further.
-func (p *proxy) deliver(c net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cut {
-		p.conns[c] = true
+// awaitPath waits until there is no cut.
+func (p *proxy) awaitPath() {
+	for {
+		p.mu.Lock()
+		healed := p.healed
+		p.mu.Unlock()
+		if healed == nil {
+			return
+		}
+		<-healed
 	}
-	return !p.conns[c]
 }
 
 func (p *proxy) drop(c net.Conn) {
@@ -87,16 +86,16 @@
 	c.Close()
 }
 
-// setCut begins or ends the cut. At its end the connections that lost something are reset.
+// setCut begins or ends the cut.
 func (p *proxy) setCut(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut = on
-	for c, lost := range p.conns {
-		if lost && !on {
-			delete(p.conns, c)
-			c.Close()
-		}
+	switch {
+	case on && p.healed == nil:
+		p.healed = make(chan struct{})
+	case !on && p.healed != nil:
+		close(p.healed)
+		p.healed = nil
 	}
 }
 
--- a/review/standin-2/refused.go
+++ b/review/standin-2/refused.go
@@ -22,8 +22,11 @@
 	if err := s.start(3, 3, 64000); err != nil {
 		return false, err
 	}
-	const id = "5c0e7a21d94b0001"
+	const before, id = "5c0e7a21d94b0000", "5c0e7a21d94b0001"
 	time.Sleep(3 * time.Second)
+	body := job{Spec: "cpu=6200 run=60", Phases: []phase{{Count: 4, CPU: 6200, MemMb: 64, EstimatedMs: 60}}}
+	s.call(s.nodes[0], http.MethodPost, before, body, 1500*time.Millisecond) // acknowledged last
+	time.Sleep(time.Second)                                                  // until its end is recorded
 	if s.trouble {
 		s.rec.printf("store: answers to entry-0 are lost from now on (one-way partition)")
 		s.nodes[0].proxy.setCut(true)
@@ -33,7 +36,7 @@
 		})
 	}
 	time.Sleep(submitAfter)
-	body := job{Spec: "cpu=6200 run=200", Phases: []phase{{Count: 4, CPU: 6200, MemMb: 64, EstimatedMs: 200}}}
+	body = job{Spec: "cpu=6200 run=200", Phases: []phase{{Count: 4, CPU: 6200, MemMb: 64, EstimatedMs: 200}}}
 	answer := s.call(s.nodes[0], http.MethodPost, id, body, clientWait)
 	for end := time.Now().Add(runWait); time.Now().Before(end) && len(s.runsOf(id)) < 8; time.Sleep(pollInterval) {
 	}
