--- a/review/standin-2/shrunk.go
+++ b/review/standin-2/shrunk.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -20,8 +21,7 @@
 	s.call(s.nodes[0], http.MethodPost, lasting, body, 1500*time.Millisecond)
 	for end := time.Now().Add(startTimeout); len(s.runsOf(lasting)) < 1; time.Sleep(pollInterval) {
 		if time.Now().After(end) {
-			s.rec.printf("the lasting task has not started")
-			return false, nil
+			return false, errors.New("the lasting task has not started")
 		}
 	}
 	time.Sleep(calmTime)
@@ -35,7 +35,16 @@
 	for end := time.Now().Add(finishTime + idleTime); time.Now().Before(end) && len(s.runsOf(large)) < 4; time.Sleep(pollInterval) {
 	}
 	state := s.call(s.nodes[1], http.MethodGet, large, nil, 2*time.Second)
-	stuck := accepted.status == http.StatusOK && len(s.runsOf(large)) < 4
+	stuck := accepted.status == http.StatusOK && !s.allStarted(large, 2)
 	s.rec.printf("job %s: accepted %v, state %s, a task of it was never at work: %v", large, accepted.status == http.StatusOK, state.body, stuck)
 	return stuck, nil
 }
+
+// allStarted reports whether n tasks of a job have been at work.
+func (s *system) allStarted(id string, n int) bool {
+	tasks := make(map[string]bool)
+	for _, e := range s.runsOf(id) {
+		tasks[e.task] = true
+	}
+	return len(tasks) == n
+}
--- a/review/standin-2/suspect.go
+++ b/review/standin-2/suspect.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -28,8 +29,7 @@
 	s.call(s.nodes[0], http.MethodPost, lasting, body, 1500*time.Millisecond)
 	for end := time.Now().Add(startTimeout); len(s.runsOf(lasting)) < 1; time.Sleep(pollInterval) {
 		if time.Now().After(end) {
-			s.rec.printf("the lasting task has not started")
-			return false, nil
+			return false, errors.New("the lasting task has not started")
 		}
 	}
 	time.Sleep(calmTime)
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -216,7 +216,7 @@
 	w.step()
 	out := workerReply{Born: w.born.UnixMilli()}
 	for _, r := range w.running {
-		out.Running = append(out.Running, []any{r.task, r.attempt, "", 100, 0})
+		out.Running = append(out.Running, []any{r.task, r.attempt, "", 100, r.cpu})
 	}
 	for _, e := range w.ended[w.seen:min(len(w.ended), w.seen+maxListedEnds)] {
 		out.Finished = append(out.Finished, []any{e.number, e.task, e.attempt, e.how, ""})
