Log appends to the job log that got no answer, and their outcome

The log of the entry showed keeper_superseded and the refusal, which fits two causes: the store refused the append, or it carried it out and the answer was lost.

job_append_unanswered (1211) is written once for an append whose answer is lost, job_append_resolved (1212) when its outcome is known, with the number of attempts and the time.

--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -60,6 +60,15 @@
 	FencedOff
 )
 
+// String returns the name used in logs.
+func (o AppendOutcome) String() string {
+	names := [...]string{"", "recorded", "not_recorded", "fenced_off"}
+	if int(o) >= len(names) {
+		return "invalid"
+	}
+	return names[o]
+}
+
 // Fenced reports the outcome of a Fence.
 type Fenced struct {
 	Writer wire.Incarnation
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -38,4 +38,6 @@
 	JobAppendRejected   = define(1208, "job_append_rejected", zapcore.WarnLevel, false)
 	JobFenceFailed      = define(1209, "job_fence_failed", zapcore.WarnLevel, false)
 	JobRecordUnreadable = define(1210, "job_record_unreadable", zapcore.ErrorLevel, false)
+	JobAppendUnanswered = define(1211, "job_append_unanswered", zapcore.WarnLevel, false)
+	JobAppendResolved   = define(1212, "job_append_resolved", zapcore.InfoLevel, false)
 )
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -117,24 +117,44 @@
 // is known, and returns 0 if the keeper is closed first. A rejection decides the
 // outcome only if every earlier attempt was answered.
 func (k *Keeper) appendUntilResolved(writer wire.Incarnation, number int64, records []durable.Record) durable.AppendOutcome {
+	firstSentAt := k.clock.Now()
 	unresolved := false
-	for k.ctx.Err() == nil {
+	for attempt := int64(1); k.ctx.Err() == nil; attempt++ {
 		result, err := k.opts.Log.Append(k.ctx, writer, number, records)
+		outcome := outcomeOf(result, unresolved)
 		switch {
-		case result == Appended:
-			return durable.Recorded
-		case result == FencedOff:
-			return durable.FencedOff
-		case result == Rejected && !unresolved:
+		case outcome == durable.NotRecorded:
 			k.opts.Events.Emit(eventlog.JobAppendRejected, eventlog.Fields{Count: int64(len(records)), Err: err})
-			return durable.NotRecorded
+		case outcome != 0 && unresolved:
+			k.opts.Events.Emit(eventlog.JobAppendResolved, eventlog.Fields{
+				Detail: outcome.String(), Count: attempt, Duration: k.clock.Now() - firstSentAt,
+			})
+		case result == NoAnswer && !unresolved:
+			unresolved = true
+			k.opts.Events.Emit(eventlog.JobAppendUnanswered, eventlog.Fields{Count: int64(len(records)), Err: err})
+		}
+		if outcome != 0 {
+			return outcome
 		}
-		unresolved = unresolved || result == NoAnswer
 		ctxsleep.For(k.ctx, retryDelay)
 	}
 	return 0
 }
 
+// outcomeOf returns the outcome of an append after the result of an attempt, or 0 if it
+// must be repeated. unresolved states that an earlier attempt got no answer.
+func outcomeOf(result AppendResult, unresolved bool) durable.AppendOutcome {
+	switch {
+	case result == Appended:
+		return durable.Recorded
+	case result == FencedOff:
+		return durable.FencedOff
+	case result == Rejected && !unresolved:
+		return durable.NotRecorded
+	}
+	return 0
+}
+
 // fence fences off a writer and reports the outcome to the machine.
 func (k *Keeper) fence(x durable.Fence) {
 	err := k.opts.Log.Fence(k.ctx, x.Writer)
