Decide by reading whether a request is in the log after its writer was fenced off

Callers saw 503, "not run", for a stored job that another entry took over and ran to its end, and 503 for a cancellation that took effect.

Cause: an append that had got no answer was repeated until the store answered. It heeded the earlier attempt for a rejection, but took "fenced off" for proof that the records are not in the log. A fence keeps out what arrives after it, not an attempt that was carried out before.

The outcome is FencedOffUnresolved now. The log takes nothing more of that writer, so what a later read finds is final: the machine that replaces the fenced-off one gets these requests and waits for a read that was sent after them. A job or cancellation that it finds is Stored. One that it does not find was never recorded; it is recorded anew while the caller waits, which is better for it than a refusal and costs one append. An entry that still cannot read says nothing until the caller's deadline (504), and so does one that finds nothing after half of the retention of ended jobs. A cancellation of a job that is cancelled already is Stored also while the log does not answer.

--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -127,6 +127,10 @@
 	case FencedOff:
 		m.fencedOff = true
 		m.abort(b)
+	case FencedOffUnresolved:
+		m.fencedOff = true
+		m.keepUnresolved(now, b)
+		m.undo(b)
 	}
 }
 
@@ -150,6 +154,11 @@
 // written again later.
 func (m *Machine) abort(b *batch) {
 	m.reply(b.requests, Unavailable)
+	m.undo(b)
+}
+
+// undo schedules a batch to be written again, except for its requests.
+func (m *Machine) undo(b *batch) {
 	for _, j := range b.jobs {
 		m.markDirty(j)
 	}
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -13,7 +13,8 @@
 // acknowledged. The view is the state of all jobs as read from the log so far.
 //
 // Invariants:
-//   - A caller is told Stored only after the record is in the log.
+//   - A caller is told Stored only after the record is in the log, and Full or
+//     Unavailable only if the log does not hold it and never will.
 //   - A process drives a job only while it owns the job according to the log and
 //     its newest append was sent less than Options.Lease ago.
 //   - Jobs are taken over only after their owner was fenced off in the log. They
@@ -168,8 +169,9 @@
 
 // callerRequest is a record for a caller that waits to be appended.
 type callerRequest struct {
-	token  uint64
-	record Record
+	token   uint64
+	request Event // Submit or Cancel
+	record  Record
 }
 
 // Machine is the state machine. It is not safe for concurrent use.
@@ -185,6 +187,7 @@
 	requests     []callerRequest     // records that wait to be appended
 	pending      map[string]uint64   // tokens of acceptances that are waiting or in flight, by job
 	duplicates   map[uint64][]uint64 // tokens of repeated submissions, by the token of the first
+	unresolved   []unresolvedRequest // requests whose outcome a later read decides
 	maintenance  []Record            // takeover records and removals that wait to be appended
 	dirty        []*job              // jobs whose status waits to be appended
 	inFlight     *batch
@@ -250,6 +253,8 @@
 	case Cancel:
 		m.pendingCancels = append(m.pendingCancels, pendingCancel{e, now})
 		m.resolveCancels(now)
+	case UnresolvedRequest:
+		m.unresolved = append(m.unresolved, unresolvedRequest{e, now})
 	case Appended:
 		m.appended(now, e)
 		m.reportLeft()
--- a/core/durable/durable_test.go
+++ b/core/durable/durable_test.go
@@ -72,13 +72,15 @@
 	}
 }
 
-// requireAllCompleted checks that each accepted job is completed in every view and
-// that no finished run remains unacknowledged.
+// requireAllCompleted checks that each accepted job is completed in every view, or
+// cancelled if a caller asked for it, that no finished run remains unacknowledged, and that
+// no refused request was recorded.
 func (w *world) requireAllCompleted() {
+	w.requireRefusedNotRecorded()
 	for job := range w.accepted {
 		for _, p := range w.processes {
 			s, ok := p.machine.State(job)
-			if !ok || s != durable.Completed {
+			if !ok || s != durable.Completed && !(s == durable.Cancelled && w.cancelled[job]) {
 				w.t.Fatalf("%s: %s was accepted and is %v (known: %v)", p.name, job, s, ok)
 			}
 		}
--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -38,6 +38,15 @@
 	Job   string
 }
 
+// UnresolvedRequest delivers a Submit or Cancel to the machine that replaces a fenced-off
+// one, which had sent its record without learning whether the log holds it. The log takes
+// that record no more, so a later read decides. See Machine.UnresolvedRequests.
+type UnresolvedRequest struct {
+	Request Event // Submit or Cancel
+	// SentAt is when the record was first sent.
+	SentAt time.Duration
+}
+
 // Appended reports the outcome of an Append.
 type Appended struct {
 	Outcome AppendOutcome
@@ -55,14 +64,18 @@
 	Recorded AppendOutcome = iota + 1
 	// NotRecorded: the records are not in the log and never will be.
 	NotRecorded
-	// FencedOff: another process has fenced this one off and takes over its jobs.
-	// The machine must be replaced by one with a new incarnation.
+	// FencedOff: the records are not in the log and never will be, because another
+	// process has fenced this one off and takes over its jobs. The machine must be
+	// replaced by one with a new incarnation.
 	FencedOff
+	// FencedOffUnresolved is FencedOff after an attempt without an answer, which the
+	// log may have carried out before the fence.
+	FencedOffUnresolved
 )
 
 // String returns the name used in logs.
 func (o AppendOutcome) String() string {
-	names := [...]string{"", "recorded", "not_recorded", "fenced_off"}
+	names := [...]string{"", "recorded", "not_recorded", "fenced_off", "fenced_off_unresolved"}
 	if int(o) >= len(names) {
 		return "invalid"
 	}
@@ -110,18 +123,19 @@
 // Tick triggers work that depends on the time. Deliver it about every 50 ms.
 type Tick struct{}
 
-func (Read) isEvent()        {}
-func (Submit) isEvent()      {}
-func (Cancel) isEvent()      {}
-func (Appended) isEvent()    {}
-func (Fenced) isEvent()      {}
-func (JobStarted) isEvent()  {}
-func (RunFinished) isEvent() {}
-func (RunCrashed) isEvent()  {}
-func (RunRepeated) isEvent() {}
-func (DriveEnded) isEvent()  {}
-func (Leave) isEvent()       {}
-func (Tick) isEvent()        {}
+func (Read) isEvent()              {}
+func (Submit) isEvent()            {}
+func (Cancel) isEvent()            {}
+func (UnresolvedRequest) isEvent() {}
+func (Appended) isEvent()          {}
+func (Fenced) isEvent()            {}
+func (JobStarted) isEvent()        {}
+func (RunFinished) isEvent()       {}
+func (RunCrashed) isEvent()        {}
+func (RunRepeated) isEvent()       {}
+func (DriveEnded) isEvent()        {}
+func (Leave) isEvent()             {}
+func (Tick) isEvent()              {}
 
 // Action is an output of the machine.
 type Action interface{ isAction() }
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -19,6 +19,10 @@
 		m.duplicates[first] = append(m.duplicates[first], e.Token)
 		return
 	}
+	if sentAt, ok := m.isUnresolved(e.Spec.ID); ok {
+		m.addUnresolved(now, e, sentAt)
+		return
+	}
 	switch {
 	case !m.loaded || m.leaving || m.fencedOff || m.logUnresponsive(now) || now < m.refuseUntil:
 		m.emit(Reply{Token: e.Token, Result: Unavailable})
@@ -29,7 +33,8 @@
 	}
 	m.pending[e.Spec.ID] = e.Token
 	key := acceptedKey(e.Spec.ID, m.opts.Self.Incarnation)
-	m.requests = append(m.requests, callerRequest{token: e.Token, record: encode(key, acceptance{By: m.opts.Self, Spec: e.Spec})})
+	record := encode(key, acceptance{By: m.opts.Self, Spec: e.Spec})
+	m.requests = append(m.requests, callerRequest{token: e.Token, request: e, record: record})
 }
 
 // logUnresponsive reports whether the append in flight has gone unanswered for
@@ -58,16 +63,17 @@
 func (m *Machine) resolveCancel(now time.Duration, c pendingCancel) bool {
 	j := m.jobs[c.Job]
 	switch {
+	case j != nil && (j.cancelled || j.state.Final()):
+		m.emit(Reply{Token: c.Token, Result: Stored})
 	case m.fencedOff || m.left || m.logUnresponsive(now) || now < m.refuseUntil:
 		m.emit(Reply{Token: c.Token, Result: Unavailable})
 	case j == nil && m.viewAt <= c.at:
 		return false
 	case j == nil:
 		m.emit(Reply{Token: c.Token, Result: Unknown})
-	case j.cancelled || j.state.Final():
-		m.emit(Reply{Token: c.Token, Result: Stored})
 	default:
-		m.requests = append(m.requests, callerRequest{token: c.Token, record: encode(cancelKey(c.Job), cancellation{By: m.opts.Self})})
+		record := encode(cancelKey(c.Job), cancellation{By: m.opts.Self})
+		m.requests = append(m.requests, callerRequest{token: c.Token, request: c.Cancel, record: record})
 	}
 	return true
 }
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -27,6 +27,7 @@
 	if !e.CutOff {
 		m.viewAt = max(m.viewAt, e.RequestedAt)
 	}
+	m.resolveRequests(now)
 	m.resolveCancels(now)
 	m.resolveUnknownRuns(now)
 }
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -37,11 +38,13 @@
 	addresses      int    // addresses that were used besides the first ones of the VMs
 	lastNumber     uint64 // last number given to an incarnation or a token
 	runs           []*run
-	retained       []*retainedRun  // finished runs that no process has acknowledged
-	completedTasks map[string]bool // tasks with an acknowledged run
-	accepted       map[string]bool // jobs that a caller was told are stored
-	cancelled      map[string]bool
-	tasks          map[string]int // number of tasks by job
+	retained       []*retainedRun             // finished runs that no process has acknowledged
+	completedTasks map[string]bool            // tasks with an acknowledged run
+	accepted       map[string]bool            // jobs that a caller was told are stored
+	cancelled      map[string]bool            // jobs that a caller asked to cancel
+	requests       map[string]*callerRequests // by the beginning of the keys of their records
+	keyOfToken     map[uint64]string          // the same beginning, by token
+	tasks          map[string]int             // number of tasks by job
 
 	// faultyRuns lets a third of the runs fail or lose their worker to a crash.
 	faultyRuns    bool
@@ -51,6 +54,9 @@
 	notedFailures map[string]int       // failed runs that were acknowledged as counted, by task
 }
 
+// callerRequests counts the submissions, or the cancellations, of one job.
+type callerRequests struct{ made, refused int }
+
 // process is an entry process with the state machine of its keeper.
 type process struct {
 	vm          string
@@ -60,6 +66,7 @@
 	machine     *durable.Machine
 	pausedUntil time.Duration // does nothing until then
 	cutUntil    time.Duration // cut off from the log until then
+	cutOneWay   bool          // the cut holds up answers only: appends and fences take effect
 	nextAppend  int
 	offset      int  // position in world.records to read on from
 	hasOffset   bool // whether offset is valid
@@ -120,6 +127,7 @@
 	w := &world{
 		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), removed: make(map[string]int), appended: make(map[string]bool), completedTasks: make(map[string]bool),
 		accepted: make(map[string]bool), cancelled: make(map[string]bool), tasks: make(map[string]int),
+		requests: make(map[string]*callerRequests), keyOfToken: make(map[uint64]string),
 		failed: make(map[wire.RunRef]bool), noted: make(map[wire.RunRef]bool), failedRuns: make(map[string]int), crashedRuns: make(map[string]int), notedFailures: make(map[string]int),
 		readLimit: rapid.SampledFrom([]int{4, 20, 1 << 20}).Draw(t, "records in one read"),
 	}
@@ -250,13 +258,16 @@
 		w.halt(p, p.drives[job])
 	}
 	w.t.Logf("%v %s (%x): fenced off", w.now, p.name, p.self)
-	unacknowledged := p.machine.UnacknowledgedRuns()
+	unacknowledged, unresolved := p.machine.UnacknowledgedRuns(), p.machine.UnresolvedRequests()
 	replacement := w.newProcessAt(p.vm, p.address)
 	p.self, p.machine, p.nextAppend, p.hasOffset = replacement.self, replacement.machine, 0, false
-	p.drives, p.tokens, p.inbox = replacement.drives, replacement.tokens, nil
+	p.drives, p.inbox = replacement.drives, nil
 	for _, run := range unacknowledged {
 		p.inbox = append(p.inbox, run)
 	}
+	for _, r := range unresolved {
+		p.inbox = append(p.inbox, r)
+	}
 }
 
 // poll reads the log for a process: the newest record of each key for the first
@@ -300,7 +311,7 @@
 func (w *world) apply(p *process, action durable.Action) {
 	switch x := action.(type) {
 	case durable.Append:
-		w.append(p, slices.Clone(x.Records), w.now)
+		w.append(p, slices.Clone(x.Records), w.now, false)
 	case durable.Fence:
 		w.after(p, 5, func() {
 			if !w.logDown && w.now >= p.cutUntil {
@@ -308,6 +319,9 @@
 				p.inbox = append(p.inbox, durable.Fenced{Writer: x.Writer, Done: true})
 				return
 			}
+			if !w.logDown && p.cutOneWay {
+				w.fenced[x.Writer] = true
+			}
 			p.inbox = append(p.inbox, durable.Fenced{Writer: x.Writer})
 		})
 	case durable.Drive:
@@ -324,6 +338,9 @@
 		if job, ok := p.tokens[x.Token]; ok && x.Result == durable.Stored {
 			w.accepted[job] = true
 		}
+		if x.Result == durable.Full || x.Result == durable.Unavailable || x.Result == durable.Unknown {
+			w.requests[w.keyOfToken[x.Token]].refused++
+		}
 	case durable.TakenOver:
 		w.t.Logf("%v %s (%x): takes over %d jobs of %s (%x)", w.now, p.name, p.self, x.Jobs, x.From.Name, x.From.Incarnation)
 	case durable.Undecodable:
@@ -337,11 +354,15 @@
 }
 
 // append carries out an append. The reply may be lost, and the append may take
-// effect seconds later; it is retried until its outcome is known.
-func (w *world) append(p *process, records []durable.Record, sent time.Duration) {
+// effect seconds later; it is retried until its outcome is known. unresolved states that
+// an earlier attempt got no answer.
+func (w *world) append(p *process, records []durable.Record, sent time.Duration, unresolved bool) {
 	self, number := p.self, p.nextAppend
 	carryOut := func() durable.AppendOutcome {
 		id := fmt.Sprint(self, ".", number)
+		if w.fenced[self] && unresolved {
+			return durable.FencedOffUnresolved
+		}
 		if w.fenced[self] {
 			return durable.FencedOff
 		}
@@ -357,7 +378,7 @@
 	retry := func(ms int) {
 		w.after(p, ms, func() {
 			if p.self == self {
-				w.append(p, records, sent)
+				w.append(p, records, sent, true)
 			}
 		})
 	}
@@ -374,6 +395,9 @@
 	}
 	switch fault := rapid.IntRange(0, 19).Draw(w.t, "append fault"); {
 	case w.logDown || w.now < p.cutUntil:
+		if !w.logDown && p.cutOneWay {
+			carryOut()
+		}
 		retry(100)
 	case fault == 0: // carried out, reply lost
 		carryOut()
@@ -430,11 +454,39 @@
 // submit submits a job with the given number of tasks to a process. Every third
 // job recurs.
 func (w *world) submit(p *process, job string, tasks int) {
-	w.lastNumber++
-	p.tokens[w.lastNumber] = job
+	p.tokens[w.newToken("j"+job+".")] = job
 	w.tasks[job] = tasks
 	p.inbox = append(p.inbox, durable.Submit{Token: w.lastNumber, Spec: durable.Spec{
 		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, MaxFailedRuns: maxFailedRuns,
 		Schedule: durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
 	}})
 }
+
+// cancel requests the cancellation of a job at a process.
+func (w *world) cancel(p *process, job string) {
+	w.cancelled[job] = true
+	p.inbox = append(p.inbox, durable.Cancel{Token: w.newToken("c" + job), Job: job})
+}
+
+// newToken returns the token of a request whose record has a key that begins so.
+func (w *world) newToken(key string) uint64 {
+	w.lastNumber++
+	w.keyOfToken[w.lastNumber] = key
+	if w.requests[key] == nil {
+		w.requests[key] = new(callerRequests)
+	}
+	w.requests[key].made++
+	return w.lastNumber
+}
+
+// requireRefusedNotRecorded checks that the log holds no record of a job or cancellation
+// of which every request was refused.
+func (w *world) requireRefusedNotRecorded() {
+	for _, r := range w.records {
+		for key, n := range w.requests {
+			if n.refused == n.made && strings.HasPrefix(r.Key, key) {
+				w.t.Fatalf("%v: all %d requests were refused, and record %d has the key %q", key, n.made, r.Offset, r.Key)
+			}
+		}
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -309,10 +309,27 @@
 	for _, run := range k.machine.UnacknowledgedRuns() {
 		k.inbox = append(k.inbox, run)
 	}
+	for _, r := range k.machine.UnresolvedRequests() {
+		if k.awaitsReply(r) {
+			k.inbox = append(k.inbox, r)
+		}
+	}
 	k.reset()
 	return jobs
 }
 
+// awaitsReply reports whether the caller of a request still waits. The caller holds the
+// lock.
+func (k *Keeper) awaitsReply(r durable.UnresolvedRequest) bool {
+	switch x := r.Request.(type) {
+	case durable.Submit:
+		return k.replies[x.Token] != nil
+	case durable.Cancel:
+		return k.replies[x.Token] != nil
+	}
+	return false
+}
+
 func (k *Keeper) apply(action durable.Action) {
 	switch x := action.(type) {
 	case durable.Append:
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -115,7 +115,8 @@
 
 // appendUntilResolved retries an append under the same number until its outcome
 // is known, and returns 0 if the keeper is closed first. A rejection decides the
-// outcome only if every earlier attempt was answered.
+// outcome only if every earlier attempt was answered. So does a fence: it keeps out what
+// arrives after it, not an earlier attempt that was carried out.
 func (k *Keeper) appendUntilResolved(writer wire.Incarnation, number int64, records []durable.Record) durable.AppendOutcome {
 	firstSentAt := k.clock.Now()
 	unresolved := false
@@ -147,6 +148,8 @@
 	switch {
 	case result == Appended:
 		return durable.Recorded
+	case result == FencedOff && unresolved:
+		return durable.FencedOffUnresolved
 	case result == FencedOff:
 		return durable.FencedOff
 	case result == Rejected && !unresolved:
