Refuse requests that wait behind an append without an answer

Cause: requests that arrive within 0.7 s of an append that gets no answer wait for the next append. A new request is refused after these 0.7 s, one that waits already was not; and if the machine was fenced off, the one that replaced it did not know of it, so nobody answered. The same held for repeated submissions and for cancellations that waited for a newer view.

Such a request was never sent, so "not run" is true: it is refused as soon as the log counts as unresponsive, by the rule that holds for new requests, and when the machine is fenced off.

--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -125,15 +125,30 @@
 		m.nextAppendAt = m.refuseUntil
 		m.abort(b)
 	case FencedOff:
-		m.fencedOff = true
 		m.abort(b)
+		m.fenceOff(now)
 	case FencedOffUnresolved:
-		m.fencedOff = true
 		m.keepUnresolved(now, b)
 		m.undo(b)
+		m.fenceOff(now)
 	}
 }
 
+// fenceOff ends the work of this machine. It sends nothing any more, so the requests that
+// wait fail.
+func (m *Machine) fenceOff(now time.Duration) {
+	m.fencedOff = true
+	m.refuseWaiting()
+	m.resolveCancels(now)
+}
+
+// refuseWaiting refuses the requests that wait to be appended. None of them was sent.
+func (m *Machine) refuseWaiting() {
+	waiting := m.requests
+	m.requests = nil
+	m.reply(waiting, Unavailable)
+}
+
 // commit handles an append whose records are in the log. sent is when it was first
 // sent.
 func (m *Machine) commit(b *batch, sent time.Duration) {
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -72,8 +72,8 @@
 	appendInterval = 25 * time.Millisecond
 	// maxAppendBytes bounds the total size of the values of one append.
 	maxAppendBytes = 1 << 20
-	// unresponsiveAfter is how long an append may go unanswered before new jobs are
-	// refused.
+	// unresponsiveAfter is how long an append may go unanswered before new requests, and
+	// those that wait behind it, are refused.
 	unresponsiveAfter = 700 * time.Millisecond
 	// refusalBackoff is how long new jobs are refused after the log has rejected an
 	// append.
@@ -275,6 +275,9 @@
 	case Tick:
 		m.scan(now)
 		m.resolveCancels(now)
+		if m.logUnresponsive(now) {
+			m.refuseWaiting()
+		}
 	}
 	m.driveDue(now)
 	m.flush(now)
--- a/core/durable/durable_test.go
+++ b/core/durable/durable_test.go
@@ -73,9 +73,10 @@
 }
 
 // requireAllCompleted checks that each accepted job is completed in every view, or
-// cancelled if a caller asked for it, that no finished run remains unacknowledged, and that
-// no refused request was recorded.
+// cancelled if a caller asked for it, that no finished run remains unacknowledged, that no
+// refused request was recorded, and that every request was answered.
 func (w *world) requireAllCompleted() {
+	w.requireAllAnswered()
 	w.requireRefusedNotRecorded()
 	for job := range w.accepted {
 		for _, p := range w.processes {
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -44,6 +44,7 @@
 	cancelled      map[string]bool            // jobs that a caller asked to cancel
 	requests       map[string]*callerRequests // by the beginning of the keys of their records
 	keyOfToken     map[uint64]string          // the same beginning, by token
+	replies        map[uint64]int             // number of replies, by token
 	tasks          map[string]int             // number of tasks by job
 
 	// faultyRuns lets a third of the runs fail or lose their worker to a crash.
@@ -74,7 +75,7 @@
 	nextTick time.Duration
 	delayedCalls []delayedCall
 	drives       map[string]*activeDrive
-	tokens       map[uint64]string // submitted job by token
+	tokens       map[uint64]string // job of each request by token
 	inbox        []durable.Event
 	leaseUntil   time.Duration // when the lease expires
 	linksLostAt  time.Duration // when its links last broke, 0 if they are up
@@ -127,7 +128,7 @@
 	w := &world{
 		t: t, opts: opts, fenced: make(map[wire.Incarnation]bool), removed: make(map[string]int), appended: make(map[string]bool), completedTasks: make(map[string]bool),
 		accepted: make(map[string]bool), cancelled: make(map[string]bool), tasks: make(map[string]int),
-		requests: make(map[string]*callerRequests), keyOfToken: make(map[uint64]string),
+		requests: make(map[string]*callerRequests), keyOfToken: make(map[uint64]string), replies: make(map[uint64]int),
 		failed: make(map[wire.RunRef]bool), noted: make(map[wire.RunRef]bool), failedRuns: make(map[string]int), crashedRuns: make(map[string]int), notedFailures: make(map[string]int),
 		readLimit: rapid.SampledFrom([]int{4, 20, 1 << 20}).Draw(t, "records in one read"),
 	}
@@ -261,7 +262,14 @@
 	unacknowledged, unresolved := p.machine.UnacknowledgedRuns(), p.machine.UnresolvedRequests()
 	replacement := w.newProcessAt(p.vm, p.address)
 	p.self, p.machine, p.nextAppend, p.hasOffset = replacement.self, replacement.machine, 0, false
-	p.drives, p.inbox = replacement.drives, nil
+	p.drives = replacement.drives
+	p.inbox = slices.DeleteFunc(p.inbox, func(ev durable.Event) bool {
+		switch ev.(type) {
+		case durable.Submit, durable.Cancel:
+			return false
+		}
+		return true
+	})
 	for _, run := range unacknowledged {
 		p.inbox = append(p.inbox, run)
 	}
@@ -335,8 +343,9 @@
 	case durable.Acknowledge:
 		w.acknowledge(x)
 	case durable.Reply:
-		if job, ok := p.tokens[x.Token]; ok && x.Result == durable.Stored {
-			w.accepted[job] = true
+		w.replies[x.Token]++
+		if x.Result == durable.Stored && w.isSubmission(x.Token) {
+			w.accepted[p.tokens[x.Token]] = true
 		}
 		if x.Result == durable.Full || x.Result == durable.Unavailable || x.Result == durable.Unknown {
 			w.requests[w.keyOfToken[x.Token]].refused++
@@ -454,7 +463,7 @@
 // submit submits a job with the given number of tasks to a process. Every third
 // job recurs.
 func (w *world) submit(p *process, job string, tasks int) {
-	p.tokens[w.newToken("j"+job+".")] = job
+	w.newToken(p, job, "j"+job+".")
 	w.tasks[job] = tasks
 	p.inbox = append(p.inbox, durable.Submit{Token: w.lastNumber, Spec: durable.Spec{
 		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, MaxFailedRuns: maxFailedRuns,
@@ -465,12 +474,14 @@
 // cancel requests the cancellation of a job at a process.
 func (w *world) cancel(p *process, job string) {
 	w.cancelled[job] = true
-	p.inbox = append(p.inbox, durable.Cancel{Token: w.newToken("c" + job), Job: job})
+	p.inbox = append(p.inbox, durable.Cancel{Token: w.newToken(p, job, "c"+job), Job: job})
 }
 
-// newToken returns the token of a request whose record has a key that begins so.
-func (w *world) newToken(key string) uint64 {
+// newToken returns the token of a request to a process about a job whose record has a key
+// that begins so.
+func (w *world) newToken(p *process, job, key string) uint64 {
 	w.lastNumber++
+	p.tokens[w.lastNumber] = job
 	w.keyOfToken[w.lastNumber] = key
 	if w.requests[key] == nil {
 		w.requests[key] = new(callerRequests)
@@ -479,6 +490,20 @@
 	return w.lastNumber
 }
 
+// isSubmission reports whether the request with the token is a submission.
+func (w *world) isSubmission(token uint64) bool { return w.keyOfToken[token][0] == 'j' }
+
+// requireAllAnswered checks that each request to a process that still runs got one answer.
+func (w *world) requireAllAnswered() {
+	for _, p := range w.processes {
+		for token, job := range p.tokens {
+			if n := w.replies[token]; n != 1 {
+				w.t.Fatalf("%s: request %d (%s) about %s got %d answers, want 1", p.name, token, w.keyOfToken[token], job, n)
+			}
+		}
+	}
+}
+
 // requireRefusedNotRecorded checks that the log holds no record of a job or cancellation
 // of which every request was refused.
 func (w *world) requireRefusedNotRecorded() {
