Answer waiting requests and finish the handover of a leaving process

A caller of a leaving entry could get no answer until its deadline, and an entry that was fenced off while it left waited its 1.5 s for a handover that never came, took its own jobs over again meanwhile and was then killed with them.

A process without jobs reported that it had left although requests waited for the next append, and nothing is appended after that. The machine that replaces a fenced-off one was not told that the process leaves.

A machine reports that it has left once no request waits and none is unresolved, after every step; the keeper tells each further machine to leave, and closes its channel once.

--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -257,7 +257,6 @@
 		m.unresolved = append(m.unresolved, unresolvedRequest{e, now})
 	case Appended:
 		m.appended(now, e)
-		m.reportLeft()
 	case Fenced:
 		m.fenceDone(e)
 	case JobStarted:
@@ -271,7 +270,7 @@
 	case DriveEnded:
 		m.driveEnded(now, e)
 	case Leave:
-		m.leave()
+		m.leaving = true
 	case Tick:
 		m.scan(now)
 		m.resolveCancels(now)
@@ -281,6 +280,7 @@
 	}
 	m.driveDue(now)
 	m.flush(now)
+	m.reportLeft()
 	return m.actions
 }
 
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -261,7 +261,6 @@
 	}
 	j.driving, j.halting = false, false
 	m.driveCount--
-	m.reportLeft()
 	if j.state.Final() || !m.owns(j) {
 		return
 	}
@@ -284,19 +283,17 @@
 	m.markDirty(j)
 }
 
-// leave halts every job. Once all drives have ended, the handover is recorded,
-// so that other processes take the jobs over without waiting for the lease to
-// expire.
-func (m *Machine) leave() {
-	m.leaving = true
-	m.reportLeft()
-}
-
-// reportLeft emits Left if this process is leaving and has nothing to hand over.
+// reportLeft emits Left if this process is leaving and has nothing to hand over and no
+// caller to answer. A leaving process halts every job. Once all drives have ended, the
+// handover is recorded, so that other processes take the jobs over without waiting for
+// the lease to expire.
 func (m *Machine) reportLeft() {
 	if !m.leaving || m.left || m.driveCount > 0 || m.inFlight != nil {
 		return
 	}
+	if len(m.requests) > 0 || len(m.unresolved) > 0 {
+		return
+	}
 	if m.ownedCount == 0 || m.fencedOff {
 		m.left = true
 		m.emit(Left{})
--- a/internal/keeper/fenced_test.go
+++ b/internal/keeper/fenced_test.go
@@ -230,3 +230,24 @@
 	leave()
 	assert.Equal(t, <-result, durable.Result(0))
 }
+
+// Guards against a leaving process that is fenced off, forgets that it leaves, and takes
+// its jobs over once more while its VM waits for the handover.
+func TestFencedOffProcessStillLeaves(t *testing.T) {
+	log := newFencingLog()
+	k := startOnFencingLog(t, log)
+	log.setFault(appendUnheard, "jb")
+	result := make(chan durable.Result, 1)
+	go func() { result <- k.Submit(t.Context(), oneTaskJob("b")) }()
+	<-log.unanswered
+	ended, end := context.WithCancel(t.Context())
+	end()
+	k.Leave(ended) // requests the handover and does not wait for it
+	log.fenceAll(appendAnswered, false)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	k.Leave(ctx)
+	assert.NilError(t, ctx.Err(), "the handover was not reported")
+	assert.Equal(t, <-result, durable.Stored)
+	assert.Equal(t, log.count("t"), 0, "the process took jobs over")
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -96,8 +96,11 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	left   chan struct{} // closed once the jobs are handed over
+	// closeLeft guards left: each machine reports that it has left.
+	closeLeft sync.Once
 
 	mu         sync.Mutex
+	leaving    bool // Leave was called
 	readFailed bool // see LogRead
 	machine    *durable.Machine
 	self       durable.ProcessID
@@ -144,6 +147,9 @@
 // Leave hands the jobs over to other processes. It returns once the handover is
 // recorded or ctx ends.
 func (k *Keeper) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
 	k.post(durable.Leave{})
 	select {
 	case <-k.left:
@@ -314,6 +320,9 @@
 			k.inbox = append(k.inbox, r)
 		}
 	}
+	if k.leaving {
+		k.inbox = append(k.inbox, durable.Leave{})
+	}
 	k.reset()
 	return jobs
 }
@@ -350,7 +359,7 @@
 	case durable.Reply:
 		k.reply(x)
 	case durable.Left:
-		close(k.left)
+		k.closeLeft.Do(func() { close(k.left) })
 	case durable.Undecodable:
 		k.opts.Events.Emit(eventlog.JobRecordUnreadable, eventlog.Fields{Err: x.Err})
 	case durable.TakenOver:
