Cut processes off from the job log in one direction in all models of stored jobs

A one-way cut carries appends and fences out and holds up their answers. The statuses and run counts of such an append are in the log although the machine takes them as not written and reports the runs again after its replacement; it was open whether a failure is counted twice then, or an end acknowledged that is not recorded. The models check both (a job fails only after as many failed runs as it may have; no start after an acknowledged success; no run acknowledged as counted after its task was started again).

--- a/core/durable/durable_test.go
+++ b/core/durable/durable_test.go
@@ -34,9 +34,9 @@
 			case 1:
 				w.pause(p, span)
 			case 2:
-				p.cutUntil = w.now + span
+				w.cut(p, span)
 			case 12: // cut off until its lease has nearly expired, then paused
-				p.cutUntil = w.now + 2*span
+				w.cut(p, 2*span)
 				w.advance(min(span, 2400*time.Millisecond))
 				w.pause(p, span)
 			case 3:
@@ -64,6 +64,12 @@
 	p.pausedUntil = w.now + span
 }
 
+// cut cuts a process off from the log for the given time, in one direction or in both.
+func (w *world) cut(p *process, span time.Duration) {
+	p.cutUntil = w.now + span
+	p.cutOneWay = rapid.Bool().Draw(w.t, "one way")
+}
+
 // endFaults ends every fault.
 func (w *world) endFaults() {
 	w.logDown = false
--- a/core/durable/failedjobs_test.go
+++ b/core/durable/failedjobs_test.go
@@ -32,11 +32,11 @@
 			case 1:
 				w.pause(p, span)
 			case 2:
-				p.cutUntil = w.now + span
+				w.cut(p, span)
 			case 3:
 				w.logDown = !w.logDown
 			case 4: // cut off until its lease has nearly expired, then paused
-				p.cutUntil = w.now + 2*span
+				w.cut(p, 2*span)
 				w.advance(min(span, 2400*time.Millisecond))
 				w.pause(p, span)
 			default:
--- a/core/durable/removed_test.go
+++ b/core/durable/removed_test.go
@@ -22,7 +22,7 @@
 			case 2:
 				w.pause(w.processes[i], span)
 			case 3:
-				w.processes[i].cutUntil = w.now + span
+				w.cut(w.processes[i], span)
 			case 4, 5:
 				w.removeKeys(rapid.SampledFrom([]byte("ltxr")).Draw(t, "kind"))
 			default:
--- a/core/durable/replaced_test.go
+++ b/core/durable/replaced_test.go
@@ -30,7 +30,7 @@
 			case 2:
 				w.pause(p, span)
 			case 3:
-				p.cutUntil = w.now + span
+				w.cut(p, span)
 			default:
 				return false
 			}
