--- a/internal/logstate/claims_test.go
+++ b/internal/logstate/claims_test.go
@@ -76,6 +76,9 @@
 	s.until("presence is written", func() bool { return a.Status().Counters.Presences == 1 })
 	s.server.SetFaults(logserver.Faults{LoseReplies: 1})
 	assert.Assert(t, claim(a, request("k", 0)).Won)
+	// The claim may be won by a read before its append is found unanswered, after which the
+	// log counts as out of reach.
+	s.until("the append is resolved", func() bool { return a.Status().Counters.ClaimRecords == 1 })
 	s.ready(a)
 	s.server.SetFaults(logserver.Faults{LoseRequests: 1})
 	assert.Assert(t, claim(a, request("l", 0)).Won)
