Read the addresses of the entries before the goroutine that submits jobs

Nothing of the product takes part.

The addresses are read by the caller; a restarted entry keeps them.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -245,9 +245,10 @@
 	var outcomes []load.JobResult
 	var err error
 	done := make(chan struct{})
+	target := load.Target{Entries: c.URLs(), Observer: c.Observer} // a test may restart an entry at once
 	go func() {
 		defer close(done)
-		outcomes, err = load.Drive(ctx, load.Target{Entries: c.URLs(), Observer: c.Observer}, name, jobs)
+		outcomes, err = load.Drive(ctx, target, name, jobs)
 	}()
 	return func() ([]load.JobResult, error) {
 		<-done
