Do not count attempts that last against the limits of an entry

By reading, an ejected agent with a long-running task in flight never got its trial.

Cause: the window of attempts and the limits of an agent that has failed count all attempts in flight, and rise again only with attempts that end or succeed. A long-running task does neither and fills them.

These limits are for attempts whose answer is still due. An attempt that has been in flight for 2 s while its agent reports counts as standing, and not against them; the attempts of an agent that does not report never do. A long-running task that was sent after the last failure of its agent and is at work for 1 s shows that it is healthy, as a success does. A trial that lasts is followed by the next one with exponential backoff.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -32,6 +32,7 @@
 	gang             gangPlan
 	unavailable      int           // agents suspended or ejected
 	inFlight         int           // attempts
+	standing         int           // of these, standing ones
 	meanInService    float64       // mean number of this entry's tasks in service under backlog
 	waitScale        float64       // scales the accepted queueing delay
 	meanLogRatio     float64       // mean of the agents' speed.logRatio
--- a/core/policy/alone.go
+++ b/core/policy/alone.go
@@ -36,7 +36,7 @@
 
 // mayPlaceAlone reports whether the agent can take a task that is to run alone.
 func (s *Adaptive) mayPlaceAlone(now time.Duration, j *jobState, a *agentState) bool {
-	healthy := !s.enabled.health || a.inFlight < a.health.maxInFlight(now)
+	healthy := !s.enabled.health || a.answersDue() < a.health.maxInFlight(now)
 	return a.acceptsStarts() && healthy && a.eligible(j) && (now >= s.containedUntil || a.quarantined)
 }
 
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -29,7 +29,7 @@
 	s.updateContention(now)
 	s.observeOthers(now)
 	s.queue.unparkDue(now)
-	for parked := 0; parked < maxParkedPerDecision && !s.window.full(s.inFlight); parked++ {
+	for parked := 0; parked < maxParkedPerDecision && !s.window.full(s.answersDue()); parked++ {
 		j := s.queue.head(now)
 		if j == nil || len(s.connected) == 0 {
 			break
@@ -71,6 +71,7 @@
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
 	s.inFlight++
+	a.attempts.add(now)
 	if j.job.LongRunning {
 		a.longRunning.add(now)
 	}
@@ -87,8 +88,7 @@
 		s.budget.recordStart(now)
 	}
 	if a.health.ejected {
-		a.health.onTrial = true
-		a.health.trialAt = now + minTrialDelay
+		a.health.beginTrial(now, s.rand.float())
 	}
 	s.removeFreed(a)
 	slack := j.due + j.class.priorityDelay - now
@@ -111,11 +111,14 @@
 		a.longRunning.remove(sentAt)
 	}
 	s.inFlight--
+	if a.attempts.remove(sentAt) {
+		s.standing--
+	}
 	s.addFreed(a)
 	if r.Reason != wire.ReasonAgentLost && sentAt >= s.resumedAt {
 		rtt := now - sentAt - r.QueueTime.Duration() - r.RunTime.Duration()
 		a.observeRoundTrip(rtt)
-		s.window.observe(now, sentAt, rtt, s.inFlight)
+		s.window.observe(now, sentAt, rtt, s.answersDue())
 	}
 	s.adjustWait(r)
 	if task.NotRunAttempts > 0 && r.Outcome == wire.Succeeded {
@@ -186,6 +189,12 @@
 	c.outcomes.add(true)
 	j.succeeded++
 	a.health.markUp()
+	s.recordHealthy(a, sentAt)
+}
+
+// recordHealthy records that an attempt that was sent at sentAt succeeded, or lasts as it
+// is meant to. It ends an ejection unless the agent has failed since.
+func (s *Adaptive) recordHealthy(a *agentState, sentAt time.Duration) {
 	if a.health.recordOwnSuccess(sentAt) && a.health.ejected {
 		s.unavailable--
 		a.health.readmit()
@@ -303,7 +312,8 @@
 		return
 	}
 	a.observe(now, load)
-	a.creditLongRunning(now)
+	s.standing += a.attempts.advance(now)
+	s.creditLongRunning(now, a)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
 	s.outcomes.addCounts(successes, failures)
--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -114,7 +114,7 @@
 	free := a.limit() - a.usedSlots(p.now, p.meanRun, s.enabled.ageing)
 	n := int(math.Floor(free/a.slotsOf(p.job.job) + 1e-6))
 	if s.enabled.health {
-		n = min(n, a.health.gangMaxInFlight(p.now, p.job.overdue(p.now))-a.inFlight)
+		n = min(n, a.health.gangMaxInFlight(p.now, p.job.overdue(p.now))-a.answersDue())
 	}
 	if limit := p.job.job.MaxPerWorker; limit > 0 {
 		n = min(n, limit-p.job.inFlightAt[a])
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -158,7 +158,8 @@
 // attributed to other causes than the agent.
 func (h *health) unexplainedFailures() int { return max(0, h.streak-h.unattributed) }
 
-// maxInFlight returns how many attempts of this entry may be in flight.
+// maxInFlight returns how many attempts of this entry may be in flight, without those that
+// are standing.
 func (h *health) maxInFlight(now time.Duration) int {
 	switch {
 	case h.ejected:
@@ -225,6 +226,17 @@
 	h.ejections++
 }
 
+// beginTrial notes that a trial was sent. The next one follows no sooner than minTrialDelay
+// later, and with exponential backoff if the trial before has not ended.
+func (h *health) beginTrial(now time.Duration, random float64) {
+	if h.onTrial {
+		h.scheduleTrial(now, random)
+	} else {
+		h.trialAt = now + minTrialDelay
+	}
+	h.onTrial = true
+}
+
 // readmit ends an ejection and begins a slow start.
 func (h *health) readmit() {
 	h.ejected = false
--- a/core/policy/longrunning.go
+++ b/core/policy/longrunning.go
@@ -28,21 +28,29 @@
 	}
 }
 
-// prove marks the tasks that have been at work for longRunningProofTime and returns how many
-// there are that were not marked before.
-func (l longRunningTasks) prove(now time.Duration) (n int) {
+// prove marks the tasks that have been at work for longRunningProofTime. It returns how many
+// there are that were not marked before, and when the last of these was sent.
+func (l longRunningTasks) prove(now time.Duration) (n int, sentAt time.Duration) {
 	for i := range l {
 		if t := &l[i]; !t.proven && now-t.sentAt >= longRunningProofTime {
 			t.proven = true
 			n++
+			sentAt = max(sentAt, t.sentAt)
 		}
 	}
-	return n
+	return n, sentAt
 }
 
-// creditLongRunning counts long-running tasks at work as successes of the agent.
-func (a *agentState) creditLongRunning(now time.Duration) {
-	if n := a.longRunning.prove(now); n > 0 && !a.health.limited {
+// creditLongRunning counts long-running tasks at work as successes of the agent. One that
+// was sent after the agent's last failure shows that the agent is healthy, as the success of
+// another task would.
+func (s *Adaptive) creditLongRunning(now time.Duration, a *agentState) {
+	n, sentAt := a.longRunning.prove(now)
+	if n == 0 {
+		return
+	}
+	s.recordHealthy(a, sentAt)
+	if !a.health.limited {
 		a.health.ramp = min(a.health.ramp+n, rampSuccesses)
 	}
 }
--- a/core/policy/longrunning_test.go
+++ b/core/policy/longrunning_test.go
@@ -47,10 +47,17 @@
 	var l longRunningTasks
 	l.add(1)
 	l.add(2)
-	assert.Equal(t, l.prove(longRunningProofTime), 0)
-	assert.Equal(t, l.prove(longRunningProofTime+1), 1)
-	assert.Equal(t, l.prove(longRunningProofTime+2), 1)
-	assert.Equal(t, l.prove(time.Hour), 0)
+	for _, step := range []struct {
+		now    time.Duration
+		proven int
+		sentAt time.Duration
+	}{
+		{longRunningProofTime, 0, 0}, {longRunningProofTime + 1, 1, 1}, {longRunningProofTime + 2, 1, 2}, {time.Hour, 0, 0},
+	} {
+		n, sentAt := l.prove(step.now)
+		assert.Equal(t, n, step.proven, step.now)
+		assert.Equal(t, sentAt, step.sentAt, step.now)
+	}
 	l.remove(1)
 	l.remove(2)
 	l.remove(2)
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -100,7 +100,7 @@
 	if !a.acceptsStarts() {
 		return
 	}
-	if s.enabled.health && a.inFlight >= a.health.maxInFlight(p.now) {
+	if s.enabled.health && a.answersDue() >= a.health.maxInFlight(p.now) {
 		return
 	}
 	limit := a.limit()
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -41,6 +41,7 @@
 	speed       speed
 	health      health
 	longRunning longRunningTasks
+	attempts    attemptTimes
 	inFreed     bool          // listed in Adaptive.freed
 	crashedAt   time.Duration // when a run of this entry last ended with the worker's crash; 0 if never
 	// quarantined marks an agent that runs the contained classes of its pool while
