Allow an agent a run beside those that last after failures

Cause: each failed run lowers the runs that its agent allows, down to one, and only a success raises them; the long-running task was that one. A suspect agent gets a trial only with nothing active. The limit for overload had the same shape: successes alone raise it.

A run that has been at work for 2 s is standing: one run is allowed beside the standing ones, within the limit for overload, and a trial needs only that all active runs are standing. The limit for overload rises by one for each 5 s without a sign of overload.

--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -57,15 +59,42 @@
 	return m.streak.multipleSubmissions && m.streak.failures >= suspectRuns
 }
 
-// allowedRuns returns the number of tasks that may run at once now. Each failure
-// of a streak lowers it by one, even if all belong to one submission: otherwise
-// an upstream that fails immediately would consume the queue before tasks of a
-// second submission show it to be faulty.
-func (m *Machine) allowedRuns() int {
+// allowedRuns returns the number of slots that may be used at once now. Each failure of a
+// streak lowers it by one, even if all belong to one submission: otherwise an upstream that
+// fails immediately would consume the queue before tasks of a second submission show it to
+// be faulty. One run is allowed beside those that are standing, because the limit rises only
+// with a success and these may never end.
+func (m *Machine) allowedRuns(now time.Duration) int {
+	limit := m.limiter.limit()
+	if m.streak.failures == 0 {
+		return limit
+	}
+	allowed := limit - m.streak.failures
 	if m.suspect() {
-		return 1
+		allowed = 1
 	}
-	return max(1, m.limiter.limit()-m.streak.failures)
+	return max(1, min(limit, max(allowed, m.standingSlots(now)+1)))
+}
+
+// standingTime is how long a run must be at work until it counts as standing.
+const standingTime = 2 * time.Second
+
+func (a *attempt) standing(now time.Duration) bool { return now-a.started >= standingTime }
+
+// standingSlots returns how many slots the standing runs use, rounded up.
+func (m *Machine) standingSlots(now time.Duration) int {
+	slots := 0.0
+	for _, a := range m.active {
+		if a.standing(now) {
+			slots += a.slots
+		}
+	}
+	return int(math.Ceil(slots - slotTolerance))
+}
+
+// allStanding reports whether every run is standing.
+func (m *Machine) allStanding(now time.Duration) bool {
+	return !slices.ContainsFunc(m.active, func(a *attempt) bool { return !a.standing(now) })
 }
 
 // nextBackoff returns the next delay of an exponential backoff.
@@ -137,7 +166,7 @@
 	if !m.suspect() {
 		return
 	}
-	if !wasSuspect || len(m.active) == 0 {
+	if !wasSuspect || m.allStanding(now) {
 		m.suspectBackoff = nextBackoff(m.suspectBackoff, suspectDelay, maxSuspectDelay)
 		m.pausedUntil = now + m.suspectBackoff
 	}
--- a/core/agent/limit.go
+++ b/core/agent/limit.go
@@ -8,7 +8,8 @@
 // Parameters of the concurrency limit and of the statistics of classes. The weights
 // are those of new samples in moving averages.
 const (
-	limitDecreaseFactor = 0.7 // multiplicative decrease of the limit on a sign of overload
+	limitDecreaseFactor = 0.7             // multiplicative decrease of the limit on a sign of overload
+	limitRecoveryTime   = 5 * time.Second // for an increase of the limit by one without a success
 	// inflationFactor is the ratio of recent to long-term run times above which a
 	// class counts as inflated. Run times of one class vary widely; with a lower
 	// factor, random variation alone would lower the limit.
@@ -27,7 +28,8 @@
 	slots       float64
 	value       float64
 	decreasedAt time.Duration
-	decreased   bool // decreasedAt is set
+	decreased   bool          // decreasedAt is set
+	recoveredAt time.Duration // last increase without a success
 }
 
 func newLimiter(slots int) limiter {
@@ -38,6 +40,16 @@
 
 func (l *limiter) increase() { l.value = min(l.slots, l.value+1/l.value) }
 
+// recover raises the limit by one for each limitRecoveryTime without a decrease: if all runs
+// last, no success raises it.
+func (l *limiter) recover(now time.Duration) {
+	if l.value >= l.slots || now-max(l.decreasedAt, l.recoveredAt) < limitRecoveryTime {
+		return
+	}
+	l.value = min(l.slots, l.value+1)
+	l.recoveredAt = now
+}
+
 // decrease lowers the limit, but not below floor. A run that did not start after
 // the last decrease says nothing about the lowered limit, so one burst of overload
 // signals lowers the limit only once.
@@ -101,7 +113,7 @@
 // The rates of all running tasks add up. Each queued task ahead then takes the
 // mean of its class on one of the slots.
 func (m *Machine) expectedWait(now, due time.Duration, slots float64) time.Duration {
-	limit := float64(m.allowedRuns())
+	limit := float64(m.allowedRuns(now))
 	ahead, work := m.queue.workAhead(due)
 	pause := max(0, m.pausedUntil-now)
 	if m.occupied+ahead+slots <= limit+slotTolerance || len(m.active)+m.queue.Len() == 0 {
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -142,7 +142,7 @@
 
 // trialDue reports whether a suspect upstream may get its next trial run.
 func (m *Machine) trialDue(now time.Duration) bool {
-	return len(m.active) == 0 && m.queue.Len() == 0 && now >= m.pausedUntil
+	return m.allStanding(now) && m.queue.Len() == 0 && now >= m.pausedUntil
 }
 
 // cancel finishes a queued attempt in this step and requests the stop of a running
@@ -183,11 +183,11 @@
 // hasRoom reports whether the attempt may start in addition to the running ones. A
 // task that takes more slots than are allowed runs alone, if the worker's capacity
 // suffices.
-func (m *Machine) hasRoom(a *attempt) bool {
+func (m *Machine) hasRoom(now time.Duration, a *attempt) bool {
 	if !m.fitsBeside(a) {
 		return false
 	}
-	return len(m.active) == 0 || m.occupied+a.slots <= float64(m.allowedRuns())+slotTolerance
+	return len(m.active) == 0 || m.occupied+a.slots <= float64(m.allowedRuns(now))+slotTolerance
 }
 
 // slotTolerance absorbs rounding errors in sums of slots. It is smaller than the
@@ -195,7 +195,7 @@
 const slotTolerance = 1e-6
 
 func (m *Machine) startQueued(now time.Duration) {
-	for m.queue.Len() > 0 && m.hasRoom(m.queue.top()) && now >= m.pausedUntil && !m.admissionClosed {
+	for m.queue.Len() > 0 && m.hasRoom(now, m.queue.top()) && now >= m.pausedUntil && !m.admissionClosed {
 		a := m.queue.pop()
 		if now >= a.deadline {
 			m.finish(a, wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired})
