Report and keep to the capacity that a worker has now

Cause: entries go by the capacity of the hello, and the agent admitted a start by the slots of that capacity, but started it only if the current capacity had room. Nothing bounded the time in its queue, and later starts that fit waited behind it.

TestShrunkenCapacityIsReportedAndBoundsAdmission failed (a limit of 8 slots reported, 5 can be used) and TestQueuedAttemptIsReturnedAfterItsWait failed (no result).

The agent states in each load report, and at once after a change, how many slots can be used: those in use and as many as the current capacity has room for in every dimension. It estimates the wait of a start by the same limit, and returns an attempt as busy that is queued for 2 s longer than its entry accepts.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -209,7 +209,7 @@
 		Running:      min(len(m.active), wire.MaxSlots),
 		Queued:       min(m.queue.Len(), wire.MaxSlots), // entries refuse frames that state more
 		Slots:        m.opts.Slots,
-		Limit:        m.allowedRuns(now),
+		Limit:        max(1, min(m.allowedRuns(now), int(m.roomLimit()+slotTolerance))),
 		ExpectedWait: wire.MicrosOf(m.expectedWait(now, now+wire.MaxMicros.Duration(), 1)),
 		Successes:    m.successes,
 		Failures:     m.failures,
--- a/core/agent/capacity.go
+++ b/core/agent/capacity.go
@@ -1,9 +1,18 @@
 package agent
 
-import "github.com/limpettrail/limpettrail/core/wire"
+import (
+	"time"
 
-// changeCapacity adopts the capacity that the worker announced last. What runs already
-// keeps running; queued tasks that the worker cannot take any more are returned.
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// queueGrace is how much longer than the wait that its entry accepts an attempt may be
+// queued. The runs before it may last, so the estimate of its wait can be wrong for good.
+const queueGrace = 2 * time.Second
+
+// changeCapacity adopts the capacity that the worker announced last, and reports it to the
+// entries. What runs already keeps running; queued tasks that the worker cannot take any
+// more are returned.
 func (m *Machine) changeCapacity(e *CapacityChanged) {
 	if e.Sequence < m.capacitySequence {
 		return
@@ -15,6 +24,43 @@
 		Accelerators: e.Capacity.Accelerators,
 	}
 	m.returnQueued(wire.ReasonNoRoom, func(a *attempt) bool { return !m.capacity.Fits(a.start.Need) })
+	m.heartbeatAll()
+}
+
+// returnOverdue returns the attempts that are queued for longer than their entry accepts.
+func (m *Machine) returnOverdue(now time.Duration) {
+	m.returnQueued(wire.ReasonBusy, func(a *attempt) bool {
+		return now-a.arrived >= a.start.MaxWait.Duration()+queueGrace
+	})
+}
+
+// roomLimit returns how many slots can be used at once: those in use, and as many as the
+// worker's current capacity has room for in every dimension.
+func (m *Machine) roomLimit() float64 {
+	slots := float64(m.opts.Slots)
+	if m.capacity == m.opts.Capacity {
+		return slots
+	}
+	used := m.usedCapacity()
+	room := 1.0
+	for _, d := range [...]struct{ full, current, used int64 }{
+		{m.opts.Capacity.MilliCores, m.capacity.MilliCores, used.MilliCores},
+		{m.opts.Capacity.MemoryMB, m.capacity.MemoryMB, used.MemoryMB},
+		{m.opts.Capacity.Accelerators, m.capacity.Accelerators, used.Accelerators},
+	} {
+		if d.full > 0 {
+			room = min(room, float64(max(0, d.current-d.used))/float64(d.full))
+		}
+	}
+	return min(slots, m.occupied+room*slots)
+}
+
+// usedCapacity returns the sum of the needs of all runs.
+func (m *Machine) usedCapacity() (sum wire.Capacity) {
+	for _, running := range m.active {
+		sum = sum.Add(running.start.Need)
+	}
+	return sum
 }
 
 // changeAdmission tells every entry whether the worker can take further runs. Queued tasks
@@ -42,9 +88,5 @@
 	if m.capacity == m.opts.Capacity {
 		return true
 	}
-	need := a.start.Need
-	for _, running := range m.active {
-		need = need.Add(running.start.Need)
-	}
-	return m.capacity.Fits(need)
+	return m.capacity.Fits(m.usedCapacity().Add(a.start.Need))
 }
--- a/core/agent/capacity_test.go
+++ b/core/agent/capacity_test.go
@@ -67,3 +67,51 @@
 	start(need)
 	assert.Equal(t, len(running), 0, "the worker has no capacity left")
 }
+
+// shrunkBesideLastingRun returns a script of an agent with 8 slots on 64 cores: a run of 24
+// cores lasts for 10 s already, and the worker has 40 cores left.
+func shrunkBesideLastingRun(t *testing.T) *script {
+	s := newScript(Options{Slots: 8, Capacity: wire.Capacity{MilliCores: 64000}})
+	s.startNeeding(24000, 0)
+	assert.Equal(t, len(s.running), 1)
+	s.advance(10 * time.Second)
+	s.step(CapacityChanged{Capacity: wire.Capacity{MilliCores: 40000}, Sequence: 1})
+	return s
+}
+
+// startNeeding sends a start that needs the given thousandths of a core.
+func (s *script) startNeeding(milliCores int64, maxWait time.Duration) wire.Seq {
+	seq := s.nextSeq
+	s.nextSeq++
+	s.receive(wire.ToAgent{Starts: []wire.Start{{
+		Seq: seq, Submission: wire.SubmissionID{byte(seq)}, Class: "c", Need: wire.Capacity{MilliCores: milliCores},
+		MaxWait: wire.MicrosOf(maxWait), Deadline: wire.MicrosOf(time.Hour),
+	}}})
+	return seq
+}
+
+// Guards against a task that waits for good at a worker whose capacity has shrunk, beside
+// idle workers: entries took the capacity of the hello, and the agent admitted by it.
+func TestShrunkenCapacityIsReportedAndBoundsAdmission(t *testing.T) {
+	s := shrunkBesideLastingRun(t)
+	assert.Equal(t, s.frames[len(s.frames)-1].Load.Limit, 5, "slots that can be used: 3 that are, and 16 of 64 cores")
+	refused := s.startNeeding(24000, time.Second)
+	assert.Equal(t, s.result(t, refused).Outcome, wire.NotRun)
+	s.startNeeding(16000, 0)
+	assert.Equal(t, len(s.running), 2, "a task that fits is not run")
+	s.step(CapacityChanged{Capacity: wire.Capacity{MilliCores: 64000}, Sequence: 2})
+	assert.Equal(t, s.machine.Load(s.now).Limit, 8)
+}
+
+// Guards against an attempt that waits in the queue of an agent for good, and holds up those
+// behind it, because the runs that it waits for last.
+func TestQueuedAttemptIsReturnedAfterItsWait(t *testing.T) {
+	s := newScript(Options{Slots: 1})
+	const maxWait = time.Second
+	s.start(1, 0)
+	queued := s.start(2, maxWait)
+	s.advance(maxWait + queueGrace)
+	assert.Equal(t, s.result(t, queued).Outcome, wire.NotRun)
+	s.finishFirst(succeeded)
+	assert.Equal(t, len(s.running), 0)
+}
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -212,6 +212,7 @@
 func (m *Machine) tick(now time.Duration) {
 	m.limiter.recover(now)
 	m.returnQueued(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
+	m.returnOverdue(now)
 	m.stopOrphans(now)
 	m.reportPermissions()
 	m.broadcastOverdueRuns(now)
--- a/core/agent/limit.go
+++ b/core/agent/limit.go
@@ -113,13 +113,13 @@
 // The rates of all running tasks add up. Each queued task ahead then takes the
 // mean of its class on one of the slots.
 func (m *Machine) expectedWait(now, due time.Duration, slots float64) time.Duration {
-	limit := float64(m.allowedRuns(now))
+	limit := min(float64(m.allowedRuns(now)), m.roomLimit())
 	ahead, work := m.queue.workAhead(due)
 	pause := max(0, m.pausedUntil-now)
 	if m.occupied+ahead+slots <= limit+slotTolerance || len(m.active)+m.queue.Len() == 0 {
 		return pause
 	}
-	wait := time.Duration(float64(work) / limit)
+	wait := time.Duration(float64(work) / max(1, limit))
 	if missing := m.occupied + slots - limit; missing > 0 && len(m.active) > 0 {
 		departures := math.Ceil(missing / (m.occupied / float64(len(m.active))))
 		wait += time.Duration(departures / m.departureRate(now))
