Send a task elsewhere that an agent keeps refusing

Cause: a refusal as busy is retried at once, because the agent also reports its load. The report does not tell that a task which needs more than is free waits for runs that last; the entry expects one of them to end within a mean run time, and being away from the data seems to cost more.

After three refusals of a job's tasks in a row by one agent the job goes to other agents first.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -134,6 +134,7 @@
 	if j.job.MaxPerWorker > 0 {
 		j.inFlightAt[a]--
 	}
+	j.recordRefusals(a, r)
 	if r.Reason == wire.ReasonWorkerCrashed {
 		s.recordCrash(now, a, j.class, task, r)
 	}
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -9,6 +9,7 @@
 const (
 	rackSpreadCost      = 2 * time.Millisecond  // cost of each task of the job in the agent's rack, divided by the agent's limit
 	failedAgentCost     = time.Second           // cost of an agent on which the job has failed
+	refusingAgentCost   = time.Hour             // cost of an agent that keeps refusing the job's tasks
 	speedCostWeight     = 1.0                   // weight of the run time saved on a fast worker, for a job under full deadline pressure
 	fastAgentCost       = 10 * time.Millisecond // cost of a fast agent per fraction of the run time saved, for a job without deadline pressure
 	crossRackSlowdown   = 0.5                   // added share of the run time away from the job's data or its other tasks
@@ -167,6 +168,9 @@
 	if p.job.failedOnAgent(a) {
 		cost += failedAgentCost.Seconds()
 	}
+	if p.job.keepsRefusing(a) {
+		cost += refusingAgentCost.Seconds()
+	}
 	if s.opts.LinkBytesPerSecond > 0 && p.job.lastAgent != a {
 		cost += linkTimeWeight * float64(p.job.job.PayloadBytes) / s.opts.LinkBytesPerSecond
 	}
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -55,6 +55,7 @@
 	inFlightAt map[*agentState]int // tasks in flight by agent, only if Job.MaxPerWorker is set
 	succeeded  int
 	failedOn   []failure
+	refusedBy  []refusals
 }
 
 // teamState holds the jobs of one team in one class.
--- a/core/policy/standing_test.go
+++ b/core/policy/standing_test.go
@@ -63,7 +63,7 @@
 	case wire.Failed:
 		load.Failures++
 	}
-	x.s.AttemptDone(x.now, agent, task, &wire.Result{Outcome: o, Reason: reason})
+	x.s.AttemptDone(x.now, agent, task, &wire.Result{Outcome: o, Reason: reason, RunTime: wire.MicrosOf(20 * time.Millisecond)})
 }
 
 // longRunning enqueues a job of long-running tasks and waits until they are at work.
@@ -154,3 +154,41 @@
 	}
 	assert.Assert(t, !h.ejected, "a successful trial does not end the ejection")
 }
+
+// Guards against a task that is sent to the same agent for good, which refuses it each time
+// because of runs that last, while another agent is idle: the idle one is away from the
+// task's data, which seems to cost more than the wait for a run to end.
+func TestTaskThatAgentKeepsRefusingGoesElsewhere(t *testing.T) {
+	x := newStandingWork(2)
+	for id, rack := range map[wire.Incarnation]string{1: "r1", 2: "r2"} {
+		x.s.AgentUp(0, AgentInfo{Agent: id, Zone: "z", Rack: rack, Slots: 8, Capacity: wire.Capacity{MilliCores: 64000}})
+	}
+	_, warmUp := enqueue(x.s, x.now, "c", 40)
+	for x.loads[1].Successes+x.loads[2].Successes < 40 {
+		x.advance(100 * time.Millisecond)
+		for _, task := range warmUp {
+			x.end(task, wire.Succeeded, wire.ReasonNone)
+		}
+	}
+	need := wire.Capacity{MilliCores: 24000}
+	lasting, list := newTestJob("c", x.now, 1)
+	lasting.LongRunning, lasting.DataRack, lasting.Need, lasting.Deadline = true, "r1", need, time.Hour
+	x.s.Enqueue(x.now, list[0])
+	x.advance(10 * time.Second)
+	assert.Equal(t, x.inFlight[list[0]], wire.Incarnation(1))
+	x.loads[1].Limit, x.loads[1].Occupied = 5, 3000 // its capacity has shrunk to 40 cores
+	x.advance(time.Second)
+	job, list := newTestJob("c", x.now, 1)
+	job.DataRack, job.Need, job.DeclaredRunTime = "r1", need, 200*time.Millisecond
+	task := list[0]
+	for range 10 {
+		x.s.Enqueue(x.now, task)
+		x.advance(500 * time.Millisecond)
+		if x.inFlight[task] == 2 {
+			return
+		}
+		task.NotRunAttempts++
+		x.end(task, wire.NotRun, wire.ReasonBusy)
+	}
+	t.Fatal("the task was sent to the agent that refuses it 10 times")
+}
