Refuse announcements of workers of another pool

The agent knows the pool of its worker from its settings. TestAnnouncementOfAnotherPoolChangesNothing fails without the check (no error).

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -43,6 +43,7 @@
 type AgentOptions struct {
 	Name  string
 	Zone  string
+	Pool  string   // that the VM's worker belongs to, "" if not known
 	Seeds []string // peer addresses of entries
 	// Directory lists further entries; nil means none.
 	Directory Directory
@@ -89,10 +90,18 @@
 	return n
 }
 
-// HandleAnnouncement handles an announcement of the worker. Announcements of an
-// earlier incarnation and those that arrive out of order are ignored, but see
-// probeRenamedLocked.
-func (n *AgentNode) HandleAnnouncement(a Announcement) {
+// HandleAnnouncement handles an announcement of the worker. It returns an error for that of
+// a worker of another pool, which does not run here. Announcements of an earlier incarnation
+// and those that arrive out of order are ignored, but see probeRenamedLocked.
+func (n *AgentNode) HandleAnnouncement(a Announcement) error {
+	if n.opts.Pool != "" && a.Pool != n.opts.Pool {
+		return fmt.Errorf("announcement: worker %q of pool %q, want %q", a.Worker, a.Pool, n.opts.Pool)
+	}
+	n.handleOwnAnnouncement(a)
+	return nil
+}
+
+func (n *AgentNode) handleOwnAnnouncement(a Announcement) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	// While a replaced agent waits, a later incarnation is taken over also during a stop.
--- a/internal/fleet/agent_test.go
+++ b/internal/fleet/agent_test.go
@@ -105,3 +105,18 @@
 	await(t, func() bool { return running() && polls.Load() > cutOffAnswers })
 	assert.Assert(t, !early.Load())
 }
+
+// Guards against a worker that is never used again after an announcement of another writer,
+// which names a pool that the VM's worker does not belong to and a later start.
+func TestAnnouncementOfAnotherPoolChangesNothing(t *testing.T) {
+	n, _ := startWorkerless(t)
+	n.opts.Pool = "desk"
+	own := announced(5, 1, false)
+	own.Pool = "desk"
+	n.HandleAnnouncement(own)
+	other := announced(9, 1, false)
+	other.Worker, other.Pool = "other", "archive"
+	err := n.HandleAnnouncement(other)
+	assert.ErrorContains(t, err, `pool "archive", want "desk"`)
+	assert.DeepEqual(t, n.announced, own)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,7 @@
 	}
 	clients := platform.NewWorkerClients(s.WorkerAddr)
 	n := fleet.StartAgent(fleet.AgentOptions{
-		Name: s.Name, Zone: s.Zone, Seeds: s.Seeds,
+		Name: s.Name, Zone: s.Zone, Pool: s.Service, Seeds: s.Seeds,
 		Directory: platform.NewDirectory(platform.NewStore(s.StoreAddr)),
 		NewWorker: func(worker string, incarnation int64) fleet.Worker {
 			return clients.New(worker, incarnation)
