Keep the seqs of released attempts as ranges

Cause: beside an open attempt the records of later ones are released early and their seqs kept one by one, so that a query is not answered with "not run"; at 65,536 nothing was released any more and the window of 4,096 filled up.

The seqs are kept as ranges. Beyond 8,192 of these the oldest are joined: a query about a seq between them is answered as unknown, which is true.

--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -77,9 +77,9 @@
 	// answered NotRun.
 	recordsIncomplete   bool
 	attempts            map[wire.Seq]*attempt
-	byArrival           []*attempt            // unsettled attempts by ascending seq
-	releasedEarly       map[wire.Seq]struct{} // seqs of delivered results whose records were released early
-	nextReleaseAt       time.Duration         // earliest time of the next releaseDelivered
+	byArrival           []*attempt    // unsettled attempts by ascending seq
+	releasedEarly       seqSet        // seqs of delivered results whose records were released early
+	nextReleaseAt       time.Duration // earliest time of the next releaseDelivered
 	results             []wire.Result
 	pendingFinishedRuns []wire.FinishedRun // retained runs for the next frame
 	settledStarts       []wire.Seq         // for the next frame, see wire.ToEntry.SettledStarts
@@ -132,11 +132,7 @@
 		return
 	}
 	rec.lowestOpen = lowestOpen
-	for seq := range rec.releasedEarly {
-		if seq < lowestOpen {
-			delete(rec.releasedEarly, seq)
-		}
-	}
+	rec.releasedEarly.removeBelow(lowestOpen)
 	n := 0
 	for n < len(rec.byArrival) && rec.byArrival[n].start.Seq < lowestOpen {
 		m.releaseRecord(rec, rec.byArrival[n])
@@ -191,7 +187,6 @@
 		epoch:             m.maxRemovedEpoch,
 		recordsIncomplete: m.entriesRemoved,
 		attempts:          make(map[wire.Seq]*attempt),
-		releasedEarly:     make(map[wire.Seq]struct{}),
 	}
 	m.entries[entry] = rec
 	m.entryList = append(m.entryList, rec)
--- a/core/agent/retain.go
+++ b/core/agent/retain.go
@@ -13,8 +13,10 @@
 	// that receives nothing for 2 s closes the link, and an agent that then
 	// receives nothing for 2 s closes it too.
 	deliveredAfter = 5 * time.Second
-	// maxReleasedEarly bounds the seqs kept for records that were released early.
-	maxReleasedEarly = 1 << 16
+	// maxReleasedRanges bounds the ranges of seqs kept for records that were released
+	// early. Of those beyond it the oldest joinedRanges are joined.
+	maxReleasedRanges = 1 << 13
+	joinedRanges      = maxReleasedRanges / 4
 	// releaseInterval is the minimum interval between two searches of one entry's
 	// records for delivered results.
 	releaseInterval = 100 * time.Millisecond
@@ -24,9 +26,11 @@
 // settled. LowestOpenSeq stays at the lowest open attempt, so without this one task
 // of many seconds would let short tasks that have ended fill the window. The seqs
 // of the released records are kept: a query about one is answered Unknown, never
-// NotRun.
+// NotRun. Beside a task that lasts these grow without end, so the oldest ranges are joined:
+// a query about a seq between them is answered Unknown as well, although this agent may not
+// have received it.
 func (m *Machine) releaseDelivered(now time.Duration, rec *entryRecord) {
-	if now < rec.nextReleaseAt || len(rec.releasedEarly) >= maxReleasedEarly {
+	if now < rec.nextReleaseAt {
 		return
 	}
 	rec.nextReleaseAt = now + releaseInterval
@@ -34,10 +38,13 @@
 		if !a.wasDelivered(now) {
 			return false
 		}
-		rec.releasedEarly[a.start.Seq] = struct{}{}
+		rec.releasedEarly.add(a.start.Seq)
 		m.releaseRecord(rec, a)
 		return true
 	})
+	if len(rec.releasedEarly) > maxReleasedRanges {
+		rec.releasedEarly.joinOldest(joinedRanges)
+	}
 }
 
 // wasDelivered reports whether the result counts as delivered (see deliveredAfter).
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -97,7 +97,7 @@
 // mayHaveReleased reports whether the record of the seq was released early, or may
 // have been removed with an earlier record of the same entry.
 func (rec *entryRecord) mayHaveReleased(seq wire.Seq) bool {
-	if _, ended := rec.releasedEarly[seq]; ended {
+	if rec.releasedEarly.contains(seq) {
 		return true
 	}
 	return rec.recordsIncomplete && (rec.firstSeq == 0 || seq < rec.firstSeq)
