Tell entries when a worker has more capacity than its agent stated

When the announced capacity exceeds the stated one in a dimension, the agent counts the slots of its runs anew, closes its links and dials again with a hello that states it; attempts in flight are queried over the new links, as after any loss of a link. A smaller capacity needs no hello, since the load reports state what can be used. An entry takes the capacity of the newest hello also for tasks that run alone.

--- a/core/agent/capacity.go
+++ b/core/agent/capacity.go
@@ -18,6 +18,7 @@
 		return
 	}
 	m.capacitySequence = e.Sequence
+	m.growTo(e.Capacity)
 	m.capacity = wire.Capacity{
 		MilliCores:   reported(e.Capacity.MilliCores, m.opts.Capacity.MilliCores),
 		MemoryMB:     reported(e.Capacity.MemoryMB, m.opts.Capacity.MemoryMB),
@@ -27,6 +28,33 @@
 	m.heartbeatAll()
 }
 
+// growTo adopts a capacity that exceeds the full one in some dimension: the worker was
+// smaller when the agent began. Entries place tasks by the full capacity, so they must be
+// told.
+func (m *Machine) growTo(c wire.Capacity) {
+	full := m.opts.Capacity
+	if full.MilliCores > 0 { // 0: not stated
+		full.MilliCores = max(full.MilliCores, c.MilliCores)
+	}
+	if full.MemoryMB > 0 {
+		full.MemoryMB = max(full.MemoryMB, c.MemoryMB)
+	}
+	full.Accelerators = max(full.Accelerators, c.Accelerators)
+	if full == m.opts.Capacity {
+		return
+	}
+	m.opts.Capacity = full
+	for _, a := range m.queue {
+		a.slots = full.SlotsFor(a.start.Need, m.opts.Slots)
+	}
+	m.occupied = 0
+	for _, a := range m.active {
+		a.slots = full.SlotsFor(a.start.Need, m.opts.Slots)
+		m.occupied += a.slots
+	}
+	m.emit(CapacityGrown{Capacity: full})
+}
+
 // returnOverdue returns the attempts that are queued for longer than their entry accepts.
 func (m *Machine) returnOverdue(now time.Duration) {
 	m.returnQueued(wire.ReasonBusy, func(a *attempt) bool {
--- a/core/agent/capacity_test.go
+++ b/core/agent/capacity_test.go
@@ -115,3 +115,27 @@
 	s.finishFirst(succeeded)
 	assert.Equal(t, len(s.running), 0)
 }
+
+// Guards against slots that are counted by a capacity that the worker had before it grew.
+func TestGrownCapacityChangesSlotsOfRuns(t *testing.T) {
+	s := newScript(Options{Slots: 8, Capacity: wire.Capacity{MilliCores: 16000}})
+	for range 4 {
+		s.startNeeding(4000, 0) // 2 slots
+	}
+	assert.Equal(t, len(s.running), 4)
+	refused := s.startNeeding(20000, time.Minute)
+	assert.Equal(t, s.result(t, refused).Reason, wire.ReasonNoRoom)
+	grown := 0
+	for _, a := range s.machine.Step(s.now, CapacityChanged{Capacity: wire.Capacity{MilliCores: 64000}, Sequence: 1}) {
+		if x, ok := a.(CapacityGrown); ok {
+			grown++
+			assert.Equal(t, x.Capacity.MilliCores, int64(64000))
+		}
+	}
+	assert.Equal(t, grown, 1)
+	assert.Equal(t, s.machine.Load(s.now).Occupied, 2000)
+	s.startNeeding(40000, 0)
+	assert.Equal(t, len(s.running), 5)
+	s.finishAll(succeeded)
+	assert.Equal(t, s.machine.occupied, 0.0)
+}
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -150,6 +150,10 @@
 // and to deliver Probed. At most one probe is in progress.
 type Probe struct{}
 
+// CapacityGrown reports that the worker has more than the capacity that was stated to
+// entries, or was when the agent began. They must be told over new links.
+type CapacityGrown struct{ Capacity wire.Capacity }
+
 // Retired reports that the entry of a Retire event has settled all its attempts
 // and that DrainLinger has passed, so the link may be closed.
 type Retired struct {
@@ -170,5 +174,6 @@
 func (SupersedeRun) isAction()   {}
 func (Permissions) isAction()    {}
 func (Probe) isAction()          {}
+func (CapacityGrown) isAction()  {}
 func (Retired) isAction()        {}
 func (Drained) isAction()        {}
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -51,7 +51,7 @@
 func (m *Machine) linkUp(now time.Duration, h wire.AgentHello) {
 	link := m.agents[h.Agent]
 	if link == nil {
-		link = &agentLink{incarnation: h.Agent, name: h.Name, capacity: h.Capacity, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
+		link = &agentLink{incarnation: h.Agent, name: h.Name, workerIncarnation: h.WorkerIncarnation, takeoverTime: h.TakeoverTime}
 		if m.hasLaterIncarnation(now, link) {
 			return // the agent is gone or ending; it closes a connection without frames
 		}
@@ -65,6 +65,7 @@
 	link.givenUp = false
 	link.withdrawn = false
 	link.epoch = h.Epoch
+	link.capacity = h.Capacity
 	link.sentAt = now
 	link.configVersion = h.ConfigVersion
 	link.pushConfigAt = 0
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -124,10 +124,12 @@
 	dialer        *entryDialer
 	epoch         atomic.Uint64 // last epoch used, across all links
 	configVersion atomic.Int64  // version of the state machine's configuration
-	ctx           context.Context
-	cancel        context.CancelFunc
-	drained       chan struct{}
-	wg            sync.WaitGroup
+	// capacity is the worker's full capacity, which hellos state.
+	capacity atomic.Pointer[wire.Capacity]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	drained  chan struct{}
+	wg       sync.WaitGroup
 }
 
 // openLink is an open link to an entry. It is also the event that passes a new link
@@ -137,8 +139,10 @@
 	epoch  wire.Epoch
 	peer   string
 	sender *link.Sender[*wire.ToEntry]
-	// helloSentAt is when the hello was sent that the entry answered, on Agent.clock.
+	// helloSentAt is when the hello was sent that the entry answered, on Agent.clock, and
+	// capacity what it stated.
 	helloSentAt time.Duration
+	capacity    *wire.Capacity
 	// retired is set once the link was retired: nothing is sent any more, and
 	// frames are read until the entry closes the link.
 	retired bool
@@ -160,6 +164,7 @@
 		cancel:  cancel,
 		drained: make(chan struct{}),
 	}
+	a.capacity.Store(&opts.Capacity)
 	a.upstream = a.newUpstream()
 	a.dialer = newEntryDialer(a)
 	a.emit(eventlog.AgentStarted, eventlog.Fields{Detail: opts.Name, Count: int64(opts.Slots)})
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -89,6 +89,9 @@
 		}
 		old.sender.Close()
 	}
+	if e.capacity != c.capacity.Load() {
+		e.sender.Close() // the capacity has grown since the hello
+	}
 	c.links[e.hello.Entry] = e
 	c.emit(eventlog.EntryLinkUp, eventlog.Fields{
 		Peer: e.peer, Detail: e.hello.Name, Count: int64(e.epoch), Age: c.clock.Now() - e.helloSentAt,
@@ -126,6 +129,8 @@
 		c.upstream.Supersede(x)
 	case agent.Probe:
 		c.upstream.Probe()
+	case agent.CapacityGrown:
+		c.restateCapacity(x.Capacity)
 	case agent.Retired:
 		c.finishRetiredLink(x)
 	case agent.Drained:
@@ -134,6 +139,15 @@
 	}
 }
 
+// restateCapacity closes all links, so that new ones are dialled whose hello states the
+// capacity. Attempts in flight are queried over these.
+func (c *core) restateCapacity(capacity wire.Capacity) {
+	c.capacity.Store(&capacity)
+	for _, l := range c.links {
+		l.sender.Close()
+	}
+}
+
 // finishRetiredLink closes the sending side of a retired link. The goroutine that
 // reads the link ends once the entry has read the last frame and closed its side.
 func (c *core) finishRetiredLink(x agent.Retired) {
--- a/internal/agentd/dial.go
+++ b/internal/agentd/dial.go
@@ -72,7 +72,8 @@
 	defer context.AfterFunc(a.ctx, func() { conn.Close() })()
 	epoch := wire.Epoch(a.epoch.Add(1))
 	helloSentAt := a.clock.Now()
-	hello, err := a.handshake(conn, epoch)
+	capacity := a.capacity.Load()
+	hello, err := a.handshake(conn, epoch, *capacity)
 	if err != nil {
 		return false, err
 	}
@@ -80,7 +81,7 @@
 	defer a.dialer.disconnected(hello.Entry, epoch)
 	sender := link.NewSender[*wire.ToEntry](conn)
 	defer sender.Close()
-	a.send(openLink{hello: hello, epoch: epoch, peer: addr, sender: sender, helloSentAt: helloSentAt})
+	a.send(openLink{hello: hello, epoch: epoch, peer: addr, sender: sender, helloSentAt: helloSentAt, capacity: capacity})
 	defer a.send(agent.LinkDown{Entry: hello.Entry, Epoch: epoch})
 	a.dialer.learn(hello.Entries)
 	return true, a.readFrames(conn, hello.Entry, epoch)
@@ -98,12 +99,12 @@
 	}
 }
 
-func (a *Agent) handshake(conn *link.Conn, epoch wire.Epoch) (wire.EntryHello, error) {
+func (a *Agent) handshake(conn *link.Conn, epoch wire.Epoch, capacity wire.Capacity) (wire.EntryHello, error) {
 	var reply wire.EntryHello
 	err := errors.Join(conn.WritePreface(), conn.Write(wire.AgentHello{
 		Protocol: wire.ProtocolVersion, Agent: a.opts.Incarnation, Epoch: epoch,
 		Name: a.opts.Name, Zone: a.opts.Zone, Rack: a.opts.Rack,
-		Slots: a.opts.Slots, Capacity: a.opts.Capacity,
+		Slots: a.opts.Slots, Capacity: capacity,
 		Pool: a.opts.Pool, Labels: a.opts.Labels, NoLeftoverRuns: a.opts.NoLeftoverRuns, WorkerIncarnation: a.opts.WorkerIncarnation,
 		TakeoverTime:  wire.MicrosOf(a.opts.TakeoverTime),
 		FinishedRuns:  a.opts.Machine.RetainedRuns,
