Forget the failures of a worker with time

A task that takes several slots was never started at the only worker that may run it, after that worker had failed some runs: after failures fewer slots are allowed, and only a success raises them. Tasks that need more than is allowed bring none.

One failure of the streak is forgotten for each 5 s in which no run failed; failures beyond the slots count once. The worker allows all its slots again 40 s after the last failure at the latest. A worker that still fails all its runs fails the next ones too, which restarts that time.

--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -206,6 +206,7 @@
 
 func (m *Machine) tick(now time.Duration) {
 	m.limiter.recover(now)
+	m.streak.forget(now, m.opts.Slots)
 	m.returnQueued(wire.ReasonExpired, func(a *attempt) bool { return now >= a.deadline })
 	m.returnOverdue(now)
 	m.stopOrphans(now)
--- a/core/agent/health.go
+++ b/core/agent/health.go
@@ -33,10 +33,12 @@
 	failures            int
 	firstStarted        time.Duration // when the first of them started
 	firstSubmission     wire.SubmissionID
-	multipleSubmissions bool // runs of at least two submissions failed
+	multipleSubmissions bool          // runs of at least two submissions failed
+	changedAt           time.Duration // when the last of them failed, or one was forgotten
 }
 
-func (s *failureStreak) add(a *attempt) {
+func (s *failureStreak) add(now time.Duration, a *attempt) {
+	s.changedAt = now
 	if s.failures == 0 {
 		s.firstSubmission = a.start.Submission
 		s.firstStarted = a.started
@@ -45,6 +47,20 @@
 	s.multipleSubmissions = s.multipleSubmissions || a.start.Submission != s.firstSubmission
 }
 
+// forget forgets one failure for each limitRecoveryTime in which no run failed: the task that
+// waits may need more than the runs that are still allowed, so that no success would come.
+// Failures beyond slots count once, since they lower the allowed runs no further.
+func (s *failureStreak) forget(now time.Duration, slots int) {
+	if s.failures == 0 || now-s.changedAt < limitRecoveryTime {
+		return
+	}
+	s.failures = min(s.failures, slots) - 1
+	s.changedAt = now
+	if s.failures == 0 {
+		*s = failureStreak{}
+	}
+}
+
 // succeeded ends the streak unless the run started before it: an upstream that
 // begins to fail may still complete the tasks that it is running.
 func (s *failureStreak) succeeded(a *attempt) {
@@ -162,7 +178,7 @@
 		m.limiter.decrease(now, a.started, 1)
 	}
 	wasSuspect := m.suspect()
-	m.streak.add(a)
+	m.streak.add(now, a)
 	if !m.suspect() {
 		return
 	}
--- a/core/agent/standing_test.go
+++ b/core/agent/standing_test.go
@@ -37,7 +37,7 @@
 				s.finishAll(failed)
 			}
 			assert.Equal(t, s.machine.suspect(), c.submissions > 1)
-			s.advance(maxSuspectDelay)
+			s.advance(2 * suspectDelay)
 			seq := s.start(100, 0)
 			assert.Equal(t, len(s.running), 1, "the start is not run: %+v", s.results)
 			other := s.start(101, 0)
@@ -81,3 +81,25 @@
 	}
 	assert.Equal(t, s.machine.limiter.limit(), slots)
 }
+
+// Guards against a task that is never started at the only worker that may run it: after
+// failures fewer slots are allowed than it takes, and only a success would raise them.
+func TestFailuresAreForgottenWithTime(t *testing.T) {
+	s := newScript(Options{Slots: 8, Capacity: wire.Capacity{MilliCores: 64000}})
+	s.startNeeding(6200, 0) // lasts
+	s.running = nil
+	for i := range 3 * suspectRuns {
+		s.advance(maxSuspectDelay / 2)
+		s.start(byte(i), 0)
+		s.finishAll(failed)
+	}
+	assert.Assert(t, s.machine.suspect())
+	refused := s.startNeeding(24000, 0)
+	assert.Equal(t, s.result(t, refused).Outcome, wire.NotRun)
+	for range 8 {
+		s.advance(limitRecoveryTime)
+	}
+	assert.Equal(t, s.machine.allowedRuns(s.now), 8)
+	s.startNeeding(24000, 0)
+	assert.Equal(t, len(s.running), 1)
+}
