Postpone the trial of an ejected worker once for a burst of failures

A worker that was ejected was out of use for up to 90 s after a fault of 0.2 s: each load report with failures doubled the delay until the next trial, also those of tasks that had been placed before the ejection.

A report postpones the trial only if the last postponement was 2 s ago or longer, the least delay of a trial.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -329,8 +329,10 @@
 	case !h.ejected:
 		s.checkOutlier(now, a)
 	case h.onTrial: // the result of the trial decides
-	case failures > 0:
-		h.scheduleTrial(now, s.rand.float()) // a trial by another entry failed
+	case failures > 0 && now-h.scheduledAt >= minTrialDelay:
+		// A trial by another entry failed. Failures in quick succession are of tasks that
+		// were there before.
+		h.scheduleTrial(now, s.rand.float())
 	case successes > 0 && now-h.ejectedAt >= minTrialDelay:
 		h.trialAt = min(h.trialAt, now) // a trial by another entry succeeded
 	}
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -75,6 +75,7 @@
 	ejectedAt   time.Duration
 	ejections   int           // exponent of the delay before the next trial
 	trialAt     time.Duration // earliest time of the next trial, a single task that tests an ejected agent
+	scheduledAt time.Duration // when trialAt was set
 	onTrial     bool          // a trial was sent and its result is not known yet
 
 	down      bool // the upstream is unreachable, or the agent limits starts
@@ -222,6 +223,7 @@
 // scheduleTrial sets the time of the next trial, with exponential backoff.
 func (h *health) scheduleTrial(now time.Duration, random float64) {
 	h.onTrial = false
+	h.scheduledAt = now
 	h.trialAt = now + expBackoff(minTrialDelay, maxTrialDelay, h.ejections, random)
 	h.ejections++
 }
--- a/core/policy/standing_test.go
+++ b/core/policy/standing_test.go
@@ -192,3 +192,23 @@
 	}
 	t.Fatal("the task was sent to the agent that refuses it 10 times")
 }
+
+// Guards against a worker that is out of use for a minute after a short fault: each failure
+// in a burst, of tasks that other entries had placed before, doubled the delay until the
+// next trial.
+func TestBurstOfFailuresPostponesTrialOnce(t *testing.T) {
+	x := newStandingWork(1)
+	x.advance(time.Second)
+	h := &x.s.agents[1].health
+	x.s.unavailable++
+	h.eject(x.now, 0)
+	for range 10 {
+		x.loads[1].Failures++
+		x.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, h.trialAt <= x.now+2*minTrialDelay, "the trial is due %v after the burst", h.trialAt-x.now)
+	x.advance(minTrialDelay)
+	x.loads[1].Failures++
+	x.advance(100 * time.Millisecond)
+	assert.Assert(t, h.trialAt >= x.now+minTrialDelay, "a later failure does not postpone the trial")
+}
