Check that accepted tasks progress whatever is in flight

A model with the real cores of entries and agents, under rapid: long-running and short jobs, stored ones with labels and two sizes, beside agents that freeze, workers that fail all they start, long-running tasks that fail, and capacities that shrink and grow. 30 s after the last disruption no stored job may wait and every long-running task must be at work.

--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -43,6 +43,9 @@
 	done          []*submitted
 	running       map[agent.AttemptID]bool
 	runningAt     map[agent.AttemptID]int // agent of each run
+	starts        map[agent.AttemptID]*wire.Start
+	frozenUntil   map[int]time.Duration // when the process of an agent goes on
+	capacity      wire.Capacity         // of each worker; zero if not stated
 	rng           *rand.Rand
 }
 
@@ -60,7 +63,13 @@
 func (s *submitted) slowdown() float64 { return float64(s.end-s.at) / float64(s.ideal) }
 
 func newDriver(seed uint64, entries, agents int, settings policy.Settings, sched func(i int) policy.Scheduler) *driver {
+	return newDriverWithCapacity(seed, entries, agents, wire.Capacity{}, settings, sched)
+}
+
+// newDriverWithCapacity is newDriver with workers that state a capacity.
+func newDriverWithCapacity(seed uint64, entries, agents int, capacity wire.Capacity, settings policy.Settings, sched func(i int) policy.Scheduler) *driver {
 	d := &driver{
+		capacity: capacity, starts: map[agent.AttemptID]*wire.Start{}, frozenUntil: map[int]time.Duration{},
 		downUntil: map[int]time.Duration{}, bad: map[int]bool{}, slow: map[int]float64{}, failedRuns: map[int]int{},
 		jobs: map[wire.SubmissionID]*submitted{}, running: map[agent.AttemptID]bool{}, runningAt: map[agent.AttemptID]int{},
 		rng: rand.New(rand.NewPCG(seed, 1)),
@@ -72,7 +81,7 @@
 		d.stepEntry(i, entry.Configured{Settings: settings})
 	}
 	for k := range agents {
-		d.agents = append(d.agents, agent.New(agent.Options{Incarnation: wire.Incarnation(1 + k), Slots: 8}))
+		d.agents = append(d.agents, agent.New(agent.Options{Incarnation: wire.Incarnation(1 + k), Slots: 8, Capacity: capacity}))
 		for i := range entries {
 			d.connect(i, k)
 		}
@@ -90,6 +99,7 @@
 	d.stepEntry(i, entry.LinkUp{Hello: wire.AgentHello{
 		Agent: wire.Incarnation(1 + k), Epoch: 1, Name: fmt.Sprint("agent-", k),
 		Zone: fmt.Sprint("zone-", k%3), Rack: fmt.Sprint("rack-", k/3), Slots: 8,
+		Capacity: d.capacity, Labels: []string{fmt.Sprint("kind-", k)},
 	}})
 	d.stepAgent(k, agent.LinkUp{Entry: wire.Incarnation(1000 + i), Epoch: 1})
 }
@@ -116,12 +126,16 @@
 }
 
 func (d *driver) stepEntry(i int, ev entry.Event) {
-	for _, a := range d.entries[i].Step(d.now, ev) {
+	for _, a := range slices.Clone(d.entries[i].Step(d.now, ev)) { // an action may cause another step
 		switch a := a.(type) {
 		case entry.Send:
 			d.after(linkDelay, func() {
 				d.stepAgent(int(a.Agent)-1, agent.Received{Entry: wire.Incarnation(1000 + i), Epoch: a.Epoch, Frame: a.Frame})
 			})
+		case entry.RunFinished: // recorded at once
+			d.after(linkDelay, func() {
+				d.stepEntry(i, entry.AcknowledgedRuns{Agent: a.Agent, Runs: []wire.RunRef{a.Run.Run}, Superseded: a.Superseded})
+			})
 		case entry.ContainmentChanged:
 			d.contained[i] = d.contained[i] || a.Contained
 		case entry.Answer:
@@ -134,7 +148,11 @@
 }
 
 func (d *driver) stepAgent(k int, ev agent.Event) {
-	for _, a := range d.agents[k].Step(d.now, ev) {
+	if until := d.frozenUntil[k]; d.now < until {
+		d.after(until-d.now, func() { d.stepAgent(k, ev) })
+		return
+	}
+	for _, a := range slices.Clone(d.agents[k].Step(d.now, ev)) {
 		switch a := a.(type) {
 		case *agent.Send:
 			d.after(linkDelay, func() {
@@ -155,11 +173,13 @@
 	if d.running[f.Attempt] {
 		delete(d.running, f.Attempt)
 		delete(d.runningAt, f.Attempt)
+		delete(d.starts, f.Attempt)
 		d.stepAgent(k, f)
 	}
 }
 
 const (
+	maxFailingRun  = 15 * time.Second      // of a task that fails
 	deadlyPayload  = 2                     // marks a task that ends the process of the upstream
 	crashDelay     = 10 * time.Millisecond // from the start of such a task
 	returnDelay    = 3 * time.Second       // of a crashed upstream
@@ -202,7 +222,7 @@
 	}
 	if poison := r.Start.Payload[8] == 1; poison || d.bad[k] {
 		out.Outcome, out.Reason = wire.Failed, wire.ReasonUpstreamError
-		run /= 4
+		run = min(run/4, maxFailingRun)
 		if d.bad[k] && !poison {
 			d.failedRuns[k]++
 		}
@@ -220,6 +240,7 @@
 	d.busy += run
 	d.running[r.Attempt] = true
 	d.runningAt[r.Attempt] = k
+	d.starts[r.Attempt] = r.Start
 	d.after(run, func() { d.endRun(k, out) })
 }
 
