Count late failures of a failing worker as part of its disruption in the progress model

In the one that was traced, long-running tasks that had begun at the failing worker failed up to 15 s after it was sound again, in the model's own words a disruption, and the next trial followed them. The model counts its bound from there; the bound of 30 s stays.

--- a/core/policy/progress_test.go
+++ b/core/policy/progress_test.go
@@ -115,6 +115,7 @@
 	case 1:
 		w.bad[k] = true
 		w.after(span, func() { w.bad[k] = false })
+		return w.now + span + maxFailingRun // what it has started fails until then
 	case 2:
 		if _, id := w.lastingRuns(); id != (agent.AttemptID{}) {
 			w.endRun(w.runningAt[id], agent.Finished{Attempt: id, Outcome: wire.Failed, Reason: wire.ReasonUpstreamError})
