Release further retries for long-running tasks that were refused and last

Long-running tasks that were refused could wait minutes for a retry: each refusal takes from the retry budget, which gives two retries a second and two more for each retry that succeeds. A long-running task never succeeds, so 200 refused ones wait up to 100 s.

One that lasts for 1 s after a refusal releases further retries as a success does. TestRetriedLongRunningTasksReleaseFurtherRetries failed (0 released, 8 wanted) and passes.

--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -73,7 +73,7 @@
 	s.inFlight++
 	a.attempts.add(now)
 	if j.job.LongRunning {
-		a.longRunning.add(now)
+		a.longRunning.add(now, t.NotRunAttempts > 0)
 	}
 	j.parkDelay = 0
 	j.racks[a.rackBucket]++
--- a/core/policy/longrunning.go
+++ b/core/policy/longrunning.go
@@ -12,14 +12,17 @@
 
 // longRunningTask is a task of a long-running job in flight at an agent.
 type longRunningTask struct {
-	sentAt time.Duration
-	proven bool // it was at work for longRunningProofTime
+	sentAt  time.Duration
+	retried bool // it was refused before
+	proven  bool // it was at work for longRunningProofTime
 }
 
 // longRunningTasks holds the long-running tasks in flight at one agent.
 type longRunningTasks []longRunningTask
 
-func (l *longRunningTasks) add(now time.Duration) { *l = append(*l, longRunningTask{sentAt: now}) }
+func (l *longRunningTasks) add(now time.Duration, retried bool) {
+	*l = append(*l, longRunningTask{sentAt: now, retried: retried})
+}
 
 // remove removes the task that was sent at sentAt.
 func (l *longRunningTasks) remove(sentAt time.Duration) {
@@ -28,29 +31,33 @@
 	}
 }
 
-// prove marks the tasks that have been at work for longRunningProofTime. It returns how many
-// there are that were not marked before, and when the last of these was sent.
-func (l longRunningTasks) prove(now time.Duration) (n int, sentAt time.Duration) {
+// prove marks the tasks that have been at work for longRunningProofTime, and returns those
+// that were not marked before.
+func (l longRunningTasks) prove(now time.Duration) (proven longRunningTasks) {
 	for i := range l {
 		if t := &l[i]; !t.proven && now-t.sentAt >= longRunningProofTime {
 			t.proven = true
-			n++
-			sentAt = max(sentAt, t.sentAt)
+			proven = append(proven, *t)
 		}
 	}
-	return n, sentAt
+	return proven
 }
 
 // creditLongRunning counts long-running tasks at work as successes of the agent. One that
-// was sent after the agent's last failure shows that the agent is healthy, as the success of
-// another task would.
+// was sent after the agent's last failure shows that the agent is healthy, and one that was
+// refused before releases further retries, as the success of another task would.
 func (s *Adaptive) creditLongRunning(now time.Duration, a *agentState) {
-	n, sentAt := a.longRunning.prove(now)
-	if n == 0 {
+	proven := a.longRunning.prove(now)
+	if len(proven) == 0 {
 		return
 	}
-	s.recordHealthy(a, sentAt)
+	for _, t := range proven {
+		s.recordHealthy(a, t.sentAt)
+		if t.retried {
+			s.budget.recordSuccess(now)
+		}
+	}
 	if !a.health.limited {
-		a.health.ramp = min(a.health.ramp+n, rampSuccesses)
+		a.health.ramp = min(a.health.ramp+len(proven), rampSuccesses)
 	}
 }
--- a/core/policy/longrunning_test.go
+++ b/core/policy/longrunning_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -45,18 +46,16 @@
 // been sent, and against a count that drifts as tasks end.
 func TestLongRunningTasksAreCountedOnce(t *testing.T) {
 	var l longRunningTasks
-	l.add(1)
-	l.add(2)
+	l.add(1, false)
+	l.add(2, true)
 	for _, step := range []struct {
 		now    time.Duration
-		proven int
-		sentAt time.Duration
+		proven longRunningTasks
 	}{
-		{longRunningProofTime, 0, 0}, {longRunningProofTime + 1, 1, 1}, {longRunningProofTime + 2, 1, 2}, {time.Hour, 0, 0},
+		{longRunningProofTime, nil}, {longRunningProofTime + 1, longRunningTasks{{sentAt: 1, proven: true}}},
+		{longRunningProofTime + 2, longRunningTasks{{sentAt: 2, retried: true, proven: true}}}, {time.Hour, nil},
 	} {
-		n, sentAt := l.prove(step.now)
-		assert.Equal(t, n, step.proven, step.now)
-		assert.Equal(t, sentAt, step.sentAt, step.now)
+		assert.Assert(t, slices.Equal(l.prove(step.now), step.proven), "%v", step.now)
 	}
 	l.remove(1)
 	l.remove(2)
--- a/core/policy/standing_test.go
+++ b/core/policy/standing_test.go
@@ -212,3 +212,22 @@
 	x.advance(100 * time.Millisecond)
 	assert.Assert(t, h.trialAt >= x.now+minTrialDelay, "a later failure does not postpone the trial")
 }
+
+// Guards against long-running tasks that wait minutes for a retry: each refusal takes from
+// the retry budget, and only the success of a retry gives back.
+func TestRetriedLongRunningTasksReleaseFurtherRetries(t *testing.T) {
+	const refused = 200
+	x := newStandingWork(3)
+	for range refused {
+		x.s.Retry(x.now, &Task{Job: &Job{Deadline: time.Hour}, NotRunAttempts: 1}, wire.ReasonBusy)
+	}
+	job, list := newTestJob("c", x.now, 4)
+	job.LongRunning = true
+	for _, task := range list {
+		task.NotRunAttempts = 1
+		x.s.Enqueue(x.now, task)
+	}
+	x.advance(restartTime)
+	assert.Equal(t, len(x.inFlight), len(list))
+	assert.Equal(t, x.s.ReleasedRetries(), retriesPerSuccess*len(list))
+}
