--- a/core/durable/unresolved_test.go
+++ b/core/durable/unresolved_test.go
@@ -17,30 +17,30 @@
 func TestRefusedRequestsAreNotRecorded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, durable.Options{}, rapid.IntRange(2, 3).Draw(t, "processes"))
-		w.advance(100 * time.Millisecond)
-		jobs := 0
-		for range rapid.IntRange(5, 30).Draw(t, "events") {
-			i := rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")
+		w.playJobsBesideFaults(func(event, i int, span time.Duration) bool {
 			p := w.processes[i]
-			span := time.Duration(rapid.IntRange(100, 6000).Draw(t, "span")) * time.Millisecond
-			earlier := fmt.Sprintf("j%d", rapid.IntRange(1, max(1, jobs)).Draw(t, "earlier job"))
-			switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
-			case event <= 1:
+			switch event {
+			case 0, 1:
 				p.cutUntil, p.cutOneWay = w.now+span, true
-			case event == 2:
+			case 2:
 				w.pause(p, span)
-			case event == 3:
+			case 3:
 				w.restart(i)
-			case event == 4 && jobs > 0:
-				w.submit(p, earlier, w.tasks[earlier])
-			case event == 5 && jobs > 0:
-				w.cancel(p, earlier)
+			case 4, 5:
+				if len(w.tasks) == 0 {
+					return false
+				}
+				earlier := fmt.Sprintf("j%d", rapid.IntRange(1, len(w.tasks)).Draw(t, "earlier job"))
+				if event == 4 {
+					w.cancel(p, earlier)
+				} else {
+					w.submit(p, earlier, w.tasks[earlier])
+				}
 			default:
-				jobs++
-				w.submit(p, fmt.Sprintf("j%d", jobs), rapid.IntRange(1, 3).Draw(t, "tasks"))
+				return false
 			}
-			w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
-		}
+			return true
+		})
 		w.endFaults()
 		w.advance(recoveryTime)
 		w.requireAllCompleted()
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -55,9 +54,6 @@
 	notedFailures map[string]int       // failed runs that were acknowledged as counted, by task
 }
 
-// callerRequests counts the submissions, or the cancellations, of one job.
-type callerRequests struct{ made, refused int }
-
 // process is an entry process with the state machine of its keeper.
 type process struct {
 	vm          string
@@ -470,48 +466,3 @@
 		Schedule: durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
 	}})
 }
-
-// cancel requests the cancellation of a job at a process.
-func (w *world) cancel(p *process, job string) {
-	w.cancelled[job] = true
-	p.inbox = append(p.inbox, durable.Cancel{Token: w.newToken(p, job, "c"+job), Job: job})
-}
-
-// newToken returns the token of a request to a process about a job whose record has a key
-// that begins so.
-func (w *world) newToken(p *process, job, key string) uint64 {
-	w.lastNumber++
-	p.tokens[w.lastNumber] = job
-	w.keyOfToken[w.lastNumber] = key
-	if w.requests[key] == nil {
-		w.requests[key] = new(callerRequests)
-	}
-	w.requests[key].made++
-	return w.lastNumber
-}
-
-// isSubmission reports whether the request with the token is a submission.
-func (w *world) isSubmission(token uint64) bool { return w.keyOfToken[token][0] == 'j' }
-
-// requireAllAnswered checks that each request to a process that still runs got one answer.
-func (w *world) requireAllAnswered() {
-	for _, p := range w.processes {
-		for token, job := range p.tokens {
-			if n := w.replies[token]; n != 1 {
-				w.t.Fatalf("%s: request %d (%s) about %s got %d answers, want 1", p.name, token, w.keyOfToken[token], job, n)
-			}
-		}
-	}
-}
-
-// requireRefusedNotRecorded checks that the log holds no record of a job or cancellation
-// of which every request was refused.
-func (w *world) requireRefusedNotRecorded() {
-	for _, r := range w.records {
-		for key, n := range w.requests {
-			if n.refused == n.made && strings.HasPrefix(r.Key, key) {
-				w.t.Fatalf("%v: all %d requests were refused, and record %d has the key %q", key, n.made, r.Offset, r.Key)
-			}
-		}
-	}
-}
