Do not count a success after which the task was started again, at a takeover

A task of a stored job could be started again after its success had counted.

Traced from the model's log: a run succeeds; its owner is lost; the next owner starts the task again at the moment at which the success is reported, and acknowledges it as superseded; the new run fails. A third process, which was told of both, takes the job over without a record of either, counts the success, acknowledges it, and then counts the failure, which took the task back to not done.

At a takeover a success does not count if a later run of its task was reported too, and a failure that is reported later no longer undoes a success that counts.

--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -141,7 +141,7 @@
 	}
 	if t := &j.tasks[i]; run.Run > t.lastRun {
 		t.lastRun = run.Run
-		t.Done = !e.Run.Failed
+		t.Done = t.Done || !e.Run.Failed // a success that counts is not undone
 		if e.Run.Failed {
 			t.Failures++
 			t.countedRuns = append(t.countedRuns, run.Run)
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -304,12 +304,20 @@
 }
 
 // takeOver schedules the record that this process owns the job now, and counts the
-// runs that agents reported before.
+// runs that agents reported before. A success does not count if a later run of its task
+// was reported too: the task was started again.
 func (m *Machine) takeOver(j *job) {
 	m.markDirty(j) // the status names its writer as the owner
 	reported := j.reported
 	j.reported = nil
 	for _, e := range reported {
+		isLater := func(other RunFinished) bool {
+			return j.taskIndex(other.Run.Run) == j.taskIndex(e.Run.Run) && other.Run.Run.Run > e.Run.Run.Run
+		}
+		if !e.Run.Failed && slices.ContainsFunc(reported, isLater) {
+			m.acknowledgeSuperseded(e)
+			continue
+		}
 		m.countRun(j, e)
 	}
 }
