Account for headers and bodies of callers as they arrive

Headers of many short lines, bodies in progress and decoded lists were not charged to any limit: 300 chunked bodies of one-byte chunks took 63 MB, and {}, of three bytes became 150 in memory before the length was checked. The callers' listener waited for a slot before it accepted, so callers beyond 8,192 hung in the kernel's queue.

internal/ingressd wraps the callers' connections in place of watchedConn and counts bytes and line ends until the end of the header. Bodies of both interfaces are read by one reader that charges each growth of its buffer, and lists are decoded up to their largest length. Connections are accepted at once and closed or evicted. Events 1130 and 1131, metrics of each share.

Measured: tests of internal/entryd, platform and internal/eventlog pass. TestRequestsThatJoinWhileCallersLeaveStartNoSecondRun failed once in 2 runs of the package (no cancel was sent) and passed 12 repetitions of its own, as it does before this change.

--- /dev/null
+++ b/core/ingress/shares.go
@@ -0,0 +1,109 @@
+package ingress
+
+import "fmt"
+
+const (
+	kilobyte = int64(1) << 10
+	megabyte = int64(1) << 20
+
+	// ownMemory is what a process takes for itself at full load, the program included; 22 to
+	// 30 MB were measured for entries.
+	ownMemory = 40 * megabyte
+	// smallMemory is the share of a listener with few connections.
+	smallMemory = 4 * megabyte
+	// callersShare and peersShare are the shares of the memory besides ownMemory, in eighths.
+	// The rest is for the garbage collector and for what evicted connections hold.
+	callersShare, peersShare = 3, 1
+	// minMemory leaves room for a request at the published limits: its header takes 0.6 MB,
+	// its body up to 0.4 MB, its decoded form up to 1.5 MB.
+	minMemory = 96 * megabyte
+
+	// ownDescriptors are those for files, listeners, the store and the worker.
+	ownDescriptors = 264
+	minDescriptors = 1024
+	// maxCallers and maxPeers limit the connections of large machines, and of those whose
+	// limits are not known.
+	maxCallers, maxPeers = 8192, 16384
+	// defaultMemory is assumed if the memory is not known. The shares then have no effect on
+	// callers that fitted before there were any.
+	defaultMemory = 1 << 30
+
+	// OperatorConnections, ReadyConnections and HeartbeatConnections limit the connections
+	// of small listeners.
+	OperatorConnections  = 64
+	ReadyConnections     = 16
+	HeartbeatConnections = 64
+)
+
+// Costs of connections.
+const (
+	// connectionCost is that of a connection of net/http without a request: 6 to 10 KB of
+	// heap and 4 to 7 KB of stacks were measured.
+	connectionCost = 16 * kilobyte
+	// RequestCost is charged for each request in addition: ReceiveBuffer, and what serves
+	// the request.
+	RequestCost = ReceiveBuffer + 4*kilobyte
+	// ReceiveBuffer is how many bytes wait in the socket of a connection at most.
+	ReceiveBuffer = 16 * kilobyte
+	// peerCost is that of a connection of a peer until its hello. That of a link is part of
+	// ownMemory.
+	peerCost = 8 * kilobyte
+	// ordinary is above what a request of 4 KB with an ordinary header charges in all.
+	ordinary = 64 * kilobyte
+)
+
+// Machine is what a process may use. 0 means not known.
+type Machine struct {
+	Memory      int64
+	Descriptors int
+}
+
+// Shares are the limits of the listeners of a process.
+type Shares struct {
+	Callers    Limits
+	Peers      Limits
+	Operators  Limits
+	Ready      Limits
+	Heartbeats Limits
+	// MemoryLimit is the soft limit for the garbage collector, 0 for none. It leaves room
+	// for the program and for bytes that wait in sockets.
+	MemoryLimit int64
+}
+
+// SharesOf divides a machine. It returns an error that names the setting if the machine is
+// too small.
+func SharesOf(m Machine) (Shares, error) {
+	if m.Memory != 0 && m.Memory < minMemory {
+		return Shares{}, fmt.Errorf("limits.memoryMb: got %d, want at least %d", m.Memory/megabyte, minMemory/megabyte)
+	}
+	if m.Descriptors != 0 && m.Descriptors < minDescriptors {
+		return Shares{}, fmt.Errorf("limits.maxFds: got %d, want at least %d", m.Descriptors, minDescriptors)
+	}
+	memory := m.Memory
+	if memory == 0 {
+		memory = defaultMemory
+	}
+	rest := memory - ownMemory
+	callers, peers := maxCallers, maxPeers
+	if m.Descriptors != 0 {
+		left := m.Descriptors - ownDescriptors - OperatorConnections - ReadyConnections
+		peers = min(peers, left/4)
+		callers = min(callers, left-peers)
+	}
+	s := Shares{
+		Callers:    Limits{Bytes: rest * callersShare / 8, ConnectionCost: connectionCost, Connections: callers},
+		Peers:      Limits{Bytes: rest * peersShare / 8, ConnectionCost: peerCost, Connections: peers},
+		Operators:  Limits{Bytes: smallMemory, ConnectionCost: connectionCost, Connections: OperatorConnections},
+		Ready:      Limits{Bytes: smallMemory / 2, ConnectionCost: connectionCost, Connections: ReadyConnections},
+		Heartbeats: Limits{Bytes: 2 * smallMemory, ConnectionCost: connectionCost, Connections: HeartbeatConnections},
+	}
+	for _, l := range []*Limits{&s.Callers, &s.Peers, &s.Operators, &s.Ready, &s.Heartbeats} {
+		l.Ordinary = ordinary
+		// Connections without requests leave a quarter of the bytes to requests.
+		l.Connections = min(l.Connections, int(l.Bytes*3/4/l.ConnectionCost))
+	}
+	if m.Memory != 0 {
+		s.MemoryLimit = m.Memory / 5 * 4
+	}
+	return s, nil
+}
--- a/internal/entryd/arrival.go
+++ b/internal/entryd/arrival.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 )
 
 // arrivalKey is the key, in the context of a request, of the time on the entry's clock at
@@ -43,8 +44,7 @@
 // on the connection, the age is that of the last one. With MPTCP, which Go's listeners accept,
 // the kernel tells the age on the first path only, and the data may have come on another one.
 func lastDataAge(ctx context.Context) (age time.Duration, ok bool) {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
-	controlSocket(c, func(fd int) {
+	controlSocket(ingressd.ConnOf(ctx), func(fd int) {
 		if p, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_PROTOCOL); err != nil || p != unix.IPPROTO_TCP {
 			return
 		}
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 )
 
 // maxCheckInterval is the time after which the callers are checked before the next event,
@@ -16,14 +16,6 @@
 // the queue that are to renew leases at once.
 const maxCheckInterval = 2 * tickInterval
 
-// connKey is the key of a caller's connection in the context of its requests.
-type connKey struct{}
-
-// withConn is the ConnContext hook of the callers' server.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // waiter is a caller's request that waits for the answer of a submission. Its fields
 // after fd are guarded by the lock of waiters.
 type waiter struct {
@@ -48,8 +40,7 @@
 // add registers a waiter, and looks at its connection: a caller may have left before its
 // request was read.
 func (s *waiters) add(ctx context.Context, sub *submission) *waiter {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
-	w := &waiter{sub: sub, ctx: ctx, fd: fdOf(c)}
+	w := &waiter{sub: sub, ctx: ctx, fd: fdOf(ingressd.ConnOf(ctx))}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.index = len(s.list)
@@ -60,7 +51,7 @@
 }
 
 // fdOf returns the file descriptor of a connection, -1 if it is not known.
-func fdOf(c net.Conn) int32 {
+func fdOf(c *ingressd.Conn) int32 {
 	var out int32 = -1
 	controlSocket(c, func(fd int) { out = int32(fd) })
 	return out
@@ -68,12 +59,11 @@
 
 // controlSocket calls f with the file descriptor of a connection, which stays open meanwhile.
 // It does not call f if the descriptor is not known or the connection is closed.
-func controlSocket(c net.Conn, f func(fd int)) {
-	w, ok := c.(*watchedConn)
-	if !ok || w.socket == nil {
+func controlSocket(c *ingressd.Conn, f func(fd int)) {
+	if c == nil || c.Socket() == nil {
 		return
 	}
-	if raw, err := w.socket.SyscallConn(); err == nil {
+	if raw, err := c.Socket().SyscallConn(); err == nil {
 		// An error means that the connection is closed, of which the request's context tells.
 		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -17,12 +17,14 @@
 
 	"github.com/limpettrail/limpettrail/core/config"
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/claimapi"
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
 
@@ -111,9 +113,12 @@
 	Log *eventlog.Log
 	// Incarnation identifies this run of the process. If 0, a random one is used.
 	Incarnation wire.Incarnation
+	// Shares are the limits of the listeners. The default is that of a machine whose memory
+	// and descriptors are not known.
+	Shares ingress.Shares
 	// MaxRequests limits the caller requests in progress, MaxConnections the
-	// callers' connections, and MaxPendingBytes the total size of the bodies of
-	// the requests in progress.
+	// callers' connections beside Shares, and MaxPendingBytes the total size of the bodies
+	// of the requests in progress.
 	MaxRequests     int
 	MaxConnections  int
 	MaxPendingBytes int64
@@ -142,8 +147,12 @@
 		o.Incarnation = wire.Incarnation(rand.Uint64() | 1)
 	}
 	o.SilenceTimeout = cmp.Or(o.SilenceTimeout, link.SilenceTimeout)
+	if o.Shares == (ingress.Shares{}) {
+		o.Shares, _ = ingress.SharesOf(ingress.Machine{}) // fails only for small machines
+	}
 	o.MaxRequests = cmp.Or(o.MaxRequests, DefaultMaxRequests)
 	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
+	o.Shares.Callers.Connections = min(o.Shares.Callers.Connections, o.MaxConnections)
 	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPendingBytes)
 	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
 	o.AnswerRetention = cmp.Or(o.AnswerRetention, DefaultAnswerRetention)
@@ -159,8 +168,9 @@
 	events       chan any
 	callers      net.Listener
 	peers        net.Listener
-	operators    net.Listener   // nil if there is none
-	callerConns  *idleConns     // of the callers' server
+	operators    net.Listener // nil if there is none
+	callerConns  *idleConns   // of the callers' server
+	guards       guards
 	servers      []*http.Server // the callers' server, then the operators' if there is one
 	table        *jobTable
 	waiters      waiters
@@ -222,6 +232,7 @@
 	}
 	e.knownEntries.Store(new([]wire.EntryAddr))
 	e.config.Store(&entry.Configured{Settings: opts.Settings})
+	e.guards = e.newGuards()
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		cancel()
@@ -257,16 +268,20 @@
 	e.goroutines.start(e.coreLoop)
 	e.goroutines.start(e.tickLoop)
 	e.goroutines.start(e.acceptLoop)
-	e.serveHTTP(watchedListener{limitConnections(e.callers, e.opts.MaxConnections), e.callerConns}, e.noteArrivals(e.closeWhileDraining(e.callerHandler())), e.callerConns.connState)
+	callers := watchedListener{e.guards.callers.Listener(e.callers), e.callerConns}
+	e.serveHTTP(e.guards.callers, callers, e.noteArrivals(e.closeWhileDraining(e.callerHandler())), func(c net.Conn, state http.ConnState) {
+		e.callerConns.connState(c, state)
+		ingressd.ConnState(c, state)
+	})
 	if e.operators != nil {
-		e.serveHTTP(limitConnections(e.operators, maxOperatorConnections), e.operatorHandler(), nil)
+		e.serveHTTP(e.guards.operators, e.guards.operators.Listener(e.operators), e.operatorHandler(), ingressd.ConnState)
 	}
 }
 
-func (e *Entry) serveHTTP(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) {
+func (e *Entry) serveHTTP(g *ingressd.Guard, l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) {
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: connState, ConnContext: withConn,
+		Handler: g.Handler(h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: connState, ConnContext: ingressd.WithConn,
 	}
 	e.servers = append(e.servers, s)
 	e.goroutines.start(func() { s.Serve(l) })
@@ -369,6 +384,7 @@
 	}
 	e.closeListeners()
 	e.goroutines.wait()
+	e.guards.close()
 }
 
 func (e *Entry) now() time.Duration { return e.clock.Now() }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -3,15 +3,15 @@
 import (
 	"crypto/rand"
 	"errors"
-	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/claimapi"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 )
 
 // Reasons of replies that this package gives.
@@ -63,15 +63,24 @@
 }
 
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
-	body := &budgetedBody{total: &e.pendingBytes, limit: e.opts.MaxPendingBytes}
-	defer body.release()
-	data, reqErr := body.read(w, r, e.opts.BodyTimeout)
-	if body.overLimit {
+	data, release, err := e.readBody(w, r)
+	defer release()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, ingressd.ErrNotGranted):
 		writeRefusal(w, ReasonTooManyRequests)
 		return
+	case errors.As(err, &tooLarge):
+		writeRequestError(w, &RequestError{
+			Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge, Detail: err.Error(),
+		})
+		return
+	case err != nil:
+		writeRequestError(w, &RequestError{Status: http.StatusRequestTimeout, Reason: ReasonBodyNotReceived, Detail: err.Error()})
+		return
 	}
-	if reqErr != nil {
-		writeRequestError(w, reqErr)
+	if !ingressd.ConnOf(r.Context()).Charge(ingress.DecodedCost(data)) {
+		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
 	req, reqErr := DecodeJob(data)
@@ -90,50 +99,19 @@
 	e.submitAndReply(w, r, req)
 }
 
-// errBodyBudgetExceeded stops reading a body when the bodies of all requests in
-// progress exceed MaxPendingBytes.
-var errBodyBudgetExceeded = errors.New("entryd: request bodies in progress exceed the byte limit")
-
-// budgetedBody counts the bytes of a request body against the limit shared by all
-// requests. Bytes are counted as they arrive. If the Content-Length were reserved
+// readBody reads the body of a job and counts its bytes against MaxPendingBytes, until
+// release is called. Bytes are counted as they arrive. If the Content-Length were reserved
 // in advance, a few slow senders could use up the limit for everyone.
-type budgetedBody struct {
-	io.Reader
-	total     *atomic.Int64 // bytes of all requests in progress
-	limit     int64
-	counted   int64
-	overLimit bool
-}
-
-// Read implements io.Reader.
-func (b *budgetedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.counted += int64(n)
-	if b.total.Add(int64(n)) > b.limit {
-		b.overLimit = true
-		return n, errBodyBudgetExceeded
-	}
-	return n, err
-}
-
-func (b *budgetedBody) release() { b.total.Add(-b.counted) }
-
-// read reads the whole body within timeout. net/http clears the read deadline at
-// the end of the body, so the timeout does not limit the job.
-func (b *budgetedBody) read(w http.ResponseWriter, r *http.Request, timeout time.Duration) ([]byte, *RequestError) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
-	b.Reader = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
-	body, err := io.ReadAll(b)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &RequestError{
-			Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge, Detail: err.Error(),
-		}
-	case err != nil:
-		return nil, &RequestError{Status: http.StatusRequestTimeout, Reason: ReasonBodyNotReceived, Detail: err.Error()}
-	}
-	return body, nil
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (data []byte, release func(), err error) {
+	counted := int64(0)
+	data, err = ingressd.ReadBody(w, r, ingressd.BodyOptions{
+		MaxBytes: MaxBodyBytes, Timeout: e.opts.BodyTimeout,
+		Count: func(n int) bool {
+			counted += int64(n)
+			return e.pendingBytes.Add(int64(n)) <= e.opts.MaxPendingBytes
+		},
+	})
+	return data, func() { e.pendingBytes.Add(-counted) }, err
 }
 
 // submitAndReply submits the job, or joins an earlier job with the same key, and
--- a/internal/entryd/idleconns.go
+++ b/internal/entryd/idleconns.go
@@ -6,13 +6,10 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 )
 
 const (
@@ -43,7 +40,7 @@
 type connUse struct {
 	idleSince time.Time // zero while a request is in progress
 	polls     int       // calls of closeIdle that found it idle
-	reads     uint64    // that of the watchedConn when it became idle or at the last of them
+	reads     uint64    // those of the connection when it became idle or at the last of them
 }
 
 func newIdleConns() *idleConns { return &idleConns{conns: make(map[net.Conn]*connUse)} }
@@ -83,12 +80,12 @@
 		return false
 	}
 	u.polls++
-	w, ok := c.(*watchedConn)
+	w, ok := c.(*ingressd.Conn)
 	if !ok {
 		return true
 	}
-	waits := inputWaits(w.socket)
-	reads := w.reads.Load() // after that, or bytes that are read meanwhile would be missed
+	waits := ingressd.InputWaits(w.Socket())
+	reads := w.Reads() // after that, or bytes that are read meanwhile would be missed
 	if waits || reads != u.reads {
 		u.idleSince, u.polls = time.Now(), 0
 	}
@@ -98,14 +95,14 @@
 
 // readsOf returns how often bytes were read from the connection, 0 if it is not known.
 func readsOf(c net.Conn) uint64 {
-	if w, ok := c.(*watchedConn); ok {
-		return w.reads.Load()
+	if w, ok := c.(*ingressd.Conn); ok {
+		return w.Reads()
 	}
 	return 0
 }
 
-// watchedListener accepts connections as watchedConn. They count as open from then on: the
-// server calls the ConnState hook a little later.
+// watchedListener accepts connections, which count as open from then on: the server calls the
+// ConnState hook a little later.
 type watchedListener struct {
 	net.Listener
 	conns *idleConns
@@ -117,58 +114,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &watchedConn{Conn: c, socket: socketOf(c)}
-	l.conns.connState(w, http.StateNew)
-	return w, nil
-}
-
-// watchedConn counts the reads that returned bytes: the server calls the ConnState hook only
-// once it has read a whole request header.
-type watchedConn struct {
-	net.Conn
-	socket syscall.Conn // nil if it is not known
-	reads  atomic.Uint64
-}
-
-// Read implements net.Conn.
-func (c *watchedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
-	}
-	return n, err
-}
-
-// socketOf returns the socket of a connection or listener, nil if it is not known.
-func socketOf(c any) syscall.Conn {
-	switch x := c.(type) {
-	case syscall.Conn:
-		return x
-	case *slotConn:
-		return socketOf(x.Conn)
-	case interface{ NetConn() net.Conn }: // a connection with TLS
-		return socketOf(x.NetConn())
-	}
-	return nil
-}
-
-// inputWaits reports whether the process has not read everything that has arrived at a
-// socket: bytes, the end of the connection, or connections at that of a listener.
-func inputWaits(socket syscall.Conn) bool {
-	if socket == nil {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	// An error means that the socket is closed: nothing waits.
-	_ = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		waits = err == nil && n > 0
-	})
-	return waits
+	l.conns.connState(c, http.StateNew)
+	return c, nil
 }
 
 // shutdownCallers ends the connections of callers: those in use with the next answer, the
@@ -177,11 +124,11 @@
 // for up to stopIdlePolls, and until all that wait are accepted, for up to maxAcceptDelay.
 func (e *Entry) shutdownCallers(ctx context.Context) error {
 	began := time.Now()
-	listening, listener := true, socketOf(e.callers)
+	listening, listener := true, ingressd.Socket(e.callers)
 	// One search that finds nothing does not do: a connection that is just being accepted
 	// neither waits nor is open.
 	for polls, quiet := 0, 0; ctx.Err() == nil; polls++ {
-		waiting := listening && inputWaits(listener) && time.Since(began) < maxAcceptDelay
+		waiting := listening && ingressd.InputWaits(listener) && time.Since(began) < maxAcceptDelay
 		open := e.callerConns.closeIdle(began)
 		if open > 0 || waiting {
 			quiet = 0
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -81,6 +81,7 @@
 func (e *Entry) collect() {
 	e.metrics.gauge(metricLinks, e.links.Load())
 	e.metrics.gauge(metricVersion, e.config.Load().Version)
+	e.collectShares()
 	if e.opts.LogGauges != nil {
 		for _, g := range e.opts.LogGauges() {
 			e.metrics.gauge(g.Name, g.Value)
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -1,19 +1,14 @@
 package entryd
 
 import (
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/operatorhttp"
 )
 
-// maxOperatorConnections limits the connections of the operators' listener.
-const maxOperatorConnections = 64
-
 // Status is the body of GET /status.
 type Status struct {
 	Name          string `json:"name"`
@@ -120,50 +115,4 @@
 	return s
 }
 
-// limitedListener limits the number of open connections.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-	once  sync.Once
-	done  chan struct{}
-}
-
-func limitConnections(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
-}
-
-// Accept waits for a free slot before it accepts a connection.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &slotConn{Conn: c, release: func() { <-l.slots }}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-// slotConn releases its slot of a limitedListener when it is closed.
-type slotConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *slotConn) Close() error {
-	c.once.Do(c.release)
-	return c.Conn.Close()
-}
-
 func formatIncarnation(i wire.Incarnation) string { return strconv.FormatUint(uint64(i), 16) }
--- a/internal/entryd/request.go
+++ b/internal/entryd/request.go
@@ -176,11 +176,56 @@
 		}
 		return nil
 	case "tasks":
-		return d.Decode(&r.Tasks)
+		return r.decodeTasks(d)
 	}
 	return errUnknownField
 }
 
+// decodeTasks decodes the payloads one by one, so that no more are kept than a job may have.
+func (r *JobRequest) decodeTasks(d *json.Decoder) error {
+	t, err := d.Token()
+	if err != nil || t == nil { // null
+		return err
+	}
+	if t != json.Delim('[') {
+		return &json.UnmarshalTypeError{Value: kindOf(t)}
+	}
+	var beyond json.RawMessage // its memory is reused
+	count := 0
+	for ; d.More(); count++ {
+		payload := &beyond
+		if count < wire.MaxTasksPerJob {
+			r.Tasks = append(r.Tasks, nil)
+			payload = &r.Tasks[count]
+		}
+		if err := d.Decode(payload); err != nil {
+			return err
+		}
+	}
+	if count > wire.MaxTasksPerJob {
+		return badTasks(count)
+	}
+	_, err = d.Token()
+	return err
+}
+
+func badTasks(count int) *RequestError {
+	return badRequest(ReasonBadTasks, "tasks: got %d, want 1 to %d", count, wire.MaxTasksPerJob)
+}
+
+// kindOf returns the name of the kind of JSON value that begins with a token.
+func kindOf(t json.Token) string {
+	switch t.(type) {
+	case json.Delim:
+		return "object"
+	case string:
+		return "string"
+	case bool:
+		return "bool"
+	}
+	return "number"
+}
+
 // decodeField decodes the value of one field of the needs object.
 func (n *Needs) decodeField(d *json.Decoder, name string) error {
 	fields := map[string]*int64{
@@ -205,7 +250,7 @@
 	case len(r.Team) > MaxNameBytes:
 		return badRequest(ReasonBadTeam, "team: want at most %d bytes", MaxNameBytes)
 	case len(r.Tasks) == 0 || len(r.Tasks) > wire.MaxTasksPerJob:
-		return badRequest(ReasonBadTasks, "tasks: got %d, want 1 to %d", len(r.Tasks), wire.MaxTasksPerJob)
+		return badTasks(len(r.Tasks))
 	case r.Needs.RunMS > MaxDeadline.Milliseconds():
 		return badRequest(ReasonBadNeeds, "needs.run_ms: got %d, want at most %d", r.Needs.RunMS, MaxDeadline.Milliseconds())
 	case !validKey(r.Key):
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -22,7 +22,10 @@
 	AttemptFailed   = define(1113, "attempt_failed", zapcore.InfoLevel, false)
 	ClassContained  = define(1114, "class_contained", zapcore.WarnLevel, false)
 	ClassReleased   = define(1115, "class_released", zapcore.InfoLevel, false)
-	AttemptQueried  = define(1112, "attempt_queried", zapcore.DebugLevel, true)
+	// The share of callers, peers, operators or heartbeats, at entries and agents.
+	IngressShareUsedUp = define(1130, "ingress_share_used_up", zapcore.WarnLevel, false)
+	IngressShareFree   = define(1131, "ingress_share_free", zapcore.InfoLevel, false)
+	AttemptQueried     = define(1112, "attempt_queried", zapcore.DebugLevel, true)
 )
 
 // Events of stored jobs.
