Charge the frames and calls of peers, and bound what precedes a hello

70 connections to the peer port that each sent a frame of 4 MB took as much memory as they sent, before they had proved to be agents. The decoder of net/rpc allocates the length that a message declares, up to 10 MB, before it arrives; 1,024 such connections were allowed.

The peer listener has an account of its own. A first frame is at most 64 KB, the buffers of frames are charged before they grow, and a connection that stops before its hello may be evicted. The lengths of gob messages are checked before the decoder sees them; the first call must arrive within two seconds. A quarter of the connections at most are calls, so that agents find room. The buffer of a frame grows to four times what has arrived, in place of chunk by chunk.

Measured: tests of internal/link and internal/entryd pass.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -181,7 +181,6 @@
 	pendingBytes atomic.Int64 // bytes received of their bodies
 	rpcConns     atomic.Int64
 	links        atomic.Int64
-	peerConns    atomic.Int64 // connections on the peer listener
 	draining     atomic.Bool
 	config       atomic.Pointer[entry.Configured]
 	// configMu serializes the updates of config.
--- a/internal/entryd/guards.go
+++ b/internal/entryd/guards.go
@@ -20,20 +20,22 @@
 // peerReceiveBuffer is the size of the receive buffers of agents and other entries.
 const peerReceiveBuffer = 64 << 10
 
+const sharePeers = "peers"
+
 // guards keep the accounts of the entry's listeners.
 type guards struct{ callers, peers, operators *ingressd.Guard }
 
 func (e *Entry) newGuards() guards {
 	guard := func(share string, l ingress.Limits, buffer int) *ingressd.Guard {
 		return ingressd.New(ingressd.Options{
-			Share: share, Limits: l, Log: e.log, ReceiveBuffer: buffer,
+			Share: share, Limits: l, Log: e.log, ReceiveBuffer: buffer, Frames: share == sharePeers,
 			Refusal: `{"outcome":"refused","reason":"` + ReasonTooManyRequests + `","error":"` + ReasonTooManyRequests + `"}`,
 		})
 	}
 	s := &e.opts.Shares
 	return guards{
 		callers:   guard("callers", s.Callers, int(ingress.ReceiveBuffer)),
-		peers:     guard("peers", s.Peers, peerReceiveBuffer),
+		peers:     guard(sharePeers, s.Peers, peerReceiveBuffer),
 		operators: guard("operators", s.Operators, int(ingress.ReceiveBuffer)),
 	}
 }
--- a/internal/entryd/peerrpc.go
+++ b/internal/entryd/peerrpc.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpettrail/limpettrail/core/entry"
 	"github.com/limpettrail/limpettrail/core/wire"
+	"github.com/limpettrail/limpettrail/internal/link"
 )
 
 // RPCPreface is the first data on a connection for net/rpc calls between entries.
@@ -19,6 +20,7 @@
 // Limits of the calls between entries.
 const (
 	maxRPCConnections = 1024
+	rpcShare          = 4        // of the connections of peers; the others are for agents
 	maxRPCRequest     = 64 << 10 // bytes read from one connection of a calling entry
 	maxRPCReply       = 24 << 20 // bytes read of the reply to one call
 	maxRPCWait        = 5 * time.Second
@@ -116,18 +118,19 @@
 	return s
 }
 
-// serveRPC serves the calls of one connection. The number of such connections,
-// the bytes read and the duration are limited.
+// serveRPC serves the calls of one connection. The number of such connections, the bytes
+// read and the duration are limited. The first call must arrive within
+// link.HandshakeTimeout.
 func (e *Entry) serveRPC(server *rpc.Server, raw net.Conn) {
 	defer raw.Close()
 	defer e.rpcConns.Add(-1)
-	if e.rpcConns.Add(1) > maxRPCConnections {
+	if e.rpcConns.Add(1) > int64(min(maxRPCConnections, e.opts.Shares.Peers.Connections/rpcShare)) {
 		return
 	}
 	stop := context.AfterFunc(e.ctx, func() { raw.Close() })
 	defer stop()
-	raw.SetDeadline(time.Now().Add(rpcTimeout))
-	server.ServeConn(limitReads(raw, maxRPCRequest))
+	raw.SetDeadline(time.Now().Add(link.HandshakeTimeout))
+	server.ServeCodec(newServerCodec(raw, time.Now().Add(rpcTimeout)))
 }
 
 // callPeer calls a method of the entry at addr on a new connection, within
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -14,14 +14,16 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/internal/link"
 )
 
 const (
-	// maxPeerConnections limits the connections of the peer listener.
-	maxPeerConnections = 16384
-	acceptRetryDelay   = 10 * time.Millisecond
-	maxAgentSlots      = 1 << 16
+	acceptRetryDelay = 10 * time.Millisecond
+	maxAgentSlots    = 1 << 16
+	// maxHelloBytes bounds what is read of an agent before its hello is valid. A hello that
+	// lists wire.MaxKnownEntries entries takes about half.
+	maxHelloBytes = 64 << 10
 )
 
 var errUnknownPreface = errors.New("entryd: unknown connection preface")
@@ -40,18 +42,17 @@
 			ctxsleep.For(e.ctx, acceptRetryDelay) // the process may be out of file descriptors
 			continue
 		}
-		if e.peerConns.Load() >= maxPeerConnections || !e.goroutines.start(func() { e.servePeer(server, raw) }) {
-			raw.Close()
+		conn := e.guards.peers.Admit(raw)
+		if conn != nil && !e.goroutines.start(func() { e.servePeer(server, conn) }) {
+			conn.Close()
 		}
 	}
 }
 
 // servePeer serves one connection of the peer listener and logs it if it is
 // rejected.
-func (e *Entry) servePeer(server *rpc.Server, raw net.Conn) {
+func (e *Entry) servePeer(server *rpc.Server, raw *ingressd.Conn) {
 	defer raw.Close()
-	e.peerConns.Add(1)
-	defer e.peerConns.Add(-1)
 	stop := context.AfterFunc(e.ctx, func() { raw.Close() })
 	defer stop()
 	err := e.routeConn(server, raw)
@@ -62,7 +63,8 @@
 
 // routeConn distinguishes links of agents and calls of other entries by the first
 // eight bytes and serves the connection.
-func (e *Entry) routeConn(server *rpc.Server, raw net.Conn) error {
+func (e *Entry) routeConn(server *rpc.Server, raw *ingressd.Conn) error {
+	raw.BeginReading() // if it was evicted, reading fails
 	raw.SetDeadline(time.Now().Add(link.HandshakeTimeout))
 	preface := make([]byte, len(link.Preface))
 	if _, err := io.ReadFull(raw, preface); err != nil {
@@ -75,21 +77,27 @@
 		return nil
 	case link.Preface:
 		replayed := io.MultiReader(bytes.NewReader(preface), raw)
-		return e.serveAgent(&limitedConn{Conn: raw, r: replayed})
+		return e.serveAgent(&limitedConn{Conn: raw, r: replayed}, raw)
 	}
 	return errUnknownPreface
 }
 
 // serveAgent reads frames from one agent connection until it fails or no frame
 // arrives within SilenceTimeout. It returns an error only if the handshake failed.
-func (e *Entry) serveAgent(raw net.Conn) error {
+func (e *Entry) serveAgent(raw net.Conn, guarded *ingressd.Conn) error {
 	conn := link.NewConn(raw)
+	conn.SetCharge(guarded.Charge)
+	conn.SetMaxFrame(maxHelloBytes)
 	conn.SetWriteTimeout(e.opts.SilenceTimeout)
 	defer conn.Close()
 	hello, err := e.handshake(conn)
 	if err != nil {
 		return err
 	}
+	if !guarded.BeginServing() {
+		return errors.New("entryd: the connection of the agent was evicted")
+	}
+	conn.SetMaxFrame(wire.MaxFrameBytes)
 	sender := link.NewSender[*wire.ToAgent](conn)
 	defer sender.Close()
 	e.send(openLink{hello: hello, sender: sender})
--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -103,6 +103,10 @@
 
 func (c *Conn) account(p []byte) (granted, answer bool, evicted []*Conn) {
 	g := c.guard
+	if g.opts.Frames {
+		g.account.Progress(g.now(), c.id, len(p))
+		return true, false, nil
+	}
 	c.lastRead = len(p)
 	if c.phase == ingress.Idle {
 		if !g.account.Phase(g.now(), c.id, ingress.Reading) {
@@ -247,6 +251,14 @@
 	return g.account.Phase(g.now(), c.id, p)
 }
 
+// BeginReading tells that the connection reads its first frame. It reports false if the
+// connection was evicted.
+func (c *Conn) BeginReading() bool { return c == nil || c.setPhase(ingress.Reading) }
+
+// BeginServing tells that what the connection sent was handed on, so that it is not evicted
+// any more. It reports false if it was evicted before.
+func (c *Conn) BeginServing() bool { return c == nil || c.setPhase(ingress.Serving) }
+
 // Charge adds bytes to what the request has charged, or releases them if they are negative.
 // It reports whether that is granted.
 func (c *Conn) Charge(bytes int64) bool { return c == nil || c.guard.charge(c, bytes) }
--- a/internal/ingressd/guard.go
+++ b/internal/ingressd/guard.go
@@ -27,6 +27,9 @@
 	Log *eventlog.Log
 	// Refusal is the JSON body of the answer to a header that is not granted.
 	Refusal string
+	// Frames is set if the connections do not carry HTTP. Then nothing is charged for what
+	// they read but by Charge.
+	Frames bool
 	// ReceiveBuffer is the size of the receive buffers of sockets.
 	ReceiveBuffer int
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -19,7 +19,6 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -55,8 +54,12 @@
 // protocol is rejected at once.
 const Preface = "LTPEER1\n"
 
-// ErrFrameTooLarge is returned for a frame larger than wire.MaxFrameBytes.
-var ErrFrameTooLarge = errors.New("link: frame exceeds the size limit")
+// ErrFrameTooLarge is returned for a frame larger than wire.MaxFrameBytes, ErrNotGranted for
+// one whose memory was not granted.
+var (
+	ErrFrameTooLarge = errors.New("link: frame exceeds the size limit")
+	ErrNotGranted    = errors.New("link: the frames of all peers take too much memory")
+)
 
 // Conn is a framed connection. One goroutine may read while another one writes.
 type Conn struct {
@@ -64,6 +67,8 @@
 	r            *bufio.Reader
 	w            *bufio.Writer
 	readBuf      []byte
+	maxFrame     int
+	charge       func(bytes int64) bool
 	writeBuf     bytes.Buffer
 	writeTimeout time.Duration
 }
@@ -75,9 +80,19 @@
 		r:            bufio.NewReaderSize(c, bufferBytes),
 		w:            bufio.NewWriterSize(c, bufferBytes),
 		writeTimeout: WriteTimeout,
+		maxFrame:     wire.MaxFrameBytes,
+		charge:       func(int64) bool { return true },
 	}
 }
 
+// SetCharge has the buffer for frames charged before it grows, and released with negative
+// bytes. If charge returns false, Read returns ErrNotGranted. It must be called before the
+// first Read.
+func (c *Conn) SetCharge(charge func(bytes int64) bool) { c.charge = charge }
+
+// SetMaxFrame replaces wire.MaxFrameBytes as the largest frame to read.
+func (c *Conn) SetMaxFrame(bytes int) { c.maxFrame = bytes }
+
 // SetWriteTimeout replaces WriteTimeout. It must be called before the first Write.
 func (c *Conn) SetWriteTimeout(d time.Duration) { c.writeTimeout = d }
 
@@ -105,7 +120,7 @@
 		return err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > wire.MaxFrameBytes {
+	if int64(size) > int64(c.maxFrame) {
 		return ErrFrameTooLarge
 	}
 	if err := c.readBody(int(size), timeout); err != nil {
@@ -113,6 +128,7 @@
 	}
 	err := Decode(c.readBuf, v)
 	if cap(c.readBuf) > maxRetainedBuffer {
+		c.charge(-int64(cap(c.readBuf)))
 		c.readBuf = nil
 	}
 	if err != nil {
@@ -128,7 +144,9 @@
 	for len(c.readBuf) < size {
 		have := len(c.readBuf)
 		chunk := min(readChunkBytes, size-have)
-		c.readBuf = slices.Grow(c.readBuf, chunk)[:have+chunk]
+		if err := c.growTo(have+chunk, size); err != nil {
+			return err
+		}
 		if err := c.readFull(c.readBuf[have:], timeout); err != nil {
 			return err
 		}
@@ -136,6 +154,25 @@
 	return nil
 }
 
+// growTo extends c.readBuf to the given length, for a frame of the given size. Its capacity
+// is at most four times what has arrived, and a chunk.
+func (c *Conn) growTo(length, size int) error {
+	old := cap(c.readBuf)
+	if length > old {
+		grown := max(length, 2*old)
+		if grown > readChunkBytes {
+			grown = max(length, min(size, 4*old))
+		}
+		if !c.charge(int64(grown)) {
+			return ErrNotGranted
+		}
+		c.readBuf = append(make([]byte, 0, grown), c.readBuf...)
+		c.charge(-int64(old))
+	}
+	c.readBuf = c.readBuf[:length]
+	return nil
+}
+
 func (c *Conn) readFull(p []byte, timeout time.Duration) error {
 	if err := c.net.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return err
