Derive the limits of listeners from the machine, and bound the small ones

The limits did not depend on the machine: 8,192 connections and 256 MB of bodies also on one with 144 MB and 3,075 descriptors. The listeners for worker heartbeats and the readiness check had no limit of connections, and readiness accepted headers of 1 MB.

limits.memoryMb and limits.maxFds of the settings file, process_memory and process_descriptors of a plain entry, are divided into shares; a machine that is too small is rejected by name. Heartbeats have 64 connections, readiness 16, both with an account. The garbage collector gets four fifths of the memory as its soft limit.

Measured: tests of platform, internal/settings, internal/cli, internal/fleet and internal/node pass.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/entryd"
@@ -52,6 +53,11 @@
 	if err != nil {
 		return nil, err
 	}
+	shares, err := ingress.SharesOf(ingress.Machine{Memory: v.Int("process_memory"), Descriptors: int(v.Int("process_descriptors"))})
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(shares)
 	incarnation := wire.Incarnation(rand.Uint64() | 1)
 	return entrynode.Start(entrynode.Options{
 		Entry: entryd.Options{
@@ -65,6 +71,7 @@
 			DialFunc:       dialFunc(ids.peer),
 			Log:            eventlog.New(logger, v.String("name"), uint64(incarnation)),
 			Incarnation:    incarnation,
+			Shares:         shares,
 		},
 		Listen: func(role entryd.ListenerRole, addr string) (net.Listener, error) {
 			return listen(ids.forListener(role), addr)
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/node"
@@ -46,6 +47,12 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
+	shares, err := ingress.SharesOf(s.Machine)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	limitMemory(shares)
 	sink := eventlog.NewSink(stdout)
 	defer sink.Sync()
 	incarnation := wire.Incarnation(rand.Uint64() | 1)
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -6,11 +6,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/limpettrail/limpettrail/core/ingress"
 )
 
 // process is a running entry or agent.
@@ -68,6 +71,14 @@
 	}
 }
 
+// limitMemory makes the garbage collector keep to the memory of the machine, if it is stated.
+// That bounds nothing: the shares do.
+func limitMemory(s ingress.Shares) {
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(s.MemoryLimit)
+	}
+}
+
 // newLogger returns a logger that writes JSON lines to standard error.
 func newLogger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/entryd"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/internal/keeper"
 )
 
@@ -76,6 +78,8 @@
 	// LinkBytesPerSecond is the bandwidth of the VM's link in bytes per second, 0 if
 	// unknown.
 	LinkBytesPerSecond float64
+	// Shares are the limits of the listeners, see entryd.Options.
+	Shares ingress.Shares
 }
 
 // EntryNode is the entry process of one VM.
@@ -86,6 +90,7 @@
 	keeper      *keeper.Keeper
 	serving     chan struct{} // closed once entry and keeper are set
 	readyServer *http.Server
+	readyGuard  *ingressd.Guard
 	ctx         context.Context
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
@@ -112,6 +117,9 @@
 func StartEntry(opts EntryOptions) (*EntryNode, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	started := time.Now()
+	if opts.Shares == (ingress.Shares{}) {
+		opts.Shares, _ = ingress.SharesOf(ingress.Machine{}) // fails only for small machines
+	}
 	n := &EntryNode{opts: opts, started: started, serving: make(chan struct{}), ctx: ctx, cancel: cancel}
 	n.lastRead.Store(&started)
 	e, err := entryd.Start(entryd.Options{
@@ -128,6 +136,7 @@
 		Log:                opts.Log,
 		Incarnation:        opts.Incarnation,
 		MaxJobs:            maxJobs,
+		Shares:             opts.Shares,
 		SilenceTimeout:     silenceTimeout,
 		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease, ResendDelay: resendDelay},
 	})
@@ -397,6 +406,7 @@
 	n.cancel()
 	if n.readyServer != nil {
 		n.readyServer.Close()
+		n.readyGuard.Close()
 	}
 	if n.keeper != nil {
 		n.keeper.Close()
--- a/internal/fleet/ready.go
+++ b/internal/fleet/ready.go
@@ -6,9 +6,15 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/limpettrail/limpettrail/core/ingress"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 )
 
-const readyTimeout = 5 * time.Second
+const (
+	readyTimeout        = 5 * time.Second
+	readyMaxHeaderBytes = 4 << 10
+)
 
 // serveReady serves the load balancer's check on any path: status 200 while the
 // entry accepts jobs, 503 otherwise.
@@ -17,15 +23,19 @@
 	if err != nil {
 		return err
 	}
+	n.readyGuard = ingressd.New(ingressd.Options{
+		Share: "ready", Limits: n.opts.Shares.Ready, Log: n.opts.Log, ReceiveBuffer: int(ingress.ReceiveBuffer),
+	})
 	n.readyServer = &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		Handler: n.readyGuard.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if !n.Ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
-		}),
-		ReadHeaderTimeout: readyTimeout, IdleTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0),
+		})),
+		ReadTimeout: readyTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: readyMaxHeaderBytes, ErrorLog: log.New(io.Discard, "", 0),
+		ConnState: ingressd.ConnState, ConnContext: ingressd.WithConn,
 	}
-	n.wg.Go(func() { n.readyServer.Serve(l) })
+	n.wg.Go(func() { n.readyServer.Serve(n.readyGuard.Listener(l)) })
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,9 +11,11 @@
 	"net/http"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/fleet"
+	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/platform"
 )
 
@@ -25,6 +27,10 @@
 
 // StartEntry starts the entry of a VM.
 func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation) (*fleet.EntryNode, error) {
+	shares, err := ingress.SharesOf(s.Machine)
+	if err != nil {
+		return nil, err
+	}
 	store := platform.NewStore(s.StoreAddr)
 	front := platform.NewFrontend(func(job, reason string) {
 		events.Emit(eventlog.JobTurnedAway, eventlog.Fields{Job: job, Detail: reason})
@@ -35,6 +41,7 @@
 		CallerHandler: front.Handler, Configs: platform.NewConfigFollower(store, front), Directory: platform.NewDirectory(store),
 		JobLog: platform.NewJobLog(store),
 		Log:    events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
+		Shares: shares,
 	})
 }
 
@@ -44,11 +51,16 @@
 	*fleet.AgentNode
 	listener net.Listener
 	server   *http.Server
+	guard    *ingressd.Guard
 }
 
 // StartAgent starts the agent of a VM and serves the announcements of its worker. It
 // returns an error if it cannot listen for them.
 func StartAgent(s *platform.Settings, events *eventlog.Log) (*Agent, error) {
+	shares, err := ingress.SharesOf(s.Machine)
+	if err != nil {
+		return nil, err
+	}
 	l, err := net.Listen("tcp", s.AnnounceAddr)
 	if err != nil {
 		return nil, err
@@ -62,21 +74,25 @@
 		},
 		Log: events,
 	})
+	guard := ingressd.New(ingressd.Options{
+		Share: "heartbeats", Limits: shares.Heartbeats, Log: events, ReceiveBuffer: int(ingress.ReceiveBuffer),
+	})
 	server := &http.Server{
-		Handler: platform.AnnounceHandler(n.HandleAnnouncement, n.HandleDeregister, func(err error) {
+		Handler: guard.Handler(platform.AnnounceHandler(n.HandleAnnouncement, n.HandleDeregister, func(err error) {
 			events.Emit(eventlog.AnnouncementInvalid, eventlog.Fields{Err: err})
-		}),
+		})),
 		ReadHeaderTimeout: announceHeaderTimeout, IdleTimeout: announceIdleTimeout, MaxHeaderBytes: announceMaxHeaderBytes,
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog: log.New(io.Discard, "", 0), ConnState: ingressd.ConnState, ConnContext: ingressd.WithConn,
 	}
 	// Serve returns when the server is closed; its error needs no handling.
-	go func() { _ = server.Serve(l) }()
-	return &Agent{AgentNode: n, listener: l, server: server}, nil
+	go func() { _ = server.Serve(guard.Listener(l)) }()
+	return &Agent{AgentNode: n, listener: l, server: server, guard: guard}, nil
 }
 
 // Kill stops the agent and its listener at once.
 func (a *Agent) Kill() {
 	a.server.Close()
 	a.listener.Close() // the server does not know it yet right after the start
+	a.guard.Close()
 	a.AgentNode.Kill()
 }
