--- a/internal/entryd/request.go
+++ b/internal/entryd/request.go
@@ -176,56 +176,51 @@
 		}
 		return nil
 	case "tasks":
-		return r.decodeTasks(d)
+		return d.Decode((*payloads)(&r.Tasks))
 	}
 	return errUnknownField
 }
 
-// decodeTasks decodes the payloads one by one, so that no more are kept than a job may have.
-func (r *JobRequest) decodeTasks(d *json.Decoder) error {
-	t, err := d.Token()
-	if err != nil || t == nil { // null
-		return err
+// payloads are the elements of tasks. UnmarshalJSON counts them before it decodes them, so that
+// no more are kept than a job may have.
+type payloads []json.RawMessage
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *payloads) UnmarshalJSON(data []byte) error {
+	if n := arrayLen(data); n > wire.MaxTasksPerJob {
+		return badTasks(n)
 	}
-	if t != json.Delim('[') {
-		return &json.UnmarshalTypeError{Value: kindOf(t)}
+	return json.Unmarshal(data, (*[]json.RawMessage)(p))
+}
+
+// arrayLen returns the number of elements of a valid JSON array, 0 for other values.
+func arrayLen(data []byte) int {
+	if len(data) == 0 || data[0] != '[' || len(bytes.TrimSpace(data[1:len(data)-1])) == 0 {
+		return 0
 	}
-	var beyond json.RawMessage // its memory is reused
-	count := 0
-	for ; d.More(); count++ {
-		payload := &beyond
-		if count < wire.MaxTasksPerJob {
-			r.Tasks = append(r.Tasks, nil)
-			payload = &r.Tasks[count]
-		}
-		if err := d.Decode(payload); err != nil {
-			return err
+	commas, depth, inString := 0, 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++ // skips the escaped byte
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '[' || c == '{':
+			depth++
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 1:
+			commas++
 		}
 	}
-	if count > wire.MaxTasksPerJob {
-		return badTasks(count)
-	}
-	_, err = d.Token()
-	return err
+	return commas + 1
 }
 
 func badTasks(count int) *RequestError {
 	return badRequest(ReasonBadTasks, "tasks: got %d, want 1 to %d", count, wire.MaxTasksPerJob)
 }
 
-// kindOf returns the name of the kind of JSON value that begins with a token.
-func kindOf(t json.Token) string {
-	switch t.(type) {
-	case json.Delim:
-		return "object"
-	case string:
-		return "string"
-	case bool:
-		return "bool"
-	}
-	return "number"
-}
-
 // decodeField decodes the value of one field of the needs object.
 func (n *Needs) decodeField(d *json.Decoder, name string) error {
 	fields := map[string]*int64{
--- a/internal/entryd/request_test.go
+++ b/internal/entryd/request_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/entryd"
 )
 
@@ -89,3 +90,23 @@
 		}
 	})
 }
+
+// Guards against a job with more tasks than are allowed that is decoded before it is refused,
+// and against jobs that are refused because their tasks are counted wrongly.
+func FuzzDecodeTasks(f *testing.F) {
+	f.Add([]byte(`[1,"a,[\"]",{"b":[2,3]},[],null]`))
+	f.Add([]byte(`[` + strings.Repeat("0,", wire.MaxTasksPerJob) + `0]`))
+	f.Add([]byte(" [ \"\\\\\" , \"\\\"\" ] "))
+	f.Fuzz(func(t *testing.T, tasks []byte) {
+		var want []json.RawMessage
+		if json.Unmarshal(tasks, &want) != nil {
+			return
+		}
+		req, err := entryd.DecodeJob([]byte(`{"class":"c","tasks":` + string(tasks) + `}`))
+		allowed := len(want) > 0 && len(want) <= wire.MaxTasksPerJob
+		assert.Equal(t, err == nil, allowed, "%v", err)
+		if allowed {
+			assert.DeepEqual(t, req.Tasks, want)
+		}
+	})
+}
