--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -11,12 +11,13 @@
 	ownMemory = 40 * megabyte
 	// smallMemory is the share of a listener with few connections.
 	smallMemory = 4 * megabyte
-	// callersShare and peersShare are the shares of the memory besides ownMemory, in eighths.
-	// The rest is for the garbage collector and for what evicted connections hold.
-	callersShare, peersShare = 3, 1
-	// minMemory leaves room for a request at the published limits: its header takes 0.6 MB,
-	// its body up to 0.4 MB, its decoded form up to 1.5 MB.
-	minMemory = 96 * megabyte
+	// callersShare and peersShare are the shares of the memory besides ownMemory, in parts of
+	// 32. The rest is for the garbage collector and for what evicted connections hold. The
+	// share of peers holds 1,200 links and a frame of the largest size on the smallest
+	// machines.
+	callersShare, peersShare = 12, 5
+	// minMemory is where the shares leave a sixth of the memory to the garbage collector.
+	minMemory = 100 * megabyte
 
 	// ownDescriptors are those for files, listeners, the store and the worker.
 	ownDescriptors = 264
@@ -45,9 +46,10 @@
 	RequestCost = ReceiveBuffer + 4*kilobyte
 	// ReceiveBuffer is how many bytes wait in the socket of a connection at most.
 	ReceiveBuffer = 16 * kilobyte
-	// peerCost is that of a connection of a peer until its hello. That of a link is part of
-	// ownMemory.
-	peerCost = 8 * kilobyte
+	// peerCost is that of a connection of a peer, HelloCost what it takes in addition until its
+	// hello is valid. From then on that of the link is part of ownMemory.
+	peerCost  = 4 * kilobyte
+	HelloCost = 12 * kilobyte
 	// ordinary is above what a request of 4 KB with an ordinary header charges in all.
 	ordinary = 64 * kilobyte
 )
@@ -87,12 +89,12 @@
 	callers, peers := maxCallers, maxPeers
 	if m.Descriptors != 0 {
 		left := m.Descriptors - ownDescriptors - OperatorConnections - ReadyConnections
-		peers = min(peers, left/4)
+		peers = min(peers, left/2)
 		callers = min(callers, left-peers)
 	}
 	s := Shares{
-		Callers:    Limits{Bytes: rest * callersShare / 8, ConnectionCost: connectionCost, Connections: callers},
-		Peers:      Limits{Bytes: rest * peersShare / 8, ConnectionCost: peerCost, Connections: peers},
+		Callers:    Limits{Bytes: rest * callersShare / 32, ConnectionCost: connectionCost, Connections: callers},
+		Peers:      Limits{Bytes: rest * peersShare / 32, ConnectionCost: peerCost, Connections: peers},
 		Operators:  Limits{Bytes: smallMemory, ConnectionCost: connectionCost, Connections: OperatorConnections},
 		Ready:      Limits{Bytes: smallMemory / 2, ConnectionCost: connectionCost, Connections: ReadyConnections},
 		Heartbeats: Limits{Bytes: 2 * smallMemory, ConnectionCost: connectionCost, Connections: HeartbeatConnections},
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/ctxsleep"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
@@ -26,7 +27,10 @@
 	maxHelloBytes = 64 << 10
 )
 
-var errUnknownPreface = errors.New("entryd: unknown connection preface")
+var (
+	errUnknownPreface = errors.New("entryd: unknown connection preface")
+	errPeersFull      = errors.New("entryd: the share of peers is used up")
+)
 
 func (e *Entry) acceptLoop() {
 	server := e.newRPCServer()
@@ -64,7 +68,9 @@
 // routeConn distinguishes links of agents and calls of other entries by the first
 // eight bytes and serves the connection.
 func (e *Entry) routeConn(server *rpc.Server, raw *ingressd.Conn) error {
-	raw.BeginReading() // if it was evicted, reading fails
+	if !raw.BeginReading() || !raw.Charge(ingress.HelloCost) {
+		return errPeersFull
+	}
 	raw.SetDeadline(time.Now().Add(link.HandshakeTimeout))
 	preface := make([]byte, len(link.Preface))
 	if _, err := io.ReadFull(raw, preface); err != nil {
@@ -95,8 +101,9 @@
 		return err
 	}
 	if !guarded.BeginServing() {
-		return errors.New("entryd: the connection of the agent was evicted")
+		return errPeersFull
 	}
+	guarded.Charge(-ingress.HelloCost)
 	conn.SetMaxFrame(wire.MaxFrameBytes)
 	sender := link.NewSender[*wire.ToAgent](conn)
 	defer sender.Close()
