Charge what waits behind a listener, and drop what waits for nothing

A request that waits for its job held its whole header, up to 0.5 MB of short lines; frames of agents that waited for the core were not charged; 400,000 tasks in progress take 53 MB; replies of the operators' listener take megabytes each and had no bound on their number or time.

Large headers keep only the lines that handlers read. Frames are charged until the core has handled them.

Measured: tests of core/ingress, internal/ingressd, internal/entryd, internal/link and platform pass.

--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -19,6 +19,12 @@
 	// minMemory is where the shares leave a sixth of the memory to the garbage collector.
 	minMemory = 100 * megabyte
 
+	// tasksShare is the part of the memory that tasks in progress may take, of 133 bytes each
+	// (docs/CAPACITY.md). maxTasks is the default of core/entry.
+	tasksShare = 12
+	taskCost   = 144
+	maxTasks   = 400_000
+
 	// ownDescriptors are those for files, listeners, the store and the worker.
 	ownDescriptors = 264
 	minDescriptors = 1024
@@ -67,6 +73,9 @@
 	Operators  Limits
 	Ready      Limits
 	Heartbeats Limits
+	// Tasks limits the tasks of jobs in progress, 0 for the default. They are part of
+	// ownMemory.
+	Tasks int
 	// MemoryLimit is the soft limit for the garbage collector, 0 for none. It leaves room
 	// for the program and for bytes that wait in sockets.
 	MemoryLimit int64
@@ -106,6 +115,7 @@
 	}
 	if m.Memory != 0 {
 		s.MemoryLimit = m.Memory / 5 * 4
+		s.Tasks = int(min(m.Memory/tasksShare/taskCost, maxTasks))
 	}
 	return s, nil
 }
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -72,6 +72,7 @@
 			Log:            eventlog.New(logger, v.String("name"), uint64(incarnation)),
 			Incarnation:    incarnation,
 			Shares:         shares,
+			MaxTasks:       shares.Tasks,
 		},
 		Listen: func(role entryd.ListenerRole, addr string) (net.Listener, error) {
 			return listen(ids.forListener(role), addr)
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -104,6 +104,10 @@
 // set of links, and passes the event to the machine.
 func (c *core) handleEvent(ev any) {
 	checked := c.checkCallersBefore(ev)
+	if x, ok := ev.(receivedFrame); ok {
+		defer x.guarded.Charge(-x.cost)
+		ev = x.Received
+	}
 	switch x := ev.(type) {
 	case openLink:
 		c.addLink(x)
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -80,6 +80,9 @@
 	// CallerHandler returns the handler of the callers' listener. If nil, the JSON
 	// interface is served.
 	CallerHandler func(Submitter) http.Handler
+	// KeepHeaders are the headers of requests that CallerHandler reads. The others are dropped
+	// from large headers.
+	KeepHeaders []string
 	// Core overrides the durations of the state machine. Its Incarnation,
 	// Scheduler, Observer, MaxJobs and MaxTasks are ignored.
 	Core entry.Options
--- a/internal/entryd/guards.go
+++ b/internal/entryd/guards.go
@@ -26,9 +26,10 @@
 type guards struct{ callers, peers, operators *ingressd.Guard }
 
 func (e *Entry) newGuards() guards {
+	keep := e.opts.KeepHeaders
 	guard := func(share string, l ingress.Limits, buffer int) *ingressd.Guard {
 		return ingressd.New(ingressd.Options{
-			Share: share, Limits: l, Log: e.log, ReceiveBuffer: buffer, Frames: share == sharePeers,
+			Share: share, Limits: l, Log: e.log, ReceiveBuffer: buffer, Frames: share == sharePeers, KeepHeaders: keep,
 			Refusal: `{"outcome":"refused","reason":"` + ReasonTooManyRequests + `","error":"` + ReasonTooManyRequests + `"}`,
 		})
 	}
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -25,6 +25,10 @@
 	// maxHelloBytes bounds what is read of an agent before its hello is valid. A hello that
 	// lists wire.MaxKnownEntries entries takes about half.
 	maxHelloBytes = 64 << 10
+	// decodedByteCost is what a byte of a frame of many short elements takes in addition when
+	// it is decoded. Arrays have a limited length, which bounds that by maxDecodedCost.
+	decodedByteCost = 4
+	maxDecodedCost  = 2 << 20
 )
 
 var (
@@ -114,10 +118,23 @@
 		if err := conn.Read(frame, e.opts.SilenceTimeout); err != nil {
 			return nil
 		}
-		e.send(entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame})
+		size := int64(conn.FrameBytes())
+		cost := size + min(decodedByteCost*size, maxDecodedCost)
+		if !guarded.Charge(cost) {
+			e.log.Emit(eventlog.PeerRejected, eventlog.Fields{Peer: hello.Name, Err: errPeersFull})
+			return nil
+		}
+		e.send(receivedFrame{entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame}, guarded, cost})
 	}
 }
 
+// receivedFrame passes a frame to the core, which releases its cost.
+type receivedFrame struct {
+	entry.Received
+	guarded *ingressd.Conn
+	cost    int64
+}
+
 func (e *Entry) handshake(conn *link.Conn) (wire.AgentHello, error) {
 	var hello wire.AgentHello
 	if err := conn.ReadPreface(); err != nil {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -69,6 +69,8 @@
 	// OperatorListen is the listening address for operators, empty for none.
 	OperatorListen string
 	CallerHandler  func(entryd.Submitter, StoredJobs) http.Handler
+	// KeepHeaders are the headers of requests that CallerHandler reads.
+	KeepHeaders []string
 	// JobLog is the log of stored jobs.
 	JobLog      keeper.Log
 	Configs     ConfigSource
@@ -129,6 +131,7 @@
 		CallerHandler: func(s entryd.Submitter) http.Handler {
 			return n.holdWhileStarting(opts.CallerHandler(leavingSubmitter{s, n}, storedJobs{n}))
 		},
+		KeepHeaders:        opts.KeepHeaders,
 		StoredJobObserver:  storedEvents{n},
 		OnAgentConfig:      n.applyFromAgent,
 		OnVersionAnnounced: n.noteAnnounced,
@@ -137,6 +140,7 @@
 		Incarnation:        opts.Incarnation,
 		MaxJobs:            maxJobs,
 		Shares:             opts.Shares,
+		MaxTasks:           opts.Shares.Tasks,
 		SilenceTimeout:     silenceTimeout,
 		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease, ResendDelay: resendDelay},
 	})
--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,6 +26,8 @@
 	minBodyRate   = 512
 	// readAhead is how many bytes net/http reads beyond the end of a request at most.
 	readAhead = 4 << 10
+	// largeHeaderCost is above the cost of an ordinary header.
+	largeHeaderCost = ingress.RequestCost + 16<<10
 	// refusalTimeout bounds the answer to a header that is not granted.
 	refusalTimeout = 100 * time.Millisecond
 )
@@ -236,6 +239,9 @@
 		}
 		granted, evicted = c.chargeHeader(c.carried + ingress.RequestCost + ingress.HeaderCost(size, lines))
 	}
+	if granted && c.charged > largeHeaderCost {
+		evicted = append(evicted, c.prune(r)...)
+	}
 	granted = granted && g.account.Phase(g.now(), c.id, ingress.Serving)
 	c.phase, c.bodyBytes = ingress.Serving, r.ContentLength
 	g.mu.Unlock()
@@ -243,6 +249,29 @@
 	return granted
 }
 
+// prune drops the header lines that no handler reads, so that a request that waits for its
+// job does not hold them. The server does not read the header of a request once its handler
+// has begun. The caller holds the lock.
+func (c *Conn) prune(r *http.Request) (evicted []*Conn) {
+	kept := make(http.Header, len(c.guard.opts.KeepHeaders))
+	bytes, lines := 0, 0
+	for _, name := range c.guard.opts.KeepHeaders {
+		if v := r.Header.Get(name); v != "" {
+			kept.Set(name, strings.Clone(v))
+			bytes += len(name) + len(v)
+			lines++
+		}
+	}
+	r.Header = kept
+	bytes += len(r.RequestURI)
+	cost := c.carried + ingress.RequestCost + ingress.HeaderCost(bytes, lines)
+	if cost < c.charged {
+		_, evicted = c.guard.chargeLocked(c, cost-c.charged)
+		c.charged = cost
+	}
+	return evicted
+}
+
 // setPhase changes the phase of the connection. It reports false if it was evicted.
 func (c *Conn) setPhase(p ingress.Phase) bool {
 	g := c.guard
--- a/internal/ingressd/guard.go
+++ b/internal/ingressd/guard.go
@@ -30,6 +30,9 @@
 	// Frames is set if the connections do not carry HTTP. Then nothing is charged for what
 	// they read but by Charge.
 	Frames bool
+	// KeepHeaders are the headers that handlers read. The others are dropped from large
+	// headers when the handler begins.
+	KeepHeaders []string
 	// ReceiveBuffer is the size of the receive buffers of sockets.
 	ReceiveBuffer int
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,6 +68,7 @@
 	w            *bufio.Writer
 	readBuf      []byte
 	maxFrame     int
+	frameBytes   int // of the last frame
 	charge       func(bytes int64) bool
 	writeBuf     bytes.Buffer
 	writeTimeout time.Duration
@@ -90,6 +91,9 @@
 // first Read.
 func (c *Conn) SetCharge(charge func(bytes int64) bool) { c.charge = charge }
 
+// FrameBytes returns the size of the last frame that was read.
+func (c *Conn) FrameBytes() int { return c.frameBytes }
+
 // SetMaxFrame replaces wire.MaxFrameBytes as the largest frame to read.
 func (c *Conn) SetMaxFrame(bytes int) { c.maxFrame = bytes }
 
@@ -126,6 +130,7 @@
 	if err := c.readBody(int(size), timeout); err != nil {
 		return err
 	}
+	c.frameBytes = int(size)
 	err := Decode(c.readBuf, v)
 	if cap(c.readBuf) > maxRetainedBuffer {
 		c.charge(-int64(cap(c.readBuf)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,7 +38,7 @@
 	return fleet.StartEntry(fleet.EntryOptions{
 		Name: s.Name, Zone: s.Zone,
 		Listen: s.CallerAddr, ReadyListen: s.ReadyAddr, PeerListen: s.PeerAddr, PeerAdvertise: s.PeerAdvertise, OperatorListen: s.OperatorAddr,
-		CallerHandler: front.Handler, Configs: platform.NewConfigFollower(store, front), Directory: platform.NewDirectory(store),
+		CallerHandler: front.Handler, KeepHeaders: platform.RequestHeaders(), Configs: platform.NewConfigFollower(store, front), Directory: platform.NewDirectory(store),
 		JobLog: platform.NewJobLog(store),
 		Log:    events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
 		Shares: shares,
--- a/internal/operatorhttp/operatorhttp.go
+++ b/internal/operatorhttp/operatorhttp.go
@@ -18,6 +18,8 @@
 // Limits of the server and content types of its replies.
 const (
 	readTimeout     = 5 * time.Second
+	timelineTimeout = 10 * time.Second
+	profileTimeout  = 2 * time.Minute
 	maxHeaderBytes  = 16 << 10
 	contentTypeText = "text/plain; version=0.0.4; charset=utf-8"
 	contentTypeJSON = "application/json"
@@ -57,15 +59,32 @@
 	mux.HandleFunc("GET /readyz", probe(opts.Ready))
 	mux.HandleFunc("GET /status", opts.status)
 	mux.HandleFunc("GET /metrics", opts.metrics)
-	mux.HandleFunc("GET /timeline", opts.timeline)
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /timeline", oneAtATime(timelineTimeout, opts.timeline))
+	profile := func(h http.HandlerFunc) http.HandlerFunc { return oneAtATime(profileTimeout, h) }
+	mux.HandleFunc("GET /debug/pprof/", profile(pprof.Index))
 	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/profile", profile(pprof.Profile))
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
-	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	mux.HandleFunc("GET /debug/pprof/trace", profile(pprof.Trace))
 	return mux
 }
 
+// oneAtATime serves a handler whose replies take megabytes one request after the other. A
+// client that does not read the reply loses its connection after the timeout.
+func oneAtATime(timeout time.Duration, h http.HandlerFunc) http.HandlerFunc {
+	slot := make(chan struct{}, 1)
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slot <- struct{}{}:
+		case <-r.Context().Done():
+			return
+		}
+		defer func() { <-slot }()
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout)) // not supported by recorders of tests
+		h(w, r)
+	}
+}
+
 // probe serves the value of a check, with status 200 if it succeeds and 503 if it
 // fails.
 func probe(check func() (any, bool)) http.HandlerFunc {
