--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -15,9 +15,9 @@
 	// 32. The rest is for the garbage collector and for what evicted connections hold. The
 	// share of peers holds 1,200 links and a frame of the largest size on the smallest
 	// machines.
-	callersShare, peersShare = 12, 5
+	callersShare, peersShare = 11, 5
 	// minMemory is where the shares leave a sixth of the memory to the garbage collector.
-	minMemory = 100 * megabyte
+	minMemory = 120 * megabyte
 
 	// tasksShare is the part of the memory that tasks in progress may take, of 133 bytes each
 	// (docs/CAPACITY.md). maxTasks is the default of core/entry.
@@ -25,6 +25,12 @@
 	taskCost   = 144
 	maxTasks   = 400_000
 
+	// answersShare is the part of the memory that kept answers may take: on the smallest
+	// machine 18,000 of them, those of a quarter of an hour at 20 jobs a second. maxAnswers is
+	// the default of internal/entryd.
+	answersShare = 16
+	maxAnswers   = 64 * megabyte
+
 	// ownDescriptors are those for files, listeners, the store and the worker.
 	ownDescriptors = 264
 	minDescriptors = 1024
@@ -47,6 +53,8 @@
 	// connectionCost is that of a connection of net/http without a request: 6 to 10 KB of
 	// heap and 4 to 7 KB of stacks were measured.
 	connectionCost = 16 * kilobyte
+	// tlsCost is that of TLS in addition; 48 KB were measured for both ends of a connection.
+	tlsCost = 24 * kilobyte
 	// RequestCost is charged for each request in addition: ReceiveBuffer, and what serves
 	// the request.
 	RequestCost = ReceiveBuffer + 4*kilobyte
@@ -76,11 +84,25 @@
 	// Tasks limits the tasks of jobs in progress, 0 for the default. They are part of
 	// ownMemory.
 	Tasks int
+	// AnswerBytes limits the kept answers of jobs, 0 for the default.
+	AnswerBytes int64
 	// MemoryLimit is the soft limit for the garbage collector, 0 for none. It leaves room
 	// for the program and for bytes that wait in sockets.
 	MemoryLimit int64
 }
 
+// boundConnections lets connections without requests leave a quarter of the bytes to requests.
+func (l *Limits) boundConnections() {
+	l.Connections = min(l.Connections, int(l.Bytes*3/4/l.ConnectionCost))
+}
+
+// WithTLS returns the limits of a listener whose connections use TLS.
+func (l Limits) WithTLS() Limits {
+	l.ConnectionCost += tlsCost
+	l.boundConnections()
+	return l
+}
+
 // SharesOf divides a machine. It returns an error that names the setting if the machine is
 // too small.
 func SharesOf(m Machine) (Shares, error) {
@@ -110,11 +132,11 @@
 	}
 	for _, l := range []*Limits{&s.Callers, &s.Peers, &s.Operators, &s.Ready, &s.Heartbeats} {
 		l.Ordinary = ordinary
-		// Connections without requests leave a quarter of the bytes to requests.
-		l.Connections = min(l.Connections, int(l.Bytes*3/4/l.ConnectionCost))
+		l.boundConnections()
 	}
 	if m.Memory != 0 {
 		s.MemoryLimit = m.Memory / 5 * 4
+		s.AnswerBytes = min(m.Memory/answersShare, maxAnswers)
 		s.Tasks = int(min(m.Memory/tasksShare/taskCost, maxTasks))
 	}
 	return s, nil
--- a/core/ingress/shares_test.go
+++ b/core/ingress/shares_test.go
@@ -13,7 +13,7 @@
 		for _, fds := range []int{0, minDescriptors, 3075, 10250} {
 			s, err := SharesOf(Machine{Memory: mb * megabyte, Descriptors: fds})
 			assert.NilError(t, err)
-			sum, conns := ownMemory, ownDescriptors
+			sum, conns := ownMemory+s.AnswerBytes, ownDescriptors
 			for _, l := range []Limits{s.Callers, s.Peers, s.Operators, s.Ready} {
 				sum += l.Bytes + l.Closing()
 				conns += l.Connections
@@ -29,7 +29,7 @@
 		}
 	}
 	for want, m := range map[string]Machine{
-		"limits.memoryMb: got 99, want at least 100":  {Memory: 99 * megabyte},
+		"limits.memoryMb: got 119, want at least 120":  {Memory: 119 * megabyte},
 		"limits.maxFds: got 1023, want at least 1024": {Descriptors: 1023},
 	} {
 		_, err := SharesOf(m)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -58,6 +58,11 @@
 		return nil, err
 	}
 	limitMemory(shares)
+	for identity, limits := range map[*tlsfiles.Identity]*ingress.Limits{ids.caller: &shares.Callers, ids.peer: &shares.Peers, ids.operator: &shares.Operators} {
+		if identity != nil {
+			*limits = limits.WithTLS()
+		}
+	}
 	incarnation := wire.Incarnation(rand.Uint64() | 1)
 	return entrynode.Start(entrynode.Options{
 		Entry: entryd.Options{
@@ -73,6 +78,7 @@
 			Incarnation:    incarnation,
 			Shares:         shares,
 			MaxTasks:       shares.Tasks,
+			MaxAnswerBytes: shares.AnswerBytes,
 		},
 		Listen: func(role entryd.ListenerRole, addr string) (net.Listener, error) {
 			return listen(ids.forListener(role), addr)
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -64,6 +64,9 @@
 	stop := context.AfterFunc(e.ctx, func() { raw.Close() })
 	defer stop()
 	err := e.routeConn(server, raw)
+	if errors.Is(err, errPeersFull) || errors.Is(err, link.ErrNotGranted) {
+		return // counted by the share
+	}
 	if err != nil && err != io.EOF && e.ctx.Err() == nil { // EOF: a port check without data
 		e.log.Emit(eventlog.PeerRejected, eventlog.Fields{Peer: raw.RemoteAddr().String(), Err: err})
 	}
@@ -121,8 +124,7 @@
 		size := int64(conn.FrameBytes())
 		cost := size + min(decodedByteCost*size, maxDecodedCost)
 		if !guarded.Charge(cost) {
-			e.log.Emit(eventlog.PeerRejected, eventlog.Fields{Peer: hello.Name, Err: errPeersFull})
-			return nil
+			return errPeersFull
 		}
 		e.send(receivedFrame{entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame}, guarded, cost})
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -141,6 +141,7 @@
 		MaxJobs:            maxJobs,
 		Shares:             opts.Shares,
 		MaxTasks:           opts.Shares.Tasks,
+		MaxAnswerBytes:     opts.Shares.AnswerBytes,
 		SilenceTimeout:     silenceTimeout,
 		Core:               entry.Options{HeartbeatInterval: heartbeatInterval, LostAgentTimeout: agentLease, ResendDelay: resendDelay},
 	})
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -38,7 +38,7 @@
 	{Name: "log_url", Kind: KindURL, Required: true, Help: "URL of the platform's log service"},
 	{Name: "log_retention", Kind: KindDuration, Default: "24h", Min: int64(time.Minute), Max: int64(366 * 24 * time.Hour), Help: "how long the platform's log keeps records"},
 	{Name: "max_jobs", Kind: KindInt, Default: "10000", Min: 1, Max: 1_000_000, Help: "maximum number of submissions in progress; more are refused"},
-	{Name: "process_memory", Kind: KindSize, Default: "0MB", Min: 0, Max: 1 << 50, Help: "memory that the process may use, at least 100MB; 0MB means not stated"},
+	{Name: "process_memory", Kind: KindSize, Default: "0MB", Min: 0, Max: 1 << 50, Help: "memory that the process may use, at least 120MB; 0MB means not stated"},
 	{Name: "process_descriptors", Kind: KindInt, Default: "0", Min: 0, Max: 1 << 30, Help: "file descriptors that the process may use, at least 1024; 0 means not stated"},
 	{Name: "claim_window", Kind: KindDuration, Default: "15m", Min: int64(time.Minute), Max: int64(24 * time.Hour), Help: "maximum age of the key of a non-idempotent request"},
 	{Name: "tls.caller_cert", Kind: KindPath, Help: "certificate for listen (PEM)"},
