Bound the connections that lookups at other entries take

A request about a job that an entry does not know makes it call up to eight other entries, one connection at a time for each such request: as many descriptors as callers have, and not from their share. 32 lookups run at a time; the others wait within their second.

--- a/core/ingress/shares_test.go
+++ b/core/ingress/shares_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	for want, m := range map[string]Machine{
-		"limits.memoryMb: got 119, want at least 120":  {Memory: 119 * megabyte},
+		"limits.memoryMb: got 119, want at least 120": {Memory: 119 * megabyte},
 		"limits.maxFds: got 1023, want at least 1024": {Descriptors: 1023},
 	} {
 		_, err := SharesOf(m)
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -174,6 +174,7 @@
 	operators    net.Listener // nil if there is none
 	callerConns  *idleConns   // of the callers' server
 	guards       guards
+	lookups      chan struct{}  // holds a value for each lookup at other entries
 	servers      []*http.Server // the callers' server, then the operators' if there is one
 	table        *jobTable
 	waiters      waiters
@@ -229,7 +230,7 @@
 		opts: opts, clock: bootclock.New(), log: opts.Log, metrics: newEntryMetrics(),
 		events: make(chan any, eventQueueSize),
 		table:  newJobTable(opts.AnswerRetention, opts.MaxAnswerBytes),
-		driven: newDrivenJobs(), callerConns: newIdleConns(),
+		driven: newDrivenJobs(), callerConns: newIdleConns(), lookups: make(chan struct{}, maxLookups),
 		ctx: ctx, cancel: cancel, drained: make(chan struct{}),
 	}
 	e.knownEntries.Store(new([]wire.EntryAddr))
--- a/internal/entryd/peerrpc.go
+++ b/internal/entryd/peerrpc.go
@@ -29,6 +29,7 @@
 	maxRPCAttempts    = 3
 	rpcRetryDelay     = 100 * time.Millisecond
 	maxPeersQueried   = 8
+	maxLookups        = 32 // at a time; each has a connection, and callers cause them
 )
 
 // SubmissionArgs identify a submission by its ID, or by team and key.
@@ -173,6 +174,12 @@
 func (e *Entry) anyPeer(ctx context.Context, query func(context.Context, string) bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, rpcLookupTimeout)
 	defer cancel()
+	select {
+	case e.lookups <- struct{}{}:
+		defer func() { <-e.lookups }()
+	case <-ctx.Done():
+		return false
+	}
 	queried := 0
 	for _, p := range *e.knownEntries.Load() {
 		if p.Incarnation == e.Incarnation() || queried == maxPeersQueried || ctx.Err() != nil {
