Bound the receive buffers of peers without TLS

The accept loop of peers opened plain connections in the account without the listener that sets the size of their receive buffers, so the kernel grew them to megabytes while the process did not read. Connections that arrived before the size was set on any listener, as agents do after a restart, kept the kernel's size too.

The accept loop now uses the guard's listener, and the size is set on each accepted connection, with and without TLS.

--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -38,8 +38,9 @@
 
 func (e *Entry) acceptLoop() {
 	server := e.newRPCServer()
+	peers := e.guards.peers.Listener(e.peers)
 	for {
-		raw, err := e.peers.Accept()
+		raw, err := peers.Accept()
 		if e.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			if err == nil {
 				raw.Close()
@@ -50,8 +51,8 @@
 			ctxsleep.For(e.ctx, acceptRetryDelay) // the process may be out of file descriptors
 			continue
 		}
-		conn := e.guards.peers.Admit(raw)
-		if conn != nil && !e.goroutines.start(func() { e.servePeer(server, conn) }) {
+		conn := raw.(*ingressd.Conn)
+		if !e.goroutines.start(func() { e.servePeer(server, conn) }) {
 			conn.Close()
 		}
 	}
--- a/internal/ingressd/guard.go
+++ b/internal/ingressd/guard.go
@@ -114,9 +114,9 @@
 		conn.raw.Close()
 		return nil
 	}
-	if conn.raw != c { // the listener of connections with TLS does not tell its socket
-		g.limitReceiveBuffer(conn.socket)
-	}
+	// The listener's size does not apply to connections that arrived before it was set, and
+	// is not set with TLS.
+	g.limitReceiveBuffer(conn.socket)
 	return conn
 }
 
