Let frames of agents wait for memory instead of closing links

Links were closed when the frames of all agents took too much memory: each link kept a buffer of up to 256 KB charged, so the 62nd agent with a frame of 200 KB was refused on the smallest machine; 240 agents that each send 64 KB after a restart of the entry, or frames that queue behind a slow core, were refused as well. Their agents connected again and sent the same frames.

Frames now have a pool of their own beside the account of connections, taken from the share of peers: 27 parts of 256 of the memory besides ownMemory for frames, 16 for connections. The memory of a frame is reserved before its body is read and released when the core has handled it. A link waits for room, and TCP slows its agent; the silence timeout does not run meanwhile. Links retain 4 KB of each buffer. A link holds at most a sixteenth of the pool, or one larger frame; larger frames hold three quarters together. Hellos above 1 KB have a small pool of their own, with the handshake timeout as the bound. Connections of peers on the smallest machine drop from 3,120 to 1,248.

The core goroutine took the lock of the peers' account for each frame, which may search all connections under it; it now only releases a semaphore.

Weighed: reserving as bytes arrive (links that each hold a part of a frame wait for each other); a pool without a bound for each link (a peer with a valid hello can fill it). A frame of the largest size takes more than three quarters of the pool below some 180 MB of memory; it is charged that much.

--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -11,11 +11,11 @@
 	ownMemory = 40 * megabyte
 	// smallMemory is the share of a listener with few connections.
 	smallMemory = 4 * megabyte
-	// callersShare and peersShare are the shares of the memory besides ownMemory, in parts of
-	// 32. The rest is for the garbage collector and for what evicted connections hold. The
-	// share of peers holds 1,200 links and a frame of the largest size on the smallest
-	// machines.
-	callersShare, peersShare = 12, 5
+	// callersShare, peersShare and framesShare are the shares of the memory besides ownMemory,
+	// in parts of 256. The rest is for the garbage collector and for what evicted connections
+	// hold. On the smallest machines, the share of peers holds 1,200 links, or 240 agents that
+	// connect at once; that of frames holds one of the largest size.
+	callersShare, peersShare, framesShare = 96, 16, 27
 	// minMemory is where the shares leave a sixth of the memory to the garbage collector.
 	minMemory = 100 * megabyte
 
@@ -53,9 +53,11 @@
 	// ReceiveBuffer is how many bytes wait in the socket of a connection at most.
 	ReceiveBuffer = 16 * kilobyte
 	// peerCost is that of a connection of a peer, HelloCost what it takes in addition until its
-	// hello is valid. From then on that of the link is part of ownMemory.
-	peerCost  = 4 * kilobyte
-	HelloCost = 12 * kilobyte
+	// hello is valid, with a hello of SmallHello bytes. From then on that of the link is part
+	// of ownMemory.
+	peerCost   = 4 * kilobyte
+	HelloCost  = 16 * kilobyte
+	SmallHello = int(kilobyte)
 	// ordinary is above what a request of 4 KB with an ordinary header charges in all.
 	ordinary = 64 * kilobyte
 )
@@ -73,6 +75,8 @@
 	Operators  Limits
 	Ready      Limits
 	Heartbeats Limits
+	// Frames limits the bytes of frames of agents that are read or wait to be handled.
+	Frames int64
 	// Tasks limits the tasks of jobs in progress, 0 for the default. They are part of
 	// ownMemory.
 	Tasks int
@@ -102,11 +106,12 @@
 		callers = min(callers, left-peers)
 	}
 	s := Shares{
-		Callers:    Limits{Bytes: rest * callersShare / 32, ConnectionCost: connectionCost, Connections: callers},
-		Peers:      Limits{Bytes: rest * peersShare / 32, ConnectionCost: peerCost, Connections: peers},
+		Callers:    Limits{Bytes: rest * callersShare / 256, ConnectionCost: connectionCost, Connections: callers},
+		Peers:      Limits{Bytes: rest * peersShare / 256, ConnectionCost: peerCost, Connections: peers},
 		Operators:  Limits{Bytes: smallMemory, ConnectionCost: connectionCost, Connections: OperatorConnections},
 		Ready:      Limits{Bytes: smallMemory / 2, ConnectionCost: connectionCost, Connections: ReadyConnections},
 		Heartbeats: Limits{Bytes: 2 * smallMemory, ConnectionCost: connectionCost, Connections: HeartbeatConnections},
+		Frames:     rest * framesShare / 256,
 	}
 	for _, l := range []*Limits{&s.Callers, &s.Peers, &s.Operators, &s.Ready, &s.Heartbeats} {
 		l.Ordinary = ordinary
--- a/core/ingress/shares_test.go
+++ b/core/ingress/shares_test.go
@@ -24,8 +24,13 @@
 			body := int64(256<<10 + 128<<10)
 			largest := s.Callers.ConnectionCost + RequestCost + HeaderCost(16384, 16384/3) + body + 16*256<<10
 			assert.Assert(t, largest <= s.Callers.Bytes*(reserveShare-1)/reserveShare)
-			frame := 1200*peerCost + 6*megabyte
-			assert.Assert(t, mb < 144 || frame <= s.Peers.Bytes*(reserveShare-1)/reserveShare)
+			sum += s.Frames
+			assert.Assert(t, sum+mb*megabyte/6 <= mb*megabyte, "%d MB: the shares take %d with frames", mb, sum)
+			if mb >= 144 {
+				assert.Assert(t, s.Peers.Connections >= 1200 || fds == minDescriptors)
+				assert.Assert(t, 240*(peerCost+HelloCost) <= s.Peers.Bytes)
+				assert.Assert(t, 10*megabyte <= s.Frames, "a frame of 4 MB, its buffer and 2 MB of short elements")
+			}
 		}
 	}
 	for want, m := range map[string]Machine{
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -105,7 +105,7 @@
 func (c *core) handleEvent(ev any) {
 	checked := c.checkCallersBefore(ev)
 	if x, ok := ev.(receivedFrame); ok {
-		defer x.guarded.Charge(-x.cost)
+		defer x.memory.release()
 		ev = x.Received
 	}
 	switch x := ev.(type) {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -174,6 +174,7 @@
 	operators    net.Listener // nil if there is none
 	callerConns  *idleConns   // of the callers' server
 	guards       guards
+	frames       *framePool
 	servers      []*http.Server // the callers' server, then the operators' if there is one
 	table        *jobTable
 	waiters      waiters
@@ -235,6 +236,7 @@
 	e.knownEntries.Store(new([]wire.EntryAddr))
 	e.config.Store(&entry.Configured{Settings: opts.Settings})
 	e.guards = e.newGuards()
+	e.frames = newFramePool(ctx, opts.Shares.Frames, opts.Log)
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		cancel()
--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -61,3 +61,13 @@
 	time.Sleep(d)
 	<-reply
 }
+
+// HoldCore keeps the core goroutine from running until release is called.
+func (e *Entry) HoldCore() (release func()) {
+	reply := make(chan coreStatus) // without room, so the core waits for the receiver
+	e.send(statusQuery{reply})
+	return func() { <-reply }
+}
+
+// LateResults returns the number of results for attempts that are not known.
+func (e *Entry) LateResults() int { return int(e.coreStatus().Stats.Late) }
--- a/internal/entryd/guards.go
+++ b/internal/entryd/guards.go
@@ -14,6 +14,7 @@
 	metricIngressBytesLimit       = "limpettrail_ingress_bytes_limit"
 	metricIngressConnections      = "limpettrail_ingress_connections"
 	metricIngressConnectionsLimit = "limpettrail_ingress_connections_limit"
+	metricIngressWaited           = "limpettrail_ingress_waited"
 	metricIngress                 = "limpettrail_ingress_total"
 )
 
@@ -51,6 +52,9 @@
 
 // collectShares updates the metrics of the shares.
 func (e *Entry) collectShares() {
+	e.metrics.gauge(metrics.Name(metricIngressBytes, "share", shareFrames), e.frames.used.Load())
+	e.metrics.gauge(metrics.Name(metricIngressBytesLimit, "share", shareFrames), e.frames.size)
+	e.metrics.gauge(metrics.Name(metricIngressWaited, "share", shareFrames), e.frames.waited.Load())
 	for _, g := range e.guards.all() {
 		s, l := g.Stats(), g.Limits()
 		for name, v := range map[string]int64{
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -25,10 +25,6 @@
 	// maxHelloBytes bounds what is read of an agent before its hello is valid. A hello that
 	// lists wire.MaxKnownEntries entries takes about half.
 	maxHelloBytes = 64 << 10
-	// decodedByteCost is what a byte of a frame of many short elements takes in addition when
-	// it is decoded. Arrays have a limited length, which bounds that by maxDecodedCost.
-	decodedByteCost = 4
-	maxDecodedCost  = 2 << 20
 )
 
 var (
@@ -97,11 +93,12 @@
 // arrives within SilenceTimeout. It returns an error only if the handshake failed.
 func (e *Entry) serveAgent(raw net.Conn, guarded *ingressd.Conn) error {
 	conn := link.NewConn(raw)
-	conn.SetCharge(guarded.Charge)
+	frames := e.frames.newLink()
+	conn.SetReserve(func(size int) error { return frames.reserveHello(e.ctx, size) })
 	conn.SetMaxFrame(maxHelloBytes)
 	conn.SetWriteTimeout(e.opts.SilenceTimeout)
 	defer conn.Close()
-	hello, err := e.handshake(conn)
+	hello, err := e.handshake(conn, frames)
 	if err != nil {
 		return err
 	}
@@ -110,6 +107,7 @@
 	}
 	guarded.Charge(-ingress.HelloCost)
 	conn.SetMaxFrame(wire.MaxFrameBytes)
+	conn.SetReserve(func(size int) error { return frames.reserve(e.ctx, size) })
 	sender := link.NewSender[*wire.ToAgent](conn)
 	defer sender.Close()
 	e.send(openLink{hello: hello, sender: sender})
@@ -117,31 +115,27 @@
 	for {
 		frame := new(wire.ToEntry)
 		if err := conn.Read(frame, e.opts.SilenceTimeout); err != nil {
+			frames.take().release()
 			return nil
 		}
-		size := int64(conn.FrameBytes())
-		cost := size + min(decodedByteCost*size, maxDecodedCost)
-		if !guarded.Charge(cost) {
-			e.log.Emit(eventlog.PeerRejected, eventlog.Fields{Peer: hello.Name, Err: errPeersFull})
-			return nil
-		}
-		e.send(receivedFrame{entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame}, guarded, cost})
+		e.send(receivedFrame{entry.Received{Agent: hello.Agent, Epoch: hello.Epoch, Frame: frame}, frames.take()})
 	}
 }
 
-// receivedFrame passes a frame to the core, which releases its cost.
+// receivedFrame passes a frame to the core, which releases its memory.
 type receivedFrame struct {
 	entry.Received
-	guarded *ingressd.Conn
-	cost    int64
+	memory reservation
 }
 
-func (e *Entry) handshake(conn *link.Conn) (wire.AgentHello, error) {
+func (e *Entry) handshake(conn *link.Conn, frames *linkFrames) (wire.AgentHello, error) {
 	var hello wire.AgentHello
 	if err := conn.ReadPreface(); err != nil {
 		return hello, err
 	}
-	if err := conn.Read(&hello, link.HandshakeTimeout); err != nil {
+	err := conn.Read(&hello, link.HandshakeTimeout)
+	frames.releaseHello()
+	if err != nil {
 		return hello, err
 	}
 	if !validHello(&hello) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -46,20 +46,17 @@
 	// chunk must arrive within the timeout.
 	readChunkBytes = 64 << 10
 	// maxRetainedBuffer is the largest buffer that a connection retains between
-	// frames.
-	maxRetainedBuffer = 256 << 10
+	// frames. 240 links that retain the buffers of large frames would otherwise use up
+	// the memory of the smallest machine.
+	maxRetainedBuffer = 4 << 10
 )
 
 // Preface is the first data on every agent connection, so that a client of another
 // protocol is rejected at once.
 const Preface = "LTPEER1\n"
 
-// ErrFrameTooLarge is returned for a frame larger than wire.MaxFrameBytes, ErrNotGranted for
-// one whose memory was not granted.
-var (
-	ErrFrameTooLarge = errors.New("link: frame exceeds the size limit")
-	ErrNotGranted    = errors.New("link: the frames of all peers take too much memory")
-)
+// ErrFrameTooLarge is returned for a frame larger than wire.MaxFrameBytes.
+var ErrFrameTooLarge = errors.New("link: frame exceeds the size limit")
 
 // Conn is a framed connection. One goroutine may read while another one writes.
 type Conn struct {
@@ -68,8 +65,7 @@
 	w            *bufio.Writer
 	readBuf      []byte
 	maxFrame     int
-	frameBytes   int // of the last frame
-	charge       func(bytes int64) bool
+	reserve      func(size int) error
 	writeBuf     bytes.Buffer
 	writeTimeout time.Duration
 }
@@ -82,17 +78,13 @@
 		w:            bufio.NewWriterSize(c, bufferBytes),
 		writeTimeout: WriteTimeout,
 		maxFrame:     wire.MaxFrameBytes,
-		charge:       func(int64) bool { return true },
+		reserve:      func(int) error { return nil },
 	}
 }
 
-// SetCharge has the buffer for frames charged before it grows, and released with negative
-// bytes. If charge returns false, Read returns ErrNotGranted. It must be called before the
-// first Read.
-func (c *Conn) SetCharge(charge func(bytes int64) bool) { c.charge = charge }
-
-// FrameBytes returns the size of the last frame that was read.
-func (c *Conn) FrameBytes() int { return c.frameBytes }
+// SetReserve has reserve called with the size of each frame before its body is read. It may
+// wait, which does not count towards the timeout of Read. Read returns its error.
+func (c *Conn) SetReserve(reserve func(size int) error) { c.reserve = reserve }
 
 // SetMaxFrame replaces wire.MaxFrameBytes as the largest frame to read.
 func (c *Conn) SetMaxFrame(bytes int) { c.maxFrame = bytes }
@@ -127,13 +119,14 @@
 	if int64(size) > int64(c.maxFrame) {
 		return ErrFrameTooLarge
 	}
+	if err := c.reserve(int(size)); err != nil {
+		return err
+	}
 	if err := c.readBody(int(size), timeout); err != nil {
 		return err
 	}
-	c.frameBytes = int(size)
 	err := Decode(c.readBuf, v)
 	if cap(c.readBuf) > maxRetainedBuffer {
-		c.charge(-int64(cap(c.readBuf)))
 		c.readBuf = nil
 	}
 	if err != nil {
@@ -149,9 +142,7 @@
 	for len(c.readBuf) < size {
 		have := len(c.readBuf)
 		chunk := min(readChunkBytes, size-have)
-		if err := c.growTo(have+chunk, size); err != nil {
-			return err
-		}
+		c.growTo(have+chunk, size)
 		if err := c.readFull(c.readBuf[have:], timeout); err != nil {
 			return err
 		}
@@ -161,21 +152,16 @@
 
 // growTo extends c.readBuf to the given length, for a frame of the given size. Its capacity
 // is at most four times what has arrived, and a chunk.
-func (c *Conn) growTo(length, size int) error {
+func (c *Conn) growTo(length, size int) {
 	old := cap(c.readBuf)
 	if length > old {
 		grown := max(length, 2*old)
 		if grown > readChunkBytes {
 			grown = max(length, min(size, 4*old))
 		}
-		if !c.charge(int64(grown)) {
-			return ErrNotGranted
-		}
 		c.readBuf = append(make([]byte, 0, grown), c.readBuf...)
-		c.charge(-int64(old))
 	}
 	c.readBuf = c.readBuf[:length]
-	return nil
 }
 
 func (c *Conn) readFull(p []byte, timeout time.Duration) error {
@@ -188,10 +174,7 @@
 
 // Write encodes v as a frame and buffers it. Flush sends it.
 func (c *Conn) Write(v any) error {
-	c.writeBuf.Reset()
-	if c.writeBuf.Cap() > maxRetainedBuffer {
-		c.writeBuf = bytes.Buffer{}
-	}
+	defer c.recycleWriteBuf()
 	var header [headerBytes]byte
 	c.writeBuf.Write(header[:])
 	if err := encoder.MarshalToBuffer(v, &c.writeBuf); err != nil {
@@ -209,6 +192,14 @@
 	return err
 }
 
+// recycleWriteBuf empties the buffer for frames that are written.
+func (c *Conn) recycleWriteBuf() {
+	c.writeBuf.Reset()
+	if c.writeBuf.Cap() > maxRetainedBuffer {
+		c.writeBuf = bytes.Buffer{}
+	}
+}
+
 // Flush sends the buffered frames.
 func (c *Conn) Flush() error {
 	if err := c.setWriteDeadline(); err != nil {
