Name the entry's settings when its machine is too small

`limpettrail entry` with process_memory or process_descriptors below the least reported limits.memoryMb or limits.maxFds, which are settings of a node and which its operator does not have.

SharesOf returns a typed error, which the entry's command turns into one about its own settings. The text for nodes is unchanged.

--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -85,14 +85,28 @@
 	MemoryLimit int64
 }
 
-// SharesOf divides a machine. It returns an error that names the setting if the machine is
-// too small.
+// TooSmall is the error for a machine that is too small.
+type TooSmall struct {
+	Memory   bool  // too little memory, otherwise too few descriptors
+	Got, Min int64 // MB for memory
+}
+
+// Error implements error. It names the setting of a node.
+func (e *TooSmall) Error() string {
+	setting := "limits.maxFds"
+	if e.Memory {
+		setting = "limits.memoryMb"
+	}
+	return fmt.Sprintf("%s: got %d, want at least %d", setting, e.Got, e.Min)
+}
+
+// SharesOf divides a machine. It returns a TooSmall if the machine is too small.
 func SharesOf(m Machine) (Shares, error) {
 	if m.Memory != 0 && m.Memory < minMemory {
-		return Shares{}, fmt.Errorf("limits.memoryMb: got %d, want at least %d", m.Memory/megabyte, minMemory/megabyte)
+		return Shares{}, &TooSmall{Memory: true, Got: m.Memory / megabyte, Min: minMemory / megabyte}
 	}
 	if m.Descriptors != 0 && m.Descriptors < minDescriptors {
-		return Shares{}, fmt.Errorf("limits.maxFds: got %d, want at least %d", m.Descriptors, minDescriptors)
+		return Shares{}, &TooSmall{Got: int64(m.Descriptors), Min: minDescriptors}
 	}
 	memory := m.Memory
 	if memory == 0 {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	shares, err := ingress.SharesOf(ingress.Machine{Memory: v.Int("process_memory"), Descriptors: int(v.Int("process_descriptors"))})
+	shares, err := entryShares(v)
 	if err != nil {
 		return nil, err
 	}
@@ -84,6 +85,21 @@
 	})
 }
 
+// entryShares returns the shares of the machine of the settings. Its error names a setting of
+// an entry, not of a node.
+func entryShares(v *settings.Values) (ingress.Shares, error) {
+	shares, err := ingress.SharesOf(ingress.Machine{Memory: v.Int("process_memory"), Descriptors: int(v.Int("process_descriptors"))})
+	var small *ingress.TooSmall
+	switch {
+	case !errors.As(err, &small):
+		return shares, err
+	case small.Memory:
+		return shares, fmt.Errorf("process_memory: got %dMB, want at least %dMB", small.Got, small.Min)
+	default:
+		return shares, fmt.Errorf("process_descriptors: got %d, want at least %d", small.Got, small.Min)
+	}
+}
+
 // forListener returns the identity for one of the entry's listeners.
 func (ids identities) forListener(role entryd.ListenerRole) *tlsfiles.Identity {
 	switch role {
