Count once when two scrapes run at the same time

Two scrapes of an entry's metrics could both add the difference between a total and its counter, so that limpettrail_ingress_total and limpettrail_messages_total counted twice and then never again until the totals had caught up; an earlier total that came later counted back.

The difference is taken and added under a lock, and counters do not go back.

TestScrapesAtTheSameTimeCountOnce fails without the lock and the bound. go test -race passes for internal/entryd.

--- a/internal/entryd/guards.go
+++ b/internal/entryd/guards.go
@@ -1,8 +1,6 @@
 package entryd
 
 import (
-	gometrics "github.com/rcrowley/go-metrics"
-
 	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/internal/metrics"
@@ -64,8 +62,7 @@
 			e.metrics.gauge(metrics.Name(name, "share", g.Share()), v)
 		}
 		for _, r := range ingress.Reasons() {
-			c := gometrics.GetOrRegisterCounter(metrics.Name(metricIngress, "share", g.Share(), "reason", r.String()), e.metrics.registry)
-			c.Inc(int64(s.Counts[r]) - c.Count())
+			e.metrics.raise(metrics.Name(metricIngress, "share", g.Share(), "reason", r.String()), int64(s.Counts[r]))
 		}
 	}
 }
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"sync"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -33,7 +34,10 @@
 }
 
 // entryMetrics is the registry of one entry.
-type entryMetrics struct{ registry gometrics.Registry }
+type entryMetrics struct {
+	registry gometrics.Registry
+	mu       sync.Mutex // held while counters are raised to a total
+}
 
 func newEntryMetrics() *entryMetrics { return &entryMetrics{registry: gometrics.NewRegistry()} }
 
@@ -41,6 +45,15 @@
 	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// raise sets a counter to a total that was counted elsewhere. Scrapes run at the same time, so
+// an earlier total may come later.
+func (m *entryMetrics) raise(name string, total int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := gometrics.GetOrRegisterCounter(name, m.registry)
+	c.Inc(max(0, total-c.Count()))
+}
+
 func (m *entryMetrics) gauge(name string, v int64) {
 	gometrics.GetOrRegisterGauge(name, m.registry).Update(v)
 }
@@ -97,8 +110,7 @@
 		"cancel": s.Stats.Cancels, "query": s.Stats.Queries, "late": s.Stats.Late,
 		"heartbeat": s.Stats.Heartbeats,
 	} {
-		c := gometrics.GetOrRegisterCounter(metrics.Name(metricMessages, "kind", kind), e.metrics.registry)
-		c.Inc(int64(n) - c.Count())
+		e.metrics.raise(metrics.Name(metricMessages, "kind", kind), int64(n))
 	}
 }
 
