Charge decoded jobs with what they take until their answer

The bound of what decoding a job may take stayed charged until its answer, so that some 80 jobs of 570 steps used up the callers' share of the smallest machine, and jobs whose payload has many braces did so as well. At entries without a platform the body stayed charged too.

After decoding, a job is charged with its steps, tasks and texts, if that is less, and its body is released.

--- a/core/ingress/decoded.go
+++ b/core/ingress/decoded.go
@@ -9,8 +9,18 @@
 	maxParts          = 570
 	decodedObjectCost = 512
 	decodedItemCost   = 48
+	// servedStepCost and servedTaskCost are those of a step and a payload's header without the
+	// copies, in lists with room to grow.
+	servedStepCost = 256
+	servedTaskCost = 32
 )
 
+// ServedCost returns how many bytes of memory a job takes that was decoded, until its answer:
+// its texts and payloads of the given size, its steps and its tasks.
+func ServedCost(bytes int64, steps, tasks int) int64 {
+	return bytes + servedStepCost*int64(steps) + servedTaskCost*int64(tasks)
+}
+
 // DecodedCost returns how many bytes of memory a job takes at most while its JSON is decoded
 // and served, besides the JSON. Decoders bound the length of each list.
 func DecodedCost(json []byte) int64 {
--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -71,3 +71,6 @@
 
 // LateResults returns the number of results for attempts that are not known.
 func (e *Entry) LateResults() int { return int(e.coreStatus().Stats.Late) }
+
+// CallerBytes returns the bytes in use of the callers' share.
+func (e *Entry) CallerBytes() int64 { return e.guards.callers.Stats().Bytes }
--- a/internal/entryd/http.go
+++ b/internal/entryd/http.go
@@ -79,7 +79,8 @@
 		writeRequestError(w, &RequestError{Status: http.StatusRequestTimeout, Reason: ReasonBodyNotReceived, Detail: err.Error()})
 		return
 	}
-	if !ingressd.ConnOf(r.Context()).Charge(ingress.DecodedCost(data)) {
+	conn, decoding := ingressd.ConnOf(r.Context()), ingress.DecodedCost(data)
+	if !conn.Charge(decoding) {
 		writeRefusal(w, ReasonTooManyRequests)
 		return
 	}
@@ -88,6 +89,8 @@
 		writeRequestError(w, reqErr)
 		return
 	}
+	// The decoded job has copies, and takes less than decoding it.
+	conn.Charge(min(0, req.servedCost()-decoding) - int64(cap(data)))
 	if !e.readiness().Config {
 		writeRefusal(w, ReasonNotConfigured)
 		return
--- a/internal/entryd/request.go
+++ b/internal/entryd/request.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -261,6 +262,15 @@
 	return nil
 }
 
+// servedCost returns how much memory the request takes until it is answered.
+func (r *JobRequest) servedCost() int64 {
+	size := len(r.Class) + len(r.Team) + len(r.Key)
+	for _, t := range r.Tasks {
+		size += cap(t)
+	}
+	return ingress.ServedCost(int64(size), 0, len(r.Tasks))
+}
+
 // validKey reports whether key is empty or needs no escaping in a URL path.
 func validKey(key string) bool {
 	for _, c := range []byte(key) {
