Choose connections to evict from a heap instead of sorting all

Each new connection at a full account searched and sorted all connections under the lock of the share, although a sixty-fourth of them is evicted at a time: 0.9 ms for 8,192 connections, in which no other connection of the share is read.

The candidates are a heap now, from which only the evicted ones are taken, in the same order. Weighed: fewer searches, which refuse what could be granted.

The property tests of the order pass unchanged: go test -race passes for core/ingress and internal/ingressd.

--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -8,8 +8,7 @@
 package ingress
 
 import (
-	"cmp"
-	"slices"
+	"container/heap"
 	"time"
 )
 
@@ -259,15 +258,13 @@
 			a.candidates = append(a.candidates, candidate{id, reason, rank})
 		}
 	}
-	slices.SortFunc(a.candidates, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(order(x.reason, count > 0), order(y.reason, count > 0)), cmp.Compare(y.rank, x.rank), cmp.Compare(x.id, y.id))
-	})
-	for _, x := range a.candidates {
+	// A heap, since few of thousands are evicted at a time and the callers hold a lock.
+	left := candidates{a.candidates, count > 0}
+	heap.Init(&left)
+	for left.Len() > 0 && (bytes > 0 || len(out) < count) {
+		x := heap.Pop(&left).(candidate)
 		c := a.conns[x.id]
 		held := c.charged + a.limits.ConnectionCost
-		if bytes <= 0 && len(out) >= count {
-			break
-		}
 		if a.stats.Closing+held > a.limits.Closing() {
 			continue
 		}
@@ -285,6 +282,41 @@
 	return out
 }
 
+// candidates is a heap of those to evict first.
+type candidates struct {
+	list        []candidate
+	connections bool // are short
+}
+
+// Len implements heap.Interface.
+func (h *candidates) Len() int { return len(h.list) }
+
+// Less implements heap.Interface.
+func (h *candidates) Less(i, j int) bool {
+	x, y := &h.list[i], &h.list[j]
+	if n, m := order(x.reason, h.connections), order(y.reason, h.connections); n != m {
+		return n < m
+	}
+	if x.rank != y.rank {
+		return x.rank > y.rank
+	}
+	return x.id < y.id
+}
+
+// Swap implements heap.Interface.
+func (h *candidates) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
+
+// Push implements heap.Interface. It is not used.
+func (h *candidates) Push(x any) { h.list = append(h.list, x.(candidate)) }
+
+// Pop implements heap.Interface.
+func (h *candidates) Pop() any {
+	last := len(h.list) - 1
+	x := h.list[last]
+	h.list = h.list[:last]
+	return x
+}
+
 // order returns in which order connections are evicted. Idle ones go first if connections
 // are short; they hold few bytes.
 func order(r Reason, connections bool) int {
