--- a/internal/entryd/export_test.go
+++ b/internal/entryd/export_test.go
@@ -61,3 +61,16 @@
 	time.Sleep(d)
 	<-reply
 }
+
+// HoldCore keeps the core goroutine from running until release is called.
+func (e *Entry) HoldCore() (release func()) {
+	reply := make(chan coreStatus) // without room, so the core waits for the receiver
+	e.send(statusQuery{reply})
+	return func() { <-reply }
+}
+
+// LateResults returns the number of results for attempts that are not known.
+func (e *Entry) LateResults() int { return int(e.coreStatus().Stats.Late) }
+
+// CallerBytes returns the bytes in use of the callers' share.
+func (e *Entry) CallerBytes() int64 { return e.guards.callers.Stats().Bytes }
--- a/internal/entryd/guards.go
+++ b/internal/entryd/guards.go
@@ -1,8 +1,6 @@
 package entryd
 
 import (
-	gometrics "github.com/rcrowley/go-metrics"
-
 	"github.com/limpettrail/limpettrail/core/ingress"
 	"github.com/limpettrail/limpettrail/internal/ingressd"
 	"github.com/limpettrail/limpettrail/internal/metrics"
@@ -14,6 +12,7 @@
 	metricIngressBytesLimit       = "limpettrail_ingress_bytes_limit"
 	metricIngressConnections      = "limpettrail_ingress_connections"
 	metricIngressConnectionsLimit = "limpettrail_ingress_connections_limit"
+	metricIngressWaited           = "limpettrail_ingress_waited"
 	metricIngress                 = "limpettrail_ingress_total"
 )
 
@@ -51,6 +50,9 @@
 
 // collectShares updates the metrics of the shares.
 func (e *Entry) collectShares() {
+	e.metrics.gauge(metrics.Name(metricIngressBytes, "share", shareFrames), e.frames.used.Load())
+	e.metrics.gauge(metrics.Name(metricIngressBytesLimit, "share", shareFrames), e.frames.size)
+	e.metrics.gauge(metrics.Name(metricIngressWaited, "share", shareFrames), e.frames.waited.Load())
 	for _, g := range e.guards.all() {
 		s, l := g.Stats(), g.Limits()
 		for name, v := range map[string]int64{
@@ -60,8 +62,7 @@
 			e.metrics.gauge(metrics.Name(name, "share", g.Share()), v)
 		}
 		for _, r := range ingress.Reasons() {
-			c := gometrics.GetOrRegisterCounter(metrics.Name(metricIngress, "share", g.Share(), "reason", r.String()), e.metrics.registry)
-			c.Inc(int64(s.Counts[r]) - c.Count())
+			e.metrics.raise(metrics.Name(metricIngress, "share", g.Share(), "reason", r.String()), int64(s.Counts[r]))
 		}
 	}
 }
