--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -190,7 +190,7 @@
 }
 
 // The tests of malformed input guard against a process that panics or hangs on it, or that
-// takes memory without bound.
+// takes memory without bound. They do not check the answers to it: some of it may be served.
 
 func TestRepeatedContentLength(t *testing.T) {
 	play(t, callers, smallEntry, malformed("Content-Length: 5\r\nContent-Length: 6\r\n%s", withLength(ordinaryJob))...)
