--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -27,6 +27,14 @@
 // Options configures a Machine. Zero durations and counts take the defaults.
 type Options struct {
 	Incarnation wire.Incarnation
+	// Zone is the availability zone of the agent. While it is evacuated, no task starts.
+	Zone string
+	// EvacuationBound is the time within which a request to evacuate the zone must take
+	// effect. The agent requests a listing of the requests when its state is older than half
+	// of it. 0 means that the agent never does; it still applies the states that it receives.
+	EvacuationBound time.Duration
+	// Evacuations is the state that an earlier incarnation in this process has received.
+	Evacuations wire.Evacuations
 	// Slots is the number of tasks that the upstream runs at once.
 	Slots int
 	// Capacity is the worker's capacity. A task with a stated need takes slots in
@@ -116,6 +124,7 @@
 	occupied        float64      // slots taken by running tasks
 	order           uint64       // arrival counter, orders attempts that are due at the same time
 	config          *wire.ConfigState
+	evacuations     evacuationState
 
 	limiter      limiter
 	classes      map[string]*classStats
@@ -159,6 +168,7 @@
 		capacity:     opts.Capacity,
 		classes:      make(map[string]*classStats),
 		otherClasses: classStats{mean: initialMeanRun},
+		evacuations:  evacuationState{Evacuations: opts.Evacuations},
 	}
 	for _, run := range opts.RetainedRuns {
 		m.retainedRuns.add(0, 0, run)
@@ -192,6 +202,8 @@
 		m.changeAdmission(e)
 	case WorkerLeaving:
 		m.workerLeaving = true
+	case EvacuationsListed:
+		m.evacuationsListed(&e)
 	case Drain:
 		m.drain(now)
 	case Tick:
@@ -215,6 +227,7 @@
 		Failures:     m.failures,
 		Down:         m.down,
 		Occupied:     int(1000 * m.reportedSlots()),
+		Evacuated:    m.evacuated(),
 	}
 }
 
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -95,6 +95,8 @@
 	// if it is not, and when it is due.
 	forwardVersion int64
 	forwardAt      time.Duration
+	// evacuations is the state that the entry stated or was sent last on this link.
+	evacuations wire.Evacuations
 }
 
 // outFrame combines a frame, its action and storage for one result, so that the
@@ -179,6 +181,7 @@
 	rec.configVersion = e.ConfigVersion
 	rec.sendConfig, rec.announceConfig, rec.forwardVersion = false, false, 0
 	m.scheduleForward(now, rec, m.connectDelay())
+	rec.evacuations = wire.Evacuations{}
 }
 
 func (m *Machine) addEntry(entry wire.Incarnation) *entryRecord {
@@ -226,6 +229,7 @@
 	clear(m.entryList[len(kept):])
 	m.entryList = kept
 	m.probe(now)
+	m.requestListing(now)
 }
 
 func (m *Machine) tickEntry(now time.Duration, rec *entryRecord) {
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -77,21 +77,28 @@
 // ends after that, it has not crashed.
 type WorkerLeaving struct{}
 
+// EvacuationsListed reports the requests that a ListEvacuations action asked for.
+type EvacuationsListed struct {
+	Evacuations wire.Evacuations
+	RequestedAt time.Duration // when the listing was requested from the store
+}
+
 // Drain starts the graceful shutdown. Queued tasks are returned as not run.
 type Drain struct{}
 
-func (LinkUp) isEvent()           {}
-func (LinkDown) isEvent()         {}
-func (Received) isEvent()         {}
-func (Finished) isEvent()         {}
-func (StartSettled) isEvent()     {}
-func (Probed) isEvent()           {}
-func (Tick) isEvent()             {}
-func (Retire) isEvent()           {}
-func (CapacityChanged) isEvent()  {}
-func (AdmissionChanged) isEvent() {}
-func (WorkerLeaving) isEvent()    {}
-func (Drain) isEvent()            {}
+func (LinkUp) isEvent()            {}
+func (LinkDown) isEvent()          {}
+func (Received) isEvent()          {}
+func (Finished) isEvent()          {}
+func (StartSettled) isEvent()      {}
+func (Probed) isEvent()            {}
+func (Tick) isEvent()              {}
+func (Retire) isEvent()            {}
+func (CapacityChanged) isEvent()   {}
+func (AdmissionChanged) isEvent()  {}
+func (WorkerLeaving) isEvent()     {}
+func (EvacuationsListed) isEvent() {}
+func (Drain) isEvent()             {}
 
 // Action is an output of the machine.
 type Action interface{ isAction() }
@@ -154,6 +161,10 @@
 // entries, or was when the agent began. They must be told over new links.
 type CapacityGrown struct{ Capacity wire.Capacity }
 
+// ListEvacuations asks the caller to list the requests to evacuate zones and to deliver
+// EvacuationsListed. A listing that fails needs no event: the action is repeated.
+type ListEvacuations struct{}
+
 // Retired reports that the entry of a Retire event has settled all its attempts
 // and that DrainLinger has passed, so the link may be closed.
 type Retired struct {
@@ -167,13 +178,14 @@
 
 // Run and Send are emitted as pointers into records that the machine allocates
 // anyway, so that the hot path needs no further allocations.
-func (*Send) isAction()          {}
-func (*Run) isAction()           {}
-func (Stop) isAction()           {}
-func (AcknowledgeRun) isAction() {}
-func (SupersedeRun) isAction()   {}
-func (Permissions) isAction()    {}
-func (Probe) isAction()          {}
-func (CapacityGrown) isAction()  {}
-func (Retired) isAction()        {}
-func (Drained) isAction()        {}
+func (*Send) isAction()           {}
+func (*Run) isAction()            {}
+func (Stop) isAction()            {}
+func (AcknowledgeRun) isAction()  {}
+func (SupersedeRun) isAction()    {}
+func (Permissions) isAction()     {}
+func (Probe) isAction()           {}
+func (CapacityGrown) isAction()   {}
+func (ListEvacuations) isAction() {}
+func (Retired) isAction()         {}
+func (Drained) isAction()         {}
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -11,11 +11,11 @@
 // break the link, and the next link too when its results are sent again.
 const maxFrameBodies = wire.MaxFrameBytes / 2
 
-// flush sends a frame to each entry for which results, a configuration or a
-// heartbeat are due.
+// flush sends a frame to each entry for which results, a configuration,
+// evacuations or a heartbeat are due.
 func (m *Machine) flush(now time.Duration) {
 	for _, rec := range m.entryList {
-		if rec.up && (len(rec.results) > 0 || rec.heartbeatDue || rec.sendConfig) {
+		if rec.up && (len(rec.results) > 0 || rec.heartbeatDue || rec.sendConfig || m.evacuations.Supersedes(&rec.evacuations)) {
 			m.flushEntry(now, rec)
 		}
 	}
@@ -34,6 +34,7 @@
 		f.frame.Load.Draining = m.draining || rec.retiring
 		f.frame.FinishedRuns, rec.pendingFinishedRuns = rec.pendingFinishedRuns, nil
 		f.frame.SettledStarts = rec.takeSettledStarts()
+		f.frame.Evacuations = m.evacuationsFor(rec)
 		if rec.sendConfig {
 			f.frame.Config = m.config
 			rec.configVersion = m.config.Version
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -24,6 +24,7 @@
 	}
 	rec.renewLease(max(rec.helloSentAt, min(e.Frame.ClockEcho.Duration(), now)))
 	m.adoptConfig(now, rec, e.Frame.Config)
+	m.receiveEvacuations(rec, e.Frame)
 	m.settleBelow(rec, e.Frame.LowestOpenSeq)
 	e.Frame.RestorePayloads()
 	for i := range e.Frame.Starts {
@@ -108,6 +109,8 @@
 	switch {
 	case m.draining || rec.retiring:
 		return wire.ReasonDraining
+	case m.evacuated():
+		return wire.ReasonEvacuated
 	case s.Deadline <= 0:
 		return wire.ReasonExpired
 	case m.leaseExpired(now, rec):
@@ -195,6 +198,7 @@
 const slotTolerance = 1e-6
 
 func (m *Machine) startQueued(now time.Duration) {
+	m.returnEvacuated()
 	for m.queue.Len() > 0 && m.hasRoom(now, m.queue.top()) && now >= m.pausedUntil && !m.admissionClosed {
 		a := m.queue.pop()
 		if now >= a.deadline {
--- a/core/entry/bench_test.go
+++ b/core/entry/bench_test.go
@@ -30,6 +30,7 @@
 func (s *fifoScheduler) Admit(time.Duration, *policy.Job) (v policy.AdmitResult)                 { return }
 func (s *fifoScheduler) Enqueue(_ time.Duration, t *policy.Task)                                 { s.queue = append(s.queue, t) }
 func (s *fifoScheduler) Remove(time.Duration, *policy.Task)                                      {}
+func (s *fifoScheduler) SetEvacuatedZones(time.Duration, []string)                               {}
 func (s *fifoScheduler) JobDone(time.Duration, *policy.Job, bool)                                {}
 func (s *fifoScheduler) AttemptDone(time.Duration, wire.Incarnation, *policy.Task, *wire.Result) {}
 
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -117,6 +117,7 @@
 	// was pending. A claim that is won later is released.
 	orphanedClaims map[wire.SubmissionID]struct{}
 	config         configState
+	evacuations    evacuationState
 	notedVersion   int64 // highest version of the configuration that an agent announced
 	entries        []wire.EntryAddr
 	draining       bool
@@ -211,6 +212,8 @@
 		m.removeAgent(now, m.agents[e.Agent])
 	case Configured:
 		m.applyConfig(now, e)
+	case EvacuationsRead:
+		m.evacuationsRead(now, e)
 	case StoredLease:
 		m.storedLeaseUntil = max(m.storedLeaseUntil, e.Until)
 	case AcknowledgedRuns:
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -139,6 +139,17 @@
 	BaseVersion int64
 }
 
+// EvacuationsRead reports a successful read of the requests to evacuate zones.
+type EvacuationsRead struct {
+	// Evacuations is the state after the read, nil if it is the same as before. It has no
+	// effect if it is not newer than the current one.
+	Evacuations *wire.Evacuations
+	// RequestedAt is when the read was requested, on the machine's clock. Every request to
+	// evacuate a zone from before that is part of the state, unless Partial is set.
+	RequestedAt time.Duration
+	Partial     bool
+}
+
 // StoredLease extends the time until which the entry may start tasks of stored
 // jobs. Those still in progress at that time are ended, because another entry
 // may own them by then.
@@ -182,6 +193,7 @@
 func (Received) isEvent()         {}
 func (AgentReplaced) isEvent()    {}
 func (Configured) isEvent()       {}
+func (EvacuationsRead) isEvent()  {}
 func (StoredLease) isEvent()      {}
 func (AcknowledgedRuns) isEvent() {}
 func (EntriesChanged) isEvent()   {}
@@ -261,6 +273,14 @@
 	Current int64 // this entry's version
 }
 
+// EvacuationsChanged reports that the set of the evacuated zones has changed.
+type EvacuationsChanged struct {
+	Agent       string // name of the agent that the state came from, empty if it was read
+	Before      []string
+	Evacuations wire.Evacuations
+	ReadAge     time.Duration // since the last read by this entry, 0 if there was none
+}
+
 // ContainmentChanged reports that the scheduler has contained a class, because its jobs
 // make workers crash, or has released it.
 type ContainmentChanged struct {
@@ -290,6 +310,7 @@
 func (RunRepeated) isAction()        {}
 func (NewerConfig) isAction()        {}
 func (VersionAnnounced) isAction()   {}
+func (EvacuationsChanged) isAction() {}
 func (ContainmentChanged) isAction() {}
 func (Paused) isAction()             {}
 func (Drained) isAction()            {}
--- a/core/entry/frames.go
+++ b/core/entry/frames.go
@@ -53,8 +53,11 @@
 			Entries:          pending.Entries,
 			AcknowledgedRuns: pending.AcknowledgedRuns,
 			SupersededRuns:   pending.SupersededRuns,
+			Evacuations:      pending.Evacuations,
+			EvacuationsAge:   m.evacuationsAge(now),
 		}
 		pending.Config, pending.Entries, pending.AcknowledgedRuns, pending.SupersededRuns = nil, nil, nil, nil
+		pending.Evacuations = nil
 		frame.Starts, pending.Starts = splitStarts(pending.Starts)
 		frame.DedupPayloads()
 		frame.Cancels, pending.Cancels = splitSeqs(pending.Cancels)
@@ -65,7 +68,8 @@
 
 func isEmpty(f *wire.ToAgent) bool {
 	return len(f.Starts) == 0 && len(f.Cancels) == 0 && len(f.Queries) == 0 &&
-		f.Config == nil && len(f.Entries) == 0 && len(f.AcknowledgedRuns) == 0 && len(f.SupersededRuns) == 0
+		f.Config == nil && len(f.Entries) == 0 && len(f.AcknowledgedRuns) == 0 && len(f.SupersededRuns) == 0 &&
+		f.Evacuations == nil
 }
 
 // splitStarts returns the starts that fit in one frame and the others.
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -55,7 +55,7 @@
 // started, because they would wait for that member.
 func (m *Machine) gangNotRun(now time.Duration, t *task, reason wire.Reason) {
 	m.stats.Refused++
-	t.schedTask.NotRunAttempts++
+	t.countNotRun(reason)
 	if reason == wire.ReasonStaleRun {
 		t.runNumber += staleRunSkip
 	}
--- a/core/entry/links.go
+++ b/core/entry/links.go
@@ -29,9 +29,11 @@
 	configVersion     int64         // version that the agent has or was sent
 	pushConfigAt      time.Duration // when the configuration is sent if the agent still lacks it; 0 if not due
 	configSentAt      time.Duration // when a configuration was last sent
-	attempts          attemptWindow // attempts that were sent and are not settled
-	outgoing          wire.ToAgent  // content of the next frames
-	dirty             bool          // listed in Machine.dirtyLinks
+	// evacuations is the state that the agent stated or was sent last on this link.
+	evacuations wire.Evacuations
+	attempts    attemptWindow // attempts that were sent and are not settled
+	outgoing    wire.ToAgent  // content of the next frames
+	dirty       bool          // listed in Machine.dirtyLinks
 }
 
 // tookOverAfter reports whether the link's agent took over its worker later
@@ -75,6 +77,8 @@
 	m.removeOlderIncarnations(now, link, h.NoLeftoverRuns)
 	m.queryInFlight(link)
 	m.offerConfig(now, link)
+	link.evacuations = wire.Evacuations{}
+	m.offerEvacuations(link)
 	m.noteVersion(link, h.ConfigVersion)
 	if len(m.entries) > 0 {
 		link.outgoing.Entries = m.entries
@@ -239,6 +243,9 @@
 	link.settleStarts(e.Frame.SettledStarts)
 	m.applyFinishedRuns(now, link, e.Frame.FinishedRuns)
 	m.scheduler.Observe(now, e.Agent, e.Frame.Load)
+	if e.Frame.Evacuations != nil {
+		m.receiveEvacuations(now, link, e.Frame.Evacuations)
+	}
 	if e.Frame.Config != nil {
 		m.receiveConfig(now, link, e.Frame.Config)
 	}
--- a/core/entry/model_test.go
+++ b/core/entry/model_test.go
@@ -87,7 +87,8 @@
 	return time.Duration(t.NotRunAttempts) * 5 * time.Millisecond, t.NotRunAttempts < 4
 }
 
-func (s *strictScheduler) JobDone(time.Duration, *policy.Job, bool) {}
+func (s *strictScheduler) SetEvacuatedZones(time.Duration, []string) {}
+func (s *strictScheduler) JobDone(time.Duration, *policy.Job, bool)  {}
 
 type taskID struct {
 	sub   wire.SubmissionID
--- a/core/entry/tasks.go
+++ b/core/entry/tasks.go
@@ -226,7 +226,7 @@
 // scheduler allows no further retry.
 func (m *Machine) taskNotRun(now time.Duration, t *task, reason wire.Reason) {
 	m.stats.Refused++
-	t.schedTask.NotRunAttempts++
+	t.countNotRun(reason)
 	if t.job.ending {
 		m.dropTask(t)
 		return
@@ -260,6 +260,15 @@
 // task up to that many times.
 const staleRunSkip = 16
 
+// countNotRun counts an attempt that did not run. One that was refused because its zone is
+// evacuated does not count: however many zones are evacuated, the task is placed elsewhere at
+// once, and the attempt there is no retry.
+func (t *task) countNotRun(reason wire.Reason) {
+	if reason != wire.ReasonEvacuated {
+		t.schedTask.NotRunAttempts++
+	}
+}
+
 func (m *Machine) dropTask(t *task) {
 	t.state = taskDropped
 	t.job.openTasks--
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -18,7 +18,10 @@
 	classes          map[string]*classState
 	classList        []*classState
 	agents           map[wire.Incarnation]*agentState
-	connected        []*agentState
+	connected        []*agentState // the first usableCount of them are not evacuated
+	usableCount      int
+	evacuatedZones   []string
+	returningUntil   time.Duration // until then an agent may count as capacity in part
 	freed            []*agentState // freed a slot recently, oldest first
 	queue            *queue
 	budget           budget
@@ -146,10 +149,15 @@
 	a.otherSlots, a.meanOtherSlots = 0, 0
 	if !a.connected {
 		a.connected = true
+		a.evacuated = s.zoneEvacuated(info.Zone)
 		a.index = len(s.connected)
 		s.connected = append(s.connected, a)
+		if !a.evacuated {
+			s.makeUsable(a)
+		}
 		s.resetMeanLogRatio()
 	}
+	s.observeEvacuated(now, a)
 	s.renewQuarantine(now)
 	s.workerConnected(a)
 }
@@ -163,6 +171,9 @@
 	a.connected = false
 	a.disconnectedAt = now
 	s.removeFreed(a)
+	if !a.evacuated {
+		s.makeUnusable(a)
+	}
 	last := len(s.connected) - 1
 	s.connected[a.index] = s.connected[last]
 	s.connected[a.index].index = a.index
@@ -222,11 +233,12 @@
 // agents, which are extrapolated from SampleAgents agents if more are connected.
 func (s *Adaptive) workPerSlot(c *classState, job *Job) time.Duration {
 	slots := 0
-	for _, a := range s.connected[:min(len(s.connected), s.opts.SampleAgents)] {
+	agents := s.usable()
+	for _, a := range agents[:min(len(agents), s.opts.SampleAgents)] {
 		slots += a.info.Slots
 	}
-	if len(s.connected) > s.opts.SampleAgents {
-		slots = slots * len(s.connected) / s.opts.SampleAgents
+	if len(agents) > s.opts.SampleAgents {
+		slots = slots * len(agents) / s.opts.SampleAgents
 	}
 	return s.expectedRun(c, job.DeclaredRunTime) * time.Duration(job.Tasks) / time.Duration(max(slots, 1))
 }
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -44,10 +45,16 @@
 	if c == nil || !c.published {
 		return AdmitResult{Refusal: RefusedUnknownClass}
 	}
-	if len(s.connected) == 0 {
+	if s.usableCount == 0 {
 		return AdmitResult{Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamRetryAfter)}
 	}
-	if !s.fitsSomewhere(job) || job.Gang && !s.gangFits(c, job) {
+	if !fits(s.usable(), c, job) {
+		if s.fitsIfReturned(c, job) {
+			return AdmitResult{
+				Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamRetryAfter),
+				Detail: "the workers that can run the job are in evacuated zones",
+			}
+		}
 		return AdmitResult{Refusal: RefusedNeverFits}
 	}
 	left := job.Deadline - now
@@ -225,11 +232,11 @@
 // system would be refused.
 func (s *Adaptive) serviceSlots() float64 {
 	if s.allRuns.known() {
-		slots := max(s.meanInService, float64(s.inFlight)+usableFreeShare*s.freeSlots())
+		slots := max(s.meanInService, s.inService(s.now)+usableFreeShare*s.freeSlots())
 		return max(1, min(slots, s.window.size))
 	}
 	slots := 0
-	for _, a := range s.connected {
+	for _, a := range s.usable() {
 		slots += a.info.Slots
 	}
 	return max(1, s.meanInService, float64(slots))
@@ -237,7 +244,7 @@
 
 // observeInService samples the number of this entry's tasks in service.
 func (s *Adaptive) observeInService() {
-	n := float64(s.inFlight)
+	n := s.inService(s.now)
 	if s.queue.waiting == 0 || n > s.meanInService {
 		// Without a backlog the number in service does not show how many tasks
 		// could be in service, so the mean only grows.
@@ -253,24 +260,22 @@
 func (s *Adaptive) freeSlots() float64 {
 	free := 0.0
 	run := max(s.allRuns.meanOrPrior(0), minMeanRun)
-	agents := s.connected[:min(len(s.connected), s.opts.SampleAgents)]
+	agents := s.usable()
+	agents = agents[:min(len(agents), s.opts.SampleAgents)]
 	for _, a := range agents {
 		if a.acceptsStarts() && !a.health.ejected && !a.health.suspended && !a.health.down {
-			free += max(0, a.limit()-a.usedSlots(s.now, run, s.enabled.ageing))
+			free += max(0, a.limit()-a.usedSlots(s.now, run, s.enabled.ageing)) * a.capacityShare(s.now)
 		}
 	}
-	return free * float64(len(s.connected)) / float64(max(1, len(agents)))
+	return free * float64(s.usableCount) / float64(max(1, len(agents)))
 }
 
-// fitsSomewhere reports whether any connected worker meets the job's requirements.
-func (s *Adaptive) fitsSomewhere(job *Job) bool {
-	pool := s.classes[job.Class].class.Pool
-	for _, a := range s.connected {
-		if a.matches(pool, job) {
-			return true
-		}
+// fits reports whether the workers of the agents could run the job if they were idle.
+func fits(agents []*agentState, c *classState, job *Job) bool {
+	if job.Gang {
+		return gangFits(agents, c, job)
 	}
-	return false
+	return slices.ContainsFunc(agents, func(a *agentState) bool { return a.matches(c.class.Pool, job) })
 }
 
 // overQuota reports whether the job's team already has as many waiting tasks in the
--- a/core/policy/alone.go
+++ b/core/policy/alone.go
@@ -22,7 +22,7 @@
 		j = s.newJob(task.Job)
 	}
 	var best *agentState
-	for _, a := range s.connected {
+	for _, a := range s.usable() {
 		if s.mayPlaceAlone(now, j, a) && (best == nil || s.aloneCost(now, a) < s.aloneCost(now, best)) {
 			best = a
 		}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -29,9 +29,9 @@
 	s.updateContention(now)
 	s.observeOthers(now)
 	s.queue.unparkDue(now)
-	for parked := 0; parked < maxParkedPerDecision && !s.window.full(s.answersDue()); parked++ {
+	for parked := 0; parked < maxParkedPerDecision && !s.windowFull(); parked++ {
 		j := s.queue.head(now)
-		if j == nil || len(s.connected) == 0 {
+		if j == nil || s.usableCount == 0 {
 			break
 		}
 		if j.job.Gang {
@@ -121,6 +121,10 @@
 		s.window.observe(now, sentAt, rtt, s.answersDue())
 	}
 	s.adjustWait(r)
+	if r.Reason == wire.ReasonEvacuated { // also before the agent's next report
+		a.info.Load.Evacuated = true
+		s.observeEvacuated(now, a)
+	}
 	if task.NotRunAttempts > 0 && r.Outcome == wire.Succeeded {
 		s.budget.recordSuccess(now)
 	}
@@ -270,7 +274,7 @@
 	if !s.enabled.health || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
 		return
 	}
-	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, len(s.connected))) {
+	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, s.usableCount)) {
 		return
 	}
 	failureShare, failingPeers := s.peerFailures(now, a)
@@ -313,6 +317,7 @@
 		return
 	}
 	a.observe(now, load)
+	s.observeEvacuated(now, a)
 	s.standing += a.attempts.advance(now)
 	s.creditLongRunning(now, a)
 	h := &a.health
@@ -353,8 +358,11 @@
 // Retry implements Scheduler. A retry that exceeds the budget is delayed; it is
 // denied only if the task could not start before its deadline.
 func (s *Adaptive) Retry(now time.Duration, task *Task, reason wire.Reason) (time.Duration, bool) {
-	if reason == wire.ReasonExpired {
+	switch {
+	case reason == wire.ReasonExpired:
 		return 0, false
+	case reason == wire.ReasonEvacuated: // not a retry: only this zone refuses the task
+		return 0, now < task.Job.Deadline
 	}
 	delay := backoff(reason, task.NotRunAttempts, s.rand.float())
 	delay = max(delay, s.budget.reserve(now))
--- a/core/policy/containment.go
+++ b/core/policy/containment.go
@@ -157,11 +157,11 @@
 
 // quarantine selects the agents that run the contained classes of a pool. All entries
 // select the same ones, also while some of their workers are down: the choice depends
-// on names only.
+// on names and on the evacuated zones only.
 func (s *Adaptive) quarantine(pool string) {
 	byName := make(map[string]uint64)
 	for _, a := range s.agents {
-		if pool == "" || a.info.Pool == pool {
+		if (pool == "" || a.info.Pool == pool) && !s.zoneEvacuated(a.info.Zone) {
 			byName[a.info.Name] = xxhash.Sum64String(a.info.Name)
 		}
 	}
@@ -232,7 +232,7 @@
 // only the workers in quarantine that are up.
 func (s *Adaptive) admitContained(c *classState, job *Job, allowed time.Duration) AdmitResult {
 	slots := 0.0
-	for _, a := range s.connected {
+	for _, a := range s.usable() {
 		if s.mayUse(s.now, c, job, a) && a.acceptsStarts() && !a.health.down && a.matches(c.class.Pool, job) {
 			slots += a.limit()
 		}
--- /dev/null
+++ b/core/policy/evacuation.go
@@ -0,0 +1,162 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Evacuation answers an operator's request that no more tasks are started on the workers of
+// a zone, for example before maintenance of that zone. It takes a third or more of the
+// capacity away within a moment. If that is noticed only by its effect, the jobs of the
+// next seconds are admitted to a backlog that is served too late, and all of them are late.
+//
+// The connected agents in evacuated zones are kept behind the others in Adaptive.connected,
+// so that searches and estimates examine only the agents that may get starts.
+
+// returnPeriod is how long it takes until an agent counts as capacity in full after its zone
+// is no longer evacuated. Workers that were idle or were restarted meanwhile may be slow at
+// first.
+const returnPeriod = 10 * time.Second
+
+// usable returns the connected agents that are not evacuated.
+func (s *Adaptive) usable() []*agentState { return s.connected[:s.usableCount] }
+
+// SetEvacuatedZones implements Scheduler.
+func (s *Adaptive) SetEvacuatedZones(now time.Duration, zones []string) {
+	s.evacuatedZones = slices.Clone(zones)
+	before, lost := s.usableSlots(), 0.0
+	for _, a := range slices.Clone(s.connected) { // in this order, so that the result is deterministic
+		lost += s.updateEvacuated(now, a)
+	}
+	s.shrinkCapacity(before, lost)
+	for _, a := range s.agents {
+		if !a.connected {
+			s.updateEvacuated(now, a)
+		}
+	}
+	s.renewQuarantine(now)
+}
+
+// zoneEvacuated reports whether the zone is one of those set by SetEvacuatedZones.
+func (s *Adaptive) zoneEvacuated(zone string) bool { return slices.Contains(s.evacuatedZones, zone) }
+
+// observeEvacuated applies an agent's report of whether its zone is evacuated: the agent may
+// know of a request, or not know of its removal, before this entry.
+func (s *Adaptive) observeEvacuated(now time.Duration, a *agentState) {
+	if a.evacuated == (a.info.Load.Evacuated || s.zoneEvacuated(a.info.Zone)) {
+		return
+	}
+	before := s.usableSlots()
+	s.shrinkCapacity(before, s.updateEvacuated(now, a))
+}
+
+// updateEvacuated sets whether the agent is evacuated, and returns the number of usable slots
+// that are lost thereby.
+func (s *Adaptive) updateEvacuated(now time.Duration, a *agentState) (lost float64) {
+	evacuated := a.info.Load.Evacuated || s.zoneEvacuated(a.info.Zone)
+	if a.evacuated == evacuated {
+		return 0
+	}
+	if a.connected && evacuated {
+		lost = float64(a.info.Slots)
+		s.makeUnusable(a)
+	}
+	a.evacuated = evacuated
+	if evacuated {
+		s.removeFreed(a)
+		return lost
+	}
+	a.returnedAt, a.returning = now, true
+	s.returningUntil = now + returnPeriod
+	if a.connected {
+		s.makeUsable(a)
+		s.workerConnected(a)
+	}
+	return 0
+}
+
+// makeUsable moves a connected agent to the usable ones.
+func (s *Adaptive) makeUsable(a *agentState) {
+	s.swapConnected(a.index, s.usableCount)
+	s.usableCount++
+}
+
+// makeUnusable moves a connected agent behind the usable ones.
+func (s *Adaptive) makeUnusable(a *agentState) {
+	s.usableCount--
+	s.swapConnected(a.index, s.usableCount)
+}
+
+func (s *Adaptive) swapConnected(i, j int) {
+	s.connected[i], s.connected[j] = s.connected[j], s.connected[i]
+	s.connected[i].index, s.connected[j].index = i, j
+}
+
+func (s *Adaptive) usableSlots() float64 {
+	slots := 0.0
+	for _, a := range s.usable() {
+		slots += float64(a.info.Slots)
+	}
+	return slots
+}
+
+// shrinkCapacity lowers what was learned about the capacity in proportion to the usable slots
+// that are lost. Learning it anew takes until the first jobs are late.
+func (s *Adaptive) shrinkCapacity(before, lost float64) {
+	if lost == 0 {
+		return
+	}
+	left := max(0, 1-lost/before)
+	s.meanInService *= left
+	s.window.shrink(left)
+}
+
+// shrink lowers a bound that was learned.
+func (w *window) shrink(factor float64) {
+	if w.size < windowMaximum {
+		w.size = max(windowMinimum, w.size*factor)
+	}
+}
+
+// capacityShare returns how much the agent counts as capacity, 0 to 1.
+func (a *agentState) capacityShare(now time.Duration) float64 {
+	switch {
+	case a.evacuated:
+		return 0
+	case a.returning && now-a.returnedAt < returnPeriod:
+		return float64(now-a.returnedAt) / float64(returnPeriod)
+	}
+	return 1
+}
+
+// inService returns the number of attempts in flight that count as in service. An attempt at
+// an evacuated agent does not: when it ends, no usable slot becomes free.
+func (s *Adaptive) inService(now time.Duration) float64 {
+	if s.usableCount == len(s.connected) && now >= s.returningUntil {
+		return float64(s.inFlight)
+	}
+	n := float64(s.inFlight)
+	for _, a := range s.connected {
+		n -= float64(a.inFlight) * (1 - a.capacityShare(now))
+	}
+	return max(0, n)
+}
+
+// windowFull reports whether the window is used up. Attempts at evacuated agents do not count:
+// the window was lowered by their share.
+func (s *Adaptive) windowFull() bool {
+	due := s.answersDue()
+	for _, a := range s.connected[s.usableCount:] {
+		due -= a.answersDue()
+	}
+	return s.window.full(due)
+}
+
+// fitsIfReturned reports whether the connected workers could run the job if no zone were
+// evacuated.
+func (s *Adaptive) fitsIfReturned(c *classState, job *Job) bool {
+	if s.usableCount == len(s.connected) {
+		return false
+	}
+	return fits(s.connected, c, job)
+}
--- a/core/policy/forecast.go
+++ b/core/policy/forecast.go
@@ -99,7 +99,8 @@
 // agents are connected, it examines only so many.
 func (s *Adaptive) fastestLogRatio() float64 {
 	best := 0.0
-	for _, a := range s.connected[:min(len(s.connected), s.opts.SampleAgents)] {
+	agents := s.usable()
+	for _, a := range agents[:min(len(agents), s.opts.SampleAgents)] {
 		best = min(best, a.speed.relative(s.meanLogRatio))
 	}
 	return best
--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -72,7 +72,7 @@
 	if j.blockedAt == 0 {
 		j.blockedAt = max(now, 1)
 	}
-	return j.overdue(now) && len(j.waiting) == j.job.Tasks && s.gangFits(j.class, j.job)
+	return j.overdue(now) && len(j.waiting) == j.job.Tasks && gangFits(s.usable(), j.class, j.job)
 }
 
 // gangCandidate is an agent that can start tasks of a gang without queueing.
@@ -88,14 +88,15 @@
 func (s *Adaptive) gangCandidates(now time.Duration, j *jobState, tasks int) []gangCandidate {
 	run := s.expectedRunOf(j)
 	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
-	examined := min(len(s.connected), max(s.opts.SampleAgents, 2*tasks))
+	agents := s.usable()
+	examined := min(len(agents), max(s.opts.SampleAgents, 2*tasks))
 	first := 0
-	if examined < len(s.connected) {
-		first = s.rand.below(len(s.connected))
+	if examined < len(agents) {
+		first = s.rand.below(len(agents))
 	}
 	var out []gangCandidate
 	for i := range examined {
-		a := s.connected[(first+i)%len(s.connected)]
+		a := agents[(first+i)%len(agents)]
 		if n := s.startableTasks(&p, a); n > 0 {
 			limit := a.limit()
 			out = append(out, gangCandidate{agent: a, tasks: n, cost: s.cost(&p, a, limit, limit)})
@@ -140,11 +141,11 @@
 	return nil
 }
 
-// gangFits reports whether the connected workers could run all tasks of the gang at
+// gangFits reports whether the workers of the agents could run all tasks of the gang at
 // the same time if they were idle.
-func (s *Adaptive) gangFits(c *classState, job *Job) bool {
+func gangFits(agents []*agentState, c *classState, job *Job) bool {
 	left := job.Tasks
-	for _, a := range s.connected {
+	for _, a := range agents {
 		if !a.matches(c.class.Pool, job) {
 			continue
 		}
--- a/core/policy/leastbusy.go
+++ b/core/policy/leastbusy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -19,6 +20,8 @@
 	classes map[string]Class
 	agents  []*leastBusyAgent
 	waiting []*Task
+	// evacuatedZones are the zones whose agents get no starts.
+	evacuatedZones []string
 }
 
 type leastBusyAgent struct {
@@ -57,6 +60,11 @@
 	}
 }
 
+// SetEvacuatedZones implements Scheduler.
+func (s *LeastBusy) SetEvacuatedZones(_ time.Duration, zones []string) {
+	s.evacuatedZones = slices.Clone(zones)
+}
+
 // Observe implements Scheduler.
 func (s *LeastBusy) Observe(_ time.Duration, agent wire.Incarnation, load wire.Load) {
 	if a := s.find(agent); a != nil {
@@ -110,7 +118,7 @@
 	var best *leastBusyAgent
 	bestFree := 0
 	for _, a := range s.agents {
-		if a.info.Load.Draining || a.info.Load.Down {
+		if a.info.Load.Draining || a.info.Load.Down || a.info.Load.Evacuated || slices.Contains(s.evacuatedZones, a.info.Zone) {
 			continue
 		}
 		free := a.info.Slots - a.inFlight - a.otherTasks
--- a/core/policy/parked.go
+++ b/core/policy/parked.go
@@ -90,10 +90,7 @@
 
 // park parks a job that cannot be placed now.
 func (s *Adaptive) park(now time.Duration, j *jobState) {
-	placeable := s.fitsSomewhere(j.job)
-	if j.job.Gang {
-		placeable = s.gangFits(j.class, j.job)
-	}
+	placeable := fits(s.usable(), j.class, j.job)
 	limit := maxParkDelay
 	switch {
 	case !placeable:
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -44,14 +44,15 @@
 func (s *Adaptive) choose(now time.Duration, j *jobState) choice {
 	run := s.expectedRunOf(j)
 	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
-	if len(s.connected) <= s.opts.SampleAgents {
-		for _, a := range s.connected {
+	agents := s.usable()
+	if len(agents) <= s.opts.SampleAgents {
+		for _, a := range agents {
 			s.evaluate(&p, a)
 		}
 	} else {
 		s.sample(&p)
 	}
-	if p.best.agent == nil && p.unmetRequirements && len(s.connected) > s.opts.SampleAgents {
+	if p.best.agent == nil && p.unmetRequirements && len(agents) > s.opts.SampleAgents {
 		s.evaluateEligible(&p)
 	}
 	if p.best.agent == nil {
@@ -82,14 +83,14 @@
 		}
 	}
 	for n := s.opts.SampleAgents - sampleFreed; n > 0; n-- {
-		s.evaluate(p, s.connected[s.rand.below(len(s.connected))])
+		s.evaluate(p, s.connected[s.rand.below(s.usableCount)])
 	}
 }
 
 // evaluateEligible examines all agents that meet the job's requirements: if these are
 // few, a sample may contain none of them.
 func (s *Adaptive) evaluateEligible(p *search) {
-	for _, a := range s.connected {
+	for _, a := range s.usable() {
 		if a.eligible(p.job) {
 			s.evaluate(p, a)
 		}
@@ -233,7 +234,7 @@
 
 // addFreed adds the agent to the list of agents that freed a slot, for sample.
 func (s *Adaptive) addFreed(a *agentState) {
-	if a.inFreed || len(s.connected) <= s.opts.SampleAgents {
+	if a.inFreed || a.evacuated || len(s.connected) <= s.opts.SampleAgents {
 		return
 	}
 	if len(s.freed) == maxFreed {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -129,7 +129,8 @@
 	// RefusedQuota: the team already has as many waiting tasks in the class as its
 	// quota allows.
 	RefusedQuota
-	// RefusedNoUpstream: no agent is connected.
+	// RefusedNoUpstream: no agent is connected, or the workers that can run the job are
+	// in evacuated zones.
 	RefusedNoUpstream
 	// RefusedContained: jobs of the class make workers crash, and the workers that are
 	// left to it cannot take the job.
@@ -168,6 +169,8 @@
 	AgentUp(now time.Duration, info AgentInfo)
 	// AgentDown stops placements on an agent. Attempts in flight there remain.
 	AgentDown(now time.Duration, agent wire.Incarnation)
+	// SetEvacuatedZones replaces the set of the zones whose agents get no starts.
+	SetEvacuatedZones(now time.Duration, zones []string)
 	// Observe records the load that an agent reported.
 	Observe(now time.Duration, agent wire.Incarnation, load wire.Load)
 	// Admit decides whether to accept a new job. The caller then enqueues its tasks.
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -47,6 +47,11 @@
 	// quarantined marks an agent that runs the contained classes of its pool while
 	// there are any.
 	quarantined bool
+	// evacuated states that the agent's zone is evacuated, as far as this entry or the agent
+	// knows. returning states that it was at returnedAt for the last time.
+	evacuated  bool
+	returning  bool
+	returnedAt time.Duration
 }
 
 // send is a start that was sent to an agent.
@@ -150,5 +155,7 @@
 	return a.ownSlots + others
 }
 
-// acceptsStarts reports whether the agent is connected and not draining.
-func (a *agentState) acceptsStarts() bool { return a.connected && !a.info.Load.Draining }
+// acceptsStarts reports whether the agent is connected, not draining and not evacuated.
+func (a *agentState) acceptsStarts() bool {
+	return a.connected && !a.info.Load.Draining && !a.evacuated
+}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Limits of single fields.
@@ -99,7 +100,7 @@
 			}
 		}
 	}
-	if err := f.Config.check(); err != nil {
+	if err := errors.Join(f.Config.check(), f.Evacuations.check()); err != nil {
 		return err
 	}
 	return checkEntries(f.Entries)
@@ -125,7 +126,21 @@
 			return fmt.Errorf("wire: load with running, queued, slots or limit of %d, each must be 0 to %d", n, MaxSlots)
 		}
 	}
-	return f.Config.check()
+	return errors.Join(f.Config.check(), f.Evacuations.check())
+}
+
+// check returns an error if the zones exceed a limit or are not sorted, on which Contains
+// relies.
+func (e *Evacuations) check() error {
+	switch {
+	case e == nil:
+		return nil
+	case len(e.Zones) > MaxEvacuatedZones:
+		return fmt.Errorf("wire: %d evacuated zones, at most %d are allowed", len(e.Zones), MaxEvacuatedZones)
+	case e.AsOf < 0 || !slices.IsSorted(e.Zones):
+		return fmt.Errorf("wire: evacuations as of offset %d with zones %q, want an offset from 0 and sorted zones", e.AsOf, e.Zones)
+	}
+	return checkNames(e.Zones...)
 }
 
 func (c *ConfigState) check() error {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -9,11 +9,12 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 )
 
 // ProtocolVersion is the version of the peer protocol that this code speaks.
-const ProtocolVersion = 5
+const ProtocolVersion = 6
 
 // Limits that both ends enforce on decoded messages.
 const (
@@ -32,6 +33,8 @@
 	// MaxFinishedRuns bounds the finished runs that an agent retains for stored
 	// jobs.
 	MaxFinishedRuns = 4096
+	// MaxEvacuatedZones bounds the zones in an Evacuations.
+	MaxEvacuatedZones = 64
 	// MaxConfigBytes bounds the encoded state in a ConfigState.
 	MaxConfigBytes = 1 << 20
 	// MaxMicros bounds a duration on the wire to about a year, so that adding
@@ -182,13 +185,15 @@
 	// ReasonWorkerCrashed: the run ended because its worker's process ended without
 	// having announced that it leaves.
 	ReasonWorkerCrashed
+	// ReasonEvacuated: the agent's availability zone is evacuated.
+	ReasonEvacuated
 )
 
 var reasonNames = [...]string{
 	"none", "busy", "draining", "expired", "cancelled", "upstream_down", "suspect",
 	"not_received", "stale_seq", "upstream_error", "run_limit", "connection_lost",
 	"agent_lost", "stopped", "result_lost", "no_room", "stale_run", "run_ended", "stuck",
-	"worker_crashed",
+	"worker_crashed", "evacuated",
 }
 
 // String returns the reason's machine-readable name.
@@ -386,6 +391,9 @@
 	// Occupied is how much of the slots running and queued tasks take, in
 	// thousandths of a slot.
 	Occupied int
+	// Evacuated states that the agent's availability zone is evacuated, so that starts are
+	// refused.
+	Evacuated bool
 }
 
 // Result reports the final outcome of one attempt.
@@ -422,6 +430,28 @@
 // Announcement reports whether c only states that the sender has the version.
 func (c *ConfigState) Announcement() bool { return c.BaseVersion > 0 && c.BaseVersion >= c.Version }
 
+// Evacuations is the set of the availability zones in which no task may be started, as
+// of an offset of the log that holds the operators' requests.
+type Evacuations struct {
+	_ struct{} `cbor:",toarray"`
+	// AsOf is the offset up to which the log was read. Of two states the one with the
+	// higher AsOf is the newer one; a state never replaces one with a higher AsOf.
+	AsOf  int64
+	Zones []string // sorted, at most MaxEvacuatedZones
+}
+
+// Contains reports whether the zone is evacuated.
+func (e *Evacuations) Contains(zone string) bool {
+	_, found := slices.BinarySearch(e.Zones, zone)
+	return found
+}
+
+// Supersedes reports whether a process with the state other must be sent e: e is newer
+// and has other zones.
+func (e *Evacuations) Supersedes(other *Evacuations) bool {
+	return e.AsOf > other.AsOf && !slices.Equal(e.Zones, other.Zones)
+}
+
 // ToAgent is one frame from an entry to an agent. Every list may be empty; a
 // frame without content is a heartbeat.
 type ToAgent struct {
@@ -444,6 +474,12 @@
 	// acknowledge them to the worker before the lease under which they ran has
 	// expired.
 	SupersededRuns []RunRef
+	// Evacuations is the newest state that the entry has, nil if there is nothing to send.
+	// It applies to the starts of the same frame.
+	Evacuations *Evacuations
+	// EvacuationsAge is the time since the entry began its last successful read of the
+	// evacuation requests, 0 if it has not read them.
+	EvacuationsAge Micros
 }
 
 // ToEntry is one frame from an agent to an entry.
@@ -460,6 +496,8 @@
 	// whose start no further copy can be carried out. Runs of other attempts may begin
 	// after the agent was lost.
 	SettledStarts []Seq
+	// Evacuations is the newest state that the agent has, nil if there is nothing to send.
+	Evacuations *Evacuations
 }
 
 // DedupPayloads omits each payload that repeats that of the previous start, as
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -77,8 +77,14 @@
 	// PruneInterval is the mean interval between checks for excess links. Default
 	// 30 s.
 	PruneInterval time.Duration
-	// Machine configures the state machine. Its Incarnation, Slots and Capacity are
-	// replaced with those above.
+	// ListEvacuations lists the requests to evacuate zones. It is called when the state
+	// machine asks for it, on a goroutine of its own and not again before it has returned.
+	// It may be nil if Machine.EvacuationBound is 0.
+	ListEvacuations func(ctx context.Context) (wire.Evacuations, error)
+	// OnEvacuations is called with each newer state. It must not block. It may be nil.
+	OnEvacuations func(wire.Evacuations)
+	// Machine configures the state machine. Its Incarnation, Zone, Slots and
+	// Capacity are replaced with those above.
 	Machine agent.Options
 }
 
@@ -106,6 +112,7 @@
 		o.PruneInterval = pruneInterval
 	}
 	o.Machine.Incarnation = o.Incarnation
+	o.Machine.Zone = o.Zone
 	o.Machine.Slots = o.Slots
 	o.Machine.Capacity = o.Capacity
 	return o
@@ -117,13 +124,15 @@
 
 // Agent is a running agent.
 type Agent struct {
-	opts          Options
-	clock         bootclock.Clock
-	events        chan any
-	upstream      Upstream
-	dialer        *entryDialer
-	epoch         atomic.Uint64 // last epoch used, across all links
-	configVersion atomic.Int64  // version of the state machine's configuration
+	opts     Options
+	clock    bootclock.Clock
+	events   chan any
+	upstream Upstream
+	dialer   *entryDialer
+	epoch    atomic.Uint64 // last epoch used, across all links
+	// listing is set while ListEvacuations is being called.
+	listing       atomic.Bool
+	configVersion atomic.Int64 // version of the state machine's configuration
 	// capacity is the worker's full capacity, which hellos state.
 	capacity atomic.Pointer[wire.Capacity]
 	ctx      context.Context
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -14,6 +14,8 @@
 	links    map[wire.Incarnation]openLink
 	tracer   tracer
 	lastLoad wire.Load // as in the last agent.Send action
+	// evacuations is the state of the machine after the last step.
+	evacuations wire.Evacuations
 }
 
 func (a *Agent) coreLoop() {
@@ -22,6 +24,8 @@
 		machine: agent.New(a.opts.Machine),
 		links:   make(map[wire.Incarnation]openLink),
 		tracer:  newTracer(a.opts.Log),
+
+		evacuations: a.opts.Machine.Evacuations,
 	}
 	defer func() {
 		for _, l := range c.links {
@@ -109,6 +113,9 @@
 		c.configVersion.Store(v)
 		c.emit(eventlog.AgentConfigKept, eventlog.Fields{Count: v})
 	}
+	if e := c.machine.Evacuations(); e.AsOf != c.evacuations.AsOf {
+		c.noteEvacuations(e)
+	}
 }
 
 func (c *core) applyAction(action agent.Action) {
@@ -129,6 +136,8 @@
 		c.upstream.Supersede(x)
 	case agent.Probe:
 		c.upstream.Probe()
+	case agent.ListEvacuations:
+		c.listEvacuations()
 	case agent.CapacityGrown:
 		c.restateCapacity(x.Capacity)
 	case agent.Retired:
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -29,6 +29,12 @@
 	Jobs   int         `json:"jobs"`
 	Stats  entry.Stats `json:"stats"`
 	Agents []string    `json:"agents"`
+	// EvacuatedZones and EvacuationsAsOf are the newest known requests to evacuate zones.
+	EvacuatedZones  []string `json:"evacuated_zones,omitempty"`
+	EvacuationsAsOf int64    `json:"evacuations_as_of,omitempty"`
+	// evacuationReadAge is valid if evacuationsRead is set.
+	evacuationReadAge time.Duration
+	evacuationsRead   bool
 }
 
 // core is the state owned by the core goroutine.
@@ -184,6 +190,8 @@
 		if c.e.opts.OnAgentConfig != nil {
 			c.e.opts.OnAgentConfig(x.State)
 		}
+	case entry.EvacuationsChanged:
+		c.e.emitEvacuations(x)
 	case entry.ContainmentChanged:
 		c.e.emitContainment(x)
 	case entry.VersionAnnounced:
@@ -203,6 +211,9 @@
 		s.Agents = append(s.Agents, l.hello.Name)
 	}
 	slices.Sort(s.Agents)
+	evacuations := c.machine.Evacuations()
+	s.EvacuatedZones, s.EvacuationsAsOf = evacuations.Zones, evacuations.AsOf
+	s.evacuationReadAge, s.evacuationsRead = c.machine.EvacuationsReadAge(c.e.now())
 	return s
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -314,6 +314,9 @@
 	e.config.Store(next)
 }
 
+// EvacuationsRead reports a read of the requests to evacuate zones.
+func (e *Entry) EvacuationsRead(x entry.EvacuationsRead) { e.send(x) }
+
 // SetEntries replaces the list of known entries. Agents are sent this list, and
 // the entries in it are queried for jobs that this entry does not have.
 func (e *Entry) SetEntries(list []wire.EntryAddr) {
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"slices"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -24,6 +25,9 @@
 	metricVersion   = "limpettrail_config_version"
 	metricContained = "limpettrail_class_contained"
 	otherClass      = "other"
+
+	metricEvacuatedZones    = "limpettrail_evacuated_zones"
+	metricEvacuationReadAge = "limpettrail_evacuation_read_age_milliseconds"
 )
 
 // Gauge is the name and value of an exported gauge.
@@ -91,6 +95,12 @@
 		return
 	}
 	e.metrics.gauge(metricInFlight, int64(s.Jobs))
+	if s.evacuationsRead || s.EvacuationsAsOf > 0 {
+		e.metrics.gauge(metricEvacuatedZones, int64(len(s.EvacuatedZones)))
+	}
+	if s.evacuationsRead {
+		e.metrics.gauge(metricEvacuationReadAge, s.evacuationReadAge.Milliseconds())
+	}
 	for kind, n := range map[string]uint64{
 		"start": s.Stats.Starts, "result": s.Stats.Results, "refused": s.Stats.Refused,
 		"cancel": s.Stats.Cancels, "query": s.Stats.Queries, "late": s.Stats.Late,
@@ -101,6 +111,21 @@
 	}
 }
 
+// emitEvacuations logs the zones whose evacuation has begun or ended.
+func (e *Entry) emitEvacuations(x entry.EvacuationsChanged) {
+	e.emitZones(eventlog.ZoneEvacuated, &x, x.Evacuations.Zones, x.Before)
+	e.emitZones(eventlog.ZoneEvacuationEnded, &x, x.Before, x.Evacuations.Zones)
+}
+
+// emitZones logs an event for each zone that is in zones and not in others.
+func (e *Entry) emitZones(code eventlog.Code, x *entry.EvacuationsChanged, zones, others []string) {
+	for _, zone := range zones {
+		if !slices.Contains(others, zone) {
+			e.log.Emit(code, eventlog.Fields{Detail: zone, Peer: x.Agent, Age: x.ReadAge, Count: x.Evacuations.AsOf})
+		}
+	}
+}
+
 // emitContainment logs and counts a class that was contained or released.
 func (e *Entry) emitContainment(x entry.ContainmentChanged) {
 	code, contained := eventlog.ClassReleased, int64(0)
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -22,7 +22,11 @@
 	AttemptFailed   = define(1113, "attempt_failed", zapcore.InfoLevel, false)
 	ClassContained  = define(1114, "class_contained", zapcore.WarnLevel, false)
 	ClassReleased   = define(1115, "class_released", zapcore.InfoLevel, false)
-	AttemptQueried  = define(1112, "attempt_queried", zapcore.DebugLevel, true)
+	// ZoneEvacuated and ZoneEvacuationEnded are those of entries, see AgentEvacuated.
+	ZoneEvacuated       = define(1120, "zone_evacuated", zapcore.WarnLevel, false)
+	ZoneEvacuationEnded = define(1121, "zone_evacuation_ended", zapcore.InfoLevel, false)
+	EvacuationIgnored   = define(1124, "evacuation_ignored", zapcore.WarnLevel, false)
+	AttemptQueried      = define(1112, "attempt_queried", zapcore.DebugLevel, true)
 )
 
 // Events of stored jobs.
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/agent"
@@ -50,6 +51,11 @@
 	// NewWorker returns a client for one incarnation of the worker.
 	NewWorker func(worker string, incarnation int64) Worker
 	Log       *eventlog.Log
+	// EvacuationBound is the time within which a request to evacuate the zone must take
+	// effect, 0 if the agent never lists the requests.
+	EvacuationBound time.Duration
+	// ListEvacuations lists the requests. It must be set if EvacuationBound is.
+	ListEvacuations func(ctx context.Context) (wire.Evacuations, error)
 }
 
 // AgentNode is the agent process of one VM. It runs one agentd.Agent for each
@@ -63,6 +69,9 @@
 	wg     sync.WaitGroup
 	// replacedStops counts the agents of earlier worker incarnations that have not stopped.
 	replacedStops sync.WaitGroup
+	// evacuations is the newest state that an agent of this process has received, nil
+	// if there is none.
+	evacuations atomic.Pointer[wire.Evacuations]
 
 	mu        sync.Mutex
 	stopped   bool
@@ -299,13 +308,46 @@
 				n.opts.Log.Emit(eventlog.WorkerSilent, eventlog.Fields{Peer: a.Worker, Err: err})
 			},
 		}),
-		Machine: agent.Options{HeartbeatInterval: heartbeatInterval, RunLease: runLease, LostLinkTimeout: runLease, RetainedRuns: finishedRuns(unacknowledged)},
+		ListEvacuations: n.listEvacuations,
+		OnEvacuations:   n.keepEvacuations,
+		Machine: agent.Options{
+			HeartbeatInterval: heartbeatInterval, RunLease: runLease, LostLinkTimeout: runLease, RetainedRuns: finishedRuns(unacknowledged),
+			EvacuationBound: n.opts.EvacuationBound, Evacuations: n.knownEvacuations(),
+		},
 	})
 	if n.announced.Capacity != a.Capacity { // it changed while leftover runs were stopped
 		n.setCapacityLocked(n.announced)
 	}
 }
 
+// maxEvacuationListTime bounds one listing: a reply that trickles in must not delay the
+// next one.
+const maxEvacuationListTime = time.Second
+
+func (n *AgentNode) listEvacuations(ctx context.Context) (wire.Evacuations, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxEvacuationListTime)
+	defer cancel()
+	return n.opts.ListEvacuations(ctx)
+}
+
+// keepEvacuations keeps the state for the agent of the worker's next incarnation. The agents
+// of two incarnations may call it in any order.
+func (n *AgentNode) keepEvacuations(e wire.Evacuations) {
+	for {
+		old := n.evacuations.Load()
+		if old != nil && old.AsOf >= e.AsOf || n.evacuations.CompareAndSwap(old, &e) {
+			return
+		}
+	}
+}
+
+func (n *AgentNode) knownEvacuations() wire.Evacuations {
+	if e := n.evacuations.Load(); e != nil {
+		return *e
+	}
+	return wire.Evacuations{}
+}
+
 // logAdmission logs that the worker takes no further run, or does again.
 func (n *AgentNode) logAdmission(worker string, x lease.Admission) {
 	state := "open"
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -22,6 +22,10 @@
 	// configReadWait is the longest wait of one read of the configuration. A read
 	// over an unresponsive connection ends about a second later.
 	configReadWait = 1500 * time.Millisecond
+	// evacuationReadsPerBound is the number of reads without a result within
+	// EvacuationBound. The state of the entry is then at most two reads old, well below the
+	// half of the bound from which on agents list the requests themselves.
+	evacuationReadsPerBound = 8
 	// configLinkShare is the share of the VM's link that configurations may take, see
 	// configReadPause. A configuration is in force within maxConfigReadPause and the
 	// time of one read after it was published.
@@ -73,6 +77,9 @@
 	Directory   Directory
 	Log         *eventlog.Log
 	Incarnation wire.Incarnation
+	// EvacuationBound is the time within which a request to evacuate a zone must take
+	// effect, 0 if Configs does not follow them.
+	EvacuationBound time.Duration
 	// LinkBytesPerSecond is the bandwidth of the VM's link in bytes per second, 0 if
 	// unknown.
 	LinkBytesPerSecond float64
@@ -95,6 +102,8 @@
 	// configuration ended, or when the process started.
 	announced atomic.Pointer[announcedVersion]
 	lastRead  atomic.Pointer[time.Time]
+	// sourceAsked is set once the first read of the configuration has succeeded or failed.
+	sourceAsked atomic.Bool
 
 	mu      sync.Mutex
 	version int64 // version of the current configuration, 0 if there is none
@@ -150,9 +159,16 @@
 // followConfig applies each newer configuration that is published.
 func (n *EntryNode) followConfig() {
 	failing := false
+	wait := configReadWait
+	if bound := n.opts.EvacuationBound; bound > 0 {
+		wait = min(wait, bound/evacuationReadsPerBound)
+	}
 	for n.ctx.Err() == nil {
-		c, err := n.opts.Configs.Next(n.ctx, configReadWait)
-		if c != nil {
+		requestedAt := n.entry.Clock().Now()
+		update, err := n.opts.Configs.Next(n.ctx, wait)
+		n.applyEvacuations(&update, requestedAt)
+		n.sourceAsked.Store(true)
+		if c := update.Config; c != nil {
 			n.apply(c, "store", c.AvailableAt)
 			ctxsleep.For(n.ctx, configReadPause(len(c.State), n.opts.LinkBytesPerSecond))
 		}
@@ -172,6 +188,24 @@
 	}
 }
 
+// applyEvacuations passes on what a read that was requested at requestedAt tells about
+// evacuated zones.
+func (n *EntryNode) applyEvacuations(u *ConfigUpdate, requestedAt time.Duration) {
+	switch {
+	case n.opts.EvacuationBound <= 0:
+	case u.ReadToEnd:
+		n.entry.EvacuationsRead(entry.EvacuationsRead{Evacuations: u.Evacuations, RequestedAt: requestedAt})
+	case u.Evacuations != nil: // requests that were made before the read may be missing
+		n.entry.EvacuationsRead(entry.EvacuationsRead{Evacuations: u.Evacuations, Partial: true})
+	}
+}
+
+// evacuationsSettled reports whether the requests to evacuate zones were read or cannot be
+// read for now. A store that cannot be read does not keep the entry out of service.
+func (n *EntryNode) evacuationsSettled() bool {
+	return n.opts.EvacuationBound <= 0 || n.sourceAsked.Load() || time.Since(n.started) >= startHoldTimeout
+}
+
 // noteRead notes a successful read of the configuration and returns the time since the
 // one before.
 func (n *EntryNode) noteRead() time.Duration {
@@ -320,11 +354,12 @@
 func (n *EntryNode) Links() int { return n.entry.Links() }
 
 // Ready reports whether the entry accepts jobs. A process that has just started is
-// ready once it has a configuration and an agent and has read the log of stored jobs.
+// ready once it has a configuration and an agent, has read the log of stored jobs, and has
+// read the requests to evacuate zones.
 func (n *EntryNode) Ready() bool {
 	select {
 	case <-n.serving:
-		return n.entry.Ready() && !n.isLeaving() && n.jobLogSettled()
+		return n.entry.Ready() && !n.isLeaving() && n.jobLogSettled() && n.evacuationsSettled()
 	default:
 		return false
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,11 +46,23 @@
 	Activate func()
 }
 
+// ConfigUpdate is the result of one read of the published configuration.
+type ConfigUpdate struct {
+	// Config is the newest version since the last read, nil if there is none.
+	Config *Config
+	// Evacuations are the requests to evacuate zones, nil if they have not changed or are
+	// not followed.
+	Evacuations *wire.Evacuations
+	// ReadToEnd states that everything was read that had been published before the call,
+	// also if a configuration was not valid.
+	ReadToEnd bool
+}
+
 // ConfigSource follows the published configuration.
 type ConfigSource interface {
-	// Next returns the newest version since the last call, or nil if there is none
-	// within wait. An error may come with a valid version.
-	Next(ctx context.Context, wait time.Duration) (*Config, error)
+	// Next returns what is new since the last call, or nothing if there is nothing new
+	// within wait. An error may come with valid content.
+	Next(ctx context.Context, wait time.Duration) (ConfigUpdate, error)
 	// Decode decodes a state that another process passed on.
 	Decode(state []byte) (*Config, error)
 }
--- a/internal/fleet/ready_test.go
+++ b/internal/fleet/ready_test.go
@@ -55,19 +55,19 @@
 // fakeConfigs publishes one configuration.
 type fakeConfigs struct{ published bool }
 
-func (c *fakeConfigs) Next(ctx context.Context, wait time.Duration) (*Config, error) {
+func (c *fakeConfigs) Next(ctx context.Context, wait time.Duration) (ConfigUpdate, error) {
 	if c.published {
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
 		}
-		return nil, nil
+		return ConfigUpdate{}, nil
 	}
 	c.published = true
-	return &Config{
+	return ConfigUpdate{Config: &Config{
 		Version: 1, State: []byte("v1"), Activate: func() {},
 		Settings: policy.Settings{Classes: []policy.Class{{Name: "seal", ResponseTarget: time.Second, TargetShare: 1}}},
-	}, nil
+	}}, nil
 }
 
 func (c *fakeConfigs) Decode([]byte) (*Config, error) { return nil, errors.New("not used") }
--- a/internal/load/baseline/baseline.go
+++ b/internal/load/baseline/baseline.go
@@ -184,9 +184,12 @@
 	return p, true
 }
 
+// SetEvacuatedZones implements policy.Scheduler. The agents' reports are enough here.
+func (s *Scheduler) SetEvacuatedZones(time.Duration, []string) {}
+
 func (a *agent) hasRoom() bool {
 	l := a.info.Load
-	return !l.Draining && !l.Down && a.inFlight+a.otherTasks < tasksPerSlot*a.info.Slots
+	return !l.Draining && !l.Down && !l.Evacuated && a.inFlight+a.otherTasks < tasksPerSlot*a.info.Slots
 }
 
 // AttemptDone implements policy.Scheduler.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"log"
 	"net"
@@ -29,15 +30,27 @@
 	front := platform.NewFrontend(func(job, reason string) {
 		events.Emit(eventlog.JobTurnedAway, eventlog.Fields{Job: job, Detail: reason})
 	})
+	configs := platform.NewConfigFollower(store, front)
+	if s.EvacuationBound > 0 {
+		configs.FollowEvacuations(logIgnored(events))
+	}
 	return fleet.StartEntry(fleet.EntryOptions{
 		Name: s.Name, Zone: s.Zone,
 		Listen: s.CallerAddr, ReadyListen: s.ReadyAddr, PeerListen: s.PeerAddr, PeerAdvertise: s.PeerAdvertise, OperatorListen: s.OperatorAddr,
-		CallerHandler: front.Handler, Configs: platform.NewConfigFollower(store, front), Directory: platform.NewDirectory(store),
-		JobLog: platform.NewJobLog(store),
-		Log:    events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
+		CallerHandler: front.Handler, Configs: configs, Directory: platform.NewDirectory(store),
+		JobLog:          platform.NewJobLog(store),
+		EvacuationBound: s.EvacuationBound,
+		Log:             events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
 	})
 }
 
+// logIgnored returns a function that logs a zone whose requested evacuation is left out.
+func logIgnored(events *eventlog.Log) func(zone string) {
+	return func(zone string) {
+		events.Emit(eventlog.EvacuationIgnored, eventlog.Fields{Detail: zone[:min(len(zone), wire.MaxNameBytes)]})
+	}
+}
+
 // Agent is the agent of a VM with the listener for the announcements of its
 // worker.
 type Agent struct {
@@ -54,12 +67,17 @@
 		return nil, err
 	}
 	clients := platform.NewWorkerClients(s.WorkerAddr)
+	store := platform.NewStore(s.StoreAddr)
 	n := fleet.StartAgent(fleet.AgentOptions{
 		Name: s.Name, Zone: s.Zone, Pool: s.Service, Seeds: s.Seeds,
-		Directory: platform.NewDirectory(platform.NewStore(s.StoreAddr)),
+		Directory: platform.NewDirectory(store),
 		NewWorker: func(worker string, incarnation int64) fleet.Worker {
 			return clients.New(worker, incarnation)
 		},
+		EvacuationBound: s.EvacuationBound,
+		ListEvacuations: func(ctx context.Context) (wire.Evacuations, error) {
+			return store.ListEvacuations(ctx, logIgnored(events))
+		},
 		Log: events,
 	})
 	server := &http.Server{
