Test evacuation at the cores of the agent and the entry, and bound what is passed on

A process logs one event for all requests that are left out at a time. /status of agents lists the zones and the offset.

--- a/core/agent/evacuation.go
+++ b/core/agent/evacuation.go
@@ -35,19 +35,17 @@
 	}
 }
 
-// adoptEvacuations replaces the state with a newer one. If the own zone is evacuated, the
-// queued tasks are returned; the running ones continue.
+// adoptEvacuations replaces the state with a newer one. If the own zone is evacuated,
+// startQueued then returns the queued tasks; the running ones continue.
 func (m *Machine) adoptEvacuations(e *wire.Evacuations) {
 	if e.AsOf <= m.evacuations.AsOf {
 		return
 	}
 	before := m.evacuated()
 	m.evacuations.Evacuations = *e
-	if m.evacuated() == before {
-		return
+	if m.evacuated() != before {
+		m.heartbeatAll()
 	}
-	m.returnEvacuated()
-	m.heartbeatAll()
 }
 
 // returnEvacuated returns the queued tasks while the own zone is evacuated.
--- /dev/null
+++ b/core/entry/evacuation_test.go
@@ -0,0 +1,238 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/agent"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+func evacuations(asOf int64, zones ...string) *wire.Evacuations {
+	return &wire.Evacuations{AsOf: asOf, Zones: zones}
+}
+
+// evacuationsSent returns the states in the frames to an agent.
+func evacuationsSent(actions []entry.Action, to wire.Incarnation) (out []*wire.Evacuations) {
+	for _, a := range actions {
+		if s, ok := a.(entry.Send); ok && s.Agent == to && s.Frame.Evacuations != nil {
+			out = append(out, s.Frame.Evacuations)
+		}
+	}
+	return out
+}
+
+// Guards against an entry and an agent that go on with different zones after their link has
+// come up, whichever knows more, and against frames that they then exchange for ever. The
+// entry may have read its state before or after that, and may be refused by the store.
+func TestBothEndsOfALinkConverge(t *testing.T) {
+	states := []*wire.Evacuations{
+		evacuations(0), evacuations(4), evacuations(5, "a"), evacuations(6, "b"), evacuations(7), evacuations(8, "a", "b"), evacuations(9, "a"),
+	}
+	for _, ofEntry := range states {
+		for _, ofAgent := range states {
+			for _, readLater := range []bool{false, true} {
+				t.Run(fmt.Sprint(ofEntry, ofAgent, readLater), func(t *testing.T) {
+					e := entry.New(entry.Options{Incarnation: 1000, Scheduler: policy.New(policy.Options{})})
+					a := agent.New(agent.Options{Incarnation: 1, Slots: 1, Zone: "a", Evacuations: *ofAgent, HeartbeatInterval: time.Hour})
+					read := entry.EvacuationsRead{Evacuations: ofEntry, RequestedAt: 1}
+					if !readLater {
+						e.Step(1, read)
+					}
+					toAgent, toEntry := e.Step(1, linkUp(1, 0)), a.Step(1, agent.LinkUp{Entry: 1000, Epoch: 1})
+					if readLater {
+						toAgent = append(toAgent, e.Step(1, read)...)
+					}
+					for rounds := 0; len(toAgent)+len(toEntry) > 0; rounds++ {
+						assert.Assert(t, rounds < 10, "frames do not cease")
+						var fromEntry []entry.Action
+						for _, x := range append([]agent.Action(nil), toEntry...) {
+							if s, ok := x.(*agent.Send); ok {
+								fromEntry = append(fromEntry, e.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: s.Frame})...)
+							}
+						}
+						var fromAgent []agent.Action
+						for _, x := range toAgent {
+							if s, ok := x.(entry.Send); ok {
+								fromAgent = append(fromAgent, a.Step(1, agent.Received{Entry: 1000, Epoch: 1, Frame: s.Frame})...)
+							}
+						}
+						toAgent, toEntry = fromEntry, fromAgent
+					}
+					newest := ofEntry
+					if ofAgent.AsOf > ofEntry.AsOf {
+						newest = ofAgent
+					}
+					assert.DeepEqual(t, append([]string{}, e.Evacuations().Zones...), append([]string{}, newest.Zones...))
+					assert.DeepEqual(t, append([]string{}, a.Evacuations().Zones...), append([]string{}, newest.Zones...))
+				})
+			}
+		}
+	}
+}
+
+// Guards against a state that reverts, and against agents and operators that are not told of
+// a change.
+func TestEntryAppliesNewerStatesOnlyAndPassesThemOn(t *testing.T) {
+	read := func(e *wire.Evacuations) entry.Event { return entry.EvacuationsRead{Evacuations: e} }
+	from := func(e *wire.Evacuations) entry.Event {
+		return entry.Received{Agent: 2, Epoch: 1, Frame: &wire.ToEntry{Evacuations: e}}
+	}
+	for name, c := range map[string]struct {
+		event   entry.Event
+		changed bool
+	}{
+		"newer read":                 {read(evacuations(6)), true},
+		"older read":                 {read(evacuations(4)), false},
+		"read as of the same offset": {read(evacuations(5)), false},
+		"newer read, same zones":     {read(evacuations(6, "a")), false},
+		"read without a change":      {read(nil), false},
+		"newer from an agent":        {from(evacuations(6)), true},
+		"older from an agent":        {from(evacuations(4, "b")), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
+			m.Step(0, read(evacuations(5, "a")))
+			for agent := range wire.Incarnation(3) {
+				up := m.Step(0, entry.LinkUp{Hello: wire.AgentHello{Agent: agent + 1, Epoch: 1, Slots: 1}})
+				assert.DeepEqual(t, evacuationsSent(up, agent+1), []*wire.Evacuations{evacuations(5, "a")})
+			}
+			actions := m.Step(time.Second, c.event)
+			reports := 0
+			for _, a := range actions {
+				if x, ok := a.(entry.EvacuationsChanged); ok {
+					reports++
+					assert.DeepEqual(t, x.Before, []string{"a"})
+					assert.Equal(t, x.ReadAge, time.Second)
+				}
+			}
+			assert.Equal(t, reports, map[bool]int{true: 1}[c.changed])
+			for agent := range wire.Incarnation(3) {
+				sent := evacuationsSent(actions, agent+1)
+				_, fromAgent := c.event.(entry.Received)
+				switch {
+				case fromAgent && agent+1 == 2 && !c.changed:
+					assert.DeepEqual(t, sent, []*wire.Evacuations{evacuations(5, "a")}) // it is behind
+				case c.changed && !(fromAgent && agent+1 == 2):
+					assert.DeepEqual(t, sent, []*wire.Evacuations{evacuations(6)})
+				default:
+					assert.Equal(t, len(sent), 0)
+				}
+			}
+		})
+	}
+}
+
+// Guards against frames that make agents take an old state for a new one: the age counts from
+// the beginning of the last read that reached the end of the topic.
+func TestFramesStateTheAgeOfTheLastRead(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	ageAt := func(now time.Duration) time.Duration {
+		for _, a := range m.Step(now, entry.Tick{}) {
+			if s, ok := a.(entry.Send); ok {
+				return s.Frame.EvacuationsAge.Duration()
+			}
+		}
+		t.Fatal("no heartbeat")
+		return 0
+	}
+	assert.Equal(t, ageAt(time.Second), time.Duration(0)) // it has not read them
+	m.Step(3*time.Second, entry.EvacuationsRead{RequestedAt: 2 * time.Second})
+	assert.Equal(t, ageAt(4*time.Second), 2*time.Second)
+	m.Step(5*time.Second, entry.EvacuationsRead{Evacuations: evacuations(5), Partial: true, RequestedAt: 5 * time.Second})
+	m.Step(5*time.Second, entry.EvacuationsRead{RequestedAt: time.Second}) // overtaken by a later one
+	assert.Equal(t, ageAt(6*time.Second), 4*time.Second)
+}
+
+// Guards against a job that fails, is delayed or uses up its retries because its tasks were
+// sent to a zone just before the entry learned of its evacuation, and against members of a
+// gang that wait for one that was refused.
+func TestRefusedTasksArePlacedElsewhereInTheSameStep(t *testing.T) {
+	for name, gang := range map[string]bool{"tasks": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: policy.New(policy.Options{Seed: 1})})
+			m.Step(0, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: time.Second}}}})
+			connect := func(id wire.Incarnation, zone string) {
+				m.Step(0, entry.LinkUp{Hello: wire.AgentHello{Agent: id, Epoch: 1, Name: zone, Zone: zone, Slots: 64}})
+				m.Step(0, entry.Received{Agent: id, Epoch: 1, Frame: &wire.ToEntry{Load: wire.Load{Slots: 64, Limit: 64, Successes: 100}}})
+			}
+			connect(1, "a")
+			const tasks = 40 // more than the burst of the retry budget
+			f, _ := mergeFrames(m.Step(0, entry.Submit{
+				Submission: testJob, Class: "c", Deadline: time.Minute, Payloads: make([][]byte, tasks),
+				Steps: []entry.Step{{Tasks: tasks, Gang: gang}},
+			}))
+			assert.Equal(t, len(f.Starts), tasks)
+			connect(2, "b")
+			refusal := &wire.ToEntry{Load: wire.Load{Slots: 64, Limit: 64, Evacuated: true}}
+			for _, s := range f.Starts {
+				refusal.Results = append(refusal.Results, wire.Result{Seq: s.Seq, Outcome: wire.NotRun, Reason: wire.ReasonEvacuated})
+			}
+			sent := map[wire.Incarnation]int{}
+			for _, a := range m.Step(time.Millisecond, entry.Received{Agent: 1, Epoch: 1, Frame: refusal}) {
+				switch x := a.(type) {
+				case entry.Send:
+					if len(x.Frame.Starts) > 0 {
+						sent[x.Agent] += len(x.Frame.Starts)
+					}
+				case entry.Answer:
+					t.Fatalf("answered: %+v", x.Answer)
+				}
+			}
+			assert.DeepEqual(t, sent, map[wire.Incarnation]int{2: tasks})
+		})
+	}
+}
+
+// attemptCounter records the attempts that count as not run at each refusal.
+type attemptCounter struct {
+	oneAgentScheduler
+	counts []int
+}
+
+func (s *attemptCounter) Retry(_ time.Duration, t *policy.Task, _ wire.Reason) (time.Duration, bool) {
+	s.counts = append(s.counts, t.NotRunAttempts)
+	return 0, true
+}
+
+// Guards against longer retry delays, and retries out of the budget, of a task that was
+// refused as evacuated before.
+func TestRefusalAsEvacuatedIsNotAnAttempt(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			s := &attemptCounter{}
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: s})
+			m.Step(0, linkUp(1, 0))
+			m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Minute, Payloads: make([][]byte, 1), Steps: []entry.Step{{Tasks: 1, Gang: gang}}})
+			for i, reason := range []wire.Reason{wire.ReasonEvacuated, wire.ReasonEvacuated, wire.ReasonBusy} {
+				m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+					Results: []wire.Result{{Seq: wire.Seq(i + 1), Outcome: wire.NotRun, Reason: reason}},
+				}})
+			}
+			assert.DeepEqual(t, s.counts, []int{0, 0, 1})
+		})
+	}
+}
+
+// Guards against members of a gang that run without one that was refused.
+func TestGangWithARefusedMemberIsPlacedAgainAsAWhole(t *testing.T) {
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: &oneAgentScheduler{}})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Minute, Payloads: make([][]byte, 3), Steps: []entry.Step{{Tasks: 3, Gang: true}}})
+	notRun := func(seq wire.Seq, reason wire.Reason) wire.Result {
+		return wire.Result{Seq: seq, Outcome: wire.NotRun, Reason: reason}
+	}
+	f, _ := mergeFrames(m.Step(1, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{Results: []wire.Result{notRun(2, wire.ReasonEvacuated)}}}))
+	assert.DeepEqual(t, f.Cancels, []wire.Seq{1, 3})
+	assert.Equal(t, len(f.Starts), 0)
+	f, _ = mergeFrames(m.Step(2, entry.Received{Agent: 1, Epoch: 1, Frame: &wire.ToEntry{
+		Results: []wire.Result{notRun(1, wire.ReasonCancelled), notRun(3, wire.ReasonCancelled)},
+	}}))
+	assert.Equal(t, len(f.Starts), 3)
+}
--- a/internal/agentd/operator.go
+++ b/internal/agentd/operator.go
@@ -26,19 +26,24 @@
 	ConfigVersion int64     `json:"config_version"`
 	Entries       []string  `json:"entry_links"`
 	Load          wire.Load `json:"load"`
+	// EvacuatedZones and EvacuationsAsOf are the newest known requests to evacuate zones.
+	EvacuatedZones  []string `json:"evacuated_zones,omitempty"`
+	EvacuationsAsOf int64    `json:"evacuations_as_of,omitempty"`
 }
 
 // coreStatus is the part of Status that the core goroutine supplies.
 type coreStatus struct {
 	load    wire.Load
 	entries []string
+
+	evacuations wire.Evacuations
 }
 
 // statusQuery is the event that makes the core goroutine send its status.
 type statusQuery struct{ reply chan<- coreStatus }
 
 func (c *core) status() coreStatus {
-	s := coreStatus{load: c.machine.Load(c.clock.Now())}
+	s := coreStatus{load: c.machine.Load(c.clock.Now()), evacuations: c.machine.Evacuations()}
 	for _, l := range c.links {
 		s.entries = append(s.entries, l.hello.Name)
 	}
@@ -79,6 +84,8 @@
 		ConfigVersion: a.configVersion.Load(),
 		Entries:       s.entries,
 		Load:          s.load,
+
+		EvacuatedZones: s.evacuations.Zones, EvacuationsAsOf: s.evacuations.AsOf,
 	}
 }
 
@@ -121,10 +128,18 @@
 	m.gauge("limpettrail_expected_wait_microseconds", int64(s.Load.ExpectedWait))
 	m.gauge("limpettrail_entry_links", int64(len(s.Entries)))
 	m.gauge("limpettrail_config_version", s.ConfigVersion)
+	m.gauge("limpettrail_agent_evacuated", boolGauge(s.Load.Evacuated))
 	m.counter(metrics.Name("limpettrail_runs_total", "outcome", "succeeded"), s.Load.Successes)
 	m.counter(metrics.Name("limpettrail_runs_total", "outcome", "failed"), s.Load.Failures)
 }
 
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (m *agentMetrics) gauge(name string, v int64) {
 	gometrics.GetOrRegisterGauge(name, m.registry).Update(v)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,10 +44,10 @@
 	})
 }
 
-// logIgnored returns a function that logs a zone whose requested evacuation is left out.
-func logIgnored(events *eventlog.Log) func(zone string) {
-	return func(zone string) {
-		events.Emit(eventlog.EvacuationIgnored, eventlog.Fields{Detail: zone[:min(len(zone), wire.MaxNameBytes)]})
+// logIgnored returns a function that logs requests to evacuate zones that are left out.
+func logIgnored(events *eventlog.Log) platform.IgnoredFunc {
+	return func(zone string, n int) {
+		events.Emit(eventlog.EvacuationIgnored, eventlog.Fields{Detail: zone[:min(len(zone), wire.MaxNameBytes)], Count: int64(n)})
 	}
 }
 
