--- a/core/policy/evacuation.go
+++ b/core/policy/evacuation.go
@@ -106,7 +106,7 @@
 	if lost == 0 {
 		return
 	}
-	left := max(0, 1-lost/before)
+	left := max(0, (before-lost)/before)
 	s.meanInService *= left
 	s.window.shrink(left)
 }
--- /dev/null
+++ b/core/policy/evacuation_test.go
@@ -0,0 +1,340 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// newZones returns a scheduler with n agents of 8 slots, of which number i is in zone i%3.
+func newZones(n int, o Options) *Adaptive {
+	s := newTest(0, o)
+	for i := range n {
+		id := wire.Incarnation(i + 1)
+		s.AgentUp(0, AgentInfo{Agent: id, Name: fmt.Sprint(i), Zone: zoneOf(i), Rack: fmt.Sprint(i), Pool: "pool-" + zoneOf(i), Slots: 8})
+		s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Successes: 100})
+	}
+	return s
+}
+
+func zoneOf(i int) string { return string(rune('a' + i%3)) }
+
+// placeWaiting places the waiting tasks and returns the placements.
+func placeWaiting(s *Adaptive, now time.Duration) (out []Placement) {
+	for p, ok := s.Next(now); ok; p, ok = s.Next(now) {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Guards against a search that still finds agents in an evacuated zone, also among more agents
+// than one search examines, and against searches that find none of the few others.
+func TestNoSearchFindsAgentsInEvacuatedZones(t *testing.T) {
+	for name, change := range map[string]func(s *Adaptive, j *Job){
+		"tasks":        func(*Adaptive, *Job) {},
+		"gang":         func(_ *Adaptive, j *Job) { j.Gang = true },
+		"long-running": func(_ *Adaptive, j *Job) { j.LongRunning = true },
+		"contained": func(s *Adaptive, _ *Job) {
+			s.contain(0, s.classes["c"])
+			s.classes["c"].containedUntil, s.containedUntil = time.Minute, time.Minute
+			s.containedClasses = append(s.containedClasses, s.classes["c"])
+			s.quarantine("")
+		},
+		"trial": func(s *Adaptive, _ *Job) {
+			for _, a := range s.agents {
+				a.health.eject(0, 0)
+				a.health.trialAt = 0
+			}
+		},
+	} {
+		for _, agents := range []int{9, 120} {
+			t.Run(fmt.Sprint(name, " ", agents), func(t *testing.T) {
+				s := newZones(agents, Options{Seed: 1})
+				j, tasks := newTestJob("c", 0, 3)
+				change(s, j)
+				s.SetEvacuatedZones(0, []string{"a", "b"})
+				for _, x := range tasks {
+					s.Enqueue(0, x)
+				}
+				placed := placeWaiting(s, time.Millisecond)
+				assert.Equal(t, len(placed), 3)
+				for _, p := range placed {
+					assert.Equal(t, s.agents[p.Agent].info.Zone, "c")
+				}
+			})
+		}
+	}
+	t.Run("alone", func(t *testing.T) {
+		s := newZones(9, Options{})
+		s.SetEvacuatedZones(0, []string{"a", "b"})
+		_, tasks := newTestJob("c", 0, 1)
+		p, ok := s.PlaceAlone(0, tasks[0])
+		assert.Assert(t, ok)
+		assert.Equal(t, s.agents[p.Agent].info.Zone, "c")
+	})
+	t.Run("least busy", func(t *testing.T) {
+		s := NewLeastBusy()
+		for i := range 3 {
+			s.AgentUp(0, AgentInfo{Agent: wire.Incarnation(i + 1), Zone: zoneOf(i), Slots: 1})
+		}
+		s.SetEvacuatedZones(0, []string{"a"})
+		s.Observe(0, 2, wire.Load{Slots: 1, Evacuated: true})
+		_, tasks := newTestJob("c", 0, 2)
+		s.Enqueue(0, tasks[0])
+		s.Enqueue(0, tasks[1])
+		p, ok := s.Next(0)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Agent, wire.Incarnation(3))
+		_, ok = s.Next(0)
+		assert.Assert(t, !ok)
+	})
+}
+
+// Guards against agents that are lost to all searches, or found although they are evacuated,
+// after any sequence of events.
+func TestUsableAgentsAreTheConnectedOnesThatAreNotEvacuated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newZones(0, Options{})
+		zones := []string{}
+		reported := map[wire.Incarnation]bool{}
+		connected := map[wire.Incarnation]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := wire.Incarnation(rapid.IntRange(1, 7).Draw(t, "agent"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				s.AgentUp(0, AgentInfo{Agent: id, Zone: zoneOf(int(id)), Slots: 8})
+				connected[id], reported[id] = true, false
+			case 1:
+				s.AgentDown(0, id)
+				connected[id] = false
+			case 2:
+				if s.agents[id] != nil {
+					reported[id] = rapid.Bool().Draw(t, "evacuated")
+					s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Evacuated: reported[id]})
+				}
+			case 3:
+				zones = nil
+				for _, z := range []string{"a", "b", "c"} {
+					if rapid.Bool().Draw(t, z) {
+						zones = append(zones, z)
+					}
+				}
+				s.SetEvacuatedZones(0, zones)
+			}
+			want := 0
+			for id, up := range connected {
+				usable := up && !reported[id] && !slices.Contains(zones, zoneOf(int(id)))
+				if usable {
+					want++
+				}
+				if a := s.agents[id]; a != nil && a.acceptsStarts() != usable {
+					t.Fatalf("agent %d: accepts starts %v, want %v", id, a.acceptsStarts(), usable)
+				}
+			}
+			if s.usableCount != want {
+				t.Fatalf("%d agents are usable, want %d", s.usableCount, want)
+			}
+			for i, a := range s.connected {
+				if a.index != i || a.acceptsStarts() != (i < s.usableCount) {
+					t.Fatalf("agent at %d of %d: index %d, evacuated %v", i, s.usableCount, a.index, a.evacuated)
+				}
+			}
+		}
+	})
+}
+
+// Guards against refusals for good of jobs that run once the zone returns, and against jobs
+// that are accepted although no worker may start them.
+func TestJobsOfEvacuatedZonesAreRefusedForNow(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	for name, c := range map[string]struct {
+		zones []string
+		job   func(j *Job)
+		want  Refusal
+	}{
+		"no zone":                     {nil, func(*Job) {}, Admitted},
+		"one zone":                    {[]string{"a"}, func(*Job) {}, Admitted},
+		"zone without workers":        {[]string{"x"}, func(*Job) {}, Admitted},
+		"all zones":                   {all, func(*Job) {}, RefusedNoUpstream},
+		"all zones and a large need":  {all, func(j *Job) { j.RequiredLabel = "none" }, RefusedNoUpstream},
+		"pool of the zone":            {[]string{"a"}, func(j *Job) { j.Class = "only-a" }, RefusedNoUpstream},
+		"pool of another zone":        {[]string{"b"}, func(j *Job) { j.Class = "only-a" }, Admitted},
+		"gang that needs the zone":    {[]string{"a"}, func(j *Job) { j.Gang, j.Tasks = true, 60 }, RefusedNoUpstream},
+		"gang that fits without it":   {[]string{"a"}, func(j *Job) { j.Gang, j.Tasks = true, 40 }, Admitted},
+		"gang that never fits":        {[]string{"a"}, func(j *Job) { j.Gang, j.Tasks = true, 80 }, RefusedNeverFits},
+		"label that no worker has":    {[]string{"a"}, func(j *Job) { j.RequiredLabel = "none" }, RefusedNeverFits},
+		"label, nothing is evacuated": {nil, func(j *Job) { j.RequiredLabel = "none" }, RefusedNeverFits},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newZones(9, Options{})
+			s.Configure(0, Settings{Classes: []Class{{Name: "c", ResponseTarget: time.Second}, {Name: "only-a", ResponseTarget: time.Second, Pool: "pool-a"}}})
+			s.SetEvacuatedZones(0, c.zones)
+			j, _ := newTestJob("c", 0, 1)
+			c.job(j)
+			got := s.Admit(0, j)
+			assert.Equal(t, got.Refusal.String(), c.want.String())
+			assert.Equal(t, got.RetryAfter > 0, c.want == RefusedNoUpstream)
+		})
+	}
+}
+
+// busyZones returns a scheduler of 9 agents with full slots and a backlog, whose learned
+// capacity is all slots.
+func busyZones(waiting int) *Adaptive {
+	s := newZones(9, Options{Seed: 1, Disable: PartLookAhead})
+	for range estimateMinimum {
+		s.classes["c"].runs.observe(100 * time.Millisecond)
+		s.allRuns.observe(100 * time.Millisecond)
+	}
+	enqueue(s, 0, "c", 72+waiting)
+	placeWaiting(s, 0)
+	s.observeInService()
+	return s
+}
+
+// Guards against jobs that are admitted to the capacity before an evacuation and are late, and
+// against a RetryAfter that does not reflect what is left.
+func TestCapacityShrinksWithTheRequest(t *testing.T) {
+	s := busyZones(260)
+	s.window.size = 300
+	job, _ := newTestJob("c", 0, 1)
+	before := s.expectedWait(s.classes["c"], "")
+	assert.Equal(t, s.Admit(0, job).Refusal, Admitted)
+	assert.Equal(t, s.serviceSlots(), 72.0)
+
+	s.SetEvacuatedZones(0, []string{"a"})
+	assert.Equal(t, s.serviceSlots(), 48.0)
+	assert.Equal(t, s.window.size, 200.0)
+	after := s.expectedWait(s.classes["c"], "")
+	assert.Assert(t, after > before*14/10, "%v, %v before", after, before)
+	refused := s.Admit(0, job)
+	assert.Equal(t, refused.Refusal.String(), RefusedOverload.String())
+	assert.Assert(t, refused.RetryAfter > 0)
+
+	for i := range 9 { // the agents' reports are no further loss, and their running tasks no capacity
+		s.Observe(1, wire.Incarnation(i+1), wire.Load{Slots: 8, Limit: 8, Running: 8, Evacuated: zoneOf(i) == "a"})
+	}
+	placeWaiting(s, 1)
+	assert.Equal(t, s.serviceSlots(), 48.0)
+	s.SetEvacuatedZones(1, []string{"a", "b"})
+	assert.Equal(t, s.serviceSlots(), 24.0)
+	s.SetEvacuatedZones(1, []string{"a", "b", "c"})
+	assert.Equal(t, s.serviceSlots(), 1.0)
+}
+
+// Guards against an agent that knows of the request before this entry and whose capacity is
+// still counted on.
+func TestCapacityShrinksWithTheAgentsReport(t *testing.T) {
+	s := busyZones(100)
+	for _, id := range []wire.Incarnation{1, 4, 7} {
+		s.Observe(1, id, wire.Load{Slots: 8, Limit: 8, Running: 8, Evacuated: true})
+	}
+	assert.Equal(t, s.serviceSlots(), 48.0)
+	s.SetEvacuatedZones(2, []string{"a"})
+	assert.Equal(t, s.serviceSlots(), 48.0)
+}
+
+// Guards against a learned window that the running tasks of an evacuated zone use up, so that
+// nothing is started elsewhere.
+func TestAttemptsInEvacuatedZonesDoNotUseUpTheWindow(t *testing.T) {
+	s := busyZones(0)
+	s.window.size = 73
+	s.SetEvacuatedZones(0, []string{"a"})
+	assert.Assert(t, !s.windowFull())
+}
+
+// Guards against jobs that are admitted to workers that have just returned and are still slow,
+// and against workers that never count again.
+func TestReturnedCapacityCountsGradually(t *testing.T) {
+	s := busyZones(0)
+	idle := func(now time.Duration) {
+		for i := range 9 {
+			s.Observe(now, wire.Incarnation(i+1), wire.Load{Slots: 8, Limit: 8})
+		}
+		s.now = now
+	}
+	s.SetEvacuatedZones(0, []string{"a"})
+	for _, a := range s.agents {
+		a.inFlight, a.ownSlots = 0, 0
+	}
+	s.inFlight, s.meanInService = 0, 0
+	idle(1)
+	left := s.freeSlots()
+	s.SetEvacuatedZones(time.Second, nil)
+	previous := left
+	for _, share := range []float64{0, 0.5, 1} {
+		idle(time.Second + time.Duration(share*float64(returnPeriod)))
+		free := s.freeSlots()
+		assert.Equal(t, free, left*(1+share/2))
+		assert.Assert(t, free >= previous)
+		previous = free
+	}
+}
+
+// Guards against a task that waits for the retry budget, or is given up, because it was refused
+// as evacuated, and against further starts at that agent before its next report.
+func TestRefusalAsEvacuatedCostsNothing(t *testing.T) {
+	s := newZones(3, Options{Seed: 1})
+	j, _ := enqueue(s, 0, "c", 1)
+	j.Deadline = time.Second
+	p, ok := s.Next(0)
+	assert.Assert(t, ok)
+	tokens := s.budget.tokens
+	refused := &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonEvacuated}
+	s.AttemptDone(1, p.Agent, p.Task, refused)
+	a := s.agents[p.Agent]
+	assert.Assert(t, !a.acceptsStarts())
+	assert.Assert(t, !a.health.ejected && !a.health.suspended && !a.health.down)
+	for range 100 {
+		delay, ok := s.Retry(1, p.Task, wire.ReasonEvacuated)
+		assert.Assert(t, ok)
+		assert.Equal(t, delay, time.Duration(0))
+	}
+	assert.Equal(t, s.budget.tokens, tokens)
+	_, ok = s.Retry(time.Second, p.Task, wire.ReasonEvacuated)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a gang that needs evacuated workers and holds back all jobs behind it, and
+// against jobs that wait on although the zone has returned.
+func TestJobsThatNeedTheZoneWaitAndHoldUpNoOthers(t *testing.T) {
+	s := newZones(9, Options{Seed: 1})
+	s.SetEvacuatedZones(0, []string{"a"})
+	gang, tasks := newTestJob("c", 0, 60)
+	gang.Gang = true
+	for _, x := range tasks {
+		s.Enqueue(0, x)
+	}
+	assert.Equal(t, len(placeWaiting(s, 0)), 0)
+	now := 2 * gangHoldBackDelay
+	enqueue(s, now, "d", 5)
+	assert.Equal(t, len(placeWaiting(s, now)), 5)
+	s.SetEvacuatedZones(now, nil)
+	assert.Equal(t, len(placeWaiting(s, now)), 60)
+}
+
+// Guards against a contained class whose only workers are evacuated.
+func TestQuarantineIsChosenAmongTheOtherZones(t *testing.T) {
+	s := newZones(9, Options{})
+	s.contain(0, s.classes["c"])
+	s.classes["c"].containedUntil, s.containedUntil = time.Minute, time.Minute
+	s.containedClasses = append(s.containedClasses, s.classes["c"])
+	s.quarantine("")
+	for _, zones := range [][]string{{"a"}, {"a", "b"}, {"b", "c"}, nil} {
+		s.SetEvacuatedZones(0, zones)
+		n := 0
+		for _, a := range s.agents {
+			if a.quarantined {
+				n++
+				assert.Assert(t, !a.evacuated)
+			}
+		}
+		assert.Equal(t, n, (9-3*len(zones)+quarantineDivisor-1)/quarantineDivisor)
+	}
+}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -317,6 +317,13 @@
 // EvacuationsRead reports a read of the requests to evacuate zones.
 func (e *Entry) EvacuationsRead(x entry.EvacuationsRead) { e.send(x) }
 
+// Evacuations returns the newest known state, or an empty one if the core goroutine does not
+// answer within one second.
+func (e *Entry) Evacuations() wire.Evacuations {
+	s, _ := e.queryCoreStatus()
+	return wire.Evacuations{AsOf: s.EvacuationsAsOf, Zones: s.EvacuatedZones}
+}
+
 // SetEntries replaces the list of known entries. Agents are sent this list, and
 // the entries in it are queried for jobs that this entry does not have.
 func (e *Entry) SetEntries(list []wire.EntryAddr) {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -200,10 +200,11 @@
 	}
 }
 
-// evacuationsSettled reports whether the requests to evacuate zones were read or cannot be
-// read for now. A store that cannot be read does not keep the entry out of service.
-func (n *EntryNode) evacuationsSettled() bool {
-	return n.opts.EvacuationBound <= 0 || n.sourceAsked.Load() || time.Since(n.started) >= startHoldTimeout
+// evacuationsSettled decides whether an entry of the given age may be ready as far as the
+// requests to evacuate zones are concerned: it has asked for them, or cannot read them for
+// now. A store that cannot be read does not keep the entry out of service.
+func evacuationsSettled(bound time.Duration, asked bool, age time.Duration) bool {
+	return bound <= 0 || asked || age >= startHoldTimeout
 }
 
 // noteRead notes a successful read of the configuration and returns the time since the
@@ -359,7 +360,8 @@
 func (n *EntryNode) Ready() bool {
 	select {
 	case <-n.serving:
-		return n.entry.Ready() && !n.isLeaving() && n.jobLogSettled() && n.evacuationsSettled()
+		return n.entry.Ready() && !n.isLeaving() && n.jobLogSettled() &&
+			evacuationsSettled(n.opts.EvacuationBound, n.sourceAsked.Load(), time.Since(n.started))
 	default:
 		return false
 	}
