--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -81,7 +81,7 @@
 		d.stepEntry(i, entry.Configured{Settings: settings})
 	}
 	for k := range agents {
-		d.agents = append(d.agents, agent.New(agent.Options{Incarnation: wire.Incarnation(1 + k), Slots: 8, Capacity: capacity}))
+		d.agents = append(d.agents, agent.New(agent.Options{Incarnation: wire.Incarnation(1 + k), Zone: fmt.Sprint("zone-", k%3), Slots: 8, Capacity: capacity}))
 		for i := range entries {
 			d.connect(i, k)
 		}
