Date states of agents on new links, and list requests from a slow store

An agent dated its state by the echo of its clock, which is 0 or old on a new link. Each agent then listed the requests once after a restart of its entries although they had just read them. The time at which it sent its hello counts as well: no frame of the link was built before that. An echo of a time to come no longer counts.

A listing by an agent ended after 1 s, so a store that answers after 1 to 2.4 s left agents without the requests while their entries could not read it either. It now ends after half of the bound.

go test ./core/agent, and the tests of platform and internal/fleet that concern this, pass; the case of new links fails without the change.

--- a/core/agent/evacuation.go
+++ b/core/agent/evacuation.go
@@ -24,14 +24,15 @@
 func (m *Machine) Evacuations() wire.Evacuations { return m.evacuations.Evacuations }
 
 // receiveEvacuations applies the part of a frame that concerns evacuations. It must be
-// called before the starts of the frame are handled.
-func (m *Machine) receiveEvacuations(rec *entryRecord, f *wire.ToAgent) {
+// called before the starts of the frame are handled. echo is a time before which the frame
+// was not built.
+func (m *Machine) receiveEvacuations(rec *entryRecord, echo time.Duration, f *wire.ToAgent) {
 	if f.Evacuations != nil {
 		rec.evacuations = *f.Evacuations
 		m.adoptEvacuations(f.Evacuations)
 	}
 	if f.EvacuationsAge > 0 {
-		m.dateEvacuations(f.ClockEcho.Duration() - f.EvacuationsAge.Duration())
+		m.dateEvacuations(echo - f.EvacuationsAge.Duration())
 	}
 }
 
--- a/core/agent/evacuation_test.go
+++ b/core/agent/evacuation_test.go
@@ -183,7 +183,12 @@
 		eachSecond func(s *evacuationScript)
 		listings   int // within 10 s
 	}{
-		"entry reads the store":           {func(s *evacuationScript) { frame(s, s.now, time.Second/2) }, 0},
+		"entry reads the store":       {func(s *evacuationScript) { frame(s, s.now, time.Second/2) }, 0},
+		"entry echoes a time to come": {func(s *evacuationScript) { frame(s, time.Hour, s.now) }, 10 / half},
+		"new links of an entry that reads": {func(s *evacuationScript) {
+			s.step(LinkUp{Entry: entryA, Epoch: s.machine.entries[entryA].epoch + 1, HelloSentAt: s.now})
+			frame(s, 0, time.Second/2)
+		}, 0},
 		"entry has never read it":         {func(s *evacuationScript) { frame(s, s.now, 0) }, 10 / half},
 		"entry has not read it for long":  {func(s *evacuationScript) { frame(s, s.now, s.now) }, 10 / half},
 		"entry does not receive anything": {func(s *evacuationScript) { frame(s, time.Second, time.Second/2) }, 10 / half},
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -22,9 +22,10 @@
 	if rec == nil || !rec.up || rec.epoch != e.Epoch {
 		return // frame of a replaced connection
 	}
-	rec.renewLease(max(rec.helloSentAt, min(e.Frame.ClockEcho.Duration(), now)))
+	echo := max(rec.helloSentAt, min(e.Frame.ClockEcho.Duration(), now)) // the frame was built later
+	rec.renewLease(echo)
 	m.adoptConfig(now, rec, e.Frame.Config)
-	m.receiveEvacuations(rec, e.Frame)
+	m.receiveEvacuations(rec, echo, e.Frame)
 	m.settleBelow(rec, e.Frame.LowestOpenSeq)
 	e.Frame.RestorePayloads()
 	for i := range e.Frame.Starts {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -320,12 +320,10 @@
 	}
 }
 
-// maxEvacuationListTime bounds one listing: a reply that trickles in must not delay the
-// next one.
-const maxEvacuationListTime = time.Second
-
+// listEvacuations lists the requests to evacuate zones. It ends before the next listing is due,
+// which is made after half of the bound.
 func (n *AgentNode) listEvacuations(ctx context.Context) (wire.Evacuations, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxEvacuationListTime)
+	ctx, cancel := context.WithTimeout(ctx, n.opts.EvacuationBound/2)
 	defer cancel()
 	return n.opts.ListEvacuations(ctx)
 }
