Tell resubmitted jobs by the published timeout alone, and bound their wait

A job is now resubmitted only if it states less than the published timeout of its class, and nearly all jobs of the class do not. Resubmitted jobs wait in a heap of their own, ordered by deadline, and the last start may use the reserve. The reserve counts the workers that can run the job. Steps that follow the first start of a job are not held.

--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -243,7 +243,7 @@
 	}
 	result := m.scheduler.Admit(now, &j.schedJob)
 	for i := range j.steps {
-		j.steps[i].schedJob.Waited = j.schedJob.Waited
+		j.steps[i].schedJob.Resubmitted = j.schedJob.Resubmitted
 	}
 	if result.Refusal != policy.Admitted {
 		return JobAnswer{Outcome: Refused, Reason: result.Refusal.String(), Detail: result.Detail, RetryAfter: result.RetryAfter}, true
@@ -275,6 +275,9 @@
 		}
 		s.enqueued = true
 		s.schedJob.Arrived = now
+		if j.startedTasks > 0 {
+			s.schedJob.Resubmitted = false // completing the job wastes no work
+		}
 		for n := s.firstTask; n < s.firstTask+s.schedJob.Tasks; n++ {
 			if j.tasks[n].state == taskPending {
 				m.enqueueTask(now, &j.tasks[n])
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -33,11 +33,12 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int           // agents suspended or ejected
-	inFlight         int           // attempts
-	standing         int           // of these, standing ones
-	meanInService    float64       // mean number of this entry's tasks in service under backlog
-	newWork          workRate      // of admitted jobs that were not sent again
+	unavailable      int      // agents suspended or ejected
+	inFlight         int      // attempts
+	standing         int      // of these, standing ones
+	meanInService    float64  // mean number of this entry's tasks in service under backlog
+	newWork          workRate // of admitted jobs that are not resubmitted
+	reserve          reserve
 	waitScale        float64       // scales the accepted queueing delay
 	meanLogRatio     float64       // mean of the agents' speed.logRatio
 	now              time.Duration // process time of the last Admit or Next
@@ -90,6 +91,9 @@
 	}
 	for _, class := range settings.Classes {
 		c := s.class(class)
+		if c.class.CallerTimeout != class.CallerTimeout {
+			c.shortShare = 0
+		}
 		c.class = class
 		c.published = true
 	}
@@ -204,7 +208,7 @@
 // Admit implements Scheduler.
 func (s *Adaptive) Admit(now time.Duration, job *Job) AdmitResult {
 	result := s.admit(now, job)
-	if result.Refusal == Admitted && !job.resubmitted() {
+	if result.Refusal == Admitted && !job.Resubmitted {
 		s.newWork.add(now, time.Duration(job.Tasks)*s.expectedRun(s.classes[job.Class], job.DeclaredRunTime))
 	}
 	return result
@@ -223,7 +227,7 @@
 	c := s.class(Class{Name: job.Class})
 	t := s.team(c, job.Team)
 	work := max(s.p90Run(c, job), s.workPerSlot(c, job))
-	return s.queue.addJob(job, c, t, job.Arrived-job.Waited+s.responseTarget(c)-work)
+	return s.queue.addJob(job, c, t, job.Arrived+s.responseTarget(c)-work)
 }
 
 // team returns the state of the team in the class. Teams that are not published
@@ -267,8 +271,8 @@
 	if complete && now-job.Arrived <= s.responseTarget(c) {
 		met = 1
 	}
-	// A job that was sent again had missed its target before it was admitted.
-	if !job.resubmitted() {
+	// A resubmitted job had missed its target before it was admitted.
+	if !job.Resubmitted {
 		c.metShare += (met - c.metShare) * metShareWeight
 		if complete {
 			s.team(c, job.Team).adaptBacklogFactor(met == 1)
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -91,7 +91,7 @@
 	if s.queue.waiting == 0 {
 		return AdmitResult{}
 	}
-	if job.resubmitted() {
+	if job.Resubmitted {
 		return s.admitResubmitted(c, job, left)
 	}
 	allowed := s.allowedWait(c, job, left)
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -30,7 +30,7 @@
 	s.observeOthers(now)
 	s.queue.unparkDue(now)
 	for parked := 0; parked < maxParkedPerDecision && !s.windowFull(); parked++ {
-		j := s.queue.head(now, s.holdsResubmitted)
+		j := s.queue.head(now, s.mayStartResubmitted)
 		if j == nil || s.usableCount == 0 {
 			break
 		}
@@ -48,11 +48,11 @@
 				p, ok = s.place(now, j, c), true
 				break
 			}
-			if j.class.contained(now) {
+			if j.class.contained(now) && !j.inResubmitted() {
 				s.setAside(j.class)
 				continue
 			}
-			if !c.unmetRequirements {
+			if !c.unmetRequirements && !j.class.contained(now) {
 				break
 			}
 		}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -28,7 +28,8 @@
 	// Priority orders the classes when tasks wait; the lowest value goes first.
 	Priority int
 	// CallerTimeout is how long callers wait at least for the answer to a job that they
-	// send for the first time; 0 means that it is not known.
+	// send for the first time. The deadline of a job that is sent again leaves less. 0 means
+	// that it is not known.
 	CallerTimeout time.Duration
 }
 
@@ -82,10 +83,10 @@
 	Need            wire.Capacity // largest requirement of any of its tasks
 	DeclaredRunTime time.Duration // declared run time of the longest task; 0 if none is declared
 	Arrived         time.Duration // process time
-	// Waited is how long the caller had waited for earlier attempts when the job arrived,
-	// an estimate; 0 if this seems to be the first. Admit sets it.
-	Waited   time.Duration
-	Deadline time.Duration // process time
+	Deadline        time.Duration // process time
+	// Resubmitted states that the caller seems to have sent the job before: it states less
+	// time than Class.CallerTimeout. Admit sets it.
+	Resubmitted bool
 }
 
 // Task is a task that waits for placement or has been placed.
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -31,8 +31,8 @@
 	return s
 }
 
-// holdNone lets every late job start, see queue.head.
-func holdNone(*jobState, bool) bool { return false }
+// startAll lets every resubmitted job start, see queue.head.
+func startAll(*jobState) bool { return true }
 
 func newTestJob(class string, now time.Duration, tasks int) (*Job, []*Task) {
 	j := &Job{Class: class, Tasks: tasks, Arrived: now, Deadline: now + time.Minute}
@@ -100,7 +100,7 @@
 					waiting[task] = j
 				}
 			case 2:
-				if j := q.head(now, holdNone); j != nil {
+				if j := q.head(now, startAll); j != nil {
 					task := q.start(j)
 					if waiting[task] != j {
 						t.Fatal("a task was returned twice or was never enqueued")
@@ -122,7 +122,7 @@
 					break
 				}
 			case 5:
-				if j := q.head(now, holdNone); j != nil {
+				if j := q.head(now, startAll); j != nil {
 					q.park(now, 300*time.Millisecond, j, rapid.Bool().Draw(t, "unplaceable"))
 				}
 			}
@@ -138,7 +138,7 @@
 		}
 		q.unparkDue(now + time.Second)
 		for len(waiting) > 0 {
-			j := q.head(now, holdNone)
+			j := q.head(now, startAll)
 			delete(waiting, q.start(j))
 			placed = append(placed, j)
 		}
@@ -146,7 +146,7 @@
 			j.ended = true
 			q.finish(j)
 		}
-		if q.head(now, holdNone) != nil || q.active != 0 || q.inService != 0 {
+		if q.head(now, startAll) != nil || q.active != 0 || q.inService != 0 {
 			t.Fatal("the queue is not empty after all jobs ended")
 		}
 	})
@@ -156,6 +156,7 @@
 	checkHeap(t, &q.classes)
 	checkHeap(t, &q.late)
 	checkHeap(t, &q.unstarted)
+	checkHeap(t, &q.resubmitted)
 	checkHeap(t, &q.parked.waiting)
 	checkHeap(t, &q.parked.unplaceable)
 	for _, c := range q.classes.Items {
@@ -188,7 +189,7 @@
 	}
 	count := 0
 	for i := 1; i <= 290; i++ {
-		j := q.head(time.Second, holdNone)
+		j := q.head(time.Second, startAll)
 		q.start(j)
 		if j == lj {
 			count++
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -40,6 +40,8 @@
 
 	teamPos      int // in team.viable or team.late
 	unstartedPos int // in queue.unstarted
+	// resubmittedPos is the position in queue.resubmitted.
+	resubmittedPos int
 
 	parkedPos   int           // in one of the heaps of queue.parked
 	returnAt    time.Duration // when the parked job returns to the order
@@ -90,7 +92,7 @@
 	containmentPeriod time.Duration // of the current or last containment
 	waiting           int           // tasks
 	resubmitted       int           // of these, tasks of resubmitted jobs
-	stated            *statedTimes  // nil before the first job
+	shortShare        float64       // moving average of the share of jobs below Class.CallerTimeout
 	inService         int           // tasks
 	yields            bool          // the class is above its share under contention
 	byShare           indexheap.Heap[*teamState]
@@ -107,8 +109,9 @@
 // delay of the class.
 func (c *classState) due() time.Duration { return c.byDue.Top().viable.Top().due + c.priorityDelay }
 
-// firstLate returns the late job to serve first, of the team with the smallest share.
-func (c *classState) firstLate() *jobState { return c.lateByShare.Top().late.Top() }
+// lateDue returns the due time of the late job to serve first, of the team with the
+// smallest share.
+func (c *classState) lateDue() time.Duration { return c.lateByShare.Top().late.Top().due }
 
 // queue orders the waiting tasks. It orders them by job, since all tasks of a job
 // have the same slack. All operations are O(log n).
@@ -119,10 +122,12 @@
 	classes   indexheap.Heap[*classState] // classes with a viable job
 	late      indexheap.Heap[*classState] // classes with a late job
 	unstarted indexheap.Heap[*jobState]   // viable jobs that have not started
-	parked    parkedJobs
-	waiting   int // tasks
-	starts    uint64
-	released  []*jobState // released states, for reuse
+	// resubmitted holds the resubmitted jobs that have not started, of all classes.
+	resubmitted indexheap.Heap[*jobState]
+	parked      parkedJobs
+	waiting     int // tasks
+	starts      uint64
+	released    []*jobState // released states, for reuse
 
 	contended bool // the backlog is long compared with the shortest target
 	inService int  // tasks
@@ -133,13 +138,14 @@
 	q := &queue{fair: fair, bySlack: slack, jobs: make(map[*Job]*jobState), parked: newParkedJobs()}
 	q.classes = indexheap.Heap[*classState]{Less: lessClass, Pos: func(c *classState) *int { return &c.pos }}
 	q.late = indexheap.Heap[*classState]{
-		Less: func(a, b *classState) bool { return lessLateJob(a.firstLate(), b.firstLate()) },
+		Less: func(a, b *classState) bool { return a.lateDue() < b.lateDue() },
 		Pos:  func(c *classState) *int { return &c.latePos },
 	}
 	q.unstarted = indexheap.Heap[*jobState]{
 		Less: func(a, b *jobState) bool { return a.due < b.due },
 		Pos:  func(j *jobState) *int { return &j.unstartedPos },
 	}
+	q.resubmitted = indexheap.Heap[*jobState]{Less: lessResubmitted, Pos: func(j *jobState) *int { return &j.resubmittedPos }}
 	return q
 }
 
@@ -181,14 +187,11 @@
 }
 
 // lessLateJob orders late jobs: started jobs first, since completing them wastes no
-// work, then those that were not sent again, then by due time.
+// work, then by due time.
 func lessLateJob(a, b *jobState) bool {
 	if a.started != b.started {
 		return a.started
 	}
-	if a.job.resubmitted() != b.job.resubmitted() {
-		return b.job.resubmitted()
-	}
 	return a.due < b.due
 }
 
@@ -291,7 +294,7 @@
 	q.waiting += n
 	j.team.waiting += n
 	j.class.waiting += n
-	if j.job.resubmitted() {
+	if j.job.Resubmitted {
 		j.team.resubmitted += n
 		j.class.resubmitted += n
 	}
@@ -343,9 +346,12 @@
 
 // attach adds a job with waiting tasks to the heaps.
 func (q *queue) attach(j *jobState) {
-	if j.late {
+	switch {
+	case j.inResubmitted():
+		q.resubmitted.Put(j)
+	case j.late:
 		j.team.late.Put(j)
-	} else {
+	default:
 		j.team.viable.Put(j)
 		if q.bySlack && !j.started {
 			q.unstarted.Put(j)
@@ -356,9 +362,12 @@
 
 // detach removes a job from the heaps.
 func (q *queue) detach(j *jobState) {
-	if j.late {
+	switch {
+	case j.inResubmitted():
+		q.resubmitted.Remove(j)
+	case j.late:
 		j.team.late.Remove(j)
-	} else {
+	default:
 		j.team.viable.Remove(j)
 	}
 	q.unstarted.Remove(j)
@@ -396,13 +405,13 @@
 	}
 }
 
-// head returns the job to serve next, or nil if no job waits that may start. hold reports
-// whether a late job must wait longer, given whether it is the turn of the late jobs.
-func (q *queue) head(now time.Duration, hold func(j *jobState, lateTurn bool) bool) *jobState {
+// head returns the job to serve next, or nil if no job waits that may start. mayStart
+// reports whether the first resubmitted job may.
+func (q *queue) head(now time.Duration, mayStart func(*jobState) bool) *jobState {
 	q.markLate(now)
 	lateTurn := q.starts%lateStartInterval == lateStartInterval-1
-	if q.late.Len() > 0 && (lateTurn || q.classes.Len() == 0) {
-		if j := q.late.Top().firstLate(); !hold(j, lateTurn) {
+	if lateTurn || q.classes.Len() == 0 {
+		if j := q.lateHead(mayStart); j != nil {
 			return j
 		}
 	}
@@ -412,6 +421,23 @@
 	return q.classes.Top().byShare.Top().viable.Top()
 }
 
+// lateHead returns the job to serve next of those that cannot meet their target: the late
+// one or the resubmitted one, whichever has the earlier deadline. Late jobs that have
+// started go first.
+func (q *queue) lateHead(mayStart func(*jobState) bool) *jobState {
+	var late *jobState
+	if q.late.Len() > 0 {
+		late = q.late.Top().lateByShare.Top().late.Top()
+	}
+	if q.resubmitted.Len() == 0 || late != nil && (late.started || late.job.Deadline < q.resubmitted.Top().job.Deadline) {
+		return late
+	}
+	if j := q.resubmitted.Top(); mayStart(j) {
+		return j
+	}
+	return late
+}
+
 // start removes one waiting task of the job and counts it as in service.
 func (q *queue) start(j *jobState) *Task {
 	t := j.waiting[len(j.waiting)-1]
@@ -419,8 +445,11 @@
 	q.starts++
 	q.addInService(j, 1)
 	if !j.started {
+		if len(j.waiting) > 0 {
+			q.detach(j)
+		}
 		j.started = true
-		q.unstarted.Remove(j)
+		j.late = j.late || j.job.Resubmitted
 		if len(j.waiting) > 0 {
 			q.attach(j)
 		}
--- a/core/policy/resubmitted.go
+++ b/core/policy/resubmitted.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -10,159 +9,124 @@
 // that it still waits. After a loss of many entries such jobs arrive together with as many
 // new ones, above the capacity of the workers. They have missed their target already, so
 // the jobs that can still meet theirs go first, and the others run in what is left.
+//
+// A job counts as resubmitted if its caller states less time than Class.CallerTimeout.
 
 const (
-	// statedWindow is the number of recent jobs of a class whose stated times are compared.
-	statedWindow = 128
-	// minStatedTimes is the number of jobs from which a class's stated times are known.
-	minStatedTimes = 8
-	// statedRefresh is the number of jobs between updates of the percentiles.
-	statedRefresh = 4
-	// typicalPercentile of the stated times stands for the time that callers state with
-	// their first attempt. It holds while up to half of the jobs are sent again.
-	typicalPercentile = 0.75
-	upperPercentile   = 0.95
-	// statedSpreadFactor, times the spread of the stated times above the typical one, is
-	// how much less a job must state to count as sent again.
-	statedSpreadFactor = 3
-	// minResubmitDelay is the least difference that counts. Callers send a job again more
-	// than a second after its connection broke; what first attempts state varies by half
-	// of that.
-	minResubmitDelay = time.Second
-	// minTimeoutDelay is the same for a job that states less than Class.CallerTimeout, which
-	// a first attempt does not.
-	minTimeoutDelay = 500 * time.Millisecond
-	// maxStatedTime excludes jobs without a real deadline.
-	maxStatedTime = time.Hour
-	// statedDecay and statedPrior are the weight of earlier jobs after each job, and the
-	// number of jobs for which the slope of statedTimes is shrunk towards zero.
-	statedDecay = 0.995
-	statedPrior = 20
-	// resubmittedDeadlineShare is the share of its remaining time that a job that was sent
-	// again may wait: new jobs that arrive later go before it.
+	// shortWeight is the weight of a new job in classState.shortShare.
+	shortWeight = 1.0 / 64
+	// maxShortShare is the share of jobs below CallerTimeout from which the setting says
+	// nothing about the callers of the class. In a surge of resubmitted jobs two of three
+	// were below it.
+	maxShortShare = 0.85
+	// resubmittedDeadlineShare is the share of its remaining time that a resubmitted job may
+	// wait: new jobs that arrive later go before it.
 	resubmittedDeadlineShare = 0.5
-	// resubmittedReserve is the share of the workers' slots that jobs that were sent again
-	// leave free. Other entries need them for new jobs at the same time.
+	// resubmittedReserve is the share of the workers' slots that resubmitted jobs leave free.
+	// Other entries need them for new jobs at the same time.
 	resubmittedReserve = 0.1
+	// reservePeriod is how long an estimate of the free slots holds.
+	reservePeriod = 5 * time.Millisecond
 	// lastStartFactor, times the 90th percentile of the run time, is the time to the
-	// deadline from which such a job may use the reserve when it is the turn of late jobs,
-	// so that resubmitted jobs do not starve.
+	// deadline from which a resubmitted job may use the reserve, so that it does not starve.
 	lastStartFactor = 1.5
 	// newWorkPeriod is the time constant of the mean rate at which new jobs bring work.
 	newWorkPeriod = 500 * time.Millisecond
 	// minSpareShare is the least share of the service slots that is assumed to be left for
-	// jobs that were sent again: one start in lateStartInterval is theirs.
+	// resubmitted jobs: one start in lateStartInterval goes to late jobs.
 	minSpareShare = 1.0 / lateStartInterval
 )
 
-// statedTimes are the times to the deadline that callers of a class state, relative to a
-// linear regression on the declared run time: callers wait longer for longer jobs.
-type statedTimes struct {
-	weight, x, y, xx, xy float64 // decayed sums, in seconds
-	recent               [statedWindow]statedTime
-	observed             int
-	typical, spread      float64 // seconds at a declared run time of 0, at the last refresh
+// noteResubmitted sets the job's Resubmitted.
+func (s *Adaptive) noteResubmitted(c *classState, job *Job) {
+	if !s.enabled.resubmitted || c.class.CallerTimeout <= 0 || c.contained(s.now) {
+		return
+	}
+	short := 0.0
+	if job.Deadline-job.Arrived < c.class.CallerTimeout {
+		short = 1
+	}
+	c.shortShare += (short - c.shortShare) * shortWeight
+	job.Resubmitted = short > 0 && c.shortShare < maxShortShare
 }
 
-// statedTime is what one job stated, in seconds.
-type statedTime struct{ declared, left float64 }
+// inResubmitted reports whether the job waits in queue.resubmitted unless it is parked. Once a
+// task has started, it is late like others.
+func (j *jobState) inResubmitted() bool { return j.job.Resubmitted && !j.started }
 
-// observe adds a job.
-func (s *statedTimes) observe(declared, left time.Duration) {
-	x, y := declared.Seconds(), left.Seconds()
-	s.weight = s.weight*statedDecay + 1
-	s.x = s.x*statedDecay + x
-	s.y = s.y*statedDecay + y
-	s.xx = s.xx*statedDecay + x*x
-	s.xy = s.xy*statedDecay + x*y
-	s.recent[s.observed%statedWindow] = statedTime{x, y}
-	s.observed++
-	if s.observed%statedRefresh == 0 {
-		s.refresh()
-	}
-}
+// lessResubmitted orders resubmitted jobs by deadline, so that the first of them that must
+// start now is the top.
+func lessResubmitted(a, b *jobState) bool { return a.job.Deadline < b.job.Deadline }
 
-// slope returns the additional stated seconds per second of declared run time.
-func (s *statedTimes) slope() float64 {
-	variance := s.xx/s.weight - s.x/s.weight*s.x/s.weight
-	if variance <= 1e-9 {
-		return 0
-	}
-	covariance := s.xy/s.weight - s.x/s.weight*s.y/s.weight
-	return max(covariance/variance, 0) * s.weight / (s.weight + statedPrior)
+// mayStartResubmitted reports whether a resubmitted job may start now.
+func (s *Adaptive) mayStartResubmitted(j *jobState) bool {
+	lastStart := j.job.Deadline - time.Duration(lastStartFactor*float64(s.p90Run(j.class, j.job)))
+	return s.now >= lastStart || s.hasReserve(j)
 }
 
-func (s *statedTimes) refresh() {
-	var buf [statedWindow]float64
-	list := buf[:min(s.observed, statedWindow)]
-	slope := s.slope()
-	for i := range list {
-		list[i] = s.recent[i].left - slope*s.recent[i].declared
-	}
-	slices.Sort(list)
-	percentile := func(p float64) float64 { return list[int(p*float64(len(list)-1))] }
-	s.typical = percentile(typicalPercentile)
-	s.spread = percentile(upperPercentile) - s.typical
+// reserve is an estimate of whether more than resubmittedReserve of the slots are free.
+type reserve struct {
+	pool, label string
+	until       time.Duration
+	free        bool
 }
 
-// waited estimates how long the caller of a job had waited before the job arrived, 0 if
-// the job states about as much time as others of its class.
-func (s *statedTimes) waited(declared, left, callerTimeout time.Duration) time.Duration {
-	if s.observed < minStatedTimes {
-		return 0
-	}
-	typical := s.typical + s.slope()*declared.Seconds()
-	missing := typical - left.Seconds()
-	least := max(minResubmitDelay.Seconds(), statedSpreadFactor*s.spread)
-	if left < callerTimeout && typical >= callerTimeout.Seconds() {
-		least = minTimeoutDelay.Seconds()
-	}
-	if missing < least {
-		return 0
+// hasReserve reports whether the workers that can run the job have more than
+// resubmittedReserve of their slots free.
+func (s *Adaptive) hasReserve(j *jobState) bool {
+	r := &s.reserve
+	if s.now < r.until && r.pool == j.class.class.Pool && r.label == j.job.RequiredLabel {
+		return r.free
 	}
-	return time.Duration(missing * float64(time.Second))
+	free, slots := s.sampleSlots(j)
+	*r = reserve{pool: j.class.class.Pool, label: j.job.RequiredLabel, until: s.now + reservePeriod, free: free >= resubmittedReserve*slots}
+	return r.free
 }
 
-// noteResubmitted sets the job's Waited, and learns what callers of its class state.
-func (s *Adaptive) noteResubmitted(c *classState, job *Job) {
-	left := job.Deadline - job.Arrived
-	if !s.enabled.resubmitted || left <= 0 || left > maxStatedTime {
-		return
-	}
-	if c.stated == nil {
-		c.stated = new(statedTimes) // most of the published classes have no jobs
+// sampleSlots returns the estimated number of free slots, and of all slots, of up to
+// SampleAgents workers that can run the job. It examines four times as many at most.
+func (s *Adaptive) sampleSlots(j *jobState) (free, slots float64) {
+	agents := s.usable()
+	run := max(s.allRuns.meanOrPrior(0), minMeanRun)
+	first := 0
+	if len(agents) > s.opts.SampleAgents {
+		first = s.rand.below(len(agents))
 	}
-	job.Waited = c.stated.waited(job.DeclaredRunTime, left, c.class.CallerTimeout)
-	c.stated.observe(job.DeclaredRunTime, left)
-}
-
-// resubmitted reports whether the caller had sent the job before.
-func (j *Job) resubmitted() bool { return j.Waited > 0 }
-
-// holdsResubmitted reports whether a job that was sent again waits for free slots.
-func (s *Adaptive) holdsResubmitted(j *jobState, lateTurn bool) bool {
-	if !j.job.resubmitted() || j.started {
-		return false
-	}
-	if lateTurn && j.job.Deadline-s.now < time.Duration(lastStartFactor*float64(s.p90Run(j.class, j.job))) {
-		return false
+	matching := 0
+	for i := 0; i < min(len(agents), 4*s.opts.SampleAgents) && matching < s.opts.SampleAgents; i++ {
+		a := agents[(first+i)%len(agents)]
+		if !a.matches(j.class.class.Pool, j.job) {
+			continue
+		}
+		matching++
+		if a.acceptsStarts() && !a.health.ejected && !a.health.suspended && !a.health.down {
+			share := a.capacityShare(s.now)
+			free += share * max(0, a.limit()-a.usedSlots(s.now, run, s.enabled.ageing))
+			slots += share * a.limit()
+		}
 	}
-	return s.freeSlots() < resubmittedReserve*s.sumOverUsable((*agentState).limit)
+	return free, slots
 }
 
-// admitResubmitted refuses a job that was sent again if it would hardly be served before its
-// deadline, behind all that waits now.
+// admitResubmitted refuses a resubmitted job if it would hardly be served before its
+// deadline, behind the new jobs that wait and arrive and the other resubmitted ones.
 func (s *Adaptive) admitResubmitted(c *classState, job *Job, left time.Duration) AdmitResult {
 	slots := s.serviceSlots()
 	spare := max(minSpareShare*slots, slots-s.newWork.rate(s.now))
-	wait := time.Duration(s.totalWaitingWork() / spare)
+	work := float64(s.expectedWait(c, job.Team)) * slots
+	for _, other := range s.classList {
+		if other.resubmitted > 0 {
+			work += float64(other.resubmitted) * float64(s.expectedRun(other, 0))
+		}
+	}
+	wait := time.Duration(work / spare)
 	allowed := time.Duration(resubmittedDeadlineShare*float64(left)) - s.jobTime(c, job)
 	if wait <= allowed {
 		return AdmitResult{}
 	}
 	return AdmitResult{
 		Refusal: RefusedOverload, RetryAfter: s.jittered(wait - allowed),
-		Detail: "sent again after " + job.Waited.Round(time.Millisecond).String() + ", expected wait " + wait.Round(time.Millisecond).String(),
+		Detail: "resubmitted, expected wait " + wait.Round(time.Millisecond).String() + " exceeds the limit of " + allowed.Round(time.Millisecond).String(),
 	}
 }
 
@@ -187,14 +151,3 @@
 	w.sum *= math.Exp(-float64(now-w.at) / float64(newWorkPeriod))
 	w.at = now
 }
-
-// totalWaitingWork returns the expected work of all waiting tasks, in nanoseconds.
-func (s *Adaptive) totalWaitingWork() float64 {
-	work := 0.0
-	for _, c := range s.classList {
-		if c.waiting > 0 && !c.contained(s.now) {
-			work += float64(c.waiting) * float64(s.expectedRun(c, 0))
-		}
-	}
-	return work
-}
--- a/core/policy/resubmittedload_test.go
+++ b/core/policy/resubmittedload_test.go
@@ -20,7 +20,7 @@
 		target = 250 * time.Millisecond
 		stated = 3 * time.Second
 	)
-	settings := policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: target, TargetShare: 0.9}}}
+	settings := policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: target, TargetShare: 0.9, CallerTimeout: stated}}}
 	d := newDriver(seed, 4, 12, settings, func(i int) policy.Scheduler {
 		return policy.New(policy.Options{Seed: seed*10 + uint64(i), Zone: "zone-0", Disable: disable})
 	})
