--- a/core/entry/property_test.go
+++ b/core/entry/property_test.go
@@ -16,12 +16,16 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
+// defaultChecks is the number of random cases of each property unless the command line
+// states one.
+const defaultChecks = "2000"
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	// Use a fixed seed unless the command line sets one, so that CI gets the same
 	// result on every run.
 	setDefault("rapid.seed", "20261204")
-	setDefault("rapid.checks", "2000")
+	setDefault("rapid.checks", defaultChecks)
 	setDefault("rapid.steps", "80")
 	flag.Set("rapid.nofailfile", "true")
 	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit))
