Let calls that the store loses time out in the model of evacuations

A call that the modelled store had lost could be answered as an empty read when it timed out, so that an entry cut off from the store stated a fresh age.

--- a/core/entry/evacuationstore_test.go
+++ b/core/entry/evacuationstore_test.go
@@ -18,6 +18,7 @@
 	maxListingTime    = time.Second
 	evacuationPrefix  = "evacuate/"
 	operatorConfigKey = "config"
+	never             = time.Duration(1<<63 - 1)
 )
 
 // operatorTopic is the store's topic with the operators' records. A record without a key
@@ -152,7 +153,6 @@
 	case fault == storeRefuses:
 		c.reply.failed = true
 	case fault == storeLosesCalls:
-		c.replyAt = c.giveUpAt
 	case c.listing:
 		c.reply.end = len(w.topic.records)
 		keys := w.topic.listed()
@@ -172,9 +172,9 @@
 		c.reply.records = w.topic.records[c.from : c.from+n : c.from+n]
 	}
 	c.served = true
-	c.replyAt = max(c.replyAt, w.now+w.latency(c.path))
-	if fault == storeLosesReplies {
-		c.replyAt = c.giveUpAt + time.Hour
+	c.replyAt = w.now + w.latency(c.path)
+	if fault == storeLosesCalls || fault == storeLosesReplies {
+		c.replyAt = never
 	}
 }
 
