Choose one of two different states of evacuations as of one offset

An agent that had listed in such a moment and one that had not could have different zones as of the same offset. Neither replaced the other, but each end of a link took the other end to have what it had sent. If the next read of the entry then led to the zones that it had already, nothing was sent any more: an agent kept refusing tasks in a zone that was no longer evacuated, or starting them in one that was, until the zones changed again, and its entries' fresh reads kept it from listing.

Of two such states, all processes now choose the one whose zones sort last (Evacuations.Newer). Reading on after the listing until its last page is covered was considered; it would transfer configurations to agents and needs more code.

--- a/core/agent/evacuation.go
+++ b/core/agent/evacuation.go
@@ -38,7 +38,7 @@
 // adoptEvacuations replaces the state with a newer one. If the own zone is evacuated,
 // startQueued then returns the queued tasks; the running ones continue.
 func (m *Machine) adoptEvacuations(e *wire.Evacuations) {
-	if e.AsOf <= m.evacuations.AsOf {
+	if !e.Newer(&m.evacuations.Evacuations) {
 		return
 	}
 	before := m.evacuated()
--- a/core/entry/evacuation.go
+++ b/core/entry/evacuation.go
@@ -47,7 +47,7 @@
 // adoptEvacuations replaces the state with a newer one and passes it on. agent is the name of
 // the agent that it came from, empty if it was read.
 func (m *Machine) adoptEvacuations(now time.Duration, e *wire.Evacuations, agent string) {
-	if e.AsOf <= m.evacuations.AsOf {
+	if !e.Newer(&m.evacuations.Evacuations) {
 		return
 	}
 	before := m.evacuations.Evacuations
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -435,7 +435,7 @@
 type Evacuations struct {
 	_ struct{} `cbor:",toarray"`
 	// AsOf is the offset up to which the log was read. Of two states the one with the
-	// higher AsOf is the newer one; a state never replaces one with a higher AsOf.
+	// higher AsOf is the newer one; a state never replaces one with a higher AsOf. See Newer.
 	AsOf  int64
 	Zones []string // sorted, at most MaxEvacuatedZones
 }
@@ -446,10 +446,20 @@
 	return found
 }
 
+// Newer reports whether e replaces other: it is as of a higher offset. Two states as of one
+// offset can differ, because a listing of several pages is not a snapshot; the order of their
+// zones then decides, so that all processes choose the same one.
+func (e *Evacuations) Newer(other *Evacuations) bool {
+	if e.AsOf != other.AsOf {
+		return e.AsOf > other.AsOf
+	}
+	return slices.Compare(e.Zones, other.Zones) > 0
+}
+
 // Supersedes reports whether a process with the state other must be sent e: e is newer
 // and has other zones.
 func (e *Evacuations) Supersedes(other *Evacuations) bool {
-	return e.AsOf > other.AsOf && !slices.Equal(e.Zones, other.Zones)
+	return e.Newer(other) && !slices.Equal(e.Zones, other.Zones)
 }
 
 // ToAgent is one frame from an entry to an agent. Every list may be empty; a
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -113,7 +113,7 @@
 		c.configVersion.Store(v)
 		c.emit(eventlog.AgentConfigKept, eventlog.Fields{Count: v})
 	}
-	if e := c.machine.Evacuations(); e.AsOf != c.evacuations.AsOf {
+	if e := c.machine.Evacuations(); e.Newer(&c.evacuations) {
 		c.noteEvacuations(e)
 	}
 }
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -335,7 +335,7 @@
 func (n *AgentNode) keepEvacuations(e wire.Evacuations) {
 	for {
 		old := n.evacuations.Load()
-		if old != nil && old.AsOf >= e.AsOf || n.evacuations.CompareAndSwap(old, &e) {
+		if old != nil && !e.Newer(old) || n.evacuations.CompareAndSwap(old, &e) {
 			return
 		}
 	}
