Place gangs again whose zone was evacuated in part

When some members of a gang were refused as evacuated, the others were cancelled, and their results counted like any others: more of them than the burst of the retry budget delayed the gang beyond its deadline or aborted it with retries_exhausted, and a member that was stopped failed a job with maxAttempts 1 as task_failed (status 200 "failed"), although no task of it had failed.

The gang now notes why its members were cancelled. Those that were not run or were stopped because of an evacuation use neither the retry budget nor count as attempts.

Weighed: running single-run jobs again (MaxFailedRuns 1 allows a single run regardless of its outcome), and placing only the refused members again beside the running ones (the scheduler places gangs as a whole).

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -87,6 +87,9 @@
 	ReasonAnswerTooLarge   = "answer_too_large"
 	ReasonClaimPending     = "claim_pending"
 	ReasonEntryPaused      = "entry_paused"
+	// ReasonEvacuated: members of a gang of a job that allows a single run had started when
+	// another member was refused, because its zone is evacuated.
+	ReasonEvacuated = "evacuated"
 )
 
 // Machine is the entry's state machine. It is not safe for concurrent use.
--- a/core/entry/evacuation_test.go
+++ b/core/entry/evacuation_test.go
@@ -236,3 +236,85 @@
 	}}))
 	assert.Equal(t, len(f.Starts), 3)
 }
+
+// Guards against a gang that spans zones and fails, waits for the retry budget or is refused as
+// retries_exhausted, because some members are refused as evacuated and the others, which are
+// more than the burst of the budget, are cancelled; against an evacuation that counts as a run
+// of the job; and against a second run of a job that allows one.
+func TestEvacuationOfSomeMembersOfAGangCountsAgainstNothing(t *testing.T) {
+	notRun := wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled}
+	stopped := wire.Result{Outcome: wire.Failed, Reason: wire.ReasonStopped}
+	failed := wire.Result{Outcome: wire.Failed, Reason: wire.ReasonUpstreamError}
+	for name, c := range map[string]struct {
+		attempts int
+		result   wire.Result // of each cancelled member
+		reason   string      // of the answer; placed again if empty
+	}{
+		"not run, one run":        {1, notRun, ""},
+		"not run, several runs":   {2, notRun, ""},
+		"stopped, several runs":   {2, stopped, ""},
+		"stopped, one run":        {1, stopped, entry.ReasonEvacuated},
+		"failed itself, one run":  {1, failed, entry.ReasonTaskFailed},
+		"failed itself, two runs": {2, failed, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := entry.New(entry.Options{Incarnation: 1, Scheduler: policy.New(policy.Options{Seed: 1})})
+			m.Step(0, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: time.Second}}}})
+			connect := func(id wire.Incarnation, zone string, slots int) {
+				m.Step(0, entry.LinkUp{Hello: wire.AgentHello{Agent: id, Epoch: 1, Name: zone, Zone: zone, Slots: slots}})
+				m.Step(0, entry.Received{Agent: id, Epoch: 1, Frame: &wire.ToEntry{Load: wire.Load{Slots: slots, Limit: slots, Successes: 100}}})
+			}
+			connect(1, "a", 20)
+			connect(2, "b", 40)
+			starts := func(actions []entry.Action) map[wire.Incarnation][]wire.Seq {
+				out := map[wire.Incarnation][]wire.Seq{}
+				for _, a := range actions {
+					if x, ok := a.(entry.Send); ok {
+						for _, s := range x.Frame.Starts {
+							out[x.Agent] = append(out[x.Agent], s.Seq)
+						}
+					}
+				}
+				return out
+			}
+			receive := func(id wire.Incarnation, seqs []wire.Seq, r wire.Result, load wire.Load) []entry.Action {
+				frame := &wire.ToEntry{Load: load}
+				for _, seq := range seqs {
+					r.Seq = seq
+					frame.Results = append(frame.Results, r)
+				}
+				return m.Step(time.Millisecond, entry.Received{Agent: id, Epoch: 1, Frame: frame})
+			}
+			first := starts(m.Step(0, entry.Submit{
+				Submission: testJob, Class: "c", Deadline: 3 * time.Second, MaxFailedRuns: c.attempts, Payloads: make([][]byte, 60),
+				Steps: []entry.Step{{Tasks: 60, Gang: true}},
+			}))
+			assert.Equal(t, len(first[1]), 20)
+			assert.Equal(t, len(first[2]), 40)
+			connect(3, "c", 64)
+			refusal := wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonEvacuated}
+			assert.Equal(t, len(starts(receive(1, first[1], refusal, wire.Load{Slots: 20, Limit: 20, Evacuated: true}))), 0)
+			actions := receive(2, first[2], c.result, wire.Load{Slots: 40, Limit: 40, Successes: 100})
+			again := starts(actions)
+			if c.reason != "" {
+				assert.Equal(t, answersIn(actions)[0].Reason, c.reason)
+				assert.Equal(t, answersIn(actions)[0].Outcome, entry.Failed)
+				assert.Equal(t, len(again), 0)
+				return
+			}
+			assert.Equal(t, len(again[2])+len(again[3]), 60, "placed again at once: %v", answersIn(actions))
+		})
+	}
+}
+
+// Guards against an exemption that lasts beyond the run in which a member was evacuated.
+func TestLaterRefusalsOfAnEvacuatedGangCount(t *testing.T) {
+	s := &attemptCounter{}
+	m := entry.New(entry.Options{Incarnation: 1, Scheduler: s})
+	m.Step(0, linkUp(1, 0))
+	m.Step(0, entry.Submit{Submission: testJob, Deadline: time.Minute, Payloads: make([][]byte, 2), Steps: []entry.Step{{Tasks: 2, Gang: true}}})
+	for i, reason := range []wire.Reason{wire.ReasonEvacuated, wire.ReasonCancelled, wire.ReasonBusy, wire.ReasonCancelled} {
+		deliverResult(m, wire.Seq(i+1), wire.NotRun, reason)
+	}
+	assert.DeepEqual(t, s.counts, []int{0, 0, 1, 1})
+}
--- a/core/entry/gang.go
+++ b/core/entry/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -17,6 +18,18 @@
 	failures     int           // runs in which a member itself failed
 	failedMember *task         // a member that itself failed in the current run, nil if none did
 	retryAt      time.Duration // earliest start of the next run
+	// cancelCause is the reason of the result for which the members of the current run were
+	// cancelled, ReasonNone if they were not.
+	cancelCause wire.Reason
+}
+
+// cancelledByEvacuation reports whether the member's attempt ended only because another
+// member was refused as evacuated.
+func (g *gang) cancelledByEvacuation(t *task, r *wire.Result) bool {
+	if g.cancelCause != wire.ReasonEvacuated || t.cancelledSeq != t.seq {
+		return false
+	}
+	return r.Outcome == wire.NotRun && r.Reason == wire.ReasonCancelled || r.Outcome == wire.Failed && r.Reason == wire.ReasonStopped
 }
 
 // gangMembers returns the tasks of a gang's step.
@@ -34,7 +47,11 @@
 	g := s.gang
 	switch r.Outcome {
 	case wire.NotRun:
-		m.gangNotRun(now, t, r.Reason)
+		reason := r.Reason
+		if g.cancelledByEvacuation(t, r) {
+			reason = wire.ReasonEvacuated // neither a retry nor an attempt
+		}
+		m.gangNotRun(now, t, reason)
 	case wire.Failed:
 		t.job.runRepeated = true
 		switch {
@@ -43,7 +60,7 @@
 		case r.Reason == wire.ReasonWorkerCrashed:
 			m.countCrash(t, r)
 		}
-		m.cancelGangMembers(s, t.job)
+		m.cancelGangMembers(s, t.job, r.Reason)
 	default: // the run is lost; the other members may still succeed
 		t.runLost = true
 	}
@@ -70,11 +87,12 @@
 	}
 	s := &t.job.steps[t.step]
 	s.gang.retryAt = max(s.gang.retryAt, now+delay)
-	m.cancelGangMembers(s, t.job)
+	m.cancelGangMembers(s, t.job, reason)
 }
 
-// cancelGangMembers cancels the members in flight.
-func (m *Machine) cancelGangMembers(s *step, j *job) {
+// cancelGangMembers cancels the members in flight, because one ended for the given reason.
+func (m *Machine) cancelGangMembers(s *step, j *job, cause wire.Reason) {
+	s.gang.cancelCause = cmp.Or(s.gang.cancelCause, cause)
 	members := j.gangMembers(s)
 	for i := range members {
 		if t := &members[i]; t.state == taskInFlight {
@@ -137,7 +155,13 @@
 		return
 	}
 	// A job that allows each task a single run fails after any run that ended.
-	if g.failures >= j.maxAttempts || !j.stored && j.maxAttempts < 2 && j.runRepeated {
+	singleRunEnded := !j.stored && j.maxAttempts < 2 && j.runRepeated
+	switch {
+	case singleRunEnded && g.failures == 0 && mostCrashes.crashes == 0 && g.cancelCause == wire.ReasonEvacuated:
+		j.failure = fmt.Sprintf("step %d.%d: members had started when another was refused as evacuated, and the job allows a single run", s.occurrence, s.index)
+		m.abortJob(now, j, ReasonEvacuated)
+		return
+	case g.failures >= j.maxAttempts || singleRunEnded:
 		j.failBecauseOf(failed, lastEnd)
 		m.abortJob(now, j, ReasonTaskFailed)
 		return
@@ -155,6 +179,7 @@
 		m.retries.Put(t)
 	}
 	g.retryAt = 0
+	g.cancelCause = wire.ReasonNone
 }
 
 // restoreGang restores the progress of a gang, which is recorded with its first
