Judge agents elsewhere without those in evacuated zones

Agents that were ejected when their zone was evacuated still counted as unavailable, so with three of them no failing worker elsewhere could be suspended or ejected for as long as the evacuation lasted. Failures of tasks in the zone, whose workers may be stopped, also raised the evidence that is needed against a worker elsewhere.

Only agents that are not evacuated count now, and only usable ones are peers. An agent in an evacuated zone is neither suspended nor ejected until the zone returns, because nothing would bound how many of them are.

Weighed: readmitting ejected agents on return (the evidence against them stands), and applying the bounds again on return (they lose no capacity that the evacuation had not taken already).

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -33,7 +33,7 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int           // agents suspended or ejected
+	unavailable      int           // agents suspended or ejected that are not evacuated
 	inFlight         int           // attempts
 	standing         int           // of these, standing ones
 	meanInService    float64       // mean number of this entry's tasks in service under backlog
@@ -150,7 +150,7 @@
 	a.otherSlots, a.meanOtherSlots = 0, 0
 	if !a.connected {
 		a.connected = true
-		a.evacuated = s.zoneEvacuated(info.Zone)
+		s.setEvacuated(a, s.zoneEvacuated(info.Zone))
 		a.index = len(s.connected)
 		s.connected = append(s.connected, a)
 		if !a.evacuated {
@@ -194,8 +194,8 @@
 		if a.connected || a.inFlight > 0 || now-a.disconnectedAt < disconnectedAgentRetention {
 			continue
 		}
-		if a.health.ejected || a.health.suspended {
-			s.unavailable--
+		if a.health.unavailable() {
+			s.countUnavailable(a, -1)
 		}
 		delete(s.agents, id)
 	}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -201,7 +201,7 @@
 // is meant to. It ends an ejection unless the agent has failed since.
 func (s *Adaptive) recordHealthy(a *agentState, sentAt time.Duration) {
 	if a.health.recordOwnSuccess(sentAt) && a.health.ejected {
-		s.unavailable--
+		s.countUnavailable(a, -1)
 		a.health.readmit()
 	}
 }
@@ -268,10 +268,12 @@
 }
 
 // checkOutlier suspends an agent whose failures are unlikely compared with those of
-// its peers, and ejects it if they still are once every peer has reported.
+// its peers, and ejects it if they still are once every peer has reported. An agent in an
+// evacuated zone is judged when the zone returns: it does not count as unavailable, so nothing
+// would bound how many of them are ejected.
 func (s *Adaptive) checkOutlier(now time.Duration, a *agentState) {
 	h := &a.health
-	if !s.enabled.health || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
+	if !s.enabled.health || a.evacuated || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
 		return
 	}
 	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, s.usableCount)) {
@@ -284,20 +286,21 @@
 		h.eject(now, s.rand.float())
 	case h.suspended:
 		h.suspended = false
-		s.unavailable--
+		s.countUnavailable(a, -1)
 	case h.isOutlier(failureShare, failingPeers, suspendStreak, suspendProbability):
 		h.suspended = true
 		h.suspendedAt = now
-		s.unavailable++
+		s.countUnavailable(a, 1)
 	}
 }
 
-// peerFailures returns the share of failed tasks at the other agents that are not
+// peerFailures returns the share of failed tasks at the other usable agents that are not
 // ejected, and how many of these failed a task recently or have not proved healthy
-// since their last failure.
+// since their last failure. Failures in an evacuated zone, whose workers may be stopped,
+// say nothing about the jobs.
 func (s *Adaptive) peerFailures(now time.Duration, a *agentState) (failureShare float64, failingPeers int) {
 	successes, total := 0.0, 0.0
-	for _, other := range s.connected {
+	for _, other := range s.usable() {
 		if other == a || other.health.ejected {
 			continue
 		}
--- a/core/policy/evacuation.go
+++ b/core/policy/evacuation.go
@@ -61,7 +61,7 @@
 		lost = float64(a.info.Slots)
 		s.makeUnusable(a)
 	}
-	a.evacuated = evacuated
+	s.setEvacuated(a, evacuated)
 	if evacuated {
 		s.removeFreed(a)
 		return lost
@@ -75,6 +75,26 @@
 	return 0
 }
 
+// setEvacuated sets agentState.evacuated and the figures that depend on it.
+func (s *Adaptive) setEvacuated(a *agentState, evacuated bool) {
+	if a.health.unavailable() {
+		s.countUnavailable(a, -1)
+	}
+	a.evacuated = evacuated
+	if a.health.unavailable() {
+		s.countUnavailable(a, 1)
+	}
+}
+
+// countUnavailable counts an agent that was suspended or ejected, or is no longer. One in an
+// evacuated zone does not count: it takes no starts anyway, and would keep failing agents
+// elsewhere from being suspended.
+func (s *Adaptive) countUnavailable(a *agentState, n int) {
+	if !a.evacuated {
+		s.unavailable += n
+	}
+}
+
 // makeUsable moves a connected agent to the usable ones.
 func (s *Adaptive) makeUsable(a *agentState) {
 	s.swapConnected(a.index, s.usableCount)
--- a/core/policy/evacuation_test.go
+++ b/core/policy/evacuation_test.go
@@ -338,3 +338,29 @@
 		assert.Equal(t, n, (9-3*len(zones)+quarantineDivisor-1)/quarantineDivisor)
 	}
 }
+
+// Guards against failing workers that cannot be suspended because others in an evacuated zone
+// are ejected, and against a zone that returns with all of its workers ejected.
+func TestAgentsInEvacuatedZonesDoNotUseUpTheEjections(t *testing.T) {
+	s := newZones(30, Options{})
+	fail := func(now time.Duration, i int) {
+		a := s.agents[wire.Incarnation(i+1)]
+		a.health.attributed = 3
+		s.Observe(now, a.info.Agent, wire.Load{Slots: 8, Limit: 8, Successes: 100, Failures: a.health.failures + 3, Evacuated: a.info.Load.Evacuated})
+	}
+	for _, i := range []int{0, 3, 6} {
+		s.agents[wire.Incarnation(i+1)].health.eject(0, 0)
+		s.unavailable++
+	}
+	s.SetEvacuatedZones(time.Second, []string{"a"})
+	assert.Equal(t, s.unavailable, 0)
+	for i := 9; i < 30; i += 3 { // of zone a
+		fail(time.Second, i)
+		assert.Assert(t, !s.agents[wire.Incarnation(i+1)].health.unavailable())
+	}
+	fail(2*time.Second, 1)
+	assert.Assert(t, s.agents[2].health.suspended)
+	assert.Equal(t, s.unavailable, 1)
+	s.SetEvacuatedZones(3*time.Second, nil)
+	assert.Equal(t, s.unavailable, 4)
+}
--- a/core/policy/health.go
+++ b/core/policy/health.go
@@ -279,6 +279,9 @@
 	return math.Pow(max(peerFailureShare, minFailureShare), float64(n)) < maxProbability
 }
 
+// unavailable reports whether the agent is suspended or ejected.
+func (h *health) unavailable() bool { return h.suspended || h.ejected }
+
 // mayEject reports whether one more of total agents may be suspended or ejected if
 // unavailable ones already are.
 func mayEject(unavailable, total int) bool {
