Keep sums of the attempts at evacuated agents

While a zone was evacuated or returned, each decision and each admission walked the evacuated agents, or all of them, to subtract their attempts from those in service.

The scheduler now keeps the attempts in flight at evacuated agents, and at those that return, grouped by the time of their return, up to date with each attempt. Attempts at evacuated agents whose link is down no longer count as in service either.

Weighed: a sum that is computed anew once per millisecond (placements within it would count in full and raise the learned capacity).

The property test compares the sums with a walk after each event; it fails if one of three updates is left out. go test of core/policy and core/entry and go test -race of core/policy pass.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -21,7 +21,7 @@
 	connected        []*agentState // the first usableCount of them are not evacuated
 	usableCount      int
 	evacuatedZones   []string
-	returningUntil   time.Duration // until then an agent may count as capacity in part
+	returning        []returnGroup // of the agents that count as capacity in part
 	freed            []*agentState // freed a slot recently, oldest first
 	queue            *queue
 	budget           budget
@@ -33,15 +33,18 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int           // agents suspended or ejected that are not evacuated
-	inFlight         int           // attempts
-	standing         int           // of these, standing ones
-	meanInService    float64       // mean number of this entry's tasks in service under backlog
-	newWork          workRate      // of admitted jobs that were not sent again
-	waitScale        float64       // scales the accepted queueing delay
-	meanLogRatio     float64       // mean of the agents' speed.logRatio
-	now              time.Duration // process time of the last Admit or Next
-	resumedAt        time.Duration // end of the last pause of the process, see Resumed
+	unavailable      int // agents suspended or ejected that are not evacuated
+	inFlight         int // attempts
+	standing         int // of these, standing ones
+	// evacuatedInFlight and evacuatedStanding are the part of inFlight and standing at
+	// evacuated agents.
+	evacuatedInFlight, evacuatedStanding int
+	meanInService                        float64       // mean number of this entry's tasks in service under backlog
+	newWork                              workRate      // of admitted jobs that were not sent again
+	waitScale                            float64       // scales the accepted queueing delay
+	meanLogRatio                         float64       // mean of the agents' speed.logRatio
+	now                                  time.Duration // process time of the last Admit or Next
+	resumedAt                            time.Duration // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -70,7 +70,7 @@
 	t.SchedulerState = -int(now) - 1
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
-	s.inFlight++
+	s.countAttempts(a, 1, 0)
 	a.attempts.add(now)
 	if j.job.LongRunning {
 		a.longRunning.add(now, t.NotRunAttempts > 0)
@@ -110,10 +110,11 @@
 	if task.Job.LongRunning {
 		a.longRunning.remove(sentAt)
 	}
-	s.inFlight--
+	standing := 0
 	if a.attempts.remove(sentAt) {
-		s.standing--
+		standing = 1
 	}
+	s.countAttempts(a, -1, -standing)
 	s.addFreed(a)
 	if r.Reason != wire.ReasonAgentLost && sentAt >= s.resumedAt {
 		rtt := now - sentAt - r.QueueTime.Duration() - r.RunTime.Duration()
@@ -321,7 +322,7 @@
 	}
 	a.observe(now, load)
 	s.observeEvacuated(now, a)
-	s.standing += a.attempts.advance(now)
+	s.countAttempts(a, 0, a.attempts.advance(now))
 	s.creditLongRunning(now, a)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
--- a/core/policy/bench_test.go
+++ b/core/policy/bench_test.go
@@ -78,3 +78,20 @@
 		})
 	}
 }
+
+// BenchmarkNextWhileEvacuated measures a decision without waiting tasks, which is made after
+// every event, while a third of the agents is evacuated or returns.
+func BenchmarkNextWhileEvacuated(b *testing.B) {
+	for _, returned := range []bool{false, true} {
+		b.Run(fmt.Sprint("returned=", returned), func(b *testing.B) {
+			s := newZones(1375, Options{Seed: 1})
+			s.SetEvacuatedZones(time.Second, []string{"a"})
+			if returned {
+				s.SetEvacuatedZones(time.Second, nil)
+			}
+			for b.Loop() {
+				s.Next(time.Second)
+			}
+		})
+	}
+}
--- a/core/policy/evacuation.go
+++ b/core/policy/evacuation.go
@@ -18,6 +18,10 @@
 // first.
 const returnPeriod = 10 * time.Second
 
+// returnGroupPeriod: agents that return within it count as returned at its beginning. It
+// bounds the number of groups, since agents may report the return of their zone one by one.
+const returnGroupPeriod = 100 * time.Millisecond
+
 // usable returns the connected agents that are not evacuated.
 func (s *Adaptive) usable() []*agentState { return s.connected[:s.usableCount] }
 
@@ -66,8 +70,7 @@
 		s.removeFreed(a)
 		return lost
 	}
-	a.returnedAt, a.returning = now, true
-	s.returningUntil = now + returnPeriod
+	s.setReturning(a, now)
 	if a.connected {
 		s.makeUsable(a)
 		s.workerConnected(a)
@@ -80,12 +83,63 @@
 	if a.health.unavailable() {
 		s.countUnavailable(a, -1)
 	}
+	s.countAttempts(a, -a.inFlight, -a.attempts.standing)
 	a.evacuated = evacuated
+	s.countAttempts(a, a.inFlight, a.attempts.standing)
 	if a.health.unavailable() {
 		s.countUnavailable(a, 1)
 	}
 }
 
+// setReturning begins the return of an agent whose zone was evacuated until at.
+func (s *Adaptive) setReturning(a *agentState, at time.Duration) {
+	s.countAttempts(a, -a.inFlight, -a.attempts.standing)
+	a.returnedAt, a.returning = at.Truncate(returnGroupPeriod), true
+	if s.returnGroup(a) == nil {
+		s.returning = append(s.returning, returnGroup{at: a.returnedAt})
+	}
+	s.countAttempts(a, a.inFlight, a.attempts.standing)
+}
+
+// returnGroup holds the attempts in flight at the agents that returned at the same time. With
+// these sums, no decision has to walk the agents.
+type returnGroup struct {
+	at       time.Duration
+	inFlight int
+}
+
+// returnGroup returns the group of an agent that returns, nil if it counts in full.
+func (s *Adaptive) returnGroup(a *agentState) *returnGroup {
+	if a.evacuated || !a.returning {
+		return nil
+	}
+	for i := range s.returning {
+		if s.returning[i].at == a.returnedAt {
+			return &s.returning[i]
+		}
+	}
+	return nil
+}
+
+// endReturns removes the groups whose agents count in full.
+func (s *Adaptive) endReturns(now time.Duration) {
+	if len(s.returning) > 0 {
+		s.returning = slices.DeleteFunc(s.returning, func(g returnGroup) bool { return now-g.at >= returnPeriod })
+	}
+}
+
+// countAttempts counts attempts in flight at the agent, of which some are standing.
+func (s *Adaptive) countAttempts(a *agentState, inFlight, standing int) {
+	s.inFlight += inFlight
+	s.standing += standing
+	if a.evacuated {
+		s.evacuatedInFlight += inFlight
+		s.evacuatedStanding += standing
+	} else if g := s.returnGroup(a); g != nil {
+		g.inFlight += inFlight
+	}
+}
+
 // countUnavailable counts an agent that was suspended or ejected, or is no longer. One in an
 // evacuated zone does not count: it takes no starts anyway, and would keep failing agents
 // elsewhere from being suspended.
@@ -143,21 +197,24 @@
 	switch {
 	case a.evacuated:
 		return 0
-	case a.returning && now-a.returnedAt < returnPeriod:
-		return float64(now-a.returnedAt) / float64(returnPeriod)
+	case a.returning:
+		return returnedShare(now, a.returnedAt)
 	}
 	return 1
 }
 
+// returnedShare returns how much an agent counts as capacity that returned at the given time.
+func returnedShare(now, at time.Duration) float64 {
+	return min(1, max(0, float64(now-at)/float64(returnPeriod)))
+}
+
 // inService returns the number of attempts in flight that count as in service. An attempt at
 // an evacuated agent does not: when it ends, no usable slot becomes free.
 func (s *Adaptive) inService(now time.Duration) float64 {
-	if s.usableCount == len(s.connected) && now >= s.returningUntil {
-		return float64(s.inFlight)
-	}
-	n := float64(s.inFlight)
-	for _, a := range s.connected {
-		n -= float64(a.inFlight) * (1 - a.capacityShare(now))
+	s.endReturns(now)
+	n := float64(s.inFlight - s.evacuatedInFlight)
+	for _, g := range s.returning {
+		n -= float64(g.inFlight) * (1 - returnedShare(now, g.at))
 	}
 	return max(0, n)
 }
@@ -165,11 +222,7 @@
 // windowFull reports whether the window is used up. Attempts at evacuated agents do not count:
 // the window was lowered by their share.
 func (s *Adaptive) windowFull() bool {
-	due := s.answersDue()
-	for _, a := range s.connected[s.usableCount:] {
-		due -= a.answersDue()
-	}
-	return s.window.full(due)
+	return s.window.full(s.answersDue() - (s.evacuatedInFlight - s.evacuatedStanding))
 }
 
 // fitsIfReturned reports whether the connected workers could run the job if no zone were
--- a/core/policy/evacuation_test.go
+++ b/core/policy/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -97,26 +98,30 @@
 }
 
 // Guards against agents that are lost to all searches, or found although they are evacuated,
-// after any sequence of events.
+// and against sums of attempts that differ from those of the agents, after any sequence of
+// events.
 func TestUsableAgentsAreTheConnectedOnesThatAreNotEvacuated(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newZones(0, Options{})
 		zones := []string{}
 		reported := map[wire.Incarnation]bool{}
 		connected := map[wire.Incarnation]bool{}
+		now := time.Duration(0)
+		var placed []Placement
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			id := wire.Incarnation(rapid.IntRange(1, 7).Draw(t, "agent"))
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				s.AgentUp(0, AgentInfo{Agent: id, Zone: zoneOf(int(id)), Slots: 8})
+				s.AgentUp(now, AgentInfo{Agent: id, Zone: zoneOf(int(id)), Slots: 8})
 				connected[id], reported[id] = true, false
 			case 1:
-				s.AgentDown(0, id)
+				s.AgentDown(now, id)
 				connected[id] = false
 			case 2:
 				if s.agents[id] != nil {
 					reported[id] = rapid.Bool().Draw(t, "evacuated")
-					s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Evacuated: reported[id]})
+					s.Observe(now, id, wire.Load{Slots: 8, Limit: 8, Evacuated: reported[id]})
 				}
 			case 3:
 				zones = nil
@@ -125,8 +130,31 @@
 						zones = append(zones, z)
 					}
 				}
-				s.SetEvacuatedZones(0, zones)
+				s.SetEvacuatedZones(now, zones)
+			case 4:
+				enqueue(s, now, "c", 3)
+				placed = append(placed, placeWaiting(s, now)...)
+			case 5:
+				if len(placed) > 0 {
+					s.AttemptDone(now, placed[0].Agent, placed[0].Task, &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+					placed = placed[1:]
+				}
+			}
+			inFlight, due, inService := 0, 0, 0.0
+			for _, a := range s.agents {
+				inFlight += a.inFlight
+				inService += float64(a.inFlight) * a.capacityShare(now)
+				if !a.evacuated {
+					due += a.answersDue()
+				}
 			}
+			assert.Equal(t, s.inFlight, inFlight)
+			assert.Assert(t, math.Abs(s.inService(now)-inService) < 1e-6, "in service %v, want %v", s.inService(now), inService)
+			s.window.size = float64(max(1, due))
+			assert.Equal(t, s.windowFull(), due > 0)
+			s.window.size = float64(due + 1)
+			assert.Assert(t, !s.windowFull())
+			s.window.size = windowMaximum
 			want := 0
 			for id, up := range connected {
 				usable := up && !reported[id] && !slices.Contains(zones, zoneOf(int(id)))
@@ -263,7 +291,7 @@
 	for _, a := range s.agents {
 		a.inFlight, a.ownSlots = 0, 0
 	}
-	s.inFlight, s.meanInService = 0, 0
+	s.inFlight, s.evacuatedInFlight, s.meanInService = 0, 0, 0
 	idle(1)
 	left := s.freeSlots()
 	s.SetEvacuatedZones(time.Second, nil)
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -48,7 +48,8 @@
 	// there are any.
 	quarantined bool
 	// evacuated states that the agent's zone is evacuated, as far as this entry or the agent
-	// knows. returning states that it was at returnedAt for the last time.
+	// knows. returning states that it was until returnedAt,
+	// see returnGroup.
 	evacuated  bool
 	returning  bool
 	returnedAt time.Duration
