Keep reported evacuations across connections of an agent

While only an agent knew of an evacuation, each of its connections made it usable again, and its first report took it out of use. It got starts that it refused, and each time the learned number in service and the window shrank by its share: with one of 9 agents and 20 connections from 40 to 4.

What an agent reported now holds until its next report, and the first report of a new incarnation shrinks nothing, because what was learned does not include it.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -146,6 +146,7 @@
 		a = &agentState{rtt: initialRTT}
 		s.agents[info.Agent] = a
 	}
+	info.Load.Evacuated = info.Load.Evacuated || a.info.Load.Evacuated // until its next report
 	a.info = info
 	a.rackBucket = rackBucket(info.Rack)
 	a.otherZone = info.Zone != s.opts.Zone
@@ -153,7 +154,7 @@
 	a.otherSlots, a.meanOtherSlots = 0, 0
 	if !a.connected {
 		a.connected = true
-		s.setEvacuated(a, s.zoneEvacuated(info.Zone))
+		s.setEvacuated(a, s.isEvacuated(a))
 		a.index = len(s.connected)
 		s.connected = append(s.connected, a)
 		if !a.evacuated {
--- a/core/policy/evacuation.go
+++ b/core/policy/evacuation.go
@@ -47,17 +47,26 @@
 // observeEvacuated applies an agent's report of whether its zone is evacuated: the agent may
 // know of a request, or not know of its removal, before this entry.
 func (s *Adaptive) observeEvacuated(now time.Duration, a *agentState) {
-	if a.evacuated == (a.info.Load.Evacuated || s.zoneEvacuated(a.info.Zone)) {
+	if a.evacuated == s.isEvacuated(a) {
 		return
 	}
 	before := s.usableSlots()
-	s.shrinkCapacity(before, s.updateEvacuated(now, a))
+	lost := s.updateEvacuated(now, a)
+	if !a.health.reported {
+		return // it is new, so what was learned does not include it
+	}
+	s.shrinkCapacity(before, lost)
+}
+
+// isEvacuated reports whether the agent is evacuated, by its last report or by its zone.
+func (s *Adaptive) isEvacuated(a *agentState) bool {
+	return a.info.Load.Evacuated || s.zoneEvacuated(a.info.Zone)
 }
 
 // updateEvacuated sets whether the agent is evacuated, and returns the number of usable slots
 // that are lost thereby.
 func (s *Adaptive) updateEvacuated(now time.Duration, a *agentState) (lost float64) {
-	evacuated := a.info.Load.Evacuated || s.zoneEvacuated(a.info.Zone)
+	evacuated := s.isEvacuated(a)
 	if a.evacuated == evacuated {
 		return 0
 	}
