Leave jobs parked that only evacuated workers could run

Each result from a worker in an evacuated zone, and each connection of one, returned parked jobs to the order of the queue, where the next decisions searched for a worker again in vain; a connection also reset their delays.

Only agents that take starts return parked jobs now; draining ones do not either when a slot becomes free.

--- a/core/policy/evacuation_test.go
+++ b/core/policy/evacuation_test.go
@@ -419,3 +419,30 @@
 		})
 	}
 }
+
+// Guards against searches in vain: jobs that return from parking, and lose the delay that they
+// have reached, for each result and each connection of workers that get no starts.
+func TestEvacuatedAgentsReturnNoParkedJobs(t *testing.T) {
+	s := newZones(9, Options{Seed: 1})
+	running, tasks := newTestJob("c", 0, 72)
+	for _, x := range tasks {
+		s.Enqueue(0, x)
+	}
+	placed := placeWaiting(s, 0)
+	assert.Equal(t, len(placed), 72, running)
+	s.SetEvacuatedZones(0, []string{"a"})
+	parked, waiting := newTestJob("c", 0, 1)
+	s.Enqueue(0, waiting[0])
+	j := s.queue.jobs[parked]
+	s.queue.park(0, time.Second, j, false)
+	for _, p := range placed {
+		if a := s.agents[p.Agent]; a.info.Zone == "a" {
+			s.AttemptDone(1, p.Agent, p.Task, &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+			s.AgentDown(1, p.Agent)
+			s.AgentUp(1, a.info)
+		}
+	}
+	assert.Assert(t, j.parked())
+	s.SetEvacuatedZones(2, nil)
+	assert.Assert(t, !j.parked())
+}
--- a/core/policy/parked.go
+++ b/core/policy/parked.go
@@ -104,7 +104,7 @@
 
 // slotFreed returns the most urgent of the parked jobs that the agent can run.
 func (s *Adaptive) slotFreed(a *agentState) {
-	if !a.connected || s.queue.parked.waiting.Len() == 0 {
+	if !a.acceptsStarts() || s.queue.parked.waiting.Len() == 0 {
 		return
 	}
 	var found []*jobState
@@ -120,8 +120,11 @@
 }
 
 // workerConnected returns the parked jobs that the agent can run, and all gangs, which
-// may need it in addition to others.
+// may need it in addition to others. An evacuated agent runs none of them.
 func (s *Adaptive) workerConnected(a *agentState) {
+	if a.evacuated {
+		return
+	}
 	for _, heap := range []*indexheap.Heap[*jobState]{&s.queue.parked.waiting, &s.queue.parked.unplaceable} {
 		for _, j := range slices.Clone(heap.Items) {
 			if j.job.Gang || a.eligible(j) {
