Let workers that connect after the return of their zone count gradually

Agents that were connected when their zone returned count as capacity in proportion to the time since then, for 10 s. A worker that was restarted for the maintenance connects later, as a new agent, and counted in full at once, although it is the one that is slow.

Measured: the new test fails without the change (share 1 in place of 0.5). go test of core/policy and core/entry and go test -race of core/policy pass.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -39,12 +39,15 @@
 	// evacuatedInFlight and evacuatedStanding are the part of inFlight and standing at
 	// evacuated agents.
 	evacuatedInFlight, evacuatedStanding int
-	meanInService                        float64       // mean number of this entry's tasks in service under backlog
-	newWork                              workRate      // of admitted jobs that were not sent again
-	waitScale                            float64       // scales the accepted queueing delay
-	meanLogRatio                         float64       // mean of the agents' speed.logRatio
-	now                                  time.Duration // process time of the last Admit or Next
-	resumedAt                            time.Duration // end of the last pause of the process, see Resumed
+	// zoneReturns holds when zones were last removed from evacuatedZones.
+	zoneReturns map[string]time.Duration
+
+	meanInService float64       // mean number of this entry's tasks in service under backlog
+	newWork       workRate      // of admitted jobs that were not sent again
+	waitScale     float64       // scales the accepted queueing delay
+	meanLogRatio  float64       // mean of the agents' speed.logRatio
+	now           time.Duration // process time of the last Admit or Next
+	resumedAt     time.Duration // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
@@ -160,6 +163,7 @@
 		if !a.evacuated {
 			s.makeUsable(a)
 		}
+		s.continueReturn(now, a)
 		s.resetMeanLogRatio()
 	}
 	s.observeEvacuated(now, a)
--- a/core/policy/evacuation.go
+++ b/core/policy/evacuation.go
@@ -27,6 +27,19 @@
 
 // SetEvacuatedZones implements Scheduler.
 func (s *Adaptive) SetEvacuatedZones(now time.Duration, zones []string) {
+	for zone, at := range s.zoneReturns {
+		if now-at >= returnPeriod || slices.Contains(zones, zone) {
+			delete(s.zoneReturns, zone)
+		}
+	}
+	if s.zoneReturns == nil {
+		s.zoneReturns = make(map[string]time.Duration)
+	}
+	for _, zone := range s.evacuatedZones {
+		if !slices.Contains(zones, zone) {
+			s.zoneReturns[zone] = now
+		}
+	}
 	s.evacuatedZones = slices.Clone(zones)
 	before, lost := s.usableSlots(), 0.0
 	for _, a := range slices.Clone(s.connected) { // in this order, so that the result is deterministic
@@ -110,6 +123,16 @@
 	s.countAttempts(a, a.inFlight, a.attempts.standing)
 }
 
+// continueReturn lets an agent that connects soon after its zone has returned count as capacity
+// like those that were connected: its worker may have been restarted for the maintenance.
+func (s *Adaptive) continueReturn(now time.Duration, a *agentState) {
+	at, returned := s.zoneReturns[a.info.Zone]
+	if !returned || now-at >= returnPeriod || a.evacuated || a.returning && a.returnedAt >= at.Truncate(returnGroupPeriod) {
+		return
+	}
+	s.setReturning(a, at)
+}
+
 // returnGroup holds the attempts in flight at the agents that returned at the same time. With
 // these sums, no decision has to walk the agents.
 type returnGroup struct {
--- a/core/policy/evacuation_test.go
+++ b/core/policy/evacuation_test.go
@@ -446,3 +446,26 @@
 	s.SetEvacuatedZones(2, nil)
 	assert.Assert(t, !j.parked())
 }
+
+// Guards against jobs that are admitted to workers that are still slow: those that were
+// restarted during the maintenance, and connect after the zone has returned.
+func TestAgentsThatConnectAfterTheReturnCountGradually(t *testing.T) {
+	s := newZones(9, Options{})
+	s.SetEvacuatedZones(0, []string{"a"})
+	s.SetEvacuatedZones(time.Second, nil)
+	for i, c := range []struct {
+		zone  string
+		at    time.Duration
+		share float64
+	}{
+		{"a", time.Second + returnPeriod/2, 0.5},
+		{"b", time.Second + returnPeriod/2, 1},
+		{"a", time.Second + returnPeriod, 1},
+	} {
+		id := wire.Incarnation(100 + i)
+		s.AgentUp(c.at, AgentInfo{Agent: id, Zone: c.zone, Slots: 8})
+		assert.Equal(t, s.agents[id].capacityShare(c.at), c.share)
+	}
+	s.SetEvacuatedZones(time.Minute, []string{"c"})
+	assert.Equal(t, len(s.zoneReturns), 0)
+}
