--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -21,7 +21,7 @@
 	connected        []*agentState // the first usableCount of them are not evacuated
 	usableCount      int
 	evacuatedZones   []string
-	returningUntil   time.Duration // until then an agent may count as capacity in part
+	returning        []returnGroup // of the agents that count as capacity in part
 	freed            []*agentState // freed a slot recently, oldest first
 	queue            *queue
 	budget           budget
@@ -33,16 +33,22 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int      // agents suspended or ejected
-	inFlight         int      // attempts
-	standing         int      // of these, standing ones
-	meanInService    float64  // mean number of this entry's tasks in service under backlog
-	newWork          workRate // of admitted jobs that are not resubmitted
-	reserve          reserve
-	waitScale        float64       // scales the accepted queueing delay
-	meanLogRatio     float64       // mean of the agents' speed.logRatio
-	now              time.Duration // process time of the last Admit or Next
-	resumedAt        time.Duration // end of the last pause of the process, see Resumed
+	unavailable      int // agents suspended or ejected that are not evacuated
+	inFlight         int // attempts
+	standing         int // of these, standing ones
+	// evacuatedInFlight and evacuatedStanding are the part of inFlight and standing at
+	// evacuated agents.
+	evacuatedInFlight, evacuatedStanding int
+	// zoneReturns holds when zones were last removed from evacuatedZones.
+	zoneReturns map[string]time.Duration
+
+	meanInService float64  // mean number of this entry's tasks in service under backlog
+	newWork       workRate // of admitted jobs that are not resubmitted
+	reserve       reserve
+	waitScale     float64       // scales the accepted queueing delay
+	meanLogRatio  float64       // mean of the agents' speed.logRatio
+	now           time.Duration // process time of the last Admit or Next
+	resumedAt     time.Duration // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
@@ -147,6 +153,7 @@
 		a = &agentState{rtt: initialRTT}
 		s.agents[info.Agent] = a
 	}
+	info.Load.Evacuated = info.Load.Evacuated || a.info.Load.Evacuated // until its next report
 	a.info = info
 	a.rackBucket = rackBucket(info.Rack)
 	a.otherZone = info.Zone != s.opts.Zone
@@ -154,12 +161,13 @@
 	a.otherSlots, a.meanOtherSlots = 0, 0
 	if !a.connected {
 		a.connected = true
-		a.evacuated = s.zoneEvacuated(info.Zone)
+		s.setEvacuated(a, s.isEvacuated(a))
 		a.index = len(s.connected)
 		s.connected = append(s.connected, a)
 		if !a.evacuated {
 			s.makeUsable(a)
 		}
+		s.continueReturn(now, a)
 		s.resetMeanLogRatio()
 	}
 	s.observeEvacuated(now, a)
@@ -198,8 +206,8 @@
 		if a.connected || a.inFlight > 0 || now-a.disconnectedAt < disconnectedAgentRetention {
 			continue
 		}
-		if a.health.ejected || a.health.suspended {
-			s.unavailable--
+		if a.health.unavailable() {
+			s.countUnavailable(a, -1)
 		}
 		delete(s.agents, id)
 	}
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -70,7 +70,7 @@
 	t.SchedulerState = -int(now) - 1
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
-	s.inFlight++
+	s.countAttempts(a, 1, 0)
 	a.attempts.add(now)
 	if j.job.LongRunning {
 		a.longRunning.add(now, t.NotRunAttempts > 0)
@@ -110,10 +110,11 @@
 	if task.Job.LongRunning {
 		a.longRunning.remove(sentAt)
 	}
-	s.inFlight--
+	standing := 0
 	if a.attempts.remove(sentAt) {
-		s.standing--
+		standing = 1
 	}
+	s.countAttempts(a, -1, -standing)
 	s.addFreed(a)
 	if r.Reason != wire.ReasonAgentLost && sentAt >= s.resumedAt {
 		rtt := now - sentAt - r.QueueTime.Duration() - r.RunTime.Duration()
@@ -201,7 +202,7 @@
 // is meant to. It ends an ejection unless the agent has failed since.
 func (s *Adaptive) recordHealthy(a *agentState, sentAt time.Duration) {
 	if a.health.recordOwnSuccess(sentAt) && a.health.ejected {
-		s.unavailable--
+		s.countUnavailable(a, -1)
 		a.health.readmit()
 	}
 }
@@ -268,10 +269,12 @@
 }
 
 // checkOutlier suspends an agent whose failures are unlikely compared with those of
-// its peers, and ejects it if they still are once every peer has reported.
+// its peers, and ejects it if they still are once every peer has reported. An agent in an
+// evacuated zone is judged when the zone returns: it does not count as unavailable, so nothing
+// would bound how many of them are ejected.
 func (s *Adaptive) checkOutlier(now time.Duration, a *agentState) {
 	h := &a.health
-	if !s.enabled.health || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
+	if !s.enabled.health || a.evacuated || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
 		return
 	}
 	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, s.usableCount)) {
@@ -284,20 +287,21 @@
 		h.eject(now, s.rand.float())
 	case h.suspended:
 		h.suspended = false
-		s.unavailable--
+		s.countUnavailable(a, -1)
 	case h.isOutlier(failureShare, failingPeers, suspendStreak, suspendProbability):
 		h.suspended = true
 		h.suspendedAt = now
-		s.unavailable++
+		s.countUnavailable(a, 1)
 	}
 }
 
-// peerFailures returns the share of failed tasks at the other agents that are not
+// peerFailures returns the share of failed tasks at the other usable agents that are not
 // ejected, and how many of these failed a task recently or have not proved healthy
-// since their last failure.
+// since their last failure. Failures in an evacuated zone, whose workers may be stopped,
+// say nothing about the jobs.
 func (s *Adaptive) peerFailures(now time.Duration, a *agentState) (failureShare float64, failingPeers int) {
 	successes, total := 0.0, 0.0
-	for _, other := range s.connected {
+	for _, other := range s.usable() {
 		if other == a || other.health.ejected {
 			continue
 		}
@@ -318,7 +322,7 @@
 	}
 	a.observe(now, load)
 	s.observeEvacuated(now, a)
-	s.standing += a.attempts.advance(now)
+	s.countAttempts(a, 0, a.attempts.advance(now))
 	s.creditLongRunning(now, a)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
--- a/core/policy/evacuation_test.go
+++ b/core/policy/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -97,26 +98,30 @@
 }
 
 // Guards against agents that are lost to all searches, or found although they are evacuated,
-// after any sequence of events.
+// and against sums of attempts that differ from those of the agents, after any sequence of
+// events.
 func TestUsableAgentsAreTheConnectedOnesThatAreNotEvacuated(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newZones(0, Options{})
 		zones := []string{}
 		reported := map[wire.Incarnation]bool{}
 		connected := map[wire.Incarnation]bool{}
+		now := time.Duration(0)
+		var placed []Placement
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			id := wire.Incarnation(rapid.IntRange(1, 7).Draw(t, "agent"))
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				s.AgentUp(0, AgentInfo{Agent: id, Zone: zoneOf(int(id)), Slots: 8})
-				connected[id], reported[id] = true, false
+				s.AgentUp(now, AgentInfo{Agent: id, Zone: zoneOf(int(id)), Slots: 8})
+				connected[id] = true // what it reported last holds until its next report
 			case 1:
-				s.AgentDown(0, id)
+				s.AgentDown(now, id)
 				connected[id] = false
 			case 2:
 				if s.agents[id] != nil {
 					reported[id] = rapid.Bool().Draw(t, "evacuated")
-					s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Evacuated: reported[id]})
+					s.Observe(now, id, wire.Load{Slots: 8, Limit: 8, Evacuated: reported[id]})
 				}
 			case 3:
 				zones = nil
@@ -125,8 +130,31 @@
 						zones = append(zones, z)
 					}
 				}
-				s.SetEvacuatedZones(0, zones)
+				s.SetEvacuatedZones(now, zones)
+			case 4:
+				enqueue(s, now, "c", 3)
+				placed = append(placed, placeWaiting(s, now)...)
+			case 5:
+				if len(placed) > 0 {
+					s.AttemptDone(now, placed[0].Agent, placed[0].Task, &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+					placed = placed[1:]
+				}
 			}
+			inFlight, due, inService := 0, 0, 0.0
+			for _, a := range s.agents {
+				inFlight += a.inFlight
+				inService += float64(a.inFlight) * a.capacityShare(now)
+				if !a.evacuated {
+					due += a.answersDue()
+				}
+			}
+			assert.Equal(t, s.inFlight, inFlight)
+			assert.Assert(t, math.Abs(s.inService(now)-inService) < 1e-6, "in service %v, want %v", s.inService(now), inService)
+			s.window.size = float64(max(1, due))
+			assert.Equal(t, s.windowFull(), due > 0)
+			s.window.size = float64(due + 1)
+			assert.Assert(t, !s.windowFull())
+			s.window.size = windowMaximum
 			want := 0
 			for id, up := range connected {
 				usable := up && !reported[id] && !slices.Contains(zones, zoneOf(int(id)))
@@ -263,7 +291,7 @@
 	for _, a := range s.agents {
 		a.inFlight, a.ownSlots = 0, 0
 	}
-	s.inFlight, s.meanInService = 0, 0
+	s.inFlight, s.evacuatedInFlight, s.meanInService = 0, 0, 0
 	idle(1)
 	left := s.freeSlots()
 	s.SetEvacuatedZones(time.Second, nil)
@@ -338,3 +366,106 @@
 		assert.Equal(t, n, (9-3*len(zones)+quarantineDivisor-1)/quarantineDivisor)
 	}
 }
+
+// Guards against failing workers that cannot be suspended because others in an evacuated zone
+// are ejected, and against a zone that returns with all of its workers ejected.
+func TestAgentsInEvacuatedZonesDoNotUseUpTheEjections(t *testing.T) {
+	s := newZones(30, Options{})
+	fail := func(now time.Duration, i int) {
+		a := s.agents[wire.Incarnation(i+1)]
+		a.health.attributed = 3
+		s.Observe(now, a.info.Agent, wire.Load{Slots: 8, Limit: 8, Successes: 100, Failures: a.health.failures + 3, Evacuated: a.info.Load.Evacuated})
+	}
+	for _, i := range []int{0, 3, 6} {
+		s.agents[wire.Incarnation(i+1)].health.eject(0, 0)
+		s.unavailable++
+	}
+	s.SetEvacuatedZones(time.Second, []string{"a"})
+	assert.Equal(t, s.unavailable, 0)
+	for i := 9; i < 30; i += 3 { // of zone a
+		fail(time.Second, i)
+		assert.Assert(t, !s.agents[wire.Incarnation(i+1)].health.unavailable())
+	}
+	fail(2*time.Second, 1)
+	assert.Assert(t, s.agents[2].health.suspended)
+	assert.Equal(t, s.unavailable, 1)
+	s.SetEvacuatedZones(3*time.Second, nil)
+	assert.Equal(t, s.unavailable, 4)
+}
+
+// Guards against capacity that is lost anew, and starts that are refused anew, with each
+// connection of an agent that knows of the evacuation before this entry, also if its worker
+// restarts.
+func TestReconnectsOfEvacuatedAgentsCostNoCapacity(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		t.Run(fmt.Sprint("restarts=", restarts), func(t *testing.T) {
+			s := newZones(9, Options{})
+			id := wire.Incarnation(1)
+			info := s.agents[id].info
+			s.Observe(0, id, wire.Load{Slots: 8, Limit: 8, Evacuated: true})
+			s.meanInService, s.window.size = 40, 60
+			for i := range 20 {
+				s.AgentDown(0, info.Agent)
+				if restarts {
+					info.Agent = wire.Incarnation(100 + i)
+				}
+				s.AgentUp(0, info)
+				assert.Equal(t, s.agents[info.Agent].evacuated, !restarts)
+				s.Observe(0, info.Agent, wire.Load{Slots: 8, Limit: 8, Evacuated: true})
+				assert.Assert(t, s.agents[info.Agent].evacuated)
+			}
+			assert.Equal(t, s.meanInService, 40.0)
+			assert.Equal(t, s.window.size, 60.0)
+		})
+	}
+}
+
+// Guards against searches in vain: jobs that return from parking, and lose the delay that they
+// have reached, for each result and each connection of workers that get no starts.
+func TestEvacuatedAgentsReturnNoParkedJobs(t *testing.T) {
+	s := newZones(9, Options{Seed: 1})
+	running, tasks := newTestJob("c", 0, 72)
+	for _, x := range tasks {
+		s.Enqueue(0, x)
+	}
+	placed := placeWaiting(s, 0)
+	assert.Equal(t, len(placed), 72, running)
+	s.SetEvacuatedZones(0, []string{"a"})
+	parked, waiting := newTestJob("c", 0, 1)
+	s.Enqueue(0, waiting[0])
+	j := s.queue.jobs[parked]
+	s.queue.park(0, time.Second, j, false)
+	for _, p := range placed {
+		if a := s.agents[p.Agent]; a.info.Zone == "a" {
+			s.AttemptDone(1, p.Agent, p.Task, &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+			s.AgentDown(1, p.Agent)
+			s.AgentUp(1, a.info)
+		}
+	}
+	assert.Assert(t, j.parked())
+	s.SetEvacuatedZones(2, nil)
+	assert.Assert(t, !j.parked())
+}
+
+// Guards against jobs that are admitted to workers that are still slow: those that were
+// restarted during the maintenance, and connect after the zone has returned.
+func TestAgentsThatConnectAfterTheReturnCountGradually(t *testing.T) {
+	s := newZones(9, Options{})
+	s.SetEvacuatedZones(0, []string{"a"})
+	s.SetEvacuatedZones(time.Second, nil)
+	for i, c := range []struct {
+		zone  string
+		at    time.Duration
+		share float64
+	}{
+		{"a", time.Second + returnPeriod/2, 0.5},
+		{"b", time.Second + returnPeriod/2, 1},
+		{"a", time.Second + returnPeriod, 1},
+	} {
+		id := wire.Incarnation(100 + i)
+		s.AgentUp(c.at, AgentInfo{Agent: id, Zone: c.zone, Slots: 8})
+		assert.Equal(t, s.agents[id].capacityShare(c.at), c.share)
+	}
+	s.SetEvacuatedZones(time.Minute, []string{"c"})
+	assert.Equal(t, len(s.zoneReturns), 0)
+}
