Evacuate zones among the faults of the soaks

No test evacuated zones while real processes are killed, frozen or cut off.

A start in an evacuated zone after the bound fails the run. Agents count as out of contact while their own process or its path to the store has a fault, while links have one, and while all entries are down or frozen. The soak of TestPromisesHoldBetweenProcesses leaves one zone evacuated after the faults, lets all agents get in contact, checks the starts of further jobs, and waits for starts in the zone after the withdrawal.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -106,7 +106,7 @@
 		f.inject = func(ctx context.Context) error { return s.Freeze(ctx, vm, f.duration) }
 	case 3:
 		f.name = "proxy to the store"
-		f.inject = s.proxyFault(r, s.storeProxies[vm], f.duration)
+		f.inject = s.whileDisturbed(vm, s.proxyFault(r, s.storeProxies[vm], f.duration))
 	case 4:
 		f.vm = s.opts.Entries + r.IntN(s.opts.Workers)
 		f.name = "proxy to the worker"
@@ -118,7 +118,7 @@
 	case 7:
 		f.vm = r.IntN(s.opts.Entries)
 		f.name, f.duration = "links", minLinkFault+time.Duration(r.Int64N(int64(maxLinkFault)))
-		f.inject = s.linkFault(r, s.linkProxies[f.vm], f.duration)
+		f.inject = s.whileDisturbed(-1, s.linkFault(r, s.linkProxies[f.vm], f.duration))
 	case 8:
 		w := s.workers[r.IntN(s.opts.Workers)]
 		f.vm, f.name = s.opts.Entries+slices.Index(s.workers, w), "freeze of the worker"
@@ -129,12 +129,12 @@
 	default:
 		f.name = "store"
 		kind := emulator.StoreFault(1 + r.IntN(3))
-		f.inject = func(ctx context.Context) error {
+		f.inject = s.whileDisturbed(vm, func(ctx context.Context) error {
 			s.SetStoreFault(vm, kind)
 			ctxsleep.For(ctx, f.duration)
 			s.SetStoreFault(vm, emulator.StoreHealthy)
 			return nil
-		}
+		})
 	}
 	return f
 }
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -261,6 +261,7 @@
 	for _, o := range Overlaps(runs) {
 		violations = append(violations, ReportedOverlap{o, callsOf[jobOf(o.First.Task)]}.String())
 	}
+	violations = append(violations, s.lateStarts(runs)...)
 	return summarize(calls, runs, faults), append(violations, falseAnswers(callsOf, runs)...), nil
 }
 
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -51,6 +51,7 @@
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			playSite(t, soak.Options{
 				Binary: cmp.Or(*binary, bin.Limpettrail), NodeBinary: bin.Node, Dir: t.TempDir(), Seed: seed, Site: site, LateLease: *lateLease, KeepNames: *keepNames,
+				Evacuations: *evacuate,
 			})
 		})
 	}
@@ -67,7 +68,9 @@
 	assert.NilError(t, s.StartCallers())
 	longestGap := soak.WatchGaps(ctx)
 	time.Sleep(warmUp)
+	evacuated := evacuateZones(ctx, t, s, opts.Seed)
 	faults := s.InjectSiteFaults(ctx, t.Logf, rand.New(rand.NewPCG(opts.Seed, 11)), *siteFaultTime)
+	evacuated()
 	if err := s.Recover(ctx); err != nil {
 		t.Error(err)
 	}
--- a/internal/soak/sitefaults.go
+++ b/internal/soak/sitefaults.go
@@ -271,7 +271,7 @@
 func (s *System) linksOfEntry(r *rand.Rand) siteFault {
 	vm := r.IntN(s.opts.Entries)
 	d := between(r, minLinkFault, 3*time.Second)
-	return siteFault{name: fmt.Sprintf("links of entry %d for %v", vm, d), inject: s.linkFault(r, s.linkProxies[vm], d)}
+	return siteFault{name: fmt.Sprintf("links of entry %d for %v", vm, d), inject: s.whileDisturbed(-1, s.linkFault(r, s.linkProxies[vm], d))}
 }
 
 func (s *System) linksOfCallers(r *rand.Rand) siteFault {
@@ -309,15 +309,15 @@
 	var faults []func(context.Context) error
 	for _, vm := range vms {
 		if kind == 0 {
-			faults = append(faults, s.proxyFault(r, s.storeProxies[vm], d))
+			faults = append(faults, s.whileDisturbed(vm, s.proxyFault(r, s.storeProxies[vm], d)))
 			continue
 		}
-		faults = append(faults, func(ctx context.Context) error {
+		faults = append(faults, s.whileDisturbed(vm, func(ctx context.Context) error {
 			s.SetStoreFault(vm, emulator.StoreFault(kind))
 			ctxsleep.For(ctx, d)
 			s.SetStoreFault(vm, emulator.StoreHealthy)
 			return nil
-		})
+		}))
 	}
 	return concurrently(fmt.Sprintf("store, kind %d, for %v, VMs %v", kind, d, vms), faults)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,7 @@
 	large     = flag.Bool("soak.large", false, "play largeSize, one seed after the other, without failedSeeds")
 	allFaults = flag.Bool("soak.all", false, "inject all kinds of faults; always on with -soak.large")
 	binary    = flag.String("soak.binary", "", "path of another build to play, for instance of an earlier commit")
+	evacuate  = flag.Bool("soak.evacuations", true, "evacuate zones among the faults; off for builds that cannot")
 	logDir    = flag.String("soak.logs", "", "folder for the logs of failed seeds")
 )
 
@@ -94,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), seedTimeout)
 	defer cancel()
 	s, err := soak.Start(ctx, soak.Options{
-		Binary: binary, Dir: t.TempDir(), Entries: extent.entries, Workers: extent.workers, Seed: seed, Large: *large, AllFaults: *large || *allFaults,
+		Binary: binary, Dir: t.TempDir(), Entries: extent.entries, Workers: extent.workers, Seed: seed, Large: *large, AllFaults: *large || *allFaults, Evacuations: *evacuate,
 	})
 	assert.NilError(t, err)
 	defer s.Close()
@@ -103,7 +104,9 @@
 	stored := make(chan []emulator.StoredJob, 1)
 	go func() { replies <- s.SubmitJobs(ctx, extent.jobs, extent.jobInterval) }()
 	go func() { stored <- s.SubmitStoredJobs(ctx, extent.stored, extent.storedInterval) }()
+	evacuated := evacuateZones(ctx, t, s, seed)
 	s.InjectFaults(ctx, t.Logf, rand.New(rand.NewPCG(seed, 7)), extent.faults)
+	zone := evacuated()
 	if err := s.Recover(ctx); err != nil {
 		t.Error(err)
 	}
@@ -117,7 +120,13 @@
 			s.Await(ctx, &jobs[i], i)
 		}
 	}
+	if zone != "" {
+		s.AwaitContact(ctx)
+	}
 	repliesAfter := s.SubmitJobs(ctx, 10, 100*time.Millisecond)
+	if zone != "" {
+		awaitReturn(ctx, t, s, zone)
+	}
 	for _, v := range s.Checker.Violations() {
 		t.Error(v)
 	}
@@ -126,6 +135,31 @@
 		"no job completed after the faults: %v", repliesAfter)
 }
 
+// evacuateZones evacuates zones until the returned function is called, which leaves one zone
+// evacuated and returns its name.
+func evacuateZones(ctx context.Context, t *testing.T, s *soak.System, seed uint64) (end func() string) {
+	if !*evacuate {
+		return func() string { return "" }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	zone := make(chan string, 1)
+	go func() { zone <- s.EvacuateZones(ctx, t.Logf, rand.New(rand.NewPCG(seed, 13))) }()
+	return func() string { cancel(); return <-zone }
+}
+
+// awaitReturn withdraws the evacuation of a zone and waits until tasks start there again. It
+// submits bursts of jobs: with little load, workers that were slow during the faults get none.
+func awaitReturn(ctx context.Context, t *testing.T, s *soak.System, zone string) {
+	s.WithdrawEvacuation(zone)
+	for before := s.Checker.StartsIn(zone); s.Checker.StartsIn(zone) == before; {
+		if ctx.Err() != nil {
+			t.Errorf("no task starts in zone %s after its evacuation", zone)
+			return
+		}
+		s.SubmitJobs(ctx, 60, time.Millisecond)
+	}
+}
+
 // saveLogs writes the logs of a failed seed to the folder given by -soak.logs.
 func saveLogs(t *testing.T, s *soak.System, seed uint64) {
 	if !t.Failed() || *logDir == "" {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -49,6 +49,8 @@
 	// AllFaults adds faults of the links between entries and agents, long tasks, callers
 	// that leave early, frozen workers and series of configurations with SIGHUP.
 	AllFaults bool
+	// Evacuations enables the evacuation of zones.
+	Evacuations bool
 	// Site, if not nil, gives the numbers of entries and workers in place of the fields
 	// above, and starts the workers as processes of their own.
 	Site *Site
@@ -84,13 +86,21 @@
 	unstarted     []int          // VMs of the spare entries that were not started yet
 	processMu     []sync.Mutex   // by VM; held by faults of the VM's processes with Options.Site
 
-	mu     sync.Mutex        // guards procs, startedAt and output
+	mu     sync.Mutex        // guards procs, startedAt, output and the fields below
 	output map[string]string // of processes that have exited, by VM name
+	// disturbedEntries counts the faults of each entry's process, by VM. endNoEntry is set
+	// while all entries have one.
+	disturbedEntries []int
+	endNoEntry       func()
+	endDown          [][]func() // called when the process of a VM is started again
 }
 
 // Start starts every process and waits until every entry is ready.
 func Start(ctx context.Context, opts Options) (*System, error) {
 	clusterOpts := emulator.ClusterOptions{Entries: opts.Entries, Workers: opts.Workers, Seed: opts.Seed, External: true}
+	if opts.Evacuations {
+		clusterOpts.EvacuationBound = evacuationBound
+	}
 	if opts.AllFaults {
 		clusterOpts.LongShare, clusterOpts.LeaveShare = longShare, leaveShare
 	}
@@ -117,6 +127,7 @@
 	n := s.VMs()
 	s.removed, s.processMu, s.output = make([]bool, n), make([]sync.Mutex, n), make(map[string]string)
 	s.procs, s.startedAt = make([]*harness.Process, n), make([]time.Time, n)
+	s.disturbedEntries, s.endDown = make([]int, s.opts.Entries), make([][]func(), n)
 }
 
 func (s *System) startProcesses(ctx context.Context) error {
@@ -244,8 +255,9 @@
 		return err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.procs[vm], s.startedAt[vm] = p, time.Now()
+	s.mu.Unlock()
+	s.noteUp(vm)
 	return nil
 }
 
@@ -279,6 +291,7 @@
 // Kill kills the process of a VM.
 func (s *System) Kill(vm int) {
 	if p := s.process(vm); p != nil {
+		s.noteDown(vm)
 		p.Kill()
 		s.markDown(vm)
 	}
@@ -299,6 +312,7 @@
 	if p == nil {
 		return nil
 	}
+	s.noteDown(vm)
 	if err := p.Terminate(); err != nil {
 		return err
 	}
@@ -318,6 +332,7 @@
 	if p == nil {
 		return nil
 	}
+	defer s.disturb(vm)()
 	if err := p.Freeze(); err != nil {
 		return err
 	}
