--- a/core/entry/evacuationmodel_test.go
+++ b/core/entry/evacuationmodel_test.go
@@ -151,6 +151,22 @@
 		w.advance(700 * time.Millisecond)
 	}
 	w.advance(4 * time.Second)
+	w.requireStored()
+}
+
+// requireStored checks that stored jobs, which wait while all zones are evacuated, are completed
+// once one is not.
+func (w *evacuationWorld) requireStored() {
+	if w.open() == 0 {
+		w.settled = false // agents and entries learn of the withdrawal one after the other
+		w.topic.write(w.now, w.agents[0].zone, false)
+		w.advance(10 * time.Second)
+	}
+	for _, e := range w.entries {
+		if len(e.stored) > 0 {
+			w.fail("%d stored jobs of entry %d wait although %d agents are not evacuated", len(e.stored), e.index, w.open())
+		}
+	}
 }
 
 // playEvacuations plays a number of events. choose returns 0 to limit.
