--- a/core/entry/evacuationworld_test.go
+++ b/core/entry/evacuationworld_test.go
@@ -76,6 +76,7 @@
 	reader  topicReader
 	links   []*zoneLink
 	jobs    map[wire.SubmissionID]time.Duration // when each must have been answered
+	stored  map[wire.SubmissionID]bool          // stored jobs that are not answered
 	asOf    int64
 	states  translator
 }
@@ -94,6 +95,7 @@
 	redialAt    [3]time.Duration
 	ways        [3]linkWay
 	linkedSince time.Duration
+	drainUntil  time.Duration // when its process ends that is being stopped, 0 if it is not
 	runs        []workerRun
 	refused     map[agent.AttemptID]bool // reported as not run because of the evacuation
 	asOf        int64
@@ -215,6 +217,7 @@
 func (w *evacuationWorld) startEntry(e *zoneEntry) {
 	path := e.reader.path
 	e.id, e.reader, e.links, e.jobs, e.asOf = wire.Incarnation(1000+w.newID()), topicReader{path: path}, nil, make(map[wire.SubmissionID]time.Duration), 0
+	e.stored = make(map[wire.SubmissionID]bool)
 	e.states = translator{active: w.broken == entryReverts}
 	e.ranSince = w.now
 	e.machine = entry.New(entry.Options{
@@ -222,6 +225,7 @@
 		LostAgentTimeout: 400 * time.Millisecond, ResendDelay: resendDelay,
 	})
 	w.stepEntry(e, entry.Configured{Settings: policy.Settings{Classes: []policy.Class{{Name: "c", ResponseTarget: 10 * time.Second, TargetShare: 1}}}})
+	w.stepEntry(e, entry.StoredLease{Until: 24 * time.Hour})
 }
 
 // restartEntry kills the process of an entry. The next one starts after d.
@@ -239,7 +243,7 @@
 	a.id, a.epoch, a.runs, a.listing, a.asOf = wire.Incarnation(w.newID()), 0, nil, nil, 0
 	a.refused, a.told = make(map[agent.AttemptID]bool), nil
 	a.states = translator{active: w.broken == agentReverts}
-	a.ranSince, a.linkedSince = w.now, w.now
+	a.ranSince, a.linkedSince, a.drainUntil = w.now, w.now, 0
 	opts := agent.Options{
 		Incarnation: a.id, Slots: 2, Zone: a.zone, EvacuationBound: evacuationBound, Evacuations: *a.tell(&known),
 		HeartbeatInterval: modelHeartbeat, RunLease: modelRunLease, LostLinkTimeout: modelRunLease,
@@ -343,6 +347,17 @@
 		w.stepAgent(a, agent.Tick{})
 	}
 	w.continueListing(a)
+	if a.drainUntil > 0 && w.now >= a.drainUntil {
+		w.restartAgent(a, false, w.millis(0, 500))
+	}
+}
+
+// drainAgent stops the process of an agent: it drains for d at most, and another one starts.
+func (w *evacuationWorld) drainAgent(a *zoneAgent, d time.Duration) {
+	if a.drainUntil == 0 && a.running(w.now) {
+		a.drainUntil = w.now + d
+		w.stepAgent(a, agent.Drain{})
+	}
 }
 
 func (w *evacuationWorld) continueListing(a *zoneAgent) {
@@ -428,6 +443,8 @@
 					r.endAt, r.outcome, r.reason = w.now+stopTime, wire.Failed, wire.ReasonStopped
 				}
 			}
+		case agent.Drained:
+			a.drainUntil = w.now
 		case agent.ListEvacuations:
 			if a.listing == nil {
 				a.listing, a.listUntil = w.newListing(&a.path, operatorConfigKey), w.now+maxListingTime
@@ -457,6 +474,9 @@
 	if !w.quiet && w.draw(24) == 0 {
 		w.submit(e, w.millis(500, 2500))
 	}
+	if !w.quiet && w.draw(200) == 0 {
+		w.submitStored(e)
+	}
 	w.stepEntry(e, entry.CallersChecked{})
 	w.stepEntry(e, entry.Tick{MadeAt: w.now})
 	for id, at := range e.jobs {
@@ -522,8 +542,14 @@
 			}
 		case entry.Answer:
 			w.answers[fmt.Sprint(x.Answer.Outcome, " ", x.Answer.Reason)]++
+			if e.stored[x.Submission] {
+				delete(e.stored, x.Submission)
+				continue
+			}
 			delete(e.jobs, x.Submission)
 			w.checkAnswer(&x.Answer)
+		case entry.RunFinished:
+			w.stepEntry(e, entry.AcknowledgedRuns{Agent: x.Agent, Runs: []wire.RunRef{x.Run.Run}, Superseded: x.Superseded})
 		case entry.EvacuationsChanged:
 			w.log("%v: entry %d has %v as of %d, from %q", w.now, e.index, x.Evacuations.Zones, x.Evacuations.AsOf, x.Agent)
 		}
@@ -543,3 +569,11 @@
 		Payloads: make([][]byte, 1+w.draw(2)),
 	})
 }
+
+// submitStored submits a stored job of one task.
+func (w *evacuationWorld) submitStored(e *zoneEntry) {
+	var id wire.SubmissionID
+	binary.BigEndian.PutUint64(id[:], w.newID())
+	e.stored[id] = true
+	w.stepEntry(e, entry.Submit{Submission: id, Class: "c", MaxFailedRuns: 100, Job: "stored" + id.String(), Payloads: make([][]byte, 1), Stored: true})
+}
