--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -87,6 +87,9 @@
 	ReasonAnswerTooLarge   = "answer_too_large"
 	ReasonClaimPending     = "claim_pending"
 	ReasonEntryPaused      = "entry_paused"
+	// ReasonEvacuated: members of a gang of a job that allows a single run had started when
+	// another member was refused, because its zone is evacuated.
+	ReasonEvacuated = "evacuated"
 )
 
 // Machine is the entry's state machine. It is not safe for concurrent use.
@@ -117,6 +120,7 @@
 	// was pending. A claim that is won later is released.
 	orphanedClaims map[wire.SubmissionID]struct{}
 	config         configState
+	evacuations    evacuationState
 	notedVersion   int64 // highest version of the configuration that an agent announced
 	entries        []wire.EntryAddr
 	draining       bool
@@ -211,6 +215,8 @@
 		m.removeAgent(now, m.agents[e.Agent])
 	case Configured:
 		m.applyConfig(now, e)
+	case EvacuationsRead:
+		m.evacuationsRead(now, e)
 	case StoredLease:
 		m.storedLeaseUntil = max(m.storedLeaseUntil, e.Until)
 	case AcknowledgedRuns:
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -18,7 +18,10 @@
 	classes          map[string]*classState
 	classList        []*classState
 	agents           map[wire.Incarnation]*agentState
-	connected        []*agentState
+	connected        []*agentState // the first usableCount of them are not evacuated
+	usableCount      int
+	evacuatedZones   []string
+	returning        []returnGroup // of the agents that count as capacity in part
 	freed            []*agentState // freed a slot recently, oldest first
 	queue            *queue
 	budget           budget
@@ -30,14 +33,22 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int           // agents suspended or ejected
-	inFlight         int           // attempts
-	standing         int           // of these, standing ones
-	meanInService    float64       // mean number of this entry's tasks in service under backlog
-	waitScale        float64       // scales the accepted queueing delay
-	meanLogRatio     float64       // mean of the agents' speed.logRatio
-	now              time.Duration // process time of the last Admit or Next
-	resumedAt        time.Duration // end of the last pause of the process, see Resumed
+	unavailable      int // agents suspended or ejected that are not evacuated
+	inFlight         int // attempts
+	standing         int // of these, standing ones
+	// evacuatedInFlight and evacuatedStanding are the part of inFlight and standing at
+	// evacuated agents.
+	evacuatedInFlight, evacuatedStanding int
+	// zoneReturns holds when zones were last removed from evacuatedZones.
+	zoneReturns map[string]time.Duration
+
+	meanInService float64  // mean number of this entry's tasks in service under backlog
+	newWork       workRate // of admitted jobs that are not resubmitted
+	reserve       reserve
+	waitScale     float64       // scales the accepted queueing delay
+	meanLogRatio  float64       // mean of the agents' speed.logRatio
+	now           time.Duration // process time of the last Admit or Next
+	resumedAt     time.Duration // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
@@ -47,7 +58,7 @@
 type enabledParts struct {
 	estimates, slackOrder, spread, speed, health bool
 	maxWait, lookAhead, ageing, admission        bool
-	containment                                  bool
+	containment, resubmitted                     bool
 }
 
 // New returns a scheduler without classes or agents.
@@ -60,7 +71,7 @@
 			spread: o.enabled(PartSpread), speed: o.enabled(PartSpeed), health: o.enabled(PartHealth),
 			maxWait: o.enabled(PartMaxWait), lookAhead: o.enabled(PartLookAhead),
 			ageing: o.enabled(PartAgeing), admission: o.enabled(PartAdmission),
-			containment: o.enabled(PartContainment),
+			containment: o.enabled(PartContainment), resubmitted: o.enabled(PartResubmitted),
 		},
 		rand:      newRandom(o.Seed),
 		quotas:    make(map[string]int),
@@ -86,6 +97,9 @@
 	}
 	for _, class := range settings.Classes {
 		c := s.class(class)
+		if c.class.CallerTimeout != class.CallerTimeout {
+			c.shortShare = 0
+		}
 		c.class = class
 		c.published = true
 	}
@@ -139,6 +153,7 @@
 		a = &agentState{rtt: initialRTT}
 		s.agents[info.Agent] = a
 	}
+	info.Load.Evacuated = info.Load.Evacuated || a.info.Load.Evacuated // until its next report
 	a.info = info
 	a.rackBucket = rackBucket(info.Rack)
 	a.otherZone = info.Zone != s.opts.Zone
@@ -146,10 +161,16 @@
 	a.otherSlots, a.meanOtherSlots = 0, 0
 	if !a.connected {
 		a.connected = true
+		s.setEvacuated(a, s.isEvacuated(a))
 		a.index = len(s.connected)
 		s.connected = append(s.connected, a)
+		if !a.evacuated {
+			s.makeUsable(a)
+		}
+		s.continueReturn(now, a)
 		s.resetMeanLogRatio()
 	}
+	s.observeEvacuated(now, a)
 	s.renewQuarantine(now)
 	s.workerConnected(a)
 }
@@ -163,6 +184,9 @@
 	a.connected = false
 	a.disconnectedAt = now
 	s.removeFreed(a)
+	if !a.evacuated {
+		s.makeUnusable(a)
+	}
 	last := len(s.connected) - 1
 	s.connected[a.index] = s.connected[last]
 	s.connected[a.index].index = a.index
@@ -182,15 +206,21 @@
 		if a.connected || a.inFlight > 0 || now-a.disconnectedAt < disconnectedAgentRetention {
 			continue
 		}
-		if a.health.ejected || a.health.suspended {
-			s.unavailable--
+		if a.health.unavailable() {
+			s.countUnavailable(a, -1)
 		}
 		delete(s.agents, id)
 	}
 }
 
 // Admit implements Scheduler.
-func (s *Adaptive) Admit(now time.Duration, job *Job) AdmitResult { return s.admit(now, job) }
+func (s *Adaptive) Admit(now time.Duration, job *Job) AdmitResult {
+	result := s.admit(now, job)
+	if result.Refusal == Admitted && !job.Resubmitted {
+		s.newWork.add(now, time.Duration(job.Tasks)*s.expectedRun(s.classes[job.Class], job.DeclaredRunTime))
+	}
+	return result
+}
 
 // Enqueue implements Scheduler.
 func (s *Adaptive) Enqueue(_ time.Duration, task *Task) {
@@ -222,11 +252,12 @@
 // agents, which are extrapolated from SampleAgents agents if more are connected.
 func (s *Adaptive) workPerSlot(c *classState, job *Job) time.Duration {
 	slots := 0
-	for _, a := range s.connected[:min(len(s.connected), s.opts.SampleAgents)] {
+	agents := s.usable()
+	for _, a := range agents[:min(len(agents), s.opts.SampleAgents)] {
 		slots += a.info.Slots
 	}
-	if len(s.connected) > s.opts.SampleAgents {
-		slots = slots * len(s.connected) / s.opts.SampleAgents
+	if len(agents) > s.opts.SampleAgents {
+		slots = slots * len(agents) / s.opts.SampleAgents
 	}
 	return s.expectedRun(c, job.DeclaredRunTime) * time.Duration(job.Tasks) / time.Duration(max(slots, 1))
 }
@@ -248,9 +279,12 @@
 	if complete && now-job.Arrived <= s.responseTarget(c) {
 		met = 1
 	}
-	c.metShare += (met - c.metShare) * metShareWeight
-	if complete {
-		s.team(c, job.Team).adaptBacklogFactor(met == 1)
+	// A resubmitted job had missed its target before it was admitted.
+	if !job.Resubmitted {
+		c.metShare += (met - c.metShare) * metShareWeight
+		if complete {
+			s.team(c, job.Team).adaptBacklogFactor(met == 1)
+		}
 	}
 	if c.byDue.Len() > 0 {
 		s.queue.classes.Put(c)
--- a/core/policy/admission.go
+++ b/core/policy/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -44,13 +45,20 @@
 	if c == nil || !c.published {
 		return AdmitResult{Refusal: RefusedUnknownClass}
 	}
-	if len(s.connected) == 0 {
+	if s.usableCount == 0 {
 		return AdmitResult{Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamRetryAfter)}
 	}
-	if !s.fitsSomewhere(job) || job.Gang && !s.gangFits(c, job) {
+	if !fits(s.usable(), c, job) {
+		if s.fitsIfReturned(c, job) {
+			return AdmitResult{
+				Refusal: RefusedNoUpstream, RetryAfter: s.jittered(noUpstreamRetryAfter),
+				Detail: "the workers that can run the job are in evacuated zones",
+			}
+		}
 		return AdmitResult{Refusal: RefusedNeverFits}
 	}
 	left := job.Deadline - now
+	s.noteResubmitted(c, job)
 	if c.runs.known() && s.enabled.estimates && left < c.runs.p50 {
 		return AdmitResult{Refusal: RefusedDeadline}
 	}
@@ -83,6 +91,9 @@
 	if s.queue.waiting == 0 {
 		return AdmitResult{}
 	}
+	if job.Resubmitted {
+		return s.admitResubmitted(c, job, left)
+	}
 	allowed := s.allowedWait(c, job, left)
 	if wait <= allowed {
 		return AdmitResult{}
@@ -138,7 +149,7 @@
 	own := s.tasksAhead(c, team) * float64(s.expectedRun(c, 0))
 	work := own
 	for _, other := range s.classList {
-		if other != c && other.waiting > 0 && !other.contained(s.now) {
+		if other != c && other.waiting > other.resubmitted && !other.contained(s.now) {
 			work += s.workAhead(c, other, own, contended)
 		}
 	}
@@ -152,8 +163,9 @@
 // new task of the team. A team below its share is not refused because of the
 // backlog of another team.
 func (s *Adaptive) tasksAhead(c *classState, team string) float64 {
+	waiting := c.waiting - c.resubmitted // those are served after it
 	if !s.queue.fair {
-		return float64(c.waiting)
+		return float64(waiting)
 	}
 	t := s.team(c, team)
 	quotas := 0.0
@@ -163,13 +175,13 @@
 	for _, other := range c.byShare.Items {
 		quotas += other.quota
 	}
-	return min(float64(c.waiting), float64(t.waiting)*quotas/t.quota)
+	return min(float64(waiting), float64(t.waiting-t.resubmitted)*quotas/t.quota)
 }
 
 // workAhead estimates the work of another class that is served before a new task
 // of class c; own is the work ahead of that task in its own class.
 func (s *Adaptive) workAhead(c, other *classState, own float64, contended bool) float64 {
-	work := float64(other.waiting) * float64(s.expectedRun(other, 0))
+	work := float64(other.waiting-other.resubmitted) * float64(s.expectedRun(other, 0))
 	switch {
 	case !s.enabled.slackOrder:
 		return work
@@ -183,12 +195,13 @@
 	return work * float64(s.responseTarget(c)) / float64(s.responseTarget(other))
 }
 
-// backlogTime returns the expected time to serve all waiting tasks, in nanoseconds.
+// backlogTime returns the expected time, in nanoseconds, to serve all waiting tasks but those
+// of resubmitted jobs.
 func (s *Adaptive) backlogTime() float64 {
 	work := 0.0
 	for _, c := range s.classList {
-		if c.waiting > 0 && !c.contained(s.now) {
-			work += float64(c.waiting) * float64(s.expectedRun(c, 0))
+		if c.waiting > c.resubmitted && !c.contained(s.now) {
+			work += float64(c.waiting-c.resubmitted) * float64(s.expectedRun(c, 0))
 		}
 	}
 	return work / s.serviceSlots()
@@ -225,11 +238,11 @@
 // system would be refused.
 func (s *Adaptive) serviceSlots() float64 {
 	if s.allRuns.known() {
-		slots := max(s.meanInService, float64(s.inFlight)+usableFreeShare*s.freeSlots())
+		slots := max(s.meanInService, s.inService(s.now)+usableFreeShare*s.freeSlots())
 		return max(1, min(slots, s.window.size))
 	}
 	slots := 0
-	for _, a := range s.connected {
+	for _, a := range s.usable() {
 		slots += a.info.Slots
 	}
 	return max(1, s.meanInService, float64(slots))
@@ -237,7 +250,7 @@
 
 // observeInService samples the number of this entry's tasks in service.
 func (s *Adaptive) observeInService() {
-	n := float64(s.inFlight)
+	n := s.inService(s.now)
 	if s.queue.waiting == 0 || n > s.meanInService {
 		// Without a backlog the number in service does not show how many tasks
 		// could be in service, so the mean only grows.
@@ -251,26 +264,32 @@
 // After a restart or at the start of a burst they are available although this entry
 // has not used them yet.
 func (s *Adaptive) freeSlots() float64 {
-	free := 0.0
 	run := max(s.allRuns.meanOrPrior(0), minMeanRun)
-	agents := s.connected[:min(len(s.connected), s.opts.SampleAgents)]
+	return s.sumOverUsable(func(a *agentState) float64 {
+		return max(0, a.limit()-a.usedSlots(s.now, run, s.enabled.ageing)) * a.capacityShare(s.now)
+	})
+}
+
+// sumOverUsable returns the sum of a figure over the agents that take starts now. It is
+// extrapolated from SampleAgents agents if more are connected.
+func (s *Adaptive) sumOverUsable(figure func(*agentState) float64) float64 {
+	sum := 0.0
+	agents := s.usable()
+	agents = agents[:min(len(agents), s.opts.SampleAgents)]
 	for _, a := range agents {
 		if a.acceptsStarts() && !a.health.ejected && !a.health.suspended && !a.health.down {
-			free += max(0, a.limit()-a.usedSlots(s.now, run, s.enabled.ageing))
+			sum += figure(a)
 		}
 	}
-	return free * float64(len(s.connected)) / float64(max(1, len(agents)))
+	return sum * float64(s.usableCount) / float64(max(1, len(agents)))
 }
 
-// fitsSomewhere reports whether any connected worker meets the job's requirements.
-func (s *Adaptive) fitsSomewhere(job *Job) bool {
-	pool := s.classes[job.Class].class.Pool
-	for _, a := range s.connected {
-		if a.matches(pool, job) {
-			return true
-		}
+// fits reports whether the workers of the agents could run the job if they were idle.
+func fits(agents []*agentState, c *classState, job *Job) bool {
+	if job.Gang {
+		return gangFits(agents, c, job)
 	}
-	return false
+	return slices.ContainsFunc(agents, func(a *agentState) bool { return a.matches(c.class.Pool, job) })
 }
 
 // overQuota reports whether the job's team already has as many waiting tasks in the
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -27,6 +27,10 @@
 	Pool string
 	// Priority orders the classes when tasks wait; the lowest value goes first.
 	Priority int
+	// CallerTimeout is how long callers wait at least for the answer to a job that they
+	// send for the first time. The deadline of a job that is sent again leaves less. 0 means
+	// that it is not known.
+	CallerTimeout time.Duration
 }
 
 // Team is a group of callers with an optional quota.
@@ -80,6 +84,9 @@
 	DeclaredRunTime time.Duration // declared run time of the longest task; 0 if none is declared
 	Arrived         time.Duration // process time
 	Deadline        time.Duration // process time
+	// Resubmitted states that the caller seems to have sent the job before: it states less
+	// time than Class.CallerTimeout. Admit sets it.
+	Resubmitted bool
 }
 
 // Task is a task that waits for placement or has been placed.
@@ -129,7 +136,8 @@
 	// RefusedQuota: the team already has as many waiting tasks in the class as its
 	// quota allows.
 	RefusedQuota
-	// RefusedNoUpstream: no agent is connected.
+	// RefusedNoUpstream: no agent is connected, or the workers that can run the job are
+	// in evacuated zones.
 	RefusedNoUpstream
 	// RefusedContained: jobs of the class make workers crash, and the workers that are
 	// left to it cannot take the job.
@@ -168,6 +176,8 @@
 	AgentUp(now time.Duration, info AgentInfo)
 	// AgentDown stops placements on an agent. Attempts in flight there remain.
 	AgentDown(now time.Duration, agent wire.Incarnation)
+	// SetEvacuatedZones replaces the set of the zones whose agents get no starts.
+	SetEvacuatedZones(now time.Duration, zones []string)
 	// Observe records the load that an agent reported.
 	Observe(now time.Duration, agent wire.Incarnation, load wire.Load)
 	// Admit decides whether to accept a new job. The caller then enqueues its tasks.
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -22,6 +22,10 @@
 	AttemptFailed   = define(1113, "attempt_failed", zapcore.InfoLevel, false)
 	ClassContained  = define(1114, "class_contained", zapcore.WarnLevel, false)
 	ClassReleased   = define(1115, "class_released", zapcore.InfoLevel, false)
+	// ZoneEvacuated and ZoneEvacuationEnded are those of entries, see AgentEvacuated.
+	ZoneEvacuated       = define(1120, "zone_evacuated", zapcore.WarnLevel, false)
+	ZoneEvacuationEnded = define(1121, "zone_evacuation_ended", zapcore.InfoLevel, false)
+	EvacuationIgnored   = define(1124, "evacuation_ignored", zapcore.WarnLevel, false)
 	// The share of callers, peers, operators or heartbeats, at entries and agents.
 	IngressShareUsedUp = define(1130, "ingress_share_used_up", zapcore.WarnLevel, false)
 	IngressShareFree   = define(1131, "ingress_share_free", zapcore.InfoLevel, false)
