--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -13,8 +13,8 @@
 	smallMemory = 4 * megabyte
 	// callersShare, peersShare and framesShare are the shares of the memory besides ownMemory,
 	// in parts of 256. The rest is for the garbage collector and for what evicted connections
-	// hold. On the smallest machines, the share of peers holds 1,200 links, or 240 agents that
-	// connect at once; that of frames holds one of the largest size.
+	// hold. On a machine of 144 MB, the share of peers holds 1,200 links without TLS, or 240
+	// agents that connect at once; that of frames holds one of the largest size.
 	callersShare, peersShare, framesShare = 88, 16, 27
 	// minMemory is where the shares leave a sixth of the memory to the garbage collector.
 	minMemory = 120 * megabyte
