Bound each write of an answer without a deadline

A caller that sent requests and did not read the answers held its connection for ever in phase serving: heartbeats, the platform's JSON interface and the server's own 404 and 405 set no write deadline. Conn.Write now sets one of 10 s where the handler has set none. Weighed: http.Server.WriteTimeout, which counts from the header and would cut answers that wait for their job.

TestUnreadAnswersEndTheirConnection fails without the deadline (trial with 10 s: the connection is open). go test -race ./internal/ingressd passes.

--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -49,6 +49,8 @@
 	raw    net.Conn     // the connection below TLS
 	socket syscall.Conn // nil if it is not known
 	reads  atomic.Uint64
+	// writeBounded is set while a write deadline other than that of Write is in effect.
+	writeBounded atomic.Bool
 
 	// Guarded by guard.mu: the server reads on two goroutines.
 	phase   ingress.Phase
@@ -92,6 +94,30 @@
 	return 0, errNotGranted
 }
 
+// Write implements net.Conn. Where the handler has set no write deadline, as for the server's
+// own answers, each write must end within the guard's timeout: a caller that does not read its
+// answers would hold its connection otherwise.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.guard.opts.Frames && !c.writeBounded.Load() {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.guard.opts.WriteTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeBounded.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.writeBounded.Store(!t.IsZero())
+	return c.Conn.SetDeadline(t)
+}
+
 // received accounts for bytes that were read. If they are not granted, answer tells whether
 // the caller may be told so.
 func (c *Conn) received(p []byte) (granted, answer bool) {
--- a/internal/ingressd/guard.go
+++ b/internal/ingressd/guard.go
@@ -3,6 +3,7 @@
 package ingressd
 
 import (
+	"cmp"
 	"net"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	reportInterval = time.Second
 	// maxEvictions bounds how often a charge is tried again after evictions.
 	maxEvictions = 4
+	// DefaultWriteTimeout is the default of Options.WriteTimeout. It allows for several
+	// repeated packets.
+	DefaultWriteTimeout = 10 * time.Second
 )
 
 // Options configure a Guard.
@@ -35,6 +39,9 @@
 	KeepHeaders []string
 	// ReceiveBuffer is the size of the receive buffers of sockets.
 	ReceiveBuffer int
+	// WriteTimeout bounds each write of an answer whose handler sets no deadline. The default
+	// is DefaultWriteTimeout.
+	WriteTimeout time.Duration
 }
 
 // Guard keeps the account of a group of listeners.
@@ -54,6 +61,7 @@
 
 // New returns a guard without connections.
 func New(opts Options) *Guard {
+	opts.WriteTimeout = cmp.Or(opts.WriteTimeout, DefaultWriteTimeout)
 	return &Guard{
 		opts: opts, refusal: refusal(opts.Refusal), began: time.Now(),
 		account: ingress.New(opts.Limits), conns: make(map[ingress.ID]*Conn),
--- a/internal/ingressd/ingressd_test.go
+++ b/internal/ingressd/ingressd_test.go
@@ -37,14 +37,17 @@
 	release func()
 }
 
-func start(t *testing.T, l ingress.Limits) *server {
+func start(t *testing.T, l ingress.Limits) *server { return startWith(t, l, nil, 0) }
+
+// startWith starts a server with another handler if it is not nil.
+func startWith(t *testing.T, l ingress.Limits, other http.Handler, writeTimeout time.Duration) *server {
 	core, logged := observer.New(zap.InfoLevel)
 	released := make(chan struct{})
 	s := &server{t: t, log: logged, waiting: make(chan struct{}, 100), release: func() { close(released) }}
 	s.guard = ingressd.New(ingressd.Options{
-		Share: "test", Limits: l, Refusal: `{"error":"full"}`, Log: eventlog.New(zap.New(core), "p", 1), ReceiveBuffer: 16 << 10,
+		Share: "test", Limits: l, Refusal: `{"error":"full"}`, Log: eventlog.New(zap.New(core), "p", 1), ReceiveBuffer: 16 << 10, WriteTimeout: writeTimeout,
 	})
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var handler http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, err := ingressd.ReadBody(w, r, ingressd.BodyOptions{MaxBytes: 256 << 10, Timeout: time.Minute})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -56,6 +59,9 @@
 		}
 		fmt.Fprint(w, len(data))
 	})
+	if other != nil {
+		handler = other
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = listener.Addr().String()
@@ -204,3 +210,17 @@
 	})
 	assert.Assert(t, s.log.Len() <= 1+int(time.Since(began)/time.Second), "%d events", s.log.Len())
 }
+
+// Guards against a caller that sends requests, does not read the server's own answers, and so
+// holds its connection for ever.
+func TestUnreadAnswersEndTheirConnection(t *testing.T) {
+	s := startWith(t, limits, http.NotFoundHandler(), 100*time.Millisecond)
+	c := s.send("")
+	requests := strings.Repeat("GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 500)
+	var err error
+	for err == nil {
+		_, err = io.WriteString(c, requests)
+	}
+	nerr, isNet := err.(net.Error)
+	assert.Assert(t, !isNet || !nerr.Timeout(), "the connection is open")
+}
