Evict connections whose requests have a body that nobody reads

A request with a declared body that no handler reads held its connection for ever: net/http reads the body before it answers, without a deadline, in phase serving. 64 of them closed an agent's heartbeat port. Such bodies now count as being read, with the progress bounds of bodies. Those of methods other than POST are read before the handler, so that an incomplete DELETE has no effect.

--- a/internal/ingressd/body.go
+++ b/internal/ingressd/body.go
@@ -17,6 +17,10 @@
 	firstBodyBytes = 4 << 10
 	// deadlineStep is by how much the deadline must have moved to be set again.
 	deadlineStep = 250 * time.Millisecond
+	// maxDiscardBytes and discardTimeout bound a body that no handler reads. The server of
+	// net/http reads as many bytes of one before it answers.
+	maxDiscardBytes = 256 << 10
+	discardTimeout  = 10 * time.Second
 )
 
 // BodyOptions are the bounds of a body.
@@ -35,6 +39,9 @@
 // and its connection is closed after the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, o BodyOptions) ([]byte, error) {
 	b := &bodyReader{conn: ConnOf(r.Context()), control: http.NewResponseController(w), opts: o, began: time.Now()}
+	if b.conn != nil {
+		b.conn.bodyUsed = true
+	}
 	data, err := b.read(w, r)
 	if err == nil && b.conn != nil && !b.conn.setPhase(ingress.Serving) {
 		panic(http.ErrAbortHandler) // the connection was evicted
@@ -49,6 +56,35 @@
 	return data, err
 }
 
+// discardBody reads a body that no handler uses, so that its connection is not taken to serve
+// a request that is incomplete. After an error the connection must not be used again.
+func (c *Conn) discardBody(w http.ResponseWriter, r *http.Request) error {
+	b := &bodyReader{
+		conn: c, control: http.NewResponseController(w), opts: BodyOptions{MaxBytes: maxDiscardBytes, Timeout: discardTimeout}, began: time.Now(),
+	}
+	if !c.setPhase(ingress.Reading) {
+		panic(http.ErrAbortHandler) // the connection was evicted
+	}
+	src := http.MaxBytesReader(w, r.Body, maxDiscardBytes)
+	received, buf := 0, make([]byte, firstBodyBytes/2)
+	var err error
+	for err == nil {
+		b.setDeadline(received)
+		var n int
+		n, err = src.Read(buf)
+		received += n
+	}
+	if !c.setPhase(ingress.Serving) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != io.EOF {
+		b.control.SetReadDeadline(b.began) // as in ReadBody
+		return err
+	}
+	b.control.SetReadDeadline(time.Time{})
+	return nil
+}
+
 type bodyReader struct {
 	conn     *Conn // nil if it is not known
 	control  *http.ResponseController
--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -51,6 +51,8 @@
 	reads  atomic.Uint64
 	// writeBounded is set while a write deadline other than that of Write is in effect.
 	writeBounded atomic.Bool
+	answered     atomic.Bool // something was written since the request began
+	bodyUsed     bool        // ReadBody was called for the request, by its goroutine
 
 	// Guarded by guard.mu: the server reads on two goroutines.
 	phase   ingress.Phase
@@ -98,6 +100,7 @@
 // own answers, each write must end within the guard's timeout: a caller that does not read its
 // answers would hold its connection otherwise.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
 	if !c.guard.opts.Frames && !c.writeBounded.Load() {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.guard.opts.WriteTimeout)); err != nil {
 			return 0, err
@@ -240,18 +243,61 @@
 	closeAll(evicted)
 }
 
-// Handler hands requests on whose connections were not evicted.
+// Handler hands requests on whose connections were not evicted. next reads bodies with
+// ReadBody, and only those of POST requests: others are read and dropped before it is called.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil && !c.begin(r) {
+		c := ConnOf(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		expects := r.Header.Get("Expect") != ""
+		if !c.begin(r) {
 			panic(http.ErrAbortHandler) // the connection is closed; the request has no effect
 		}
-		next.ServeHTTP(w, r)
+		switch {
+		case r.ContentLength == 0:
+			next.ServeHTTP(w, r)
+		case r.Method != http.MethodPost:
+			if err := c.discardBody(w, r); err != nil {
+				refuseBody(w, err)
+				return
+			}
+			next.ServeHTTP(w, r)
+		default:
+			// The server would wait for a body that next does not read, without a deadline.
+			control := http.NewResponseController(w)
+			control.SetReadDeadline(time.Now().Add(discardTimeout))
+			next.ServeHTTP(w, r)
+			switch {
+			case c.bodyUsed:
+			case c.answered.Load() || expects: // the server need not wait for the body any more
+				control.SetReadDeadline(time.Now())
+			default:
+				_ = c.discardBody(w, r) // the server closes the connection after the answer
+			}
+		}
 	})
 }
 
+// refuseBody answers a request whose body did not arrive and that was not handed on.
+func refuseBody(w http.ResponseWriter, err error) {
+	status, reason := http.StatusRequestTimeout, "body_not_received"
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status, reason = http.StatusRequestEntityTooLarge, "body_too_large"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"outcome":"refused","reason":%q,"error":%q}`, reason, reason)
+}
+
 // begin notes that the header of a request was read.
 func (c *Conn) begin(r *http.Request) bool {
+	c.bodyUsed = false
+	c.answered.Store(false)
 	g := c.guard
 	g.mu.Lock()
 	granted, evicted := true, []*Conn(nil)
--- a/internal/ingressd/ingressd_test.go
+++ b/internal/ingressd/ingressd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -224,3 +225,47 @@
 	nerr, isNet := err.(net.Error)
 	assert.Assert(t, !isNet || !nerr.Timeout(), "the connection is open")
 }
+
+// Guards against a caller that declares a body which no handler reads, sends none and so holds
+// its connection for ever, and against a request that is handed on before it is complete.
+func TestBodiesThatNobodyReadsAreEvicted(t *testing.T) {
+	for _, method := range []string{"GET", "DELETE", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			l := limits
+			l.Connections = 2
+			var calls atomic.Int32
+			s := startWith(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				http.NotFound(w, r)
+			}), 0)
+			for range 2 {
+				s.send(method + " /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+			}
+			s.await("answer", func(ingress.Stats) bool {
+				s.guard.Advance(time.Minute)
+				answer, _ := io.ReadAll(s.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+				return strings.HasPrefix(string(answer), "HTTP/1.1 404 ")
+			})
+			assert.Assert(t, s.guard.Stats().Counts[ingress.EvictedStalled] > 0)
+			if method != http.MethodPost {
+				assert.Equal(t, calls.Load(), int32(1))
+			}
+		})
+	}
+}
+
+// Guards against refusing an ordinary request because it has a body that no handler reads.
+func TestBodiesThatNobodyReadsAreAnswered(t *testing.T) {
+	s := startWith(t, limits, http.NotFoundHandler(), 0)
+	c := s.send("")
+	r := bufio.NewReader(c)
+	for _, method := range []string{"GET", "POST"} {
+		for _, body := range []string{"Content-Length: 10\r\n\r\n0123456789", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"} {
+			fmt.Fprintf(c, "%s /x HTTP/1.1\r\nHost: h\r\n%s", method, body)
+			reply, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.StatusCode, 404)
+			io.Copy(io.Discard, reply.Body)
+		}
+	}
+}
