Return from ReadBody after an eviction, and keep answers to failed bodies

ReadBody panicked if its connection was evicted after the last byte, so that callers did not release what they had counted (pendingBytes of entries). It returns an error now. The connection stayed evictable after an error, so that a 408, 413 or 503 could be cut off; it counts as being served before.

--- a/internal/ingressd/body.go
+++ b/internal/ingressd/body.go
@@ -13,6 +13,10 @@
 // be sent again.
 var ErrNotGranted = errors.New("ingress: the bodies of all requests in progress take too much memory")
 
+// errEvicted is returned for a body whose connection is closed. A panic would skip what
+// callers of ReadBody release after it.
+var errEvicted = errors.New("ingress: the connection was evicted")
+
 const (
 	firstBodyBytes = 4 << 10
 	// deadlineStep is by how much the deadline must have moved to be set again.
@@ -43,8 +47,9 @@
 		b.conn.bodyUsed = true
 	}
 	data, err := b.read(w, r)
-	if err == nil && b.conn != nil && !b.conn.setPhase(ingress.Serving) {
-		panic(http.ErrAbortHandler) // the connection was evicted
+	// The answer to a body that failed is not cut off either.
+	if b.conn != nil && !b.conn.setPhase(ingress.Serving) && err == nil {
+		data, err = nil, errEvicted
 	}
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -101,7 +106,7 @@
 		return nil, nil
 	}
 	if b.conn != nil && !b.conn.setPhase(ingress.Reading) {
-		panic(http.ErrAbortHandler) // the connection was evicted
+		return nil, errEvicted
 	}
 	src := http.MaxBytesReader(w, r.Body, b.opts.MaxBytes)
 	most := b.opts.MaxBytes + 1 // room to find that the body is too large
--- a/internal/ingressd/ingressd_test.go
+++ b/internal/ingressd/ingressd_test.go
@@ -269,3 +269,37 @@
 		}
 	}
 }
+
+// Guards against counts of a handler that stay raised because ReadBody does not return for a
+// connection that was evicted, and against an answer to a body that failed that is cut off.
+func TestReadBodyReturnsAfterAnEviction(t *testing.T) {
+	l := limits
+	l.Connections = 1
+	errs := make(chan error, 1)
+	var s *server
+	s = startWith(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		evict := r.URL.Path == "/evicted"
+		_, err := ingressd.ReadBody(w, r, ingressd.BodyOptions{MaxBytes: 2, Timeout: time.Minute, Count: func(int) bool {
+			if evict {
+				s.guard.Advance(time.Minute)
+				x := s.send("")
+				s.await("eviction", func(st ingress.Stats) bool { return st.Counts[ingress.EvictedStalled] == 1 })
+				x.Close()
+			}
+			return true
+		}})
+		if !evict {
+			s.guard.Advance(time.Minute)
+			s.rest(s.send("")) // is refused
+		}
+		errs <- err
+	}), 0)
+	s.send("POST /large HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	assert.ErrorContains(t, <-errs, "too large")
+	assert.Equal(t, s.guard.Stats().Counts[ingress.EvictedStalled], uint64(0))
+	ended := func(st ingress.Stats) bool { return st.Connections == 0 && st.Closing == 0 }
+	s.await("end", ended)
+	s.send("POST /evicted HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	assert.ErrorContains(t, <-errs, "evicted")
+	s.await("end", ended)
+}
