Do not hand on a request of which a part was refused

A pipelined request could be answered 503 by the read that net/http starts before the handler, and be handed on as well once memory was free. A connection with a refused part hands nothing on, and is closed without an answer if bytes were carried over from the request before.

--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -52,6 +52,7 @@
 	// writeBounded is set while a write deadline other than that of Write is in effect.
 	writeBounded atomic.Bool
 	answered     atomic.Bool // something was written since the request began
+	refused      bool        // part of a header was not granted; guarded by guard.mu
 	bodyUsed     bool        // ReadBody was called for the request, by its goroutine
 
 	// Guarded by guard.mu: the server reads on two goroutines.
@@ -163,7 +164,9 @@
 		c.SetReadDeadline(c.begun.Add(allowed))
 	}
 	granted, evicted = c.chargeHeader(c.carried + ingress.RequestCost + ingress.HeaderCost(c.header.Bytes, c.header.Lines))
-	return granted, !granted, evicted
+	c.refused = c.refused || !granted
+	// What was carried may be a whole request that the server has begun to handle.
+	return granted, !granted && c.carried == 0, evicted
 }
 
 // chargeHeader raises what is charged for the header. The caller holds the lock.
@@ -314,7 +317,7 @@
 	if granted && c.charged > largeHeaderCost {
 		evicted = append(evicted, c.prune(r)...)
 	}
-	granted = granted && g.account.Phase(g.now(), c.id, ingress.Serving)
+	granted = granted && !c.refused && g.account.Phase(g.now(), c.id, ingress.Serving)
 	c.phase, c.bodyBytes = ingress.Serving, r.ContentLength
 	g.mu.Unlock()
 	closeAll(evicted)
