--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -112,6 +112,7 @@
 type conn struct {
 	phase    Phase
 	evicted  bool
+	reason   Reason // of the eviction
 	since    time.Duration // when the phase began
 	progress time.Duration // when bytes arrived last
 	received int64         // bytes of the request
@@ -225,6 +226,7 @@
 		return
 	}
 	c.evicted = false
+	a.stats.Counts[c.reason]--
 	c.progress, c.since = now, now
 	a.stats.Connections++
 	a.stats.Bytes += c.charged + a.limits.ConnectionCost
@@ -271,7 +273,7 @@
 		if a.stats.Closing+held > a.limits.Closing() {
 			continue
 		}
-		c.evicted = true
+		c.evicted, c.reason = true, x.reason
 		a.stats.Connections--
 		a.stats.Bytes -= held
 		a.stats.Closing += held
--- a/core/ingress/ingress_test.go
+++ b/core/ingress/ingress_test.go
@@ -244,3 +244,16 @@
 		}
 	})
 }
+
+// Guards against evictions that are counted although they were taken back.
+func TestSparedConnectionsAreNotCounted(t *testing.T) {
+	a := New(Limits{Connections: 1, Bytes: 1 << 20, ConnectionCost: 1, Ordinary: 1})
+	a.Open(0, 1)
+	if _, evict := a.Open(time.Minute, 2); len(evict) != 1 {
+		t.Fatal(evict)
+	}
+	a.Spare(time.Minute, 1)
+	if n := a.Stats().Counts[EvictedIdle]; n != 0 {
+		t.Fatal(n)
+	}
+}
