--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -112,7 +112,7 @@
 type conn struct {
 	phase    Phase
 	evicted  bool
-	reason   Reason // of the eviction
+	reason   Reason        // of the eviction
 	since    time.Duration // when the phase began
 	progress time.Duration // when bytes arrived last
 	received int64         // bytes of the request
