--- a/internal/ingressd/conn.go
+++ b/internal/ingressd/conn.go
@@ -49,6 +49,11 @@
 	raw    net.Conn     // the connection below TLS
 	socket syscall.Conn // nil if it is not known
 	reads  atomic.Uint64
+	// writeBounded is set while a write deadline other than that of Write is in effect.
+	writeBounded atomic.Bool
+	answered     atomic.Bool // something was written since the request began
+	refused      bool        // part of a header was not granted; guarded by guard.mu
+	bodyUsed     bool        // ReadBody was called for the request, by its goroutine
 
 	// Guarded by guard.mu: the server reads on two goroutines.
 	phase   ingress.Phase
@@ -92,6 +97,31 @@
 	return 0, errNotGranted
 }
 
+// Write implements net.Conn. Where the handler has set no write deadline, as for the server's
+// own answers, each write must end within the guard's timeout: a caller that does not read its
+// answers would hold its connection otherwise.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
+	if !c.guard.opts.Frames && !c.writeBounded.Load() {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.guard.opts.WriteTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeBounded.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.writeBounded.Store(!t.IsZero())
+	return c.Conn.SetDeadline(t)
+}
+
 // received accounts for bytes that were read. If they are not granted, answer tells whether
 // the caller may be told so.
 func (c *Conn) received(p []byte) (granted, answer bool) {
@@ -134,7 +164,9 @@
 		c.SetReadDeadline(c.begun.Add(allowed))
 	}
 	granted, evicted = c.chargeHeader(c.carried + ingress.RequestCost + ingress.HeaderCost(c.header.Bytes, c.header.Lines))
-	return granted, !granted, evicted
+	c.refused = c.refused || !granted
+	// What was carried may be a whole request that the server has begun to handle.
+	return granted, !granted && c.carried == 0, evicted
 }
 
 // chargeHeader raises what is charged for the header. The caller holds the lock.
@@ -214,18 +246,61 @@
 	closeAll(evicted)
 }
 
-// Handler hands requests on whose connections were not evicted.
+// Handler hands requests on whose connections were not evicted. next reads bodies with
+// ReadBody, and only those of POST requests: others are read and dropped before it is called.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil && !c.begin(r) {
+		c := ConnOf(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		expects := r.Header.Get("Expect") != ""
+		if !c.begin(r) {
 			panic(http.ErrAbortHandler) // the connection is closed; the request has no effect
 		}
-		next.ServeHTTP(w, r)
+		switch {
+		case r.ContentLength == 0:
+			next.ServeHTTP(w, r)
+		case r.Method != http.MethodPost:
+			if err := c.discardBody(w, r); err != nil {
+				refuseBody(w, err)
+				return
+			}
+			next.ServeHTTP(w, r)
+		default:
+			// The server would wait for a body that next does not read, without a deadline.
+			control := http.NewResponseController(w)
+			control.SetReadDeadline(time.Now().Add(discardTimeout))
+			next.ServeHTTP(w, r)
+			switch {
+			case c.bodyUsed:
+			case c.answered.Load() || expects: // the server need not wait for the body any more
+				control.SetReadDeadline(time.Now())
+			default:
+				_ = c.discardBody(w, r) // the server closes the connection after the answer
+			}
+		}
 	})
 }
 
+// refuseBody answers a request whose body did not arrive and that was not handed on.
+func refuseBody(w http.ResponseWriter, err error) {
+	status, reason := http.StatusRequestTimeout, "body_not_received"
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status, reason = http.StatusRequestEntityTooLarge, "body_too_large"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"outcome":"refused","reason":%q,"error":%q}`, reason, reason)
+}
+
 // begin notes that the header of a request was read.
 func (c *Conn) begin(r *http.Request) bool {
+	c.bodyUsed = false
+	c.answered.Store(false)
 	g := c.guard
 	g.mu.Lock()
 	granted, evicted := true, []*Conn(nil)
@@ -242,7 +317,7 @@
 	if granted && c.charged > largeHeaderCost {
 		evicted = append(evicted, c.prune(r)...)
 	}
-	granted = granted && g.account.Phase(g.now(), c.id, ingress.Serving)
+	granted = granted && !c.refused && g.account.Phase(g.now(), c.id, ingress.Serving)
 	c.phase, c.bodyBytes = ingress.Serving, r.ContentLength
 	g.mu.Unlock()
 	closeAll(evicted)
--- a/internal/ingressd/ingressd_test.go
+++ b/internal/ingressd/ingressd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,14 +38,17 @@
 	release func()
 }
 
-func start(t *testing.T, l ingress.Limits) *server {
+func start(t *testing.T, l ingress.Limits) *server { return startWith(t, l, nil, 0) }
+
+// startWith starts a server with another handler if it is not nil.
+func startWith(t *testing.T, l ingress.Limits, other http.Handler, writeTimeout time.Duration) *server {
 	core, logged := observer.New(zap.InfoLevel)
 	released := make(chan struct{})
 	s := &server{t: t, log: logged, waiting: make(chan struct{}, 100), release: func() { close(released) }}
 	s.guard = ingressd.New(ingressd.Options{
-		Share: "test", Limits: l, Refusal: `{"error":"full"}`, Log: eventlog.New(zap.New(core), "p", 1), ReceiveBuffer: 16 << 10,
+		Share: "test", Limits: l, Refusal: `{"error":"full"}`, Log: eventlog.New(zap.New(core), "p", 1), ReceiveBuffer: 16 << 10, WriteTimeout: writeTimeout,
 	})
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var handler http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, err := ingressd.ReadBody(w, r, ingressd.BodyOptions{MaxBytes: 256 << 10, Timeout: time.Minute})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -56,6 +60,9 @@
 		}
 		fmt.Fprint(w, len(data))
 	})
+	if other != nil {
+		handler = other
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = listener.Addr().String()
@@ -204,3 +211,95 @@
 	})
 	assert.Assert(t, s.log.Len() <= 1+int(time.Since(began)/time.Second), "%d events", s.log.Len())
 }
+
+// Guards against a caller that sends requests, does not read the server's own answers, and so
+// holds its connection for ever.
+func TestUnreadAnswersEndTheirConnection(t *testing.T) {
+	s := startWith(t, limits, http.NotFoundHandler(), 100*time.Millisecond)
+	c := s.send("")
+	requests := strings.Repeat("GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 500)
+	var err error
+	for err == nil {
+		_, err = io.WriteString(c, requests)
+	}
+	nerr, isNet := err.(net.Error)
+	assert.Assert(t, !isNet || !nerr.Timeout(), "the connection is open")
+}
+
+// Guards against a caller that declares a body which no handler reads, sends none and so holds
+// its connection for ever, and against a request that is handed on before it is complete.
+func TestBodiesThatNobodyReadsAreEvicted(t *testing.T) {
+	for _, method := range []string{"GET", "DELETE", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			l := limits
+			l.Connections = 2
+			var calls atomic.Int32
+			s := startWith(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				http.NotFound(w, r)
+			}), 0)
+			for range 2 {
+				s.send(method + " /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+			}
+			s.await("answer", func(ingress.Stats) bool {
+				s.guard.Advance(time.Minute)
+				answer, _ := io.ReadAll(s.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+				return strings.HasPrefix(string(answer), "HTTP/1.1 404 ")
+			})
+			assert.Assert(t, s.guard.Stats().Counts[ingress.EvictedStalled] > 0)
+			if method != http.MethodPost {
+				assert.Equal(t, calls.Load(), int32(1))
+			}
+		})
+	}
+}
+
+// Guards against refusing an ordinary request because it has a body that no handler reads.
+func TestBodiesThatNobodyReadsAreAnswered(t *testing.T) {
+	s := startWith(t, limits, http.NotFoundHandler(), 0)
+	c := s.send("")
+	r := bufio.NewReader(c)
+	for _, method := range []string{"GET", "POST"} {
+		for _, body := range []string{"Content-Length: 10\r\n\r\n0123456789", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"} {
+			fmt.Fprintf(c, "%s /x HTTP/1.1\r\nHost: h\r\n%s", method, body)
+			reply, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.StatusCode, 404)
+			io.Copy(io.Discard, reply.Body)
+		}
+	}
+}
+
+// Guards against counts of a handler that stay raised because ReadBody does not return for a
+// connection that was evicted, and against an answer to a body that failed that is cut off.
+func TestReadBodyReturnsAfterAnEviction(t *testing.T) {
+	l := limits
+	l.Connections = 1
+	errs := make(chan error, 1)
+	var s *server
+	s = startWith(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		evict := r.URL.Path == "/evicted"
+		_, err := ingressd.ReadBody(w, r, ingressd.BodyOptions{MaxBytes: 2, Timeout: time.Minute, Count: func(int) bool {
+			if evict {
+				s.guard.Advance(time.Minute)
+				x := s.send("")
+				s.await("eviction", func(st ingress.Stats) bool { return st.Counts[ingress.EvictedStalled] == 1 })
+				x.Close()
+			}
+			return true
+		}})
+		if !evict {
+			s.guard.Advance(time.Minute)
+			s.rest(s.send("")) // is refused
+		}
+		errs <- err
+	}), 0)
+	s.send("POST /large HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	assert.ErrorContains(t, <-errs, "too large")
+	assert.Equal(t, s.guard.Stats().Counts[ingress.EvictedStalled], uint64(0))
+	ended := func(st ingress.Stats) bool { return st.Connections == 0 && st.Closing == 0 }
+	s.await("end", ended)
+	s.send("POST /evicted HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	assert.ErrorContains(t, <-errs, "evicted")
+	s.await("end", ended)
+}
