Report to entries that ask what ran beside each run

An entry's hello can now ask for it (EntryHello.ReportNeighbours). The agent then measures the slots of each class over time and adds their mean to each result (Result.Neighbours) and the current slots to its load (Load.Classes), at most 8 classes each. An agent without an entry that asked measures nothing; records of 64 classes are kept. A run that began before the first entry asked, or before the worker's capacity grew, is not reported.

The peer protocol is version 6. To an entry that did not ask, a result and a load are one byte longer (an empty list).

go test -race ./core/agent ./core/wire ./internal/link passes; both new tests fail if the run's own slots are counted or a record that is used again keeps its area.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -114,7 +114,8 @@
 	active          []*attempt   // running
 	retainedRuns    retainedRuns // finished runs of stored jobs
 	occupied        float64      // slots taken by running tasks
-	order           uint64       // arrival counter, orders attempts that are due at the same time
+	neighbours      neighbours
+	order           uint64 // arrival counter, orders attempts that are due at the same time
 	config          *wire.ConfigState
 
 	limiter      limiter
--- a/core/agent/capacity.go
+++ b/core/agent/capacity.go
@@ -52,6 +52,7 @@
 		a.slots = full.SlotsFor(a.start.Need, m.opts.Slots)
 		m.occupied += a.slots
 	}
+	m.neighbours.restart(m.neighbours.now, m.neighbours.enabled, m.active)
 	m.emit(CapacityGrown{Capacity: full})
 }
 
--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -34,6 +34,7 @@
 	sentEpoch wire.Epoch
 	sentAt    time.Duration
 	run       Run
+	beside    *besideStart // nil if neighbours are not measured
 	result    wire.Result
 }
 
@@ -93,8 +94,9 @@
 	announceConfig      bool  // announce its version in the next frame
 	// forwardVersion and forwardAt are the version for which forwarding is armed, 0
 	// if it is not, and when it is due.
-	forwardVersion int64
-	forwardAt      time.Duration
+	forwardVersion   int64
+	forwardAt        time.Duration
+	reportNeighbours bool // see wire.EntryHello
 }
 
 // outFrame combines a frame, its action and storage for one result, so that the
@@ -179,6 +181,8 @@
 	rec.configVersion = e.ConfigVersion
 	rec.sendConfig, rec.announceConfig, rec.forwardVersion = false, false, 0
 	m.scheduleForward(now, rec, m.connectDelay())
+	rec.reportNeighbours = e.ReportNeighbours
+	m.updateNeighbours(now)
 }
 
 func (m *Machine) addEntry(entry wire.Incarnation) *entryRecord {
@@ -224,7 +228,9 @@
 		kept = append(kept, rec)
 	}
 	clear(m.entryList[len(kept):])
-	m.entryList = kept
+	if m.entryList = kept; m.neighbours.enabled {
+		m.updateNeighbours(now)
+	}
 	m.probe(now)
 }
 
--- a/core/agent/events.go
+++ b/core/agent/events.go
@@ -21,6 +21,8 @@
 	HelloSentAt time.Duration
 	// ConfigVersion is the configuration version stated in the entry's hello.
 	ConfigVersion int64
+	// ReportNeighbours is what the entry's hello states, see wire.EntryHello.
+	ReportNeighbours bool
 }
 
 // LinkDown reports that the connection with this epoch is closed.
--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -32,6 +32,9 @@
 		n := frameResultCount(rest)
 		f.frame = wire.ToEntry{Results: rest[:n:n], Load: m.Load(now), AgentClock: wire.MicrosOf(now)}
 		f.frame.Load.Draining = m.draining || rec.retiring
+		if rec.reportNeighbours {
+			f.frame.Load.Classes = m.neighbours.report()
+		}
 		f.frame.FinishedRuns, rec.pendingFinishedRuns = rec.pendingFinishedRuns, nil
 		f.frame.SettledStarts = rec.takeSettledStarts()
 		if rec.sendConfig {
--- a/core/agent/starts.go
+++ b/core/agent/starts.go
@@ -210,6 +210,7 @@
 		a.run = Run{Attempt: a.id(), Start: &a.start, Timeout: a.deadline - now, PermittedUntil: m.permittedUntil(a.entry)}
 		m.active = append(m.active, a)
 		m.occupied += a.slots
+		m.neighbours.runStarted(now, a)
 		m.emit(&a.run)
 	}
 }
@@ -233,6 +234,10 @@
 		e.Reason = wire.ReasonRunEnded
 	}
 	m.retainFinishedRun(now, a, e)
+	beside := m.neighbours.runEnded(now, a)
+	if e.Outcome == wire.NotRun {
+		beside = nil
+	}
 	m.finish(a, wire.Result{
 		Outcome:    e.Outcome,
 		Reason:     e.Reason,
@@ -241,6 +246,7 @@
 		Status:     e.Status,
 		Body:       e.Body,
 		Checkpoint: e.Checkpoint,
+		Neighbours: beside,
 	})
 	m.observe(now, a, e)
 	m.boundRetained()
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -13,6 +13,8 @@
 	MaxSlots = 4096
 	// MaxLabels bounds the labels of one worker.
 	MaxLabels = 32
+	// MaxNeighbours bounds the classes in one report of neighbours.
+	MaxNeighbours = 8
 	// MaxRun bounds the number of a run, so that adding to it cannot overflow.
 	MaxRun = 1 << 40
 )
@@ -115,6 +117,9 @@
 		if err := checkCheckpoint(f.Results[i].Checkpoint); err != nil {
 			return err
 		}
+		if err := checkNeighbours(f.Results[i].Neighbours); err != nil {
+			return err
+		}
 	}
 	if err := checkFinishedRuns(f.FinishedRuns); err != nil {
 		return err
@@ -125,9 +130,27 @@
 			return fmt.Errorf("wire: load with running, queued, slots or limit of %d, each must be 0 to %d", n, MaxSlots)
 		}
 	}
+	if err := checkNeighbours(load.Classes); err != nil {
+		return err
+	}
 	return f.Config.check()
 }
 
+func checkNeighbours(list []Neighbour) error {
+	if len(list) > MaxNeighbours {
+		return fmt.Errorf("wire: %d neighbours, at most %d are allowed", len(list), MaxNeighbours)
+	}
+	for i := range list {
+		if list[i].Slots < 0 || list[i].Slots > 1000*MaxSlots {
+			return fmt.Errorf("wire: neighbour with %d thousandths of a slot, must be 0 to %d", list[i].Slots, 1000*MaxSlots)
+		}
+		if err := checkNames(list[i].Class); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *ConfigState) check() error {
 	if c != nil && len(c.State) > MaxConfigBytes {
 		return fmt.Errorf("wire: configuration of %d bytes, at most %d are allowed", len(c.State), MaxConfigBytes)
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol that this code speaks.
-const ProtocolVersion = 5
+const ProtocolVersion = 6
 
 // Limits that both ends enforce on decoded messages.
 const (
@@ -332,6 +332,8 @@
 	Zone          string
 	ConfigVersion int64
 	Entries       []EntryAddr
+	// ReportNeighbours asks the agent for Result.Neighbours and Load.Classes.
+	ReportNeighbours bool
 }
 
 // Start asks the agent to start one attempt of one task.
@@ -386,6 +388,16 @@
 	// Occupied is how much of the slots running and queued tasks take, in
 	// thousandths of a slot.
 	Occupied int
+	// Classes are the slots that runs of each class take now, if the entry asked for
+	// them: at most MaxNeighbours classes, those with the most slots.
+	Classes []Neighbour
+}
+
+// Neighbour states how many slots runs of a class take.
+type Neighbour struct {
+	_     struct{} `cbor:",toarray"`
+	Class string
+	Slots int // thousandths of a slot
 }
 
 // Result reports the final outcome of one attempt.
@@ -399,6 +411,10 @@
 	Status     int    // HTTP status of the upstream, 0 if none
 	Body       []byte
 	Checkpoint string // set if the run did not succeed, see Start.Checkpoint
+	// Neighbours are the slots that runs of each class took beside this one, of all
+	// entries, as the mean over its run time, if the entry asked for them: at most
+	// MaxNeighbours classes, those with the most slots.
+	Neighbours []Neighbour
 }
 
 // ConfigState carries a configuration to a peer that has an older version, or only
--- a/internal/agentd/core.go
+++ b/internal/agentd/core.go
@@ -96,7 +96,7 @@
 	c.emit(eventlog.EntryLinkUp, eventlog.Fields{
 		Peer: e.peer, Detail: e.hello.Name, Count: int64(e.epoch), Age: c.clock.Now() - e.helloSentAt,
 	})
-	return agent.LinkUp{Entry: e.hello.Entry, Epoch: e.epoch, HelloSentAt: e.helloSentAt, ConfigVersion: e.hello.ConfigVersion}
+	return agent.LinkUp{Entry: e.hello.Entry, Epoch: e.epoch, HelloSentAt: e.helloSentAt, ConfigVersion: e.hello.ConfigVersion, ReportNeighbours: e.hello.ReportNeighbours}
 }
 
 // step passes an event to the state machine and applies the resulting actions.
