Place classes that slow each other down apart

With policy.Options.Interference an entry learns from the results of its runs which classes slow each other down (core/interference), and with the value separate adds to the cost of an agent the run time that the new task loses there and that it makes others lose. Own attempts are counted by class; those of other entries are taken from the agent's load report. No agent is excluded and no job refused.

The driver of the tests can slow runs down by what runs beside them. Ran: go test -race ./core/policy ./core/interference passes.

--- a/core/interference/evaluate.go
+++ b/core/interference/evaluate.go
@@ -25,7 +25,7 @@
 		return
 	}
 	informed := w.informed(v.scale)
-	w.effects(v, informed)
+	w.effects(vi, v, informed)
 	variance := w.noise() * v.scale // of a run of weight 1
 	w.effect = append(w.effect[:0], w.part...)
 	errs := make([]float64, n)
@@ -34,13 +34,13 @@
 		if !informed[c] {
 			continue
 		}
-		errs[c] = math.Sqrt(variance * w.contrastVariance(v, informed, c))
+		errs[c] = math.Sqrt(variance * w.contrastVariance(vi, v, informed, c))
 		candidate = candidate || v.counts(c) || w.effect[c] >= minConfidence*errs[c]
 	}
 	if !candidate {
 		return
 	}
-	v.jackknife(w, n, informed)
+	v.jackknife(w, vi, n, informed)
 	for c := range n {
 		if !informed[c] {
 			continue
@@ -187,40 +187,53 @@
 	return max(w.total.yy-explained, 0) / w.total.weight
 }
 
-// contrast sets z to the weight of each slope in the effect of neighbour c: 1 for c
-// itself, and less the mean over the other informed neighbours. Those that count as
-// interfering are left out of that mean, unless all do. It is zero if c is the only
-// informed neighbour: there is nothing to compare it with.
-func (w *workspace) contrast(z []float64, v *victim, informed []bool, c int) {
+// contrast sets z to the weight of each slope in the effect of neighbour c on victim vi:
+// 1 for c itself, and less the mean over other informed neighbours.
+//
+// The victim's own class is left out of that mean, because its slope is biased: of tasks
+// of one job that start together, the longer ones have fewer of the others beside them.
+// (Slopes of -0.04 to -0.05 instead of -0.02 without any interference, jobs of 1 to 4
+// tasks.) Neighbours that count as interfering are left out too, unless all do.
+func (w *workspace) contrast(z []float64, vi int, v *victim, informed []bool, c int) {
 	clear(z)
+	z[c] = 1
 	for _, leaveOut := range [...]bool{true, false} {
 		total := 0.0
+		base := func(d int) bool {
+			return d != c && d != vi && informed[d] && !(leaveOut && v.counts(d))
+		}
 		for d := range informed {
-			if d != c && informed[d] && !(leaveOut && v.counts(d)) {
-				z[d] = -w.total.xx[triangle(d, d)]
-				total -= z[d]
+			if base(d) {
+				total += w.total.xx[triangle(d, d)]
 			}
 		}
 		if total == 0 {
 			continue
 		}
-		for d := range z {
-			z[d] /= total
+		for d := range informed {
+			if base(d) {
+				z[d] = -w.total.xx[triangle(d, d)] / total
+			}
 		}
-		z[c] = 1
 		return
 	}
+	switch {
+	case c == vi || !informed[vi]:
+		z[c] = 0 // there is nothing to compare the only neighbour with
+	case w.slopes[vi] > 0:
+		z[vi] = -1 // there is no third class
+	}
 }
 
 // effects computes the effect of each informed neighbour into w.part.
-func (w *workspace) effects(v *victim, informed []bool) {
+func (w *workspace) effects(vi int, v *victim, informed []bool) {
 	w.part = zeroed(w.part, len(informed))
 	w.weights = zeroed(w.weights, len(informed))
 	for c := range informed {
 		if !informed[c] {
 			continue
 		}
-		w.contrast(w.weights, v, informed, c)
+		w.contrast(w.weights, vi, v, informed, c)
 		for d, weight := range w.weights {
 			w.part[c] += weight * w.slopes[d]
 		}
@@ -228,9 +241,9 @@
 }
 
 // contrastVariance returns the variance of the effect of c for noise of variance 1.
-func (w *workspace) contrastVariance(v *victim, informed []bool, c int) float64 {
+func (w *workspace) contrastVariance(vi int, v *victim, informed []bool, c int) float64 {
 	w.weights = zeroed(w.weights, len(informed))
-	w.contrast(w.weights, v, informed, c)
+	w.contrast(w.weights, vi, v, informed, c)
 	w.forward(w.weights)
 	sum := 0.0
 	for _, x := range w.weights {
@@ -240,7 +253,7 @@
 }
 
 // jackknife computes the effects without each group.
-func (v *victim) jackknife(w *workspace, n int, informed []bool) {
+func (v *victim) jackknife(w *workspace, vi, n int, informed []bool) {
 	for g := range v.sums {
 		w.jack[g] = w.jack[g][:0]
 		if v.sums[g].weight == 0 {
@@ -250,7 +263,7 @@
 		if !w.solve() {
 			continue
 		}
-		w.effects(v, informed)
+		w.effects(vi, v, informed)
 		w.jack[g] = append(w.jack[g], w.part...)
 	}
 }
--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -275,12 +275,12 @@
 }
 
 // Observe adds a run that succeeded. residual is the logarithm of its run time over
-// the forecast.
-func (e *Estimator) Observe(now time.Duration, agentID uint64, class string, residual float64, beside []Exposure) {
+// the forecast. It reports whether the pairs or their effects may have changed.
+func (e *Estimator) Observe(now time.Duration, agentID uint64, class string, residual float64, beside []Exposure) (evaluated bool) {
 	vi, ok := e.index[class]
 	a := e.agent(agentID)
 	if !ok || a == nil || math.IsNaN(residual) || math.IsInf(residual, 0) {
-		return
+		return false
 	}
 	n := len(e.names)
 	x := e.x[:n]
@@ -297,14 +297,16 @@
 	used := a.yRuns[vi] >= agentMinimum
 	y = a.centre(vi, y, x)
 	if !used {
-		return
+		return false
 	}
 	v.add(now, a.group, y, x)
 	v.sinceEval++
-	if v.sinceEval >= max(evaluateEvery, 4*n) {
-		v.sinceEval = 0
-		e.evaluate(now, vi, v)
+	if v.sinceEval < max(evaluateEvery, 4*n) {
+		return false
 	}
+	v.sinceEval = 0
+	e.evaluate(now, vi, v)
+	return true
 }
 
 // agent returns the state of an agent, or nil if there are too many.
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -30,14 +30,15 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int           // agents suspended or ejected
-	inFlight         int           // attempts
-	standing         int           // of these, standing ones
-	meanInService    float64       // mean number of this entry's tasks in service under backlog
-	waitScale        float64       // scales the accepted queueing delay
-	meanLogRatio     float64       // mean of the agents' speed.logRatio
-	now              time.Duration // process time of the last Admit or Next
-	resumedAt        time.Duration // end of the last pause of the process, see Resumed
+	interference     *interferenceState // nil if off
+	unavailable      int                // agents suspended or ejected
+	inFlight         int                // attempts
+	standing         int                // of these, standing ones
+	meanInService    float64            // mean number of this entry's tasks in service under backlog
+	waitScale        float64            // scales the accepted queueing delay
+	meanLogRatio     float64            // mean of the agents' speed.logRatio
+	now              time.Duration      // process time of the last Admit or Next
+	resumedAt        time.Duration      // end of the last pause of the process, see Resumed
 
 	nextCleanup          time.Duration // next call of removeDisconnectedAgents that has an effect
 	nextContentionUpdate time.Duration // next update of the contention state
@@ -70,6 +71,8 @@
 		budget:    budget{tokens: retryBurst},
 		window:    newWindow(),
 		waitScale: waitScaleStart,
+
+		interference: newInterferenceState(o.Interference),
 	}
 }
 
@@ -91,6 +94,7 @@
 	}
 	s.rankClasses()
 	s.reorderQueue()
+	s.configureInterference()
 }
 
 // rankClasses sets the priority delay of every class.
@@ -144,6 +148,7 @@
 	a.otherZone = info.Zone != s.opts.Zone
 	a.reported = false
 	a.otherSlots, a.meanOtherSlots = 0, 0
+	clear(a.classSlots.others)
 	if !a.connected {
 		a.connected = true
 		a.index = len(s.connected)
@@ -186,6 +191,9 @@
 			s.unavailable--
 		}
 		delete(s.agents, id)
+		if s.interference != nil {
+			s.interference.estimator.ForgetAgent(uint64(id))
+		}
 	}
 }
 
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -70,6 +70,7 @@
 	t.SchedulerState = -int(now) - 1
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
+	s.recordClassSlots(a, j.job, a.slotsOf(j.job))
 	s.inFlight++
 	a.attempts.add(now)
 	if j.job.LongRunning {
@@ -107,6 +108,7 @@
 	sentAt := time.Duration(-task.SchedulerState - 1)
 	task.SchedulerState = 0
 	a.recordEnd(a.slotsOf(task.Job))
+	s.recordClassSlots(a, task.Job, -a.slotsOf(task.Job))
 	if task.Job.LongRunning {
 		a.longRunning.remove(sentAt)
 	}
@@ -164,6 +166,7 @@
 func (s *Adaptive) recordOutcome(now, sentAt time.Duration, a *agentState, j *jobState, r *wire.Result) {
 	switch {
 	case r.Outcome == wire.Succeeded:
+		s.observeInterference(now, a, j, r)
 		s.recordSuccess(a, j, sentAt, r.RunTime.Duration())
 	case agentFault(r):
 		j.class.outcomes.add(false)
@@ -313,6 +316,7 @@
 		return
 	}
 	a.observe(now, load)
+	s.observeClasses(a, &load)
 	s.standing += a.attempts.advance(now)
 	s.creditLongRunning(now, a)
 	h := &a.health
--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -44,8 +44,11 @@
 	running       map[agent.AttemptID]bool
 	runningAt     map[agent.AttemptID]int // agent of each run
 	starts        map[agent.AttemptID]*wire.Start
-	frozenUntil   map[int]time.Duration // when the process of an agent goes on
-	capacity      wire.Capacity         // of each worker; zero if not stated
+	frozenUntil   map[int]time.Duration                                   // when the process of an agent goes on
+	capacity      wire.Capacity                                           // of each worker; zero if not stated
+	longer        map[string]float64                                      // run-time factor by class, with beside
+	beside        *besideModel                                            // nil if runs do not slow each other down
+	declare       func(class string, longest time.Duration) time.Duration // declared run time of a job; nil if none
 	rng           *rand.Rand
 }
 
@@ -70,6 +73,7 @@
 func newDriverWithCapacity(seed uint64, entries, agents int, capacity wire.Capacity, settings policy.Settings, sched func(i int) policy.Scheduler) *driver {
 	d := &driver{
 		capacity: capacity, starts: map[agent.AttemptID]*wire.Start{}, frozenUntil: map[int]time.Duration{},
+		longer:    map[string]float64{},
 		downUntil: map[int]time.Duration{}, bad: map[int]bool{}, slow: map[int]float64{}, failedRuns: map[int]int{},
 		jobs: map[wire.SubmissionID]*submitted{}, running: map[agent.AttemptID]bool{}, runningAt: map[agent.AttemptID]int{},
 		rng: rand.New(rand.NewPCG(seed, 1)),
@@ -101,7 +105,7 @@
 		Zone: fmt.Sprint("zone-", k%3), Rack: fmt.Sprint("rack-", k/3), Slots: 8,
 		Capacity: d.capacity, Labels: []string{fmt.Sprint("kind-", k)},
 	}})
-	d.stepAgent(k, agent.LinkUp{Entry: wire.Incarnation(1000 + i), Epoch: 1})
+	d.stepAgent(k, agent.LinkUp{Entry: wire.Incarnation(1000 + i), Epoch: 1, ReportNeighbours: true})
 }
 
 func (d *driver) after(delay time.Duration, do func()) {
@@ -174,6 +178,9 @@
 		delete(d.running, f.Attempt)
 		delete(d.runningAt, f.Attempt)
 		delete(d.starts, f.Attempt)
+		if d.beside != nil {
+			d.beside.end(d, k, f.Attempt)
+		}
 		d.stepAgent(k, f)
 	}
 }
@@ -217,7 +224,7 @@
 func (d *driver) runTask(k int, r *agent.Run) {
 	run := time.Duration(binary.LittleEndian.Uint64(r.Start.Payload))
 	out := agent.Finished{Attempt: r.Attempt, Outcome: wire.Succeeded}
-	if f := d.slow[k]; f > 0 {
+	if f := d.slow[k]; f > 0 && d.beside == nil {
 		run = time.Duration(float64(run) * f)
 	}
 	if poison := r.Start.Payload[8] == 1; poison || d.bad[k] {
@@ -241,6 +248,10 @@
 	d.running[r.Attempt] = true
 	d.runningAt[r.Attempt] = k
 	d.starts[r.Attempt] = r.Start
+	if d.beside != nil {
+		d.beside.begin(d, k, r, run)
+		return
+	}
 	d.after(run, func() { d.endRun(k, out) })
 }
 
@@ -274,5 +285,9 @@
 	}
 	s.ideal = max(longest, total/time.Duration(8*len(d.agents))) + 2*time.Millisecond
 	d.jobs[id] = s
-	d.stepEntry(i, entry.Submit{Submission: id, Class: class, Team: team, Deadline: deadline, Payloads: payloads, MaxFailedRuns: d.maxFailedRuns})
+	submit := entry.Submit{Submission: id, Class: class, Team: team, Deadline: deadline, Payloads: payloads, MaxFailedRuns: d.maxFailedRuns}
+	if d.declare != nil {
+		submit.DeclaredRunTime = d.declare(class, longest)
+	}
+	d.stepEntry(i, submit)
 }
--- a/core/policy/options.go
+++ b/core/policy/options.go
@@ -75,6 +75,9 @@
 	// ZoneDelay is the assumed one-way delay between zones, which is added to the
 	// cost of agents in other zones. The default is 1 ms.
 	ZoneDelay time.Duration
+	// Interference says what is done about classes that slow each other down. It
+	// needs agents that report neighbours.
+	Interference Interference
 }
 
 // Defaults of Options.
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -184,6 +184,7 @@
 		cost += (a.speed.factor(s.meanLogRatio) - 1) * p.run.Seconds()
 		cost += s.speedCost(p, a)
 	}
+	cost += s.interferenceCost(p, a)
 	return cost
 }
 
--- /dev/null
+++ b/core/policy/separation_test.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/limpettrail/limpettrail/core/wire"
+)
+
+// withPair returns a scheduler of two agents in which c is slowed down by d.
+func withPair(mode Interference) *Adaptive {
+	s := newTest(2, Options{Seed: 1, Zone: "z", Interference: mode})
+	x := s.interference
+	x.pairs = 1
+	x.slowedBy, x.slows = make([][]pairEffect, 2), make([][]pairEffect, 2)
+	c, d := x.estimator.Index("c"), x.estimator.Index("d")
+	x.slowedBy[c] = []pairEffect{{other: d, effect: 0.2}}
+	x.slows[d] = []pairEffect{{other: c, effect: 0.2}}
+	return s
+}
+
+// Guards against a placement that leaves out one side of a pair, runs of this or of other
+// entries, and against one that uses the pair while it is only observed.
+func TestBothSidesOfAPairAreKeptApart(t *testing.T) {
+	for _, c := range []struct {
+		present, task string
+		apart         bool
+	}{{"c", "d", true}, {"d", "c", true}, {"c", "c", false}, {"d", "d", false}} {
+		for _, mode := range []Interference{InterferenceObserve, InterferenceSeparate} {
+			for _, own := range []bool{true, false} {
+				s := withPair(mode)
+				at := s.connected[0]
+				if own {
+					enqueue(s, time.Second, c.present, 1)
+					p, ok := s.Next(time.Second)
+					assert.Assert(t, ok)
+					at = s.agents[p.Agent]
+				} else {
+					s.Observe(time.Second, at.info.Agent, wire.Load{Slots: 8, Limit: 8, Running: 1, Successes: 100, Classes: []wire.Neighbour{{Class: c.present, Slots: 1000}}})
+				}
+				j, _ := newTestJob(c.task, time.Second, 1)
+				p := &search{now: time.Second, job: s.newJob(j), run: 200 * time.Millisecond, meanRun: 200 * time.Millisecond}
+				want := 0.0
+				if c.apart && mode == InterferenceSeparate {
+					want = 0.2 * 0.2
+				}
+				assert.Assert(t, math.Abs(s.interferenceCost(p, at)-want) < 1e-9, "%+v %v own %v: %v", c, mode, own, s.interferenceCost(p, at))
+			}
+		}
+	}
+}
+
+// Guards against slots by class that are counted twice, or remain after the attempts, the
+// link or the class have gone.
+func TestSlotsByClassFollowAttemptsAndReports(t *testing.T) {
+	s := withPair(InterferenceSeparate)
+	_, tasks := enqueue(s, time.Second, "c", 1)
+	p, _ := s.Next(time.Second)
+	a := s.agents[p.Agent]
+	c, d := s.interference.estimator.Index("c"), s.interference.estimator.Index("d")
+	report := wire.Load{Slots: 8, Limit: 8, Running: 4, Successes: 100, Classes: []wire.Neighbour{{Class: "c", Slots: 3000}, {Class: "d", Slots: 500}, {Class: "unknown", Slots: 500}}}
+	s.Observe(2*time.Second, p.Agent, report)
+	assert.Equal(t, a.classSlots.present(c), 3.0)
+	assert.Equal(t, a.classSlots.present(d), 0.5)
+	s.AttemptDone(3*time.Second, p.Agent, tasks[0], &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+	assert.Equal(t, a.classSlots.present(c), 2.0)
+	s.Configure(0, Settings{Classes: []Class{{Name: "d", ResponseTarget: time.Second}}})
+	assert.Equal(t, a.classSlots.present(c), 0.0)
+	s.AgentUp(4*time.Second, a.info)
+	assert.Equal(t, a.classSlots.present(d), 0.0)
+}
--- a/core/policy/view.go
+++ b/core/policy/view.go
@@ -42,6 +42,7 @@
 	health      health
 	longRunning longRunningTasks
 	attempts    attemptTimes
+	classSlots  classSlots
 	inFreed     bool          // listed in Adaptive.freed
 	crashedAt   time.Duration // when a run of this entry last ended with the worker's crash; 0 if never
 	// quarantined marks an agent that runs the contained classes of its pool while
