Decode frames that report neighbours

The neighbours of a result are nested five levels deep in a frame and the decoder allowed four: the entry closed the link of an agent with the first such result, and again with each repetition. The limit is five now. Deeper input is rejected as before (TestInvalidFramesAreRejected).

TestNeighboursAreDecoded fails without the change; go test ./internal/link passes.

--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -7,9 +7,9 @@
 	// maxArrayElements is large enough for a query about a whole window (4,096
 	// attempts) and for the results of a whole window.
 	maxArrayElements = 8192
-	// maxNestedLevels is the minimum that the codec accepts. The most deeply nested
-	// message, an entry list in a hello, needs 3.
-	maxNestedLevels = 4
+	// maxNestedLevels is what the most deeply nested message needs: a frame with the
+	// neighbours of a result.
+	maxNestedLevels = 5
 	maxMapPairs     = 16 // the minimum that the codec accepts; no message contains a map
 )
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -66,6 +66,10 @@
 		"negative index":           {encode(t, wire.ToAgent{Starts: []wire.Start{{Index: -1}}}), new(wire.ToAgent)},
 		"no outcome":               {encode(t, wire.ToEntry{Results: make([]wire.Result, 1)}), new(wire.ToEntry)},
 		"negative load":            {encode(t, wire.ToEntry{Load: wire.Load{Running: -1}}), new(wire.ToEntry)},
+		"many neighbours":          {encode(t, wire.ToEntry{Load: wire.Load{Classes: make([]wire.Neighbour, wire.MaxNeighbours+1)}}), new(wire.ToEntry)},
+		"negative neighbour": {
+			encode(t, wire.ToEntry{Results: []wire.Result{{Outcome: wire.Failed, Neighbours: []wire.Neighbour{{Slots: -1}}}}}), new(wire.ToEntry),
+		},
 		"large configuration": {
 			encode(t, wire.ToAgent{Config: &wire.ConfigState{State: make([]byte, wire.MaxConfigBytes+1)}}), new(wire.ToAgent),
 		},
@@ -79,6 +83,17 @@
 	assert.ErrorIs(t, conn.Read(new(wire.ToAgent), testTimeout), ErrFrameTooLarge)
 }
 
+// Guards against a limit of the decoder that breaks the link of an agent that reports
+// neighbours, whose frames are the most deeply nested ones.
+func TestNeighboursAreDecoded(t *testing.T) {
+	list := []wire.Neighbour{{Class: "c", Slots: 1000}}
+	sent := wire.ToEntry{Results: []wire.Result{{Seq: 1, Outcome: wire.Succeeded, Neighbours: list}}, Load: wire.Load{Classes: list}}
+	var received wire.ToEntry
+	assert.NilError(t, Decode(encode(t, sent), &received))
+	assert.Equal(t, received.Results[0].Neighbours[0], list[0])
+	assert.Equal(t, received.Load.Classes[0], list[0])
+}
+
 func encode(t testing.TB, v any) []byte {
 	body, err := Encode(v)
 	assert.NilError(t, err)
