--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -19,6 +19,7 @@
 	"cmp"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/interference"
 	"github.com/limpettrail/limpettrail/core/internal/indexheap"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -100,8 +101,9 @@
 	// containment is nil if the scheduler does not implement it. containedClasses are
 	// those that were reported last.
 	containment      policy.ContainmentReporter
-	alonePlacer      policy.AlonePlacer // nil if the scheduler does not implement it
-	alone            []aloneAttempt     // may include attempts that have ended
+	interference     policy.InterferenceReporter // nil if the scheduler does not implement it
+	alonePlacer      policy.AlonePlacer          // nil if the scheduler does not implement it
+	alone            []aloneAttempt              // may include attempts that have ended
 	containedClasses []string
 	nextSeq          wire.Seq
 	jobs             map[wire.SubmissionID]*job
@@ -161,6 +163,7 @@
 func New(opts Options) *Machine {
 	stuck, _ := opts.Scheduler.(policy.StuckDetector)
 	containment, _ := opts.Scheduler.(policy.ContainmentReporter)
+	reporter, _ := opts.Scheduler.(policy.InterferenceReporter)
 	alonePlacer, _ := opts.Scheduler.(policy.AlonePlacer)
 	retryReleaser, _ := opts.Scheduler.(policy.RetryReleaser)
 	pauseObserver, _ := opts.Scheduler.(policy.PauseObserver)
@@ -168,6 +171,7 @@
 		opts:           opts.withDefaults(),
 		stuckDetector:  stuck,
 		containment:    containment,
+		interference:   reporter,
 		alonePlacer:    alonePlacer,
 		retryReleaser:  retryReleaser,
 		pauseObserver:  pauseObserver,
@@ -188,6 +192,26 @@
 // Jobs returns the number of submissions in progress.
 func (m *Machine) Jobs() int { return len(m.jobs) }
 
+// InterferencePairs returns the pairs of classes that the scheduler has found to slow each
+// other down, sorted.
+func (m *Machine) InterferencePairs() []interference.Pair {
+	if m.interference == nil {
+		return nil
+	}
+	return m.interference.InterferencePairs()
+}
+
+// reportInterference reports the pairs that were found, or are not found any more, since
+// the last call.
+func (m *Machine) reportInterference(now time.Duration) {
+	if m.interference == nil {
+		return
+	}
+	for _, c := range m.interference.InterferenceChanges(now) {
+		m.emit(InterferenceChanged{c})
+	}
+}
+
 // Step applies one event at time now, which must never decrease, and returns
 // the actions to carry out. The returned slice is valid until the next call.
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
@@ -225,6 +249,7 @@
 		m.checkLinks(now)
 		m.cancelStuckRuns(now)
 		m.reportContainment(now)
+		m.reportInterference(now)
 	}
 	m.releaseRetries(now)
 	m.enqueueDueRetries(now)
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/interference"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
@@ -268,6 +269,10 @@
 	Contained bool
 }
 
+// InterferenceChanged reports a pair of classes that the scheduler has found to slow each
+// other down, or no longer finds.
+type InterferenceChanged struct{ interference.Change }
+
 // Paused reports that the process was paused, so that starts are held back for a short
 // time.
 type Paused struct {
@@ -280,19 +285,20 @@
 // Drained reports that the graceful shutdown is complete. It is emitted once.
 type Drained struct{}
 
-func (Send) isAction()               {}
-func (RequestClaim) isAction()       {}
-func (ReleaseClaim) isAction()       {}
-func (Answer) isAction()             {}
-func (JobStarted) isAction()         {}
-func (RunFinished) isAction()        {}
-func (RunCrashed) isAction()         {}
-func (RunRepeated) isAction()        {}
-func (NewerConfig) isAction()        {}
-func (VersionAnnounced) isAction()   {}
-func (ContainmentChanged) isAction() {}
-func (Paused) isAction()             {}
-func (Drained) isAction()            {}
+func (Send) isAction()                {}
+func (RequestClaim) isAction()        {}
+func (ReleaseClaim) isAction()        {}
+func (Answer) isAction()              {}
+func (JobStarted) isAction()          {}
+func (RunFinished) isAction()         {}
+func (RunCrashed) isAction()          {}
+func (RunRepeated) isAction()         {}
+func (NewerConfig) isAction()         {}
+func (VersionAnnounced) isAction()    {}
+func (ContainmentChanged) isAction()  {}
+func (InterferenceChanged) isAction() {}
+func (Paused) isAction()              {}
+func (Drained) isAction()             {}
 
 // JobOutcome is how a submission ended.
 type JobOutcome uint8
--- a/core/policy/driver_test.go
+++ b/core/policy/driver_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpettrail/limpettrail/core/agent"
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/interference"
 	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
@@ -30,15 +31,16 @@
 	entries       []*entry.Machine
 	agents        []*agent.Machine
 	scheds        []policy.Scheduler
-	bad           map[int]bool          // agents that fail every task
-	slow          map[int]float64       // run-time factor
-	failedRuns    map[int]int           // tasks failed by a bad agent
-	busy          time.Duration         // slot time used by runs
-	down          bool                  // all upstreams refuse connections
-	downUntil     map[int]time.Duration // when the crashed upstream of an agent returns
-	crashes       int                   // of upstreams
-	contained     []bool                // whether each entry has contained a class
-	maxFailedRuns int                   // of the jobs that are submitted, see entry.Submit
+	bad           map[int]bool            // agents that fail every task
+	slow          map[int]float64         // run-time factor
+	failedRuns    map[int]int             // tasks failed by a bad agent
+	busy          time.Duration           // slot time used by runs
+	down          bool                    // all upstreams refuse connections
+	downUntil     map[int]time.Duration   // when the crashed upstream of an agent returns
+	crashes       int                     // of upstreams
+	pairChanges   [][]interference.Change // of the entries
+	contained     []bool                  // whether each entry has contained a class
+	maxFailedRuns int                     // of the jobs that are submitted, see entry.Submit
 	jobs          map[wire.SubmissionID]*submitted
 	done          []*submitted
 	running       map[agent.AttemptID]bool
@@ -78,7 +80,7 @@
 		jobs: map[wire.SubmissionID]*submitted{}, running: map[agent.AttemptID]bool{}, runningAt: map[agent.AttemptID]int{},
 		rng: rand.New(rand.NewPCG(seed, 1)),
 	}
-	d.contained = make([]bool, entries)
+	d.contained, d.pairChanges = make([]bool, entries), make([][]interference.Change, entries)
 	for i := range entries {
 		d.scheds = append(d.scheds, sched(i))
 		d.entries = append(d.entries, entry.New(entry.Options{Incarnation: wire.Incarnation(1000 + i), Scheduler: d.scheds[i], MaxJobs: 1 << 20}))
@@ -140,6 +142,8 @@
 			d.after(linkDelay, func() {
 				d.stepEntry(i, entry.AcknowledgedRuns{Agent: a.Agent, Runs: []wire.RunRef{a.Run.Run}, Superseded: a.Superseded})
 			})
+		case entry.InterferenceChanged:
+			d.pairChanges[i] = append(d.pairChanges[i], a.Change)
 		case entry.ContainmentChanged:
 			d.contained[i] = d.contained[i] || a.Contained
 		case entry.Answer:
--- a/core/policy/interference_test.go
+++ b/core/policy/interference_test.go
@@ -98,17 +98,11 @@
 	for _, c := range dayClasses {
 		d.offerTailed(c, p.load/float64(len(dayClasses)), p.end)
 	}
-	changes := make([][]interference.Change, 3)
-	d.every(time.Second, func() {
-		for i, s := range d.scheds {
-			changes[i] = append(changes[i], s.(policy.InterferenceReporter).InterferenceChanges(d.now)...)
-		}
-	})
 	if p.disturb != nil {
 		p.disturb(d)
 	}
 	d.run(p.end)
-	return d, changes
+	return d, d.pairChanges
 }
 
 // offerTailed submits jobs of 1 to 4 tasks of a class. The run times of a job are similar
--- a/internal/agentd/fake_test.go
+++ b/internal/agentd/fake_test.go
@@ -25,6 +25,7 @@
 	t        *testing.T
 	listener net.Listener
 	id       wire.Incarnation
+	ask      bool // for neighbours, see wire.EntryHello
 	list     func() []wire.EntryAddr
 	wg       sync.WaitGroup
 
@@ -100,7 +101,7 @@
 	if conn.ReadPreface() != nil || conn.Read(&hello, testTimeout) != nil {
 		return
 	}
-	reply := wire.EntryHello{Protocol: wire.ProtocolVersion, Entry: e.id, Epoch: hello.Epoch}
+	reply := wire.EntryHello{Protocol: wire.ProtocolVersion, Entry: e.id, Epoch: hello.Epoch, ReportNeighbours: e.ask}
 	if e.list != nil {
 		reply.Entries = e.list()
 	}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/node"
@@ -25,8 +27,9 @@
 )
 
 type nodeArgs struct {
-	LogLevel string `arg:"--log-level" default:"info" help:"least level that is logged: debug, info, warn or error"`
-	Role     string `arg:"positional,required" help:"entry or agent"`
+	LogLevel     string `arg:"--log-level" default:"info" help:"least level that is logged: debug, info, warn or error"`
+	Interference string `arg:"--interference" default:"off" help:"entry: what is done about classes of tasks that slow each other down on one worker: off, observe or separate"`
+	Role         string `arg:"positional,required" help:"entry or agent"`
 }
 
 // example returns the command line that the help text shows.
@@ -35,6 +38,14 @@
 }
 
 func (a *nodeArgs) run(stdout, stderr io.Writer) int {
+	interference, err := policy.ParseInterference(a.Interference)
+	if err == nil && a.Role == roleAgent && interference != policy.InterferenceOff {
+		err = errors.New("--interference is an option of the entry; agents need no setting")
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
 	signals := notifySignals()
 	s, err := platform.LoadSettings()
 	if err != nil {
@@ -54,7 +65,7 @@
 	var p process
 	switch a.Role {
 	case roleEntry:
-		p, err = node.StartEntry(s, events, incarnation)
+		p, err = node.StartEntry(s, events, incarnation, interference)
 	case roleAgent:
 		p, err = node.StartAgent(s, events)
 	default:
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -29,6 +29,19 @@
 	Jobs   int         `json:"jobs"`
 	Stats  entry.Stats `json:"stats"`
 	Agents []string    `json:"agents"`
+	// Interference lists the pairs of classes that slow each other down.
+	Interference []interferingPair `json:"interference,omitempty"`
+}
+
+// interferingPair describes a pair of classes, see interference.Pair.
+type interferingPair struct {
+	Victim    string  `json:"victim"`
+	Neighbour string  `json:"neighbour"`
+	Effect    float64 `json:"effect"` // share of the run time that each slot adds
+	Error     float64 `json:"error"`
+	Runs      int64   `json:"runs"`
+	Agents    int     `json:"agents"`
+	SinceMS   int64   `json:"since_ms"` // time since it was found
 }
 
 // core is the state owned by the core goroutine.
@@ -186,6 +199,8 @@
 		}
 	case entry.ContainmentChanged:
 		c.e.emitContainment(x)
+	case entry.InterferenceChanged:
+		c.e.emitInterference(x)
 	case entry.VersionAnnounced:
 		if c.e.opts.OnVersionAnnounced != nil {
 			c.e.opts.OnVersionAnnounced(x)
@@ -203,6 +218,12 @@
 		s.Agents = append(s.Agents, l.hello.Name)
 	}
 	slices.Sort(s.Agents)
+	for _, p := range c.machine.InterferencePairs() {
+		s.Interference = append(s.Interference, interferingPair{
+			Victim: p.Victim, Neighbour: p.Neighbour, Effect: p.Effect, Error: p.Error,
+			Runs: int64(p.Runs), Agents: p.Agents, SinceMS: (c.e.now() - p.Since).Milliseconds(),
+		})
+	}
 	return s
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -75,6 +75,8 @@
 	OperatorListen string
 	// Scheduler chooses the agents that run tasks. It must be set.
 	Scheduler policy.Scheduler
+	// ReportNeighbours asks agents to report what runs beside each run.
+	ReportNeighbours bool
 	// CallerHandler returns the handler of the callers' listener. If nil, the JSON
 	// interface is served.
 	CallerHandler func(Submitter) http.Handler
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"fmt"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -23,7 +24,9 @@
 	metricLinks     = "limpettrail_agent_links"
 	metricVersion   = "limpettrail_config_version"
 	metricContained = "limpettrail_class_contained"
-	otherClass      = "other"
+	// metricInterference is the effect of each pair in thousandths, 0 after its end.
+	metricInterference = "limpettrail_interference_thousandths"
+	otherClass         = "other"
 )
 
 // Gauge is the name and value of an exported gauge.
@@ -91,6 +94,9 @@
 		return
 	}
 	e.metrics.gauge(metricInFlight, int64(s.Jobs))
+	for _, p := range s.Interference {
+		e.metrics.gauge(metrics.Name(metricInterference, "victim", p.Victim, "neighbour", p.Neighbour), int64(1000*p.Effect))
+	}
 	for kind, n := range map[string]uint64{
 		"start": s.Stats.Starts, "result": s.Stats.Results, "refused": s.Stats.Refused,
 		"cancel": s.Stats.Cancels, "query": s.Stats.Queries, "late": s.Stats.Late,
@@ -110,3 +116,20 @@
 	e.log.Emit(code, eventlog.Fields{Class: x.Class})
 	e.metrics.gauge(metrics.Name(metricContained, "class", x.Class), contained)
 }
+
+// emitInterference logs a pair of classes that was found to slow each other down, or is
+// no longer, and the figures behind it.
+func (e *Entry) emitInterference(x entry.InterferenceChanged) {
+	p := x.Pair
+	f := eventlog.Fields{
+		Class: p.Victim, Peer: p.Neighbour, Count: int64(p.Runs),
+		Detail: fmt.Sprintf("each slot adds %.1f%% (standard error %.1f%%), %d agents", 100*p.Effect, 100*p.Error, p.Agents),
+	}
+	code, effect := eventlog.InterferenceFound, int64(1000*p.Effect)
+	if !x.Found {
+		code, effect = eventlog.InterferenceEnded, 0
+		f.Duration = e.now() - p.Since
+	}
+	e.log.Emit(code, f)
+	e.metrics.gauge(metrics.Name(metricInterference, "victim", p.Victim, "neighbour", p.Neighbour), effect)
+}
--- a/internal/entryd/peers.go
+++ b/internal/entryd/peers.go
@@ -122,7 +122,7 @@
 	return hello, errors.Join(conn.Write(wire.EntryHello{
 		Protocol: wire.ProtocolVersion, Entry: e.Incarnation(), Epoch: hello.Epoch,
 		Name: e.opts.Name, Zone: e.opts.Zone, ConfigVersion: e.config.Load().Version,
-		Entries: known[:min(len(known), wire.MaxKnownEntries)],
+		Entries: known[:min(len(known), wire.MaxKnownEntries)], ReportNeighbours: e.opts.ReportNeighbours,
 	}), conn.Flush())
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -76,6 +76,8 @@
 	// LinkBytesPerSecond is the bandwidth of the VM's link in bytes per second, 0 if
 	// unknown.
 	LinkBytesPerSecond float64
+	// Interference says what is done about classes that slow each other down.
+	Interference policy.Interference
 }
 
 // EntryNode is the entry process of one VM.
@@ -117,7 +119,10 @@
 	e, err := entryd.Start(entryd.Options{
 		Name: opts.Name, Zone: opts.Zone,
 		Listen: opts.Listen, PeerListen: opts.PeerListen, OperatorListen: opts.OperatorListen,
-		Scheduler: policy.New(policy.Options{Seed: uint64(opts.Incarnation), Zone: opts.Zone, LinkBytesPerSecond: opts.LinkBytesPerSecond}),
+		Scheduler: policy.New(policy.Options{
+			Seed: uint64(opts.Incarnation), Zone: opts.Zone, LinkBytesPerSecond: opts.LinkBytesPerSecond, Interference: opts.Interference,
+		}),
+		ReportNeighbours: opts.Interference != policy.InterferenceOff,
 		CallerHandler: func(s entryd.Submitter) http.Handler {
 			return n.holdWhileStarting(opts.CallerHandler(leavingSubmitter{s, n}, storedJobs{n}))
 		},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/fleet"
@@ -24,7 +25,7 @@
 )
 
 // StartEntry starts the entry of a VM.
-func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation) (*fleet.EntryNode, error) {
+func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation, interference policy.Interference) (*fleet.EntryNode, error) {
 	store := platform.NewStore(s.StoreAddr)
 	front := platform.NewFrontend(func(job, reason string) {
 		events.Emit(eventlog.JobTurnedAway, eventlog.Fields{Job: job, Detail: reason})
@@ -35,6 +36,7 @@
 		CallerHandler: front.Handler, Configs: platform.NewConfigFollower(store, front), Directory: platform.NewDirectory(store),
 		JobLog: platform.NewJobLog(store),
 		Log:    events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
+		Interference: interference,
 	})
 }
 
