Keep only the eight largest classes while collecting neighbours

With 64 classes at work a run cost an agent that reports neighbours 17 us and 7 KB more, because the list of all classes was built and sorted twice.

go test ./core/agent -run 'Neighbours|Beside' passes.

--- a/core/agent/neighbours.go
+++ b/core/agent/neighbours.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -134,9 +133,8 @@
 			if i == a.beside.class {
 				mean -= a.slots
 			}
-			out = appendNeighbour(out, n.classes[i].name, mean)
+			out = addNeighbour(out, n.classes[i].name, mean)
 		}
-		out = largest(out)
 	}
 	n.change(a.beside.class, -a.slots, -1)
 	a.beside = nil
@@ -159,28 +157,32 @@
 func (n *neighbours) report() []wire.Neighbour {
 	if !n.currentValid {
 		n.current = nil
-		for _, c := range n.classes {
-			n.current = appendNeighbour(n.current, c.name, c.slots)
+		for i := range n.classes {
+			n.current = addNeighbour(n.current, n.classes[i].name, n.classes[i].slots)
 		}
-		n.current, n.currentValid = largest(n.current), true
+		n.currentValid = true
 	}
 	return n.current
 }
 
-func appendNeighbour(list []wire.Neighbour, class string, slots float64) []wire.Neighbour {
-	thousandths := int(math.Round(1000 * min(slots, wire.MaxSlots)))
-	if thousandths <= 0 {
+// addNeighbour adds a class to a list that holds the wire.MaxNeighbours classes with the
+// most slots, in descending order.
+func addNeighbour(list []wire.Neighbour, class string, slots float64) []wire.Neighbour {
+	n := wire.Neighbour{Class: class, Slots: int(math.Round(1000 * min(slots, wire.MaxSlots)))}
+	if n.Slots <= 0 {
 		return list
 	}
-	return append(list, wire.Neighbour{Class: class, Slots: thousandths})
-}
-
-// largest keeps the wire.MaxNeighbours classes with the most slots.
-func largest(list []wire.Neighbour) []wire.Neighbour {
-	slices.SortFunc(list, func(a, b wire.Neighbour) int {
-		return cmp.Or(cmp.Compare(b.Slots, a.Slots), cmp.Compare(a.Class, b.Class))
-	})
-	return list[:min(len(list), wire.MaxNeighbours)]
+	i := len(list)
+	for i > 0 && (list[i-1].Slots < n.Slots || list[i-1].Slots == n.Slots && list[i-1].Class > n.Class) {
+		i--
+	}
+	if i == wire.MaxNeighbours {
+		return list
+	}
+	if list == nil {
+		list = make([]wire.Neighbour, 0, wire.MaxNeighbours)
+	}
+	return slices.Insert(list[:min(len(list), wire.MaxNeighbours-1)], i, n)
 }
 
 // updateNeighbours starts or stops the measurement if the first entry that asks for it
