--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -94,8 +94,10 @@
 	announceConfig      bool  // announce its version in the next frame
 	// forwardVersion and forwardAt are the version for which forwarding is armed, 0
 	// if it is not, and when it is due.
-	forwardVersion   int64
-	forwardAt        time.Duration
+	forwardVersion int64
+	forwardAt      time.Duration
+	// evacuations is the state that the entry stated or was sent last on this link.
+	evacuations      wire.Evacuations
 	reportNeighbours bool // see wire.EntryHello
 }
 
@@ -181,6 +183,7 @@
 	rec.configVersion = e.ConfigVersion
 	rec.sendConfig, rec.announceConfig, rec.forwardVersion = false, false, 0
 	m.scheduleForward(now, rec, m.connectDelay())
+	rec.evacuations = wire.Evacuations{}
 	rec.reportNeighbours = e.ReportNeighbours
 	m.updateNeighbours(now)
 }
@@ -232,6 +235,7 @@
 		m.updateNeighbours(now)
 	}
 	m.probe(now)
+	m.requestListing(now)
 }
 
 func (m *Machine) tickEntry(now time.Duration, rec *entryRecord) {
--- a/core/policy/attempts.go
+++ b/core/policy/attempts.go
@@ -29,9 +29,9 @@
 	s.updateContention(now)
 	s.observeOthers(now)
 	s.queue.unparkDue(now)
-	for parked := 0; parked < maxParkedPerDecision && !s.window.full(s.answersDue()); parked++ {
-		j := s.queue.head(now)
-		if j == nil || len(s.connected) == 0 {
+	for parked := 0; parked < maxParkedPerDecision && !s.windowFull(); parked++ {
+		j := s.queue.head(now, s.mayStartResubmitted)
+		if j == nil || s.usableCount == 0 {
 			break
 		}
 		if j.job.Gang {
@@ -48,11 +48,11 @@
 				p, ok = s.place(now, j, c), true
 				break
 			}
-			if j.class.contained(now) {
+			if j.class.contained(now) && !j.inResubmitted() {
 				s.setAside(j.class)
 				continue
 			}
-			if !c.unmetRequirements {
+			if !c.unmetRequirements && !j.class.contained(now) {
 				break
 			}
 		}
@@ -71,7 +71,7 @@
 	a := c.agent
 	a.recordStart(now, a.slotsOf(j.job))
 	s.recordClassSlots(a, j.job, a.slotsOf(j.job))
-	s.inFlight++
+	s.countAttempts(a, 1, 0)
 	a.attempts.add(now)
 	if j.job.LongRunning {
 		a.longRunning.add(now, t.NotRunAttempts > 0)
@@ -112,10 +112,11 @@
 	if task.Job.LongRunning {
 		a.longRunning.remove(sentAt)
 	}
-	s.inFlight--
+	standing := 0
 	if a.attempts.remove(sentAt) {
-		s.standing--
+		standing = 1
 	}
+	s.countAttempts(a, -1, -standing)
 	s.addFreed(a)
 	if r.Reason != wire.ReasonAgentLost && sentAt >= s.resumedAt {
 		rtt := now - sentAt - r.QueueTime.Duration() - r.RunTime.Duration()
@@ -123,6 +124,10 @@
 		s.window.observe(now, sentAt, rtt, s.answersDue())
 	}
 	s.adjustWait(r)
+	if r.Reason == wire.ReasonEvacuated { // also before the agent's next report
+		a.info.Load.Evacuated = true
+		s.observeEvacuated(now, a)
+	}
 	if task.NotRunAttempts > 0 && r.Outcome == wire.Succeeded {
 		s.budget.recordSuccess(now)
 	}
@@ -200,7 +205,7 @@
 // is meant to. It ends an ejection unless the agent has failed since.
 func (s *Adaptive) recordHealthy(a *agentState, sentAt time.Duration) {
 	if a.health.recordOwnSuccess(sentAt) && a.health.ejected {
-		s.unavailable--
+		s.countUnavailable(a, -1)
 		a.health.readmit()
 	}
 }
@@ -267,13 +272,15 @@
 }
 
 // checkOutlier suspends an agent whose failures are unlikely compared with those of
-// its peers, and ejects it if they still are once every peer has reported.
+// its peers, and ejects it if they still are once every peer has reported. An agent in an
+// evacuated zone is judged when the zone returns: it does not count as unavailable, so nothing
+// would bound how many of them are ejected.
 func (s *Adaptive) checkOutlier(now time.Duration, a *agentState) {
 	h := &a.health
-	if !s.enabled.health || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
+	if !s.enabled.health || a.evacuated || h.ejected || h.suspended && now < h.suspendedAt+suspendPeriod {
 		return
 	}
-	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, len(s.connected))) {
+	if !h.suspended && (h.attributed == 0 || h.unexplainedFailures() < suspendStreak || !mayEject(s.unavailable, s.usableCount)) {
 		return
 	}
 	failureShare, failingPeers := s.peerFailures(now, a)
@@ -283,20 +290,21 @@
 		h.eject(now, s.rand.float())
 	case h.suspended:
 		h.suspended = false
-		s.unavailable--
+		s.countUnavailable(a, -1)
 	case h.isOutlier(failureShare, failingPeers, suspendStreak, suspendProbability):
 		h.suspended = true
 		h.suspendedAt = now
-		s.unavailable++
+		s.countUnavailable(a, 1)
 	}
 }
 
-// peerFailures returns the share of failed tasks at the other agents that are not
+// peerFailures returns the share of failed tasks at the other usable agents that are not
 // ejected, and how many of these failed a task recently or have not proved healthy
-// since their last failure.
+// since their last failure. Failures in an evacuated zone, whose workers may be stopped,
+// say nothing about the jobs.
 func (s *Adaptive) peerFailures(now time.Duration, a *agentState) (failureShare float64, failingPeers int) {
 	successes, total := 0.0, 0.0
-	for _, other := range s.connected {
+	for _, other := range s.usable() {
 		if other == a || other.health.ejected {
 			continue
 		}
@@ -317,7 +325,8 @@
 	}
 	a.observe(now, load)
 	s.observeClasses(a, &load)
-	s.standing += a.attempts.advance(now)
+	s.observeEvacuated(now, a)
+	s.countAttempts(a, 0, a.attempts.advance(now))
 	s.creditLongRunning(now, a)
 	h := &a.health
 	successes, failures := h.observe(now, &load)
@@ -357,8 +366,11 @@
 // Retry implements Scheduler. A retry that exceeds the budget is delayed; it is
 // denied only if the task could not start before its deadline.
 func (s *Adaptive) Retry(now time.Duration, task *Task, reason wire.Reason) (time.Duration, bool) {
-	if reason == wire.ReasonExpired {
+	switch {
+	case reason == wire.ReasonExpired:
 		return 0, false
+	case reason == wire.ReasonEvacuated: // not a retry: only this zone refuses the task
+		return 0, now < task.Job.Deadline
 	}
 	delay := backoff(reason, task.NotRunAttempts, s.rand.float())
 	delay = max(delay, s.budget.reserve(now))
--- a/core/policy/parked.go
+++ b/core/policy/parked.go
@@ -90,10 +90,7 @@
 
 // park parks a job that cannot be placed now.
 func (s *Adaptive) park(now time.Duration, j *jobState) {
-	placeable := s.fitsSomewhere(j.job)
-	if j.job.Gang {
-		placeable = s.gangFits(j.class, j.job)
-	}
+	placeable := fits(s.usable(), j.class, j.job)
 	limit := maxParkDelay
 	switch {
 	case !placeable:
@@ -107,7 +104,7 @@
 
 // slotFreed returns the most urgent of the parked jobs that the agent can run.
 func (s *Adaptive) slotFreed(a *agentState) {
-	if !a.connected || s.queue.parked.waiting.Len() == 0 {
+	if !a.acceptsStarts() || s.queue.parked.waiting.Len() == 0 {
 		return
 	}
 	var found []*jobState
@@ -123,8 +120,11 @@
 }
 
 // workerConnected returns the parked jobs that the agent can run, and all gangs, which
-// may need it in addition to others.
+// may need it in addition to others. An evacuated agent runs none of them.
 func (s *Adaptive) workerConnected(a *agentState) {
+	if a.evacuated {
+		return
+	}
 	for _, heap := range []*indexheap.Heap[*jobState]{&s.queue.parked.waiting, &s.queue.parked.unplaceable} {
 		for _, j := range slices.Clone(heap.Items) {
 			if j.job.Gang || a.eligible(j) {
--- a/core/policy/queue.go
+++ b/core/policy/queue.go
@@ -40,6 +40,8 @@
 
 	teamPos      int // in team.viable or team.late
 	unstartedPos int // in queue.unstarted
+	// resubmittedPos is the position in queue.resubmitted.
+	resubmittedPos int
 
 	parkedPos   int           // in one of the heaps of queue.parked
 	returnAt    time.Duration // when the parked job returns to the order
@@ -65,6 +67,7 @@
 	backlogFactor float64                   // multiplies the backlog at which new jobs are still admitted, 0 to 1
 	inService     int                       // tasks
 	waiting       int                       // tasks
+	resubmitted   int                       // of these, tasks of resubmitted jobs
 	viable        indexheap.Heap[*jobState] // waiting jobs that are not late
 	late          indexheap.Heap[*jobState]
 
@@ -88,6 +91,8 @@
 	containedUntil    time.Duration // see containment.go
 	containmentPeriod time.Duration // of the current or last containment
 	waiting           int           // tasks
+	resubmitted       int           // of these, tasks of resubmitted jobs
+	shortShare        float64       // moving average of the share of jobs below Class.CallerTimeout
 	inService         int           // tasks
 	yields            bool          // the class is above its share under contention
 	byShare           indexheap.Heap[*teamState]
@@ -117,10 +122,12 @@
 	classes   indexheap.Heap[*classState] // classes with a viable job
 	late      indexheap.Heap[*classState] // classes with a late job
 	unstarted indexheap.Heap[*jobState]   // viable jobs that have not started
-	parked    parkedJobs
-	waiting   int // tasks
-	starts    uint64
-	released  []*jobState // released states, for reuse
+	// resubmitted holds the resubmitted jobs that have not started, of all classes.
+	resubmitted indexheap.Heap[*jobState]
+	parked      parkedJobs
+	waiting     int // tasks
+	starts      uint64
+	released    []*jobState // released states, for reuse
 
 	contended bool // the backlog is long compared with the shortest target
 	inService int  // tasks
@@ -138,6 +145,7 @@
 		Less: func(a, b *jobState) bool { return a.due < b.due },
 		Pos:  func(j *jobState) *int { return &j.unstartedPos },
 	}
+	q.resubmitted = indexheap.Heap[*jobState]{Less: lessResubmitted, Pos: func(j *jobState) *int { return &j.resubmittedPos }}
 	return q
 }
 
@@ -286,6 +294,10 @@
 	q.waiting += n
 	j.team.waiting += n
 	j.class.waiting += n
+	if j.job.Resubmitted {
+		j.team.resubmitted += n
+		j.class.resubmitted += n
+	}
 	q.updateActive(j.class, wasBusy)
 }
 
@@ -334,9 +346,12 @@
 
 // attach adds a job with waiting tasks to the heaps.
 func (q *queue) attach(j *jobState) {
-	if j.late {
+	switch {
+	case j.inResubmitted():
+		q.resubmitted.Put(j)
+	case j.late:
 		j.team.late.Put(j)
-	} else {
+	default:
 		j.team.viable.Put(j)
 		if q.bySlack && !j.started {
 			q.unstarted.Put(j)
@@ -347,9 +362,12 @@
 
 // detach removes a job from the heaps.
 func (q *queue) detach(j *jobState) {
-	if j.late {
+	switch {
+	case j.inResubmitted():
+		q.resubmitted.Remove(j)
+	case j.late:
 		j.team.late.Remove(j)
-	} else {
+	default:
 		j.team.viable.Remove(j)
 	}
 	q.unstarted.Remove(j)
@@ -387,12 +405,15 @@
 	}
 }
 
-// head returns the job to serve next, or nil if no job waits.
-func (q *queue) head(now time.Duration) *jobState {
+// head returns the job to serve next, or nil if no job waits that may start. mayStart
+// reports whether the first resubmitted job may.
+func (q *queue) head(now time.Duration, mayStart func(*jobState) bool) *jobState {
 	q.markLate(now)
 	lateTurn := q.starts%lateStartInterval == lateStartInterval-1
-	if q.late.Len() > 0 && (lateTurn || q.classes.Len() == 0) {
-		return q.late.Top().lateByShare.Top().late.Top()
+	if lateTurn || q.classes.Len() == 0 {
+		if j := q.lateHead(mayStart); j != nil {
+			return j
+		}
 	}
 	if q.classes.Len() == 0 {
 		return nil
@@ -400,6 +421,23 @@
 	return q.classes.Top().byShare.Top().viable.Top()
 }
 
+// lateHead returns the job to serve next of those that cannot meet their target: the late
+// one or the resubmitted one, whichever has the earlier deadline. Late jobs that have
+// started go first.
+func (q *queue) lateHead(mayStart func(*jobState) bool) *jobState {
+	var late *jobState
+	if q.late.Len() > 0 {
+		late = q.late.Top().lateByShare.Top().late.Top()
+	}
+	if q.resubmitted.Len() == 0 || late != nil && (late.started || late.job.Deadline < q.resubmitted.Top().job.Deadline) {
+		return late
+	}
+	if j := q.resubmitted.Top(); mayStart(j) {
+		return j
+	}
+	return late
+}
+
 // start removes one waiting task of the job and counts it as in service.
 func (q *queue) start(j *jobState) *Task {
 	t := j.waiting[len(j.waiting)-1]
@@ -407,8 +445,11 @@
 	q.starts++
 	q.addInService(j, 1)
 	if !j.started {
+		if len(j.waiting) > 0 {
+			q.detach(j)
+		}
 		j.started = true
-		q.unstarted.Remove(j)
+		j.late = j.late || j.job.Resubmitted
 		if len(j.waiting) > 0 {
 			q.attach(j)
 		}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Limits of single fields.
@@ -101,7 +102,7 @@
 			}
 		}
 	}
-	if err := f.Config.check(); err != nil {
+	if err := errors.Join(f.Config.check(), f.Evacuations.check()); err != nil {
 		return err
 	}
 	return checkEntries(f.Entries)
@@ -133,7 +134,21 @@
 	if err := checkNeighbours(load.Classes); err != nil {
 		return err
 	}
-	return f.Config.check()
+	return errors.Join(f.Config.check(), f.Evacuations.check())
+}
+
+// check returns an error if the zones exceed a limit or are not sorted, on which Contains
+// relies.
+func (e *Evacuations) check() error {
+	switch {
+	case e == nil:
+		return nil
+	case len(e.Zones) > MaxEvacuatedZones:
+		return fmt.Errorf("wire: %d evacuated zones, at most %d are allowed", len(e.Zones), MaxEvacuatedZones)
+	case e.AsOf < 0 || !slices.IsSorted(e.Zones):
+		return fmt.Errorf("wire: evacuations as of offset %d with zones %q, want an offset from 0 and sorted zones", e.AsOf, e.Zones)
+	}
+	return checkNames(e.Zones...)
 }
 
 func checkNeighbours(list []Neighbour) error {
