Bound the cost of interference below that of failures

The term grew with the run time and the slots, without a bound: a task of 1 s beside 6 slots with an effect of 0.2 cost 1.2 s, more than failedAgentCost and quarantineCost (1 s each), so it returned to the agent on which its job had failed. The term is now unchanged up to 0.25 s and approaches 0.5 s above, which keeps agents in order. A plain limit was rejected: it makes one neighbour equal to six for tasks of seconds.

TestInterferenceIsOutweighedByFailures fails without the bound (placed on agent 1) and passes with it.

--- a/core/policy/interference.go
+++ b/core/policy/interference.go
@@ -213,7 +213,22 @@
 		both := min(p.run, s.expectedRun(x.classes[e.other], 0))
 		cost += e.effect * a.slotsOf(p.job.job) * victims * both.Seconds()
 	}
-	return cost
+	return boundedInterference(cost)
+}
+
+// maxInterferenceCost bounds the cost of interference. It is below failedAgentCost and
+// quarantineCost by more than the other costs of an agent usually differ: a task of some
+// seconds would return to the agent on which it failed otherwise.
+const maxInterferenceCost = 0.5 // seconds
+
+// boundedInterference returns costs up to half of maxInterferenceCost as they are. Above,
+// the result approaches maxInterferenceCost, so that of two agents the one with less
+// interference stays cheaper.
+func boundedInterference(seconds float64) float64 {
+	if seconds <= maxInterferenceCost/2 {
+		return seconds
+	}
+	return maxInterferenceCost - maxInterferenceCost*maxInterferenceCost/(4*seconds)
 }
 
 // InterferencePairs implements InterferenceReporter.
--- a/core/policy/separation_test.go
+++ b/core/policy/separation_test.go
@@ -72,3 +72,30 @@
 	s.AgentUp(4*time.Second, a.info)
 	assert.Equal(t, a.classSlots.present(d), 0.0)
 }
+
+// Guards against a task that goes back to the agent on which its job failed, or to a
+// quarantined one, because of interference elsewhere, and against a bound that makes all
+// agents with interference equal.
+func TestInterferenceIsOutweighedByFailures(t *testing.T) {
+	for _, run := range []time.Duration{time.Second, time.Hour} {
+		s := withPair(InterferenceSeparate)
+		for id := range wire.Incarnation(2) {
+			s.Observe(time.Second, id+1, wire.Load{Slots: 8, Limit: 8, Running: int(id) * 6, Successes: 100, Classes: []wire.Neighbour{{Class: "d", Slots: 6000 * int(id)}}})
+		}
+		for range 100 {
+			s.classes["c"].runs.observe(run)
+		}
+		j, tasks := newTestJob("c", time.Second, 1)
+		s.Enqueue(time.Second, tasks[0])
+		s.queue.jobs[j].addFailure(s.agents[1])
+		p, ok := s.Next(time.Second)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Agent, wire.Incarnation(2))
+	}
+	last := 0.0
+	for seconds := 0.01; seconds < 1e6; seconds *= 2 {
+		cost := boundedInterference(seconds)
+		assert.Assert(t, cost > last && cost <= seconds && cost < min(failedAgentCost, quarantineCost).Seconds()/2+1e-9)
+		last = cost
+	}
+}
