Let no task queue to be separated

A task queued at a full worker, to be apart from another class, beside a worker with 7 of 8 slots free: the cost of interference was compared with the wait for a slot. It now decides among agents with a free slot, and among those at which the task would queue; which of the two is chosen depends on the other costs alone, those of the cheapest agent of each kind. Gangs only use free slots, so nothing changes for them.

TestNoTaskQueuesToBeSeparated failed before (placed on the full agent 1) and passes.

--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -99,7 +99,7 @@
 		a := agents[(first+i)%len(agents)]
 		if n := s.startableTasks(&p, a); n > 0 {
 			limit := a.limit()
-			out = append(out, gangCandidate{agent: a, tasks: n, cost: s.cost(&p, a, limit, limit)})
+			out = append(out, gangCandidate{agent: a, tasks: n, cost: s.cost(&p, a, limit, limit) + s.interferenceCost(&p, a)})
 		}
 	}
 	slices.SortStableFunc(out, func(x, y gangCandidate) int { return cmp.Compare(x.cost, y.cost) })
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -38,6 +38,20 @@
 	agent *agentState
 	cost  float64 // seconds
 	free  float64 // estimated free slots
+	// leastDelay is the lowest cost of the agents compared, without that of interference.
+	leastDelay float64
+}
+
+// add compares an agent with the candidate.
+func (c *candidate) add(a *agentState, delay, interference, free float64) {
+	least := delay
+	if c.agent != nil {
+		least = min(least, c.leastDelay)
+	}
+	if cost := delay + interference; c.agent == nil || cost < c.cost {
+		*c = candidate{agent: a, cost: cost, free: free}
+	}
+	c.leastDelay = least
 }
 
 // choose returns the agent with the lowest expected cost for a task of the job.
@@ -68,9 +82,11 @@
 	run               time.Duration // expected run time of the task
 	meanRun           time.Duration // over all classes
 	pressure          float64       // deadline pressure of the job, 0 to 1
-	best              candidate
-	totalFree         float64 // estimated free slots at all examined agents
-	unmetRequirements bool    // see choice
+	best              candidate     // the better of the next two
+	withFree          candidate     // of the agents with a free slot
+	queueing          candidate     // of the agents at which the task would queue
+	totalFree         float64       // estimated free slots at all examined agents
+	unmetRequirements bool          // see choice
 }
 
 // sample examines a random subset of the agents and some that freed a slot lately.
@@ -125,8 +141,21 @@
 	if containing && a.quarantined && !p.job.class.contained(p.now) {
 		cost += quarantineCost.Seconds()
 	}
-	if p.best.agent == nil || cost < p.best.cost {
-		p.best = candidate{agent: a, cost: cost, free: free}
+	p.add(a, cost, s.interferenceCost(p, a), free)
+}
+
+// add compares an agent with the candidates. Interference decides between agents with a
+// free slot, and between those without, but not whether the task queues: it would wait
+// at a full worker to be apart from others on an idle one.
+func (p *search) add(a *agentState, delay, interference, free float64) {
+	if free >= minFreeSlots {
+		p.withFree.add(a, delay, interference, free)
+	} else {
+		p.queueing.add(a, delay, interference, free)
+	}
+	p.best = p.withFree
+	if p.withFree.agent == nil || p.queueing.agent != nil && p.queueing.leastDelay < p.withFree.leastDelay {
+		p.best = p.queueing
 	}
 }
 
@@ -185,7 +214,6 @@
 		cost += (a.speed.factor(s.meanLogRatio) - 1) * p.run.Seconds()
 		cost += s.speedCost(p, a)
 	}
-	cost += s.interferenceCost(p, a)
 	return cost
 }
 
--- a/core/policy/separation_test.go
+++ b/core/policy/separation_test.go
@@ -99,3 +99,19 @@
 		last = cost
 	}
 }
+
+// Guards against a task that queues at a full worker, to be apart from another class on
+// a worker with free slots.
+func TestNoTaskQueuesToBeSeparated(t *testing.T) {
+	s := withPair(InterferenceSeparate)
+	s.Observe(time.Second, 1, wire.Load{Slots: 8, Limit: 8, Running: 8, Successes: 100})
+	s.Observe(time.Second, 2, wire.Load{Slots: 8, Limit: 8, Running: 1, Successes: 100, Classes: []wire.Neighbour{{Class: "d", Slots: 1000}}})
+	for i := range 100 {
+		s.classes["c"].runs.observe(time.Second)
+		s.allRuns.observe(time.Duration(100+i) * time.Millisecond)
+	}
+	enqueue(s, time.Second, "c", 1)
+	p, ok := s.Next(time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Agent, wire.Incarnation(2))
+}
