Register an agent with its first run of a tracked class

Agents were added to the table before the class of the run was looked at, so 1,024 agents that ran only classes that are not tracked filled it, and no other agent was learned from. The class and the residual are checked first.

TestAgentsWithoutTrackedRunsTakeNoRoom failed before (1024 agents, want 1) and passes.

--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -279,8 +279,11 @@
 // the forecast. It reports whether the pairs or their effects may have changed.
 func (e *Estimator) Observe(now time.Duration, agentID uint64, class string, residual float64, beside []Exposure) (evaluated bool) {
 	vi, ok := e.index[class]
+	if !ok || math.IsNaN(residual) || math.IsInf(residual, 0) {
+		return false
+	}
 	a := e.agent(agentID)
-	if !ok || a == nil || math.IsNaN(residual) || math.IsInf(residual, 0) {
+	if a == nil {
 		return false
 	}
 	n := len(e.names)
--- a/core/interference/interference_test.go
+++ b/core/interference/interference_test.go
@@ -191,6 +191,20 @@
 	assert.Assert(t, len(f.e.agents) <= MaxAgents)
 }
 
+// Guards against agents that ran only classes that are not tracked and take the room of
+// others.
+func TestAgentsWithoutTrackedRunsTakeNoRoom(t *testing.T) {
+	e := New()
+	e.SetClasses([]string{"a", "b"})
+	for i := range uint64(MaxAgents) {
+		e.Observe(0, i, "untracked", 0, nil)
+		e.Observe(0, i, "a", math.NaN(), nil)
+	}
+	e.Observe(0, 5000, "a", 0, nil)
+	assert.Equal(t, len(e.agents), 1)
+	assert.Assert(t, e.agents[5000] != nil)
+}
+
 // Benchmark of one run, evaluations included.
 func BenchmarkObserve(b *testing.B) {
 	for _, n := range []int{4, 16, 64} {
