Count names when results are divided into frames

Only bodies counted towards the bound of a frame. A result may carry 8 neighbours with names of 256 bytes, and a checkpoint name of 1 KB, so some 2,000 results that an agent kept while the link was down exceeded wire.MaxFrameBytes (40,000 took 85 MB in one frame). Such a frame ends the link, and the next one too. Both are counted now.

TestFramesOfResultsWithLongNamesAreBounded failed before and passes.

--- a/core/agent/flush.go
+++ b/core/agent/flush.go
@@ -6,10 +6,21 @@
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
-// maxFrameBodies bounds the result bodies in one frame, so that a frame with
-// several large results stays below wire.MaxFrameBytes. A larger frame would
-// break the link, and the next link too when its results are sent again.
-const maxFrameBodies = wire.MaxFrameBytes / 2
+// maxFrameResults bounds the bytes of the results in one frame, see resultBytes, so
+// that a frame with several large results stays below wire.MaxFrameBytes. A larger
+// frame would break the link, and the next link too when its results are sent again.
+const maxFrameResults = wire.MaxFrameBytes / 2
+
+// resultBytes returns about how long the result is in a frame: its parts of variable
+// length, and an allowance of neighbourBytes for the rest of each neighbour.
+func resultBytes(r *wire.Result) int {
+	const neighbourBytes = 9 // array header, length of the name, slots
+	n := len(r.Body) + len(r.Checkpoint) + neighbourBytes*len(r.Neighbours)
+	for i := range r.Neighbours {
+		n += len(r.Neighbours[i].Class)
+	}
+	return n
+}
 
 // flush sends a frame to each entry for which results, a configuration,
 // evacuations or a heartbeat are due.
@@ -73,8 +84,8 @@
 func frameResultCount(results []wire.Result) int {
 	bytes := 0
 	for i := range results {
-		bytes += len(results[i].Body)
-		if i > 0 && bytes > maxFrameBodies {
+		bytes += resultBytes(&results[i])
+		if i > 0 && bytes > maxFrameResults {
 			return i
 		}
 	}
--- a/core/agent/neighbours_test.go
+++ b/core/agent/neighbours_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/limpettrail/limpettrail/core/wire"
@@ -135,3 +137,28 @@
 	s.step(Tick{})
 	assert.Assert(t, !s.machine.neighbours.enabled)
 }
+
+// Guards against frames above wire.MaxFrameBytes, which end the link, because of results
+// without bodies whose neighbours or checkpoints have long names.
+func TestFramesOfResultsWithLongNamesAreBounded(t *testing.T) {
+	long := wire.Result{}
+	for range wire.MaxNeighbours {
+		long.Neighbours = append(long.Neighbours, wire.Neighbour{Class: strings.Repeat("n", wire.MaxNameBytes), Slots: 1000 * wire.MaxSlots})
+	}
+	short := wire.Result{Neighbours: make([]wire.Neighbour, wire.MaxNeighbours)}
+	checkpoint := wire.Result{Checkpoint: strings.Repeat("c", wire.MaxCheckpointBytes)}
+	for _, r := range []wire.Result{long, short, checkpoint} {
+		rest, frames := make([]wire.Result, 40000), 0
+		for i := range rest {
+			rest[i] = r
+		}
+		for ; len(rest) > 0; frames++ {
+			n := frameResultCount(rest)
+			data, err := cbor.Marshal(wire.ToEntry{Results: rest[:n]})
+			assert.NilError(t, err)
+			assert.Assert(t, len(data) < wire.MaxFrameBytes, "%d results in %d bytes", n, len(data))
+			rest = rest[n:]
+		}
+		assert.Assert(t, frames > 1 && frames < 100)
+	}
+}
