Look up the pairs of a class once per search

The class was looked up by name for each agent that a search examines. newSearch does it once. No behaviour changes; the tests of separation pass.

--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -86,8 +86,7 @@
 // cost. If more agents are connected than SampleAgents, it may examine only a part
 // of them, at least twice the number of tasks.
 func (s *Adaptive) gangCandidates(now time.Duration, j *jobState, tasks int) []gangCandidate {
-	run := s.expectedRunOf(j)
-	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
+	p := s.newSearch(now, j)
 	agents := s.usable()
 	examined := min(len(agents), max(s.opts.SampleAgents, 2*tasks))
 	first := 0
--- a/core/policy/interference.go
+++ b/core/policy/interference.go
@@ -190,27 +190,35 @@
 	}
 }
 
-// interferenceCost returns the run time, in seconds, that a task of the job loses by
-// what is at work at the agent, and makes that lose.
-func (s *Adaptive) interferenceCost(p *search, a *agentState) float64 {
+// newSearch returns the state for a search for an agent.
+func (s *Adaptive) newSearch(now time.Duration, j *jobState) search {
+	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: s.expectedRunOf(j), meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
 	x := s.interference
 	if x == nil || x.mode != InterferenceSeparate || x.pairs == 0 {
-		return 0
+		return p
+	}
+	if class := x.estimator.Index(j.job.Class); class >= 0 && class < len(x.slows) {
+		p.slowedBy, p.slows = x.slowedBy[class], x.slows[class]
 	}
-	class := x.estimator.Index(p.job.job.Class)
-	if class < 0 {
+	return p
+}
+
+// interferenceCost returns the run time, in seconds, that a task of the job loses by
+// what is at work at the agent, and makes that lose.
+func (s *Adaptive) interferenceCost(p *search, a *agentState) float64 {
+	if len(p.slowedBy)+len(p.slows) == 0 {
 		return 0
 	}
 	cost := 0.0
-	for _, e := range x.slowedBy[class] {
+	for _, e := range p.slowedBy {
 		cost += e.effect * a.classSlots.present(e.other) * p.run.Seconds()
 	}
-	for _, e := range x.slows[class] {
+	for _, e := range p.slows {
 		victims := a.classSlots.present(e.other)
 		if victims == 0 {
 			continue
 		}
-		both := min(p.run, s.expectedRun(x.classes[e.other], 0))
+		both := min(p.run, s.expectedRun(s.interference.classes[e.other], 0))
 		cost += e.effect * a.slotsOf(p.job.job) * victims * both.Seconds()
 	}
 	return boundedInterference(cost)
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -56,8 +56,7 @@
 
 // choose returns the agent with the lowest expected cost for a task of the job.
 func (s *Adaptive) choose(now time.Duration, j *jobState) choice {
-	run := s.expectedRunOf(j)
-	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
+	p := s.newSearch(now, j)
 	agents := s.usable()
 	if len(agents) <= s.opts.SampleAgents {
 		for _, a := range agents {
@@ -87,6 +86,8 @@
 	queueing          candidate     // of the agents at which the task would queue
 	totalFree         float64       // estimated free slots at all examined agents
 	unmetRequirements bool          // see choice
+	// slowedBy and slows are the pairs of the class of the job, if classes are separated.
+	slowedBy, slows []pairEffect
 }
 
 // sample examines a random subset of the agents and some that freed a slot lately.
--- a/core/policy/separation_test.go
+++ b/core/policy/separation_test.go
@@ -42,7 +42,9 @@
 					s.Observe(time.Second, at.info.Agent, wire.Load{Slots: 8, Limit: 8, Running: 1, Successes: 100, Classes: []wire.Neighbour{{Class: c.present, Slots: 1000}}})
 				}
 				j, _ := newTestJob(c.task, time.Second, 1)
-				p := &search{now: time.Second, job: s.newJob(j), run: 200 * time.Millisecond, meanRun: 200 * time.Millisecond}
+				search := s.newSearch(time.Second, s.newJob(j))
+				p := &search
+				p.run = 200 * time.Millisecond
 				want := 0.0
 				if c.apart && mode == InterferenceSeparate {
 					want = 0.2 * 0.2
