Track the classes that run, not those published first

Only the first 64 published classes were tracked. With 1,668 classes of which most have no jobs, an entry learned little or nothing. A class of which a run ends here, or is reported beside another, now takes the place of the one without runs for the longest time, if that never had any or had none for an hour. So more than 64 busy classes do not displace each other, and unknown names still take no place. The scheduler follows the indexes, and drops the slots recorded for the former class.

--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -43,6 +43,9 @@
 	maxClip    = 2
 	// ridge is added to the sum of squares of each class's slots, in slots² times runs.
 	ridge = 5
+	// idleClass is the time without runs after which a class gives its place to another
+	// one. A class without any runs does so at once.
+	idleClass = time.Hour
 	// minInformation is the sum of squares, in slots² times runs, below which nothing
 	// is concluded about a neighbour.
 	minInformation = 20
@@ -98,9 +101,14 @@
 	victims []*victim      // by index
 	agents  map[uint64]*agent
 	joined  int // agents that were ever added, assigns groups
-	changes []Change
-	x       []float64 // scratch: exposures by index
-	work    workspace
+	// published are the classes that may be tracked, and lastSeen is when runs of those
+	// that are were observed last, by index; negative if they never were.
+	published  map[string]bool
+	lastSeen   []time.Duration
+	generation int
+	changes    []Change
+	x          []float64 // scratch: exposures by index
+	work       workspace
 }
 
 // agent holds the means of one agent.
@@ -147,10 +155,14 @@
 }
 
 // SetClasses replaces the classes. Estimates of and about classes that are not listed
-// are discarded. Classes beyond MaxClasses are not tracked.
+// are discarded. Of more than MaxClasses, the first ones are tracked until others run.
 func (e *Estimator) SetClasses(names []string) {
+	e.published = make(map[string]bool, len(names))
+	for _, name := range names {
+		e.published[name] = name != ""
+	}
 	for i, name := range e.names {
-		if name != "" && !slices.Contains(names, name) {
+		if name != "" && !e.published[name] {
 			e.remove(name, i)
 		}
 	}
@@ -158,17 +170,56 @@
 		if _, known := e.index[name]; known || len(e.index) >= MaxClasses || name == "" {
 			continue
 		}
-		i := slices.Index(e.names, "")
-		if i < 0 {
-			i = len(e.names)
-			e.names = append(e.names, "")
-			e.victims = append(e.victims, nil)
-			e.x = append(e.x, 0)
+		e.add(name)
+	}
+}
+
+// add gives a class the first free index.
+func (e *Estimator) add(name string) {
+	i := slices.Index(e.names, "")
+	if i < 0 {
+		i = len(e.names)
+		e.names = append(e.names, "")
+		e.victims = append(e.victims, nil)
+		e.x = append(e.x, 0)
+		e.lastSeen = append(e.lastSeen, 0)
+	}
+	e.names[i] = name
+	e.index[name] = i
+	e.victims[i] = &victim{scale: 1}
+	e.lastSeen[i] = -1
+	e.generation++
+}
+
+// Generation changes whenever a class gets or loses its index.
+func (e *Estimator) Generation() int { return e.generation }
+
+// seen notes that runs of a class are observed. It gives the class the place of the one
+// without runs for the longest time, if that is idle, and returns whether the class is
+// tracked.
+func (e *Estimator) seen(now time.Duration, class string) (index int, tracked bool) {
+	i, ok := e.index[class]
+	if !ok {
+		if !e.published[class] {
+			return 0, false
 		}
-		e.names[i] = name
-		e.index[name] = i
-		e.victims[i] = &victim{scale: 1}
+		if len(e.index) >= MaxClasses {
+			oldest := 0
+			for j, at := range e.lastSeen {
+				if at < e.lastSeen[oldest] {
+					oldest = j
+				}
+			}
+			if at := e.lastSeen[oldest]; at >= 0 && now-at < idleClass {
+				return 0, false
+			}
+			e.remove(e.names[oldest], oldest)
+		}
+		e.add(class)
+		i = e.index[class]
 	}
+	e.lastSeen[i] = max(e.lastSeen[i], now)
+	return i, true
 }
 
 // remove discards a class as a victim and as a neighbour.
@@ -191,6 +242,7 @@
 		}
 	}
 	e.names[i] = ""
+	e.generation++
 }
 
 func (v *victim) removeNeighbour(i int) {
@@ -275,13 +327,19 @@
 	}
 }
 
-// Observe adds a run that succeeded. residual is the logarithm of its run time over
+// Observe adds a run that succeeded. It may give an index to classes that had none. residual is the logarithm of its run time over
 // the forecast. It reports whether the pairs or their effects may have changed.
 func (e *Estimator) Observe(now time.Duration, agentID uint64, class string, residual float64, beside []Exposure) (evaluated bool) {
-	vi, ok := e.index[class]
-	if !ok || math.IsNaN(residual) || math.IsInf(residual, 0) {
+	if math.IsNaN(residual) || math.IsInf(residual, 0) {
 		return false
 	}
+	vi, ok := e.seen(now, class)
+	if !ok {
+		return false
+	}
+	for _, b := range beside {
+		e.seen(now, b.Class) // before the indexes are used: it may add one
+	}
 	a := e.agent(agentID)
 	if a == nil {
 		return false
--- a/core/interference/interference_test.go
+++ b/core/interference/interference_test.go
@@ -205,6 +205,42 @@
 	assert.Assert(t, e.agents[5000] != nil)
 }
 
+// Guards against busy classes that are never tracked because idle ones were published
+// before them, and against classes that take the places of others that run.
+func TestClassesThatRunTakePlacesOfIdleOnes(t *testing.T) {
+	e, names := New(), make([]string, 1668)
+	for i := range names {
+		names[i] = fmt.Sprint("c", i)
+	}
+	e.SetClasses(names)
+	generation := e.Generation()
+	now := time.Duration(0)
+	for i := range 50 {
+		now += time.Second
+		e.Observe(now, 1, names[1000+i], 0, []Exposure{{names[1100+i%14], 1}, {"unknown", 1}})
+	}
+	for i := range 50 {
+		assert.Assert(t, e.Index(names[1000+i]) >= 0)
+	}
+	for i := range 14 {
+		assert.Assert(t, e.Index(names[1100+i]) >= 0) // seen beside runs only
+	}
+	assert.Assert(t, e.Generation() > generation)
+	generation = e.Generation()
+	now += idleClass / 2
+	e.Observe(now, 1, names[1200], 0, nil)
+	assert.Equal(t, e.Index(names[1200]), -1)
+	assert.Equal(t, e.Generation(), generation)
+	e.Observe(now, 1, names[1001], 0, nil)
+	now += idleClass/2 + time.Second
+	e.Observe(now, 1, names[1200], 0, nil)
+	assert.Assert(t, e.Index(names[1200]) >= 0)
+	assert.Equal(t, e.Index(names[1000]), -1) // idle for the longest time
+	assert.Assert(t, e.Index(names[1001]) >= 0)
+	assert.Equal(t, e.Index("unknown"), -1)
+	assert.Equal(t, e.Len(), MaxClasses)
+}
+
 // Benchmark of one run, evaluations included.
 func BenchmarkObserve(b *testing.B) {
 	for _, n := range []int{4, 16, 64} {
--- a/core/policy/interference.go
+++ b/core/policy/interference.go
@@ -62,7 +62,9 @@
 	slowedBy  [][]pairEffect // by victim
 	slows     [][]pairEffect // by neighbour
 	pairs     int
-	exposures []interference.Exposure // scratch
+	// generation is the estimator's of which classes holds the indexes.
+	generation int
+	exposures  []interference.Exposure // scratch
 }
 
 func newInterferenceState(mode Interference) *interferenceState {
@@ -102,12 +104,19 @@
 	for _, c := range s.settings.Classes {
 		names = append(names, c.Name)
 	}
-	before := append([]*classState(nil), x.classes...)
 	x.estimator.SetClasses(names)
+	s.adoptClasses()
+}
+
+// adoptClasses follows the estimator's indexes.
+func (s *Adaptive) adoptClasses() {
+	x := s.interference
+	x.generation = x.estimator.Generation()
+	before := x.classes
 	x.classes = make([]*classState, x.estimator.Len())
-	for _, name := range names {
+	for name, c := range s.classes {
 		if i := x.estimator.Index(name); i >= 0 {
-			x.classes[i] = s.classes[name]
+			x.classes[i] = c
 		}
 	}
 	for i, c := range before {
@@ -190,7 +199,10 @@
 	}
 	run := max(r.RunTime.Duration(), time.Millisecond).Seconds()
 	expected := j.class.runs.logMean() + math.Log(j.class.forecast.scale(j.job.DeclaredRunTime))
-	if x.estimator.Observe(now, uint64(a.info.Agent), j.job.Class, math.Log(run)-expected, x.exposures) {
+	evaluated := x.estimator.Observe(now, uint64(a.info.Agent), j.job.Class, math.Log(run)-expected, x.exposures)
+	if x.estimator.Generation() != x.generation {
+		s.adoptClasses()
+	} else if evaluated {
 		x.update()
 	}
 }
--- a/core/policy/separation_test.go
+++ b/core/policy/separation_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -133,3 +134,30 @@
 	s.Observe(time.Second+20*time.Millisecond, p.Agent, report)
 	assert.Equal(t, a.classSlots.present(c), 2.0)
 }
+
+// Guards against indexes that still mean another class after a class that runs took the
+// place of an idle one.
+func TestIndexesFollowClassesThatTakePlaces(t *testing.T) {
+	s := newTest(1, Options{Seed: 1, Zone: "z", Interference: InterferenceSeparate})
+	var classes []Class
+	for i := range 100 {
+		classes = append(classes, Class{Name: fmt.Sprint("c", i), ResponseTarget: time.Second})
+	}
+	s.Configure(0, Settings{Classes: classes})
+	for range 100 {
+		s.classes["c90"].runs.observe(time.Second)
+	}
+	_, tasks := enqueue(s, 0, "c90", 1)
+	_, ok := s.Next(time.Second)
+	assert.Assert(t, ok)
+	slots := &s.connected[0].classSlots
+	slots.resize(64)
+	for i := range 64 {
+		slots.own[i] = 3 // in flight, but no run has ended
+	}
+	s.AttemptDone(2*time.Second, 1, tasks[0], &wire.Result{Outcome: wire.Succeeded, RunTime: 1000})
+	x, i := s.interference, s.classIndex(tasks[0].Job)
+	assert.Assert(t, i >= 0 && x.classes[i] == s.classes["c90"])
+	assert.Equal(t, slots.present(i), 0.0)
+	assert.Equal(t, slots.present((i+1)%64), 3.0)
+}
