--- a/core/agent/entryrecord.go
+++ b/core/agent/entryrecord.go
@@ -34,6 +34,7 @@
 	sentEpoch wire.Epoch
 	sentAt    time.Duration
 	run       Run
+	beside    *besideStart // nil if neighbours are not measured
 	result    wire.Result
 }
 
@@ -96,7 +97,8 @@
 	forwardVersion int64
 	forwardAt      time.Duration
 	// evacuations is the state that the entry stated or was sent last on this link.
-	evacuations wire.Evacuations
+	evacuations      wire.Evacuations
+	reportNeighbours bool // see wire.EntryHello
 }
 
 // outFrame combines a frame, its action and storage for one result, so that the
@@ -182,6 +184,8 @@
 	rec.sendConfig, rec.announceConfig, rec.forwardVersion = false, false, 0
 	m.scheduleForward(now, rec, m.connectDelay())
 	rec.evacuations = wire.Evacuations{}
+	rec.reportNeighbours = e.ReportNeighbours
+	m.updateNeighbours(now)
 }
 
 func (m *Machine) addEntry(entry wire.Incarnation) *entryRecord {
@@ -227,7 +231,9 @@
 		kept = append(kept, rec)
 	}
 	clear(m.entryList[len(kept):])
-	m.entryList = kept
+	if m.entryList = kept; m.neighbours.enabled {
+		m.updateNeighbours(now)
+	}
 	m.probe(now)
 	m.requestListing(now)
 }
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -33,9 +33,10 @@
 	containedClasses []*classState // may include classes that were released since
 	othersBusyAt     time.Duration // when a class that is not contained last had tasks
 	gang             gangPlan
-	unavailable      int // agents suspended or ejected that are not evacuated
-	inFlight         int // attempts
-	standing         int // of these, standing ones
+	interference     *interferenceState // nil if off
+	unavailable      int                // agents suspended or ejected that are not evacuated
+	inFlight         int                // attempts
+	standing         int                // of these, standing ones
 	// evacuatedInFlight and evacuatedStanding are the part of inFlight and standing at
 	// evacuated agents.
 	evacuatedInFlight, evacuatedStanding int
@@ -81,6 +82,8 @@
 		budget:    budget{tokens: retryBurst},
 		window:    newWindow(),
 		waitScale: waitScaleStart,
+
+		interference: newInterferenceState(o.Interference),
 	}
 }
 
@@ -105,6 +108,7 @@
 	}
 	s.rankClasses()
 	s.reorderQueue()
+	s.configureInterference()
 }
 
 // rankClasses sets the priority delay of every class.
@@ -159,6 +163,7 @@
 	a.otherZone = info.Zone != s.opts.Zone
 	a.reported = false
 	a.otherSlots, a.meanOtherSlots = 0, 0
+	clear(a.classSlots.others)
 	if !a.connected {
 		a.connected = true
 		s.setEvacuated(a, s.isEvacuated(a))
@@ -210,6 +215,9 @@
 			s.countUnavailable(a, -1)
 		}
 		delete(s.agents, id)
+		if s.interference != nil {
+			s.interference.estimator.ForgetAgent(uint64(id))
+		}
 	}
 }
 
--- a/core/policy/gang.go
+++ b/core/policy/gang.go
@@ -86,8 +86,7 @@
 // cost. If more agents are connected than SampleAgents, it may examine only a part
 // of them, at least twice the number of tasks.
 func (s *Adaptive) gangCandidates(now time.Duration, j *jobState, tasks int) []gangCandidate {
-	run := s.expectedRunOf(j)
-	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
+	p := s.newSearch(now, j)
 	agents := s.usable()
 	examined := min(len(agents), max(s.opts.SampleAgents, 2*tasks))
 	first := 0
@@ -99,7 +98,7 @@
 		a := agents[(first+i)%len(agents)]
 		if n := s.startableTasks(&p, a); n > 0 {
 			limit := a.limit()
-			out = append(out, gangCandidate{agent: a, tasks: n, cost: s.cost(&p, a, limit, limit)})
+			out = append(out, gangCandidate{agent: a, tasks: n, cost: s.cost(&p, a, limit, limit) + s.interferenceCost(&p, a)})
 		}
 	}
 	slices.SortStableFunc(out, func(x, y gangCandidate) int { return cmp.Compare(x.cost, y.cost) })
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -38,12 +38,25 @@
 	agent *agentState
 	cost  float64 // seconds
 	free  float64 // estimated free slots
+	// leastDelay is the lowest cost of the agents compared, without that of interference.
+	leastDelay float64
+}
+
+// add compares an agent with the candidate.
+func (c *candidate) add(a *agentState, delay, interference, free float64) {
+	least := delay
+	if c.agent != nil {
+		least = min(least, c.leastDelay)
+	}
+	if cost := delay + interference; c.agent == nil || cost < c.cost {
+		*c = candidate{agent: a, cost: cost, free: free}
+	}
+	c.leastDelay = least
 }
 
 // choose returns the agent with the lowest expected cost for a task of the job.
 func (s *Adaptive) choose(now time.Duration, j *jobState) choice {
-	run := s.expectedRunOf(j)
-	p := search{pressure: s.deadlinePressure(now, j), now: now, job: j, run: run, meanRun: max(s.allRuns.meanOrPrior(0), minMeanRun)}
+	p := s.newSearch(now, j)
 	agents := s.usable()
 	if len(agents) <= s.opts.SampleAgents {
 		for _, a := range agents {
@@ -68,9 +81,13 @@
 	run               time.Duration // expected run time of the task
 	meanRun           time.Duration // over all classes
 	pressure          float64       // deadline pressure of the job, 0 to 1
-	best              candidate
-	totalFree         float64 // estimated free slots at all examined agents
-	unmetRequirements bool    // see choice
+	best              candidate     // the better of the next two
+	withFree          candidate     // of the agents with a free slot
+	queueing          candidate     // of the agents at which the task would queue
+	totalFree         float64       // estimated free slots at all examined agents
+	unmetRequirements bool          // see choice
+	// slowedBy and slows are the pairs of the class of the job, if classes are separated.
+	slowedBy, slows []pairEffect
 }
 
 // sample examines a random subset of the agents and some that freed a slot lately.
@@ -125,8 +142,21 @@
 	if containing && a.quarantined && !p.job.class.contained(p.now) {
 		cost += quarantineCost.Seconds()
 	}
-	if p.best.agent == nil || cost < p.best.cost {
-		p.best = candidate{agent: a, cost: cost, free: free}
+	p.add(a, cost, s.interferenceCost(p, a), free)
+}
+
+// add compares an agent with the candidates. Interference decides between agents with a
+// free slot, and between those without, but not whether the task queues: it would wait
+// at a full worker to be apart from others on an idle one.
+func (p *search) add(a *agentState, delay, interference, free float64) {
+	if free >= minFreeSlots {
+		p.withFree.add(a, delay, interference, free)
+	} else {
+		p.queueing.add(a, delay, interference, free)
+	}
+	p.best = p.withFree
+	if p.withFree.agent == nil || p.queueing.agent != nil && p.queueing.leastDelay < p.withFree.leastDelay {
+		p.best = p.queueing
 	}
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -337,6 +337,8 @@
 	Zone          string
 	ConfigVersion int64
 	Entries       []EntryAddr
+	// ReportNeighbours asks the agent for Result.Neighbours and Load.Classes.
+	ReportNeighbours bool
 }
 
 // Start asks the agent to start one attempt of one task.
@@ -394,6 +396,16 @@
 	// Evacuated states that the agent's availability zone is evacuated, so that starts are
 	// refused.
 	Evacuated bool
+	// Classes are the slots that runs of each class take now, if the entry asked for
+	// them: at most MaxNeighbours classes, those with the most slots.
+	Classes []Neighbour
+}
+
+// Neighbour states how many slots runs of a class take.
+type Neighbour struct {
+	_     struct{} `cbor:",toarray"`
+	Class string
+	Slots int // thousandths of a slot
 }
 
 // Result reports the final outcome of one attempt.
@@ -407,6 +419,10 @@
 	Status     int    // HTTP status of the upstream, 0 if none
 	Body       []byte
 	Checkpoint string // set if the run did not succeed, see Start.Checkpoint
+	// Neighbours are the slots that runs of each class took beside this one, of all
+	// entries, as the mean over its run time, if the entry asked for them: at most
+	// MaxNeighbours classes, those with the most slots.
+	Neighbours []Neighbour
 }
 
 // ConfigState carries a configuration to a peer that has an older version, or only
--- a/internal/entryd/core.go
+++ b/internal/entryd/core.go
@@ -35,6 +35,19 @@
 	// evacuationReadAge is valid if evacuationsRead is set.
 	evacuationReadAge time.Duration
 	evacuationsRead   bool
+	// Interference lists the pairs of classes that slow each other down.
+	Interference []interferingPair `json:"interference,omitempty"`
+}
+
+// interferingPair describes a pair of classes, see interference.Pair.
+type interferingPair struct {
+	Victim    string  `json:"victim"`
+	Neighbour string  `json:"neighbour"`
+	Effect    float64 `json:"effect"` // share of the run time that each slot adds
+	Error     float64 `json:"error"`
+	Runs      int64   `json:"runs"`
+	Agents    int     `json:"agents"`
+	SinceMS   int64   `json:"since_ms"` // time since it was found
 }
 
 // core is the state owned by the core goroutine.
@@ -198,6 +211,8 @@
 		c.e.emitEvacuations(x)
 	case entry.ContainmentChanged:
 		c.e.emitContainment(x)
+	case entry.InterferenceChanged:
+		c.e.emitInterference(x)
 	case entry.VersionAnnounced:
 		if c.e.opts.OnVersionAnnounced != nil {
 			c.e.opts.OnVersionAnnounced(x)
@@ -218,6 +233,12 @@
 	evacuations := c.machine.Evacuations()
 	s.EvacuatedZones, s.EvacuationsAsOf = evacuations.Zones, evacuations.AsOf
 	s.evacuationReadAge, s.evacuationsRead = c.machine.EvacuationsReadAge(c.e.now())
+	for _, p := range c.machine.InterferencePairs() {
+		s.Interference = append(s.Interference, interferingPair{
+			Victim: p.Victim, Neighbour: p.Neighbour, Effect: p.Effect, Error: p.Error,
+			Runs: int64(p.Runs), Agents: p.Agents, SinceMS: (c.e.now() - p.Since).Milliseconds(),
+		})
+	}
 	return s
 }
 
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -25,6 +25,8 @@
 	// ZoneEvacuated and ZoneEvacuationEnded are those of entries, see AgentEvacuated.
 	ZoneEvacuated       = define(1120, "zone_evacuated", zapcore.WarnLevel, false)
 	ZoneEvacuationEnded = define(1121, "zone_evacuation_ended", zapcore.InfoLevel, false)
+	InterferenceFound   = define(1122, "interference_found", zapcore.InfoLevel, false)
+	InterferenceEnded   = define(1123, "interference_ended", zapcore.InfoLevel, false)
 	EvacuationIgnored   = define(1124, "evacuation_ignored", zapcore.WarnLevel, false)
 	// The share of callers, peers, operators or heartbeats, at entries and agents.
 	IngressShareUsedUp = define(1130, "ingress_share_used_up", zapcore.WarnLevel, false)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -89,6 +89,8 @@
 	LinkBytesPerSecond float64
 	// Shares are the limits of the listeners, see entryd.Options.
 	Shares ingress.Shares
+	// Interference says what is done about classes that slow each other down.
+	Interference policy.Interference
 }
 
 // EntryNode is the entry process of one VM.
@@ -136,7 +138,10 @@
 	e, err := entryd.Start(entryd.Options{
 		Name: opts.Name, Zone: opts.Zone,
 		Listen: opts.Listen, PeerListen: opts.PeerListen, OperatorListen: opts.OperatorListen,
-		Scheduler: policy.New(policy.Options{Seed: uint64(opts.Incarnation), Zone: opts.Zone, LinkBytesPerSecond: opts.LinkBytesPerSecond}),
+		Scheduler: policy.New(policy.Options{
+			Seed: uint64(opts.Incarnation), Zone: opts.Zone, LinkBytesPerSecond: opts.LinkBytesPerSecond, Interference: opts.Interference,
+		}),
+		ReportNeighbours: opts.Interference != policy.InterferenceOff,
 		CallerHandler: func(s entryd.Submitter) http.Handler {
 			return n.holdWhileStarting(opts.CallerHandler(leavingSubmitter{s, n}, storedJobs{n}))
 		},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/ingress"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 	"github.com/limpettrail/limpettrail/internal/fleet"
@@ -27,7 +28,7 @@
 )
 
 // StartEntry starts the entry of a VM.
-func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation) (*fleet.EntryNode, error) {
+func StartEntry(s *platform.Settings, events *eventlog.Log, incarnation wire.Incarnation, interference policy.Interference) (*fleet.EntryNode, error) {
 	shares, err := ingress.SharesOf(s.Machine)
 	if err != nil {
 		return nil, err
@@ -48,6 +49,7 @@
 		EvacuationBound: s.EvacuationBound,
 		Log:             events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
 		Shares: shares,
+		Interference: interference,
 	})
 }
 
