Check refusals in the model of evacuations when they are decided

An agent repeats the result of a task that it returned as evacuated when an entry queries it over a new connection, possibly long after the zone was returned. Only results of starts that arrived on the same connection, which are sent at once, tell when a task was refused.

--- a/core/entry/evacuationmodel_test.go
+++ b/core/entry/evacuationmodel_test.go
@@ -74,14 +74,18 @@
 		if r.Reason != wire.ReasonEvacuated {
 			continue
 		}
+		id := agent.AttemptID{Entry: x.Entry, Seq: r.Seq}
+		if a.refused[id] {
+			continue // repeated after a query
+		}
 		w.refusals++
-		a.refused[agent.AttemptID{Entry: x.Entry, Seq: r.Seq}] = true
+		a.refused[id] = true
 		_, requested := w.topic.requestedAt[a.zone]
 		withdrawnAt, wasRequested := w.topic.withdrawnAt[a.zone]
 		switch {
 		case r.Outcome != wire.NotRun:
 			w.fail("%s refuses a task as evacuated with the outcome %v", a.name, r.Outcome)
-		case requested:
+		case requested, a.arrivedOn[id] != x.Epoch: // it may have been decided while there was no connection
 		case !wasRequested, w.settled, w.now-withdrawnAt > evacuationBound && w.inContact(a):
 			w.fail("%s refuses a task as evacuated, but zone %s is not (withdrawn at %v)", a.name, a.zone, withdrawnAt)
 		}
--- a/core/entry/evacuationworld_test.go
+++ b/core/entry/evacuationworld_test.go
@@ -97,7 +97,8 @@
 	linkedSince time.Duration
 	drainUntil  time.Duration // when its process ends that is being stopped, 0 if it is not
 	runs        []workerRun
-	refused     map[agent.AttemptID]bool // reported as not run because of the evacuation
+	arrivedOn   map[agent.AttemptID]wire.Epoch // connection on which each start arrived
+	refused     map[agent.AttemptID]bool       // reported as not run because of the evacuation
 	asOf        int64
 	states      translator
 	told        []*wire.Evacuations // the newest states that the process has received, all as of one offset
@@ -241,7 +242,7 @@
 // startAgent starts a new incarnation of the agent.
 func (w *evacuationWorld) startAgent(a *zoneAgent, known wire.Evacuations) {
 	a.id, a.epoch, a.runs, a.listing, a.asOf = wire.Incarnation(w.newID()), 0, nil, nil, 0
-	a.refused, a.told = make(map[agent.AttemptID]bool), nil
+	a.arrivedOn, a.refused, a.told = make(map[agent.AttemptID]wire.Epoch), make(map[agent.AttemptID]bool), nil
 	a.states = translator{active: w.broken == agentReverts}
 	a.ranSince, a.linkedSince, a.drainUntil = w.now, w.now, 0
 	opts := agent.Options{
@@ -397,6 +398,9 @@
 		default:
 			f := *p.frame.(*wire.ToAgent)
 			f.Evacuations = a.tell(f.Evacuations)
+			for i := range f.Starts {
+				a.arrivedOn[agent.AttemptID{Entry: l.entry.id, Seq: f.Starts[i].Seq}] = l.epoch
+			}
 			w.stepAgent(a, agent.Received{Entry: l.entry.id, Epoch: l.epoch, Frame: &f})
 		}
 	}
