Send the state of evacuations also if only its offset is newer

An entry that had read the removal of a request, but not the next request yet, was paused. Meanwhile another entry read both at once, and as the zones were the same as before, sent nothing to its agents but the fresh age of its state. When the first entry resumed, its agents took the state from in between for a newer one, and started tasks in the zone, dated as fresh by the other entry, until they were corrected over another link.

States are now sent whenever their offset is newer. The offset grows only with requests, removals and listings. Stating the offset beside the age in each frame was considered; it changes the protocol and needs as many frames.

Four expectations of existing tests were those of the rule that caused this (nothing is sent if the zones are the same) and are replaced by the exact frames that are sent now. TestStateOfPausedEntryDoesNotReplaceNewerOne failed before. go test ./core/wire ./core/agent ./core/entry passes.

--- a/core/agent/evacuation_test.go
+++ b/core/agent/evacuation_test.go
@@ -136,9 +136,9 @@
 	}{
 		"entry states nothing":                    {evacuations(5, "b"), nil, evacuations(5, "b")},
 		"entry has an older request":              {evacuations(5), evacuations(4, "b"), evacuations(5)},
-		"entry has the same zones":                {evacuations(5, "b"), evacuations(4, "b"), nil},
+		"entry has the same zones":                {evacuations(5, "b"), evacuations(4, "b"), evacuations(5, "b")},
 		"entry is newer":                          {evacuations(5, "b"), evacuations(6, "c"), nil},
-		"nothing was ever requested":              {evacuations(5), nil, nil},
+		"nothing is requested":                    {evacuations(5), nil, evacuations(5)},
 		"entry has another state as of that time": {evacuations(5, "b"), evacuations(5, "c"), nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -165,8 +165,7 @@
 
 			s.frames = nil
 			s.step(LinkUp{Entry: entryB, Epoch: 3}) // it may have restarted
-			resent := s.frames[0].Evacuations != nil
-			assert.Equal(t, resent, len(c.forwarded.Zones) > 0)
+			assert.DeepEqual(t, s.frames[0].Evacuations, c.forwarded)
 		})
 	}
 }
--- a/core/entry/evacuation.go
+++ b/core/entry/evacuation.go
@@ -52,13 +52,13 @@
 	}
 	before := m.evacuations.Evacuations
 	m.evacuations.Evacuations = *e
+	for _, link := range m.agentList {
+		m.offerEvacuations(link)
+	}
 	if slices.Equal(before.Zones, e.Zones) {
 		return
 	}
 	m.scheduler.SetEvacuatedZones(now, e.Zones)
-	for _, link := range m.agentList {
-		m.offerEvacuations(link)
-	}
 	changed := EvacuationsChanged{Agent: agent, Before: before.Zones, Evacuations: *e}
 	if m.evacuations.read {
 		changed.ReadAge = now - m.evacuations.readAt
--- a/core/entry/evacuation_test.go
+++ b/core/entry/evacuation_test.go
@@ -84,16 +84,17 @@
 		return entry.Received{Agent: 2, Epoch: 1, Frame: &wire.ToEntry{Evacuations: e}}
 	}
 	for name, c := range map[string]struct {
-		event   entry.Event
-		changed bool
+		event    entry.Event
+		changed  bool
+		passedOn *wire.Evacuations
 	}{
-		"newer read":                 {read(evacuations(6)), true},
-		"older read":                 {read(evacuations(4)), false},
-		"read as of the same offset": {read(evacuations(5)), false},
-		"newer read, same zones":     {read(evacuations(6, "a")), false},
-		"read without a change":      {read(nil), false},
-		"newer from an agent":        {from(evacuations(6)), true},
-		"older from an agent":        {from(evacuations(4, "b")), false},
+		"newer read":                 {read(evacuations(6)), true, evacuations(6)},
+		"older read":                 {read(evacuations(4)), false, nil},
+		"read as of the same offset": {read(evacuations(5)), false, nil},
+		"newer read, same zones":     {read(evacuations(6, "a")), false, evacuations(6, "a")},
+		"read without a change":      {read(nil), false, nil},
+		"newer from an agent":        {from(evacuations(6)), true, evacuations(6)},
+		"older from an agent":        {from(evacuations(4, "b")), false, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := entry.New(entry.Options{Incarnation: 1, Scheduler: &fifoScheduler{}})
@@ -118,8 +119,8 @@
 				switch {
 				case fromAgent && agent+1 == 2 && !c.changed:
 					assert.DeepEqual(t, sent, []*wire.Evacuations{evacuations(5, "a")}) // it is behind
-				case c.changed && !(fromAgent && agent+1 == 2):
-					assert.DeepEqual(t, sent, []*wire.Evacuations{evacuations(6)})
+				case c.passedOn != nil && !(fromAgent && agent+1 == 2):
+					assert.DeepEqual(t, sent, []*wire.Evacuations{c.passedOn})
 				default:
 					assert.Equal(t, len(sent), 0)
 				}
@@ -236,3 +237,25 @@
 	}}))
 	assert.Equal(t, len(f.Starts), 3)
 }
+
+// Guards against an entry that resumes with what it read before a pause and thereby reverts the
+// state of an agent: another entry, which has read further, stated a fresh age for its state,
+// whose zones are those that the agent had already.
+func TestStateOfPausedEntryDoesNotReplaceNewerOne(t *testing.T) {
+	a := agent.New(agent.Options{Incarnation: 1, Slots: 1, Zone: "a", EvacuationBound: time.Minute})
+	e := entry.New(entry.Options{Incarnation: 1000, Scheduler: policy.New(policy.Options{})})
+	a.Step(1, agent.LinkUp{Entry: 1000, Epoch: 1})
+	a.Step(1, agent.LinkUp{Entry: 2000, Epoch: 2})
+	deliver := func(actions []entry.Action) {
+		for _, x := range actions {
+			if s, ok := x.(entry.Send); ok {
+				a.Step(2, agent.Received{Entry: 1000, Epoch: 1, Frame: s.Frame})
+			}
+		}
+	}
+	deliver(e.Step(1, linkUp(1, 0)))
+	deliver(e.Step(2, entry.EvacuationsRead{Evacuations: evacuations(2, "a"), RequestedAt: 1}))
+	deliver(e.Step(2, entry.EvacuationsRead{Evacuations: evacuations(7, "a"), RequestedAt: 2})) // withdrawn at 5, requested at 6
+	a.Step(3, agent.Received{Entry: 2000, Epoch: 2, Frame: &wire.ToAgent{Evacuations: evacuations(6)}})
+	assert.Assert(t, a.Load(3).Evacuated)
+}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -456,11 +456,10 @@
 	return slices.Compare(e.Zones, other.Zones) > 0
 }
 
-// Supersedes reports whether a process with the state other must be sent e: e is newer
-// and has other zones.
-func (e *Evacuations) Supersedes(other *Evacuations) bool {
-	return e.Newer(other) && !slices.Equal(e.Zones, other.Zones)
-}
+// Supersedes reports whether a process with the state other must be sent e. That is also so
+// if only the offset is higher: the process would otherwise take a state from in between,
+// for instance of an entry that was paused, for a newer one.
+func (e *Evacuations) Supersedes(other *Evacuations) bool { return e.Newer(other) }
 
 // ToAgent is one frame from an entry to an agent. Every list may be empty; a
 // frame without content is a heartbeat.
