--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 		JobLog:          platform.NewJobLog(store),
 		EvacuationBound: s.EvacuationBound,
 		Log:             events, Incarnation: incarnation, LinkBytesPerSecond: s.LinkBytesPerSecond,
-		Shares: shares,
+		Shares:       shares,
 		Interference: interference,
 	})
 }
