Evict connections without a request after 250 ms

As many new silent connections in a second as a listener has places (64 for heartbeats, 16 for readiness, 1,366 for callers on the smallest machine) kept all others out, since none could be evicted within its first second. A connection that has sent nothing is now protected for 250 ms, which is above the round trip of a caller that connects and then sends.

The property test checks the shorter time for idle connections, and the second for requests as before. TestSilentConnectionsMakeRoomForOthers failed before. go test ./core/ingress ./internal/ingressd pass.

--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -30,9 +30,13 @@
 
 const (
 	// Protected is how long a request may take to arrive, and how long a connection must
-	// have been idle or without progress, before it can be evicted. It is above the round
-	// trip of any caller.
+	// have been without progress, before it can be evicted. It is above the round trip of any
+	// caller.
 	Protected = time.Second
+	// protectedIdle is the same for a connection without a request. It is above the round trip
+	// of a caller that connects and then sends; with a second, as many new connections a second
+	// as a listener has kept all others out.
+	protectedIdle = 250 * time.Millisecond
 	// minRate is the mean number of bytes a second that a request must make to count as
 	// being on its way. Callers with less are evicted before the others.
 	minRate = 4 << 10
@@ -332,7 +336,11 @@
 // reason.
 func (c *conn) evictable(now time.Duration, large int64) (Reason, float64, bool) {
 	age, quiet := now-c.since, now-c.progress
-	if c.evicted || c.phase == Serving || age < Protected {
+	protected := Protected
+	if c.phase == Idle {
+		protected = protectedIdle
+	}
+	if c.evicted || c.phase == Serving || age < protected {
 		return 0, 0, false
 	}
 	rate := float64(c.received) / age.Seconds()
