--- a/core/ingress/header.go
+++ b/core/ingress/header.go
@@ -2,8 +2,8 @@
 
 import "bytes"
 
-// Costs of a header in memory, measured with net/http: a line of four bytes takes 65 bytes
-// and an ordinary one 137, its own bytes included.
+// Costs of a header that net/http has parsed: a line of four bytes takes 65 bytes and an
+// ordinary one 137, its own bytes included. What is charged is above both.
 const (
 	headerByteCost = 2
 	headerLineCost = 100
--- a/core/ingress/shares.go
+++ b/core/ingress/shares.go
@@ -6,8 +6,8 @@
 	kilobyte = int64(1) << 10
 	megabyte = int64(1) << 20
 
-	// ownMemory is what a process takes for itself at full load, the program included; 22 to
-	// 30 MB were measured for entries.
+	// ownMemory is what a process takes for itself at full load, the program included, with a
+	// margin (docs/CAPACITY.md).
 	ownMemory = 40 * megabyte
 	// smallMemory is the share of a listener with few connections.
 	smallMemory = 4 * megabyte
@@ -50,10 +50,10 @@
 
 // Costs of connections.
 const (
-	// connectionCost is that of a connection of net/http without a request: 6 to 10 KB of
-	// heap and 4 to 7 KB of stacks were measured.
+	// connectionCost is that of a connection of net/http without a request: its buffers and
+	// the stack of its goroutine.
 	connectionCost = 16 * kilobyte
-	// tlsCost is that of TLS in addition; 48 KB were measured for both ends of a connection.
+	// tlsCost is that of TLS in addition, at one end of the connection.
 	tlsCost = 24 * kilobyte
 	// RequestCost is charged for each request in addition: ReceiveBuffer, and what serves
 	// the request.
