Keep the priority of classes that are not published any more

What callers saw: after a version without a class of priority 5, between published classes of 0 and 9, its waiting jobs went ahead of all others.

Cause: the delay of a class is the index of its priority among the published ones, and -1 levels, thus 100 ms early, if none of them has it.

Change: the delay is that of the next lower priority that is published.

--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -111,7 +111,8 @@
 	s.configureInterference()
 }
 
-// rankClasses sets the priority delay of every class.
+// rankClasses sets the priority delay of every class. The priority of a class that is not
+// published need not be one of the published levels.
 func (s *Adaptive) rankClasses() {
 	var levels []int
 	for _, c := range s.classList {
@@ -122,7 +123,8 @@
 	slices.Sort(levels)
 	levels = slices.Compact(levels)
 	for _, c := range s.classList {
-		c.priorityDelay = time.Duration(slices.Index(levels, c.class.Priority)) * delayPerPriority
+		level, _ := slices.BinarySearch(levels, c.class.Priority)
+		c.priorityDelay = time.Duration(level) * delayPerPriority
 	}
 }
 
