Record the class of a stored job and find it by its path

Cause: a stored job kept only the name of its class. A process that began to drive it looked everything else up by that name in the newest configuration, refused the drive if the name was not there, and tried again every 0.3 s without a word. The drive of the process that accepted the job went on, so whether it ran depended on whether its owner changed.

A job runs in the class that is published at its host and path under whatever name, otherwise in the recorded one, which the scheduler keeps apart from the published ones. The class of a job of an earlier build is recorded with its first drive. pending counts by host and path. Drives that are refused ten times in a row are reported (stored_job_refused, 1213). Weighed and not taken: the path alone loses jobs of removed queues, the record alone leaves jobs with a service that is gone.

--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -30,9 +30,11 @@
 	n := 0
 	for n < len(m.requests) && size < maxAppendBytes {
 		r := m.requests[n]
-		b.records = append(b.records, r.record)
+		b.records = append(b.records, r.records...)
 		b.requests = append(b.requests, r)
-		size += len(r.record.Value)
+		for i := range r.records {
+			size += len(r.records[i].Value)
+		}
 		n++
 	}
 	m.requests = append(m.requests[:0], m.requests[n:]...)
@@ -87,6 +89,7 @@
 }
 
 func (m *Machine) addMaintenance(b *batch) {
+	b.maintenance = m.maintenance
 	b.records = append(b.records, m.maintenance...)
 	m.maintenance = nil
 }
@@ -190,15 +193,8 @@
 			j.unrecorded = append(j.unrecorded, e)
 		}
 	}
-	// The records after those of requests and jobs are maintenance records, which
-	// are appended again before later ones, and a lease record, which is not.
-	var again []Record
-	for _, r := range b.records[len(b.requests)+len(b.jobs):] {
-		if r.Key[0] != kindLease || len(r.Value) == 0 {
-			again = append(again, r)
-		}
-	}
-	m.maintenance = append(again, m.maintenance...)
+	// They are appended again before later ones. A lease record is not.
+	m.maintenance = append(b.maintenance, m.maintenance...)
 }
 
 // reply answers the callers of recorded or refused requests, and the callers that
@@ -206,7 +202,7 @@
 func (m *Machine) reply(requests []callerRequest, result Result) {
 	for _, r := range requests {
 		token := r.token
-		if id := jobOfKey(r.record.Key); m.pending[id] == token {
+		if id := r.job(); m.pending[id] == token {
 			delete(m.pending, id)
 		}
 		m.emit(Reply{Token: token, Result: result})
--- a/core/durable/crashes_test.go
+++ b/core/durable/crashes_test.go
@@ -19,6 +19,7 @@
 	drives  []durable.Drive
 	// acknowledged holds what the machine has acknowledged.
 	acknowledged []durable.Acknowledge
+	refused      []durable.DrivesRefused
 }
 
 func newScriptedLog(incarnation wire.Incarnation, records []durable.Record) *scriptedLog {
@@ -36,6 +37,8 @@
 			l.step(durable.Fenced{Writer: x.Writer, Done: true})
 		case durable.Drive:
 			l.drives = append(l.drives, x)
+		case durable.DrivesRefused:
+			l.refused = append(l.refused, x)
 		case durable.Acknowledge:
 			l.acknowledged = append(l.acknowledged, x)
 		case durable.Append:
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -88,6 +89,9 @@
 	// redriveDelay is how long a job waits after a drive that was halted or
 	// refused.
 	redriveDelay = 300 * time.Millisecond
+	// refusalsBeforeReport is how many drives of a job must be refused in a row before
+	// that is reported: some are while a process starts or renews its lease.
+	refusalsBeforeReport = 10
 	// scanInterval is the time between two scans for jobs of lost processes and for
 	// records that are no longer needed.
 	scanInterval = 200 * time.Millisecond
@@ -137,6 +141,8 @@
 	inDriveQueue bool          // whether the job is in Machine.driveQueue
 	hasCrashes   bool          // a crash record of the job was written or read
 	hasRepeats   bool          // a record of its repeated runs was written or read
+	hasClass     bool          // a record of its class was written or read
+	refusals     int           // drives refused one after the other
 	unrecorded   []RunFinished // counted runs that are not in an append yet
 	reported     []RunFinished // reported while another process owned the job
 }
@@ -165,30 +171,35 @@
 type batch struct {
 	sentAt      time.Duration
 	records     []Record
-	requests    []callerRequest // their records come first in records
-	jobs        []*job          // jobs whose statuses come next in records
-	countedRuns []RunFinished   // runs that these statuses count
+	requests    []callerRequest // requests whose records are in records
+	jobs        []*job          // jobs whose statuses are in records
+	maintenance []Record        // the maintenance records in records
+	countedRuns []RunFinished   // runs that the statuses count
 	leaving     bool            // records includes the handover
 }
 
-// callerRequest is a record for a caller that waits to be appended.
+// callerRequest is a request of a caller whose records wait to be appended.
 type callerRequest struct {
 	token   uint64
 	request Event // Submit or Cancel
-	record  Record
+	records []Record
 }
 
+// job returns the ID of the job.
+func (r *callerRequest) job() string { return jobOfKey(r.records[0].Key) }
+
 // Machine is the state machine. It is not safe for concurrent use.
 type Machine struct {
 	opts      Options
 	jobs      map[string]*job
 	processes map[wire.Incarnation]*process
-	loaded    bool          // the whole log has been read
-	viewAt    time.Duration // the view contains all records up to this time
-	startedAt time.Duration // time of the first step
+	classes   map[string]policy.Class // recorded classes of jobs that are not in the view yet, by job
+	loaded    bool                    // the whole log has been read
+	viewAt    time.Duration           // the view contains all records up to this time
+	startedAt time.Duration           // time of the first step
 	started   bool
 
-	requests     []callerRequest     // records that wait to be appended
+	requests     []callerRequest     // requests that wait to be appended
 	pending      map[string]uint64   // tokens of acceptances that are waiting or in flight, by job
 	duplicates   map[uint64][]uint64 // tokens of repeated submissions, by the token of the first
 	unresolved   []unresolvedRequest // requests whose outcome a later read decides
@@ -236,8 +247,8 @@
 func New(opts Options) *Machine {
 	return &Machine{
 		opts: opts.withDefaults(), jobs: make(map[string]*job),
-		processes: make(map[wire.Incarnation]*process),
-		pending:   make(map[string]uint64), duplicates: make(map[uint64][]uint64),
+		processes: make(map[wire.Incarnation]*process), classes: make(map[string]policy.Class),
+		pending: make(map[string]uint64), duplicates: make(map[uint64][]uint64),
 	}
 }
 
@@ -265,6 +276,8 @@
 		m.fenceDone(e)
 	case JobStarted:
 		m.jobStarted(e.Job)
+	case ClassFound:
+		m.classFound(e)
 	case RunFinished:
 		m.runFinished(now, e)
 	case RunCrashed:
@@ -312,17 +325,25 @@
 	return j.state, true
 }
 
-// Pending returns the number of the class's jobs of which no task has started.
-func (m *Machine) Pending(class string) int {
+// Pending returns the number of the class's jobs of which no task has started. They may
+// have been accepted when the class had another name.
+func (m *Machine) Pending(class policy.Class) int {
 	n := 0
 	for _, j := range m.jobs {
-		if j.class == class && j.state == Queued && !j.cancelled {
+		if j.state == Queued && !j.cancelled && j.inClass(class) {
 			n++
 		}
 	}
 	return n
 }
 
+func (j *job) inClass(c policy.Class) bool {
+	if j.spec == nil {
+		return j.class == c.Name
+	}
+	return j.spec.InClass(c)
+}
+
 // Owned returns the number of jobs that this process owns and that have not
 // ended.
 func (m *Machine) Owned() int { return m.ownedCount }
--- a/core/durable/events.go
+++ b/core/durable/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -91,6 +92,12 @@
 // JobStarted reports that the first task of a driven job was started.
 type JobStarted struct{ Job string }
 
+// ClassFound reports the published class of a driven job whose Spec.Published is not known.
+type ClassFound struct {
+	Job   string
+	Class policy.Class
+}
+
 // RunFinished reports a finished run.
 type RunFinished struct {
 	Agent      wire.Incarnation
@@ -133,6 +140,7 @@
 func (RunFinished) isEvent()       {}
 func (RunCrashed) isEvent()        {}
 func (RunRepeated) isEvent()       {}
+func (ClassFound) isEvent()        {}
 func (DriveEnded) isEvent()        {}
 func (Leave) isEvent()             {}
 func (Tick) isEvent()              {}
@@ -220,13 +228,17 @@
 	Jobs int
 }
 
-func (Append) isAction()       {}
-func (Fence) isAction()        {}
-func (Drive) isAction()        {}
-func (Halt) isAction()         {}
-func (LeaseRenewed) isAction() {}
-func (Acknowledge) isAction()  {}
-func (Reply) isAction()        {}
-func (Left) isAction()         {}
-func (Undecodable) isAction()  {}
-func (TakenOver) isAction()    {}
+// DrivesRefused reports that the drives of a job are refused one after the other.
+type DrivesRefused struct{ Job, Class, Reason string }
+
+func (Append) isAction()        {}
+func (Fence) isAction()         {}
+func (Drive) isAction()         {}
+func (Halt) isAction()          {}
+func (LeaseRenewed) isAction()  {}
+func (Acknowledge) isAction()   {}
+func (Reply) isAction()         {}
+func (Left) isAction()          {}
+func (Undecodable) isAction()   {}
+func (TakenOver) isAction()     {}
+func (DrivesRefused) isAction() {}
--- a/core/durable/fuzz_test.go
+++ b/core/durable/fuzz_test.go
@@ -25,6 +25,7 @@
 		encode(takeoverKey(3, 7), takeoverRecord{From: 3, By: ProcessID{Incarnation: 7, Name: "own"}}),
 		encode(leaseKey(3), leaseRecord{By: by, Left: true}),
 		encode(crashKey("j"), crashRecord{By: by, Tasks: []taskCrashes{{Index: -1, Crashes: 3}, {Index: 1, Crashes: 1}}}),
+		encode(classKey("j"), classRecord{By: by, Name: "c", Address: "h/c/", Pool: "p", Target: 60 * time.Millisecond, TargetShare: 1, RunTimeFactor: 1.6}),
 	} {
 		f.Add(r.Key, r.Value, r.Key, []byte{})
 	}
--- a/core/durable/owner.go
+++ b/core/durable/owner.go
@@ -33,8 +33,13 @@
 	}
 	m.pending[e.Spec.ID] = e.Token
 	key := acceptedKey(e.Spec.ID, m.opts.Self.Incarnation)
-	record := encode(key, acceptance{By: m.opts.Self, Spec: e.Spec})
-	m.requests = append(m.requests, callerRequest{token: e.Token, request: e, record: record})
+	var records []Record
+	if e.Spec.Published.Name != "" {
+		// It comes first, so that no read that ends in between shows the job without it.
+		records = append(records, encode(classKey(e.Spec.ID), newClassRecord(m.opts.Self, e.Spec.Published)))
+	}
+	records = append(records, encode(key, acceptance{By: m.opts.Self, Spec: e.Spec}))
+	m.requests = append(m.requests, callerRequest{token: e.Token, request: e, records: records})
 }
 
 // logUnresponsive reports whether the append in flight has gone unanswered for
@@ -72,8 +77,8 @@
 	case j == nil:
 		m.emit(Reply{Token: c.Token, Result: Unknown})
 	default:
-		record := encode(cancelKey(c.Job), cancellation{By: m.opts.Self})
-		m.requests = append(m.requests, callerRequest{token: c.Token, request: c.Cancel, record: record})
+		records := []Record{encode(cancelKey(c.Job), cancellation{By: m.opts.Self})}
+		m.requests = append(m.requests, callerRequest{token: c.Token, request: c.Cancel, records: records})
 	}
 	return true
 }
@@ -86,6 +91,18 @@
 	}
 }
 
+// classFound records the class of a job that was accepted by an earlier build, so that the
+// job also runs once that class is not published any more.
+func (m *Machine) classFound(e ClassFound) {
+	j := m.jobs[e.Job]
+	if j == nil || j.spec == nil || !m.owns(j) || j.spec.Published.Name != "" {
+		return
+	}
+	j.hasClass = true
+	j.setPublished(e.Class)
+	m.maintenance = append(m.maintenance, encode(classKey(j.id), newClassRecord(m.opts.Self, e.Class)))
+}
+
 // runFinished counts a finished run, or keeps it for the case that this process
 // takes the job over.
 func (m *Machine) runFinished(now time.Duration, e RunFinished) {
@@ -261,6 +278,7 @@
 	}
 	j.driving, j.halting = false, false
 	m.driveCount--
+	m.countRefusal(j, e)
 	if j.state.Final() || !m.owns(j) {
 		return
 	}
@@ -277,6 +295,18 @@
 	}
 }
 
+// countRefusal reports a job of which every drive is refused, once.
+func (m *Machine) countRefusal(j *job, e DriveEnded) {
+	if e.Outcome != entry.Refused {
+		j.refusals = 0
+		return
+	}
+	j.refusals++
+	if j.refusals == refusalsBeforeReport {
+		m.emit(DrivesRefused{Job: j.id, Class: j.class, Reason: e.Reason})
+	}
+}
+
 // finish sets the job's final state, which the next append records.
 func (m *Machine) finish(j *job, s State) {
 	j.nextState = s
--- a/core/durable/record.go
+++ b/core/durable/record.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 )
 
@@ -53,6 +54,18 @@
 	MaxFailedRuns int  // number of failed runs of one task that fails the job
 	LongRunning   bool // the tasks run until the job is cancelled
 	Schedule      Schedule
+	// Published is the class as it was published when the job was accepted. It is recorded
+	// apart, see classRecord, and zero for jobs that were accepted by earlier builds.
+	Published policy.Class `cbor:"-"`
+}
+
+// InClass reports whether the job belongs to the published class: the one at the address
+// that the job was submitted at, or of the same name if the address is not recorded.
+func (s *Spec) InClass(c policy.Class) bool {
+	if s.Published.Address != "" {
+		return s.Published.Address == c.Address
+	}
+	return s.Class == c.Name
 }
 
 // Schedule is when a recurring job runs. The zero value is a job that runs
@@ -168,6 +181,10 @@
 	maxNeed   = 1 << 40
 	maxTimeMs = 1 << 45 // a Unix time in milliseconds, or the time between two
 	maxRun    = 1 << 40 // number of a run
+	// maxRunTimeFactor bounds the multiple of the mean run time in the target of a class,
+	// and maxClassTarget the rest of the target.
+	maxRunTimeFactor = 1 << 20
+	maxClassTarget   = 366 * 24 * time.Hour
 )
 
 // check reports an error if no process accepts such a job. Its owner could not run it.
@@ -311,6 +328,46 @@
 	Run   int
 }
 
+// classRecord is the record of the class of a job as it was published when the job was
+// accepted: by the time that the job runs, the class may have another name or be gone. It
+// is not part of acceptance, which processes of an earlier version read too.
+type classRecord struct {
+	By            ProcessID     `cbor:"1,keyasint"`
+	Name          string        `cbor:"2,keyasint"`
+	Address       string        `cbor:"3,keyasint,omitempty"`
+	Pool          string        `cbor:"4,keyasint,omitempty"`
+	Priority      int           `cbor:"5,keyasint,omitempty"`
+	Target        time.Duration `cbor:"6,keyasint,omitempty"`
+	TargetShare   float64       `cbor:"7,keyasint,omitempty"`
+	RunTimeFactor float64       `cbor:"8,keyasint,omitempty"`
+}
+
+func newClassRecord(by ProcessID, c policy.Class) classRecord {
+	return classRecord{
+		By: by, Name: c.Name, Address: c.Address, Pool: c.Pool, Priority: c.Priority,
+		Target: c.ResponseTarget, TargetShare: c.TargetShare, RunTimeFactor: c.RunTimeFactor,
+	}
+}
+
+// class returns the class. The timeout of its callers, who have their answer, is left out.
+func (r *classRecord) class() policy.Class {
+	return policy.Class{
+		Name: r.Name, Address: r.Address, Pool: r.Pool, Priority: r.Priority,
+		ResponseTarget: r.Target, TargetShare: r.TargetShare, RunTimeFactor: r.RunTimeFactor,
+	}
+}
+
+// check reports an error if no configuration has such a class. NaN is out of range too.
+func (r *classRecord) check() error {
+	if r.Name == "" || r.Target < 0 || r.Target > maxClassTarget {
+		return fmt.Errorf("class %q with a target of %v", r.Name, r.Target)
+	}
+	if !(r.RunTimeFactor >= 0 && r.RunTimeFactor <= maxRunTimeFactor) || !(r.TargetShare >= 0 && r.TargetShare <= 1) {
+		return fmt.Errorf("class %q with a run time factor of %v and a target share of %v", r.Name, r.RunTimeFactor, r.TargetShare)
+	}
+	return nil
+}
+
 // Kinds of records: the first byte of their keys.
 const (
 	kindAccepted = 'j'
@@ -320,6 +377,7 @@
 	kindLease    = 'l'
 	kindCrashes  = 'x'
 	kindRepeats  = 'r'
+	kindClass    = 'q'
 )
 
 func formatIncarnation(i wire.Incarnation) string { return strconv.FormatUint(uint64(i), 16) }
@@ -331,6 +389,7 @@
 func cancelKey(id string) string          { return string(kindCancel) + id }
 func crashKey(id string) string           { return string(kindCrashes) + id }
 func repeatKey(id string) string          { return string(kindRepeats) + id }
+func classKey(id string) string           { return string(kindClass) + id }
 func leaseKey(by wire.Incarnation) string { return string(kindLease) + formatIncarnation(by) }
 func takeoverKey(from, by wire.Incarnation) string {
 	return string(kindTakeover) + formatIncarnation(from) + "." + formatIncarnation(by)
@@ -346,7 +405,7 @@
 	case kindAccepted:
 		id, _, _ := strings.Cut(key[1:], ".")
 		return id
-	case kindStatus, kindCancel, kindCrashes, kindRepeats:
+	case kindStatus, kindCancel, kindCrashes, kindRepeats, kindClass:
 		return key[1:]
 	}
 	return ""
@@ -386,6 +445,8 @@
 		v = new(crashRecord)
 	case kindRepeats:
 		v = new(repeatRecord)
+	case kindClass:
+		v = new(classRecord)
 	default:
 		return nil, fmt.Errorf("durable: record %d has a key of unknown kind, %q", r.Offset, r.Key)
 	}
--- a/core/durable/view.go
+++ b/core/durable/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 )
 
 // applyRead applies records in the order of the log.
@@ -58,6 +59,9 @@
 	case *repeatRecord:
 		m.markSeen(now, x.By)
 		m.applyRepeats(jobOfKey(r.Key), x)
+	case *classRecord:
+		m.markSeen(now, x.By)
+		m.applyClass(jobOfKey(r.Key), x)
 	case *takeoverRecord:
 		m.markSeen(now, x.By)
 		m.applyTakeover(now, x)
@@ -94,6 +98,11 @@
 		m.jobs[j.id] = j
 	}
 	j.spec = &rec.Spec
+	if class, ok := m.classes[j.id]; ok {
+		delete(m.classes, j.id)
+		j.hasClass = true
+		j.spec.Published = class
+	}
 	j.class = rec.Spec.Class
 	j.acceptedBy = append(j.acceptedBy, by)
 	j.setStepSizes(rec.Spec.stepSizes(), rec.Spec.Schedule.Occurrences())
@@ -198,6 +207,27 @@
 	}
 }
 
+// applyClass sets the class of a job as it was published when the job was accepted.
+func (m *Machine) applyClass(id string, rec *classRecord) {
+	j := m.jobs[id]
+	if j == nil {
+		m.classes[id] = rec.class()
+		return
+	}
+	j.hasClass = true
+	j.setPublished(rec.class())
+}
+
+// setPublished sets the class of the job. A drive keeps the spec that it was given.
+func (j *job) setPublished(class policy.Class) {
+	if j.spec == nil {
+		return
+	}
+	spec := *j.spec
+	spec.Published = class
+	j.spec = &spec
+}
+
 // restoreProgress sets the progress to the recorded one.
 func (j *job) restoreProgress(rec *jobStatus) {
 	j.runBase = rec.RunBase
@@ -223,7 +253,7 @@
 				m.maintenance = append(m.maintenance, Record{Key: acceptedKey(j.id, by)})
 			}
 			j.acceptedBy = nil
-			m.removeTaskRecords(j)
+			m.removeRunRecords(j)
 		}
 	}
 	for _, e := range j.reported {
@@ -232,9 +262,13 @@
 	j.spec, j.reported = nil, nil
 }
 
-// removeTaskRecords removes the records of the crashes and of the repeated runs of a job
-// that has ended.
-func (m *Machine) removeTaskRecords(j *job) {
+// removeRunRecords removes the records of a job that has ended which only its runs need:
+// those of its class, of the crashes and of the repeated runs.
+func (m *Machine) removeRunRecords(j *job) {
+	if j.hasClass {
+		j.hasClass = false
+		m.maintenance = append(m.maintenance, Record{Key: classKey(j.id)})
+	}
 	if j.hasRepeats {
 		j.hasRepeats = false
 		m.maintenance = append(m.maintenance, Record{Key: repeatKey(j.id)})
@@ -345,7 +379,13 @@
 
 // applyRemoval applies the removal of a key.
 func (m *Machine) applyRemoval(key string) {
-	if key == "" || key[0] != kindStatus {
+	if key == "" {
+		return
+	}
+	if key[0] == kindClass {
+		delete(m.classes, jobOfKey(key))
+	}
+	if key[0] != kindStatus {
 		return
 	}
 	if j := m.jobs[jobOfStatusKey(key)]; j != nil && j.state.Final() {
@@ -427,7 +467,7 @@
 		}
 		delete(m.jobs, j.id)
 		m.maintenance = append(m.maintenance, Record{Key: statusKey(j.id)})
-		m.removeTaskRecords(j)
+		m.removeRunRecords(j)
 		if j.cancelled {
 			m.maintenance = append(m.maintenance, Record{Key: cancelKey(j.id)})
 		}
--- a/core/durable/world_test.go
+++ b/core/durable/world_test.go
@@ -344,6 +344,9 @@
 			p.inbox = append(p.inbox, durable.Fenced{Writer: x.Writer})
 		})
 	case durable.Drive:
+		if x.Spec.Published != quotesClass {
+			w.t.Fatalf("%v %s (%x): drives %s in the class %+v", w.now, p.name, p.self, x.Spec.ID, x.Spec.Published)
+		}
 		w.requireOwnersStopped(p, x.Spec.ID)
 		w.drive(p, x)
 	case durable.Halt:
@@ -486,6 +489,7 @@
 	w.tasks[job] = tasks
 	p.inbox = append(p.inbox, durable.Submit{Token: w.lastNumber, Spec: durable.Spec{
 		ID: job, Class: "c", Payload: []byte("p"), Steps: []entry.Step{{Tasks: tasks}}, MaxFailedRuns: maxFailedRuns,
-		Schedule: durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
+		Schedule:  durable.Schedule{Count: 2 * (int(job[len(job)-1]) % 3 / 2)},
+		Published: quotesClass,
 	}})
 }
--- a/core/entry/bench_test.go
+++ b/core/entry/bench_test.go
@@ -31,6 +31,7 @@
 func (s *fifoScheduler) Enqueue(_ time.Duration, t *policy.Task)                                 { s.queue = append(s.queue, t) }
 func (s *fifoScheduler) Remove(time.Duration, *policy.Task)                                      {}
 func (s *fifoScheduler) SetEvacuatedZones(time.Duration, []string)                               {}
+func (s *fifoScheduler) Retain(time.Duration, policy.Class)                                      {}
 func (s *fifoScheduler) JobDone(time.Duration, *policy.Job, bool)                                {}
 func (s *fifoScheduler) AttemptDone(time.Duration, wire.Incarnation, *policy.Task, *wire.Result) {}
 
--- a/core/entry/events.go
+++ b/core/entry/events.go
@@ -41,6 +41,9 @@
 	// is not refused for load and has no deadline, and its tasks are repeated
 	// until they succeed or have failed MaxFailedRuns times. Job must be set.
 	Stored bool
+	// StoredClass defines the class of a stored job if Class may not be published. Its name
+	// must be Class.
+	StoredClass policy.Class
 	// LongRunning states that a stored job runs until it is cancelled: each task is
 	// started again however its run ends.
 	LongRunning bool
--- a/core/entry/jobs.go
+++ b/core/entry/jobs.go
@@ -175,6 +175,9 @@
 		m.emit(Answer{Submission: e.Submission, Answer: answer})
 		return
 	}
+	if e.StoredClass.Name != "" {
+		m.scheduler.Retain(now, e.StoredClass)
+	}
 	m.jobs[e.Submission] = j
 	m.taskCount += len(j.payloads)
 	m.payloadBytes += j.payloadBytes
--- a/core/entry/model_test.go
+++ b/core/entry/model_test.go
@@ -88,6 +88,7 @@
 }
 
 func (s *strictScheduler) SetEvacuatedZones(time.Duration, []string) {}
+func (s *strictScheduler) Retain(time.Duration, policy.Class)        {}
 func (s *strictScheduler) JobDone(time.Duration, *policy.Job, bool)  {}
 
 type taskID struct {
--- a/core/policy/adaptive.go
+++ b/core/policy/adaptive.go
@@ -106,11 +106,36 @@
 		c.class = class
 		c.published = true
 	}
+	for _, c := range s.classList {
+		if !c.published {
+			c.followAddress(settings.Classes)
+		}
+	}
 	s.rankClasses()
 	s.reorderQueue()
 	s.configureInterference()
 }
 
+// followAddress makes the jobs of a class that is no longer published follow the class that
+// is published at its address.
+func (c *classState) followAddress(published []Class) {
+	i := slices.IndexFunc(published, func(p Class) bool { return p.Address != "" && p.Address == c.class.Address })
+	if i < 0 {
+		return
+	}
+	name := c.class.Name
+	c.class = published[i]
+	c.class.Name = name
+}
+
+// Retain implements Scheduler.
+func (s *Adaptive) Retain(_ time.Duration, class Class) {
+	if c := s.class(class); !c.published {
+		c.class = class
+		s.rankClasses()
+	}
+}
+
 // rankClasses sets the priority delay of every class. The priority of a class that is not
 // published need not be one of the published levels.
 func (s *Adaptive) rankClasses() {
--- a/core/policy/leastbusy.go
+++ b/core/policy/leastbusy.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// Retain implements Scheduler. The tasks of every class run on all agents.
+func (s *LeastBusy) Retain(time.Duration, Class) {}
+
 // AgentUp implements Scheduler.
 func (s *LeastBusy) AgentUp(_ time.Duration, info AgentInfo) {
 	if a := s.find(info.Agent); a != nil {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -31,6 +31,9 @@
 	// send for the first time. The deadline of a job that is sent again leaves less. 0 means
 	// that it is not known.
 	CallerTimeout time.Duration
+	// Address is where callers submit jobs of the class. A class that is published at the
+	// same address under another name is the same class. Empty means that it has none.
+	Address string
 }
 
 // Team is a group of callers with an optional quota.
@@ -172,6 +175,9 @@
 type Scheduler interface {
 	// Configure replaces the published settings.
 	Configure(now time.Duration, s Settings)
+	// Retain defines a class whose tasks run although it is not published, because its
+	// jobs were accepted before. It has no effect on a class that is published.
+	Retain(now time.Duration, c Class)
 	// AgentUp adds an agent or replaces its description.
 	AgentUp(now time.Duration, info AgentInfo)
 	// AgentDown stops placements on an agent. Attempts in flight there remain.
--- a/internal/entryd/stored.go
+++ b/internal/entryd/stored.go
@@ -2,11 +2,16 @@
 
 import (
 	"crypto/rand"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/limpettrail/limpettrail/core/durable"
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
@@ -16,6 +21,8 @@
 type StoredJobObserver interface {
 	// JobStarted is called when the first task of a job was sent to an agent.
 	JobStarted(job string)
+	// ClassFound is called when a job is driven whose class is published and not recorded.
+	ClassFound(job string, class policy.Class)
 	// RunFinished is called for a finished run that is to be recorded.
 	RunFinished(x entry.RunFinished)
 	// RunCrashed is called for a run under which a worker crashed.
@@ -71,14 +78,15 @@
 	return spec
 }
 
-// reasonNotPublished means that the class of a stored job is not in the current
-// configuration.
+// reasonNotPublished means that no class of the name of a stored job is in the current
+// configuration, and that its class was not recorded with it.
 const reasonNotPublished = "class_not_published"
 
 // DriveStoredJob starts to drive a stored job. The end of the drive is reported to
 // Options.StoredJobObserver.
 func (e *Entry) DriveStoredJob(d durable.Drive) {
-	if !e.hasClass(d.Spec.Class) {
+	class, ok := storedClass(e.config.Load().Settings.Classes, d.Spec)
+	if !ok {
 		// The workers of the class are not known. The keeper offers the job again.
 		e.opts.StoredJobObserver.DriveEnded(d.Spec.ID, entry.Refused, reasonNotPublished)
 		return
@@ -90,10 +98,13 @@
 		return
 	}
 	ev := entry.Submit{
-		Submission: id, Class: d.Spec.Class, Job: d.Spec.ID, MaxFailedRuns: d.Spec.MaxFailedRuns, Steps: d.Spec.Steps,
+		Submission: id, Class: class.Name, StoredClass: class, Job: d.Spec.ID, MaxFailedRuns: d.Spec.MaxFailedRuns, Steps: d.Spec.Steps,
 		Need: d.Spec.Steps[0].Need, DeclaredRunTime: d.Spec.Steps[0].DeclaredRunTime,
 		Stored: true, LongRunning: d.Spec.LongRunning, Progress: d.Progress, RunBase: d.RunBase,
 	}
+	if d.Spec.Published.Name == "" {
+		e.opts.StoredJobObserver.ClassFound(d.Spec.ID, class)
+	}
 	// The due times are converted to the process clock once. If the time of day is
 	// stepped later, occurrences that are not due yet start at shifted times until
 	// the job is run again, which reads the time of day anew.
@@ -106,14 +117,17 @@
 	e.send(ev)
 }
 
-// hasClass reports whether the class is in the current configuration.
-func (e *Entry) hasClass(class string) bool {
-	for _, c := range e.config.Load().Settings.Classes {
-		if c.Name == class {
-			return true
-		}
+// storedClass returns the class that a stored job runs in: the published one, or, if it is
+// not published any more, the class as it was when the job was accepted. An accepted job is
+// run whatever is published later. ok is false if neither is known.
+func storedClass(published []policy.Class, spec *durable.Spec) (class policy.Class, ok bool) {
+	if i := slices.IndexFunc(published, spec.InClass); i >= 0 {
+		return published[i], true
 	}
-	return false
+	class = spec.Published
+	// Another class may be published under the same name.
+	class.Name = fmt.Sprintf("%s@%016x", class.Name, xxhash.Sum64String(class.Address))
+	return class, spec.Published.Name != ""
 }
 
 // HaltStoredJob cancels the runs of a stored job. The end of the drive is still
--- a/internal/eventlog/catalog_entry.go
+++ b/internal/eventlog/catalog_entry.go
@@ -49,4 +49,5 @@
 	JobRecordUnreadable = define(1210, "job_record_unreadable", zapcore.ErrorLevel, false)
 	JobAppendUnanswered = define(1211, "job_append_unanswered", zapcore.WarnLevel, false)
 	JobAppendResolved   = define(1212, "job_append_resolved", zapcore.InfoLevel, false)
+	StoredJobRefused    = define(1213, "stored_job_refused", zapcore.WarnLevel, false)
 )
--- a/internal/fleet/stored.go
+++ b/internal/fleet/stored.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpettrail/limpettrail/core/durable"
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
 )
 
@@ -22,7 +23,7 @@
 	State(job string) (s durable.State, age time.Duration, ok bool)
 	// Pending returns the number of the class's jobs of which no task has started.
 	// loaded is false until the log has been read for the first time.
-	Pending(class string) (n int, loaded bool)
+	Pending(class policy.Class) (n int, loaded bool)
 }
 
 // handOverTimeout bounds the time that a leaving entry spends on handing over
@@ -58,7 +59,9 @@
 }
 
 // Pending implements StoredJobs.
-func (s storedJobs) Pending(class string) (int, bool) { return s.node.keeper.Pending(class) }
+func (s storedJobs) Pending(class policy.Class) (int, bool) {
+	return s.node.keeper.Pending(class)
+}
 
 // storedEvents passes the events of driven jobs on to the keeper.
 type storedEvents struct{ node *EntryNode }
@@ -88,6 +91,13 @@
 	}
 }
 
+// ClassFound implements entryd.StoredJobObserver.
+func (s storedEvents) ClassFound(job string, class policy.Class) {
+	if s.wait(); s.ready() {
+		s.node.keeper.ClassFound(job, class)
+	}
+}
+
 // RunFinished implements entryd.StoredJobObserver. Events before the keeper is set
 // are dropped: the agent reports the run again when it next connects.
 func (s storedEvents) RunFinished(x entry.RunFinished) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpettrail/limpettrail/core/durable"
 	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/policy"
 	"github.com/limpettrail/limpettrail/core/wire"
 	"github.com/limpettrail/limpettrail/internal/bootclock"
 	"github.com/limpettrail/limpettrail/internal/eventlog"
@@ -68,7 +69,7 @@
 // Driver runs jobs. Its methods may block for a short time.
 type Driver interface {
 	// DriveStoredJob starts a drive. The driver reports it to the keeper with
-	// JobStarted, RunFinished, RunCrashed, RunRepeated and DriveEnded.
+	// ClassFound, JobStarted, RunFinished, RunCrashed, RunRepeated and DriveEnded.
 	DriveStoredJob(d durable.Drive)
 	// HaltStoredJob stops the runs of a driven job.
 	HaltStoredJob(job string)
@@ -204,7 +205,7 @@
 
 // Pending returns the number of the class's jobs of which no task has started.
 // loaded is false until the log has been read for the first time.
-func (k *Keeper) Pending(class string) (n int, loaded bool) {
+func (k *Keeper) Pending(class policy.Class) (n int, loaded bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.machine.Pending(class), k.machine.Loaded()
@@ -228,6 +229,11 @@
 // JobStarted reports that the first task of a driven job was started.
 func (k *Keeper) JobStarted(job string) { k.post(durable.JobStarted{Job: job}) }
 
+// ClassFound reports the published class of a driven job whose class is not recorded.
+func (k *Keeper) ClassFound(job string, class policy.Class) {
+	k.post(durable.ClassFound{Job: job, Class: class})
+}
+
 // RunFinished reports a finished run.
 func (k *Keeper) RunFinished(x entry.RunFinished) {
 	k.post(durable.RunFinished{Agent: x.Agent, Run: x.Run, Superseded: x.Superseded})
@@ -362,6 +368,8 @@
 		k.closeLeft.Do(func() { close(k.left) })
 	case durable.Undecodable:
 		k.opts.Events.Emit(eventlog.JobRecordUnreadable, eventlog.Fields{Err: x.Err})
+	case durable.DrivesRefused:
+		k.opts.Events.Emit(eventlog.StoredJobRefused, eventlog.Fields{Job: x.Job, Class: x.Class, Detail: x.Reason})
 	case durable.TakenOver:
 		k.opts.Events.Emit(eventlog.StoredJobsTakenOver, eventlog.Fields{Peer: x.From.Name, Count: int64(x.Jobs)})
 	}
--- a/internal/load/baseline/baseline.go
+++ b/internal/load/baseline/baseline.go
@@ -204,6 +204,9 @@
 	return retryDelay, task.NotRunAttempts < maxAttempts
 }
 
+// Retain implements policy.Scheduler. The tasks of every class run on all workers.
+func (s *Scheduler) Retain(time.Duration, policy.Class) {}
+
 // JobDone implements policy.Scheduler.
 func (s *Scheduler) JobDone(time.Duration, *policy.Job, bool) {}
 
