Renew the lease by records that every build reads

What callers saw: nothing that was reported; found when the records of classes were added. During an upgrade a process of an earlier build could take the jobs of a healthy one over while the latter still drives them.

Cause: as with removals, the writer counted its lease from records that the other process does not see: earlier builds skip kinds of records that they do not know, thus crashes, repetitions and now classes.

TestRecordsUnknownToEarlierBuildsDoNotRenewLease failed before (renewed by a crash record at 0.24 s) and passes; go test ./core/durable ./internal/keeper passes.

--- a/core/durable/append.go
+++ b/core/durable/append.go
@@ -94,8 +94,8 @@
 	m.maintenance = nil
 }
 
-// addLease renews the lease while this process owns jobs. Every record with a value
-// renews it, so a lease record of its own is written only if the batch has none.
+// addLease renews the lease while this process owns jobs. A lease record of its own is
+// written only if no other record in the batch renews it.
 func (m *Machine) addLease(now time.Duration, b *batch) {
 	switch {
 	case m.ownedCount == 0:
@@ -104,15 +104,22 @@
 			b.leaving = true
 			b.records = append(b.records, m.encodeLease(true))
 		}
-	case !b.namesWriter() && now-m.leaseSentAt >= m.opts.Lease/renewalsPerLease:
+	case !b.renewsLease() && now-m.leaseSentAt >= m.opts.Lease/renewalsPerLease:
 		b.records = append(b.records, m.encodeLease(false))
 	}
 }
 
-// namesWriter reports whether the batch shows its writer to the other processes: a removal
-// names no writer, every other record does.
-func (b *batch) namesWriter() bool {
-	return slices.ContainsFunc(b.records, func(r Record) bool { return len(r.Value) > 0 })
+// renewsLease reports whether the batch shows its writer to every other process. A removal
+// names no writer, and processes of earlier builds skip records of kinds that they do not
+// know.
+func (b *batch) renewsLease() bool {
+	return slices.ContainsFunc(b.records, func(r Record) bool {
+		switch r.Key[0] {
+		case kindAccepted, kindStatus, kindCancel, kindTakeover, kindLease:
+			return len(r.Value) > 0
+		}
+		return false
+	})
 }
 
 func (m *Machine) encodeLease(left bool) Record {
@@ -161,7 +168,7 @@
 // commit handles an append whose records are in the log. sent is when it was first
 // sent.
 func (m *Machine) commit(b *batch, sent time.Duration) {
-	if b.namesWriter() {
+	if b.renewsLease() {
 		m.leaseGranted = true
 		m.leaseSentAt = max(m.leaseSentAt, sent)
 		m.emit(LeaseRenewed{Until: m.leaseSentAt + m.opts.Lease})
--- a/core/durable/durable.go
+++ b/core/durable/durable.go
@@ -16,9 +16,9 @@
 //   - A caller is told Stored only after the record is in the log, and Full or
 //     Unavailable only if the log does not hold it and never will.
 //   - A process drives a job only while it owns the job according to the log and
-//     its newest recorded append that names it as the writer was sent less than
-//     Options.Lease ago. The other processes count from such records only, too: a
-//     removal of a key names no writer.
+//     its newest recorded append that shows it as the writer was sent less than
+//     Options.Lease ago. Removals show no writer, and records of kinds that earlier
+//     builds do not know show none to them.
 //   - Jobs are taken over only after their owner was fenced off in the log. They
 //     are driven only once no run of that owner can still be going on: unless the
 //     owner has left or has the same name, Options.Lease plus
@@ -41,7 +41,7 @@
 type Options struct {
 	Self ProcessID
 	// Lease is how long a process may drive its jobs after it sent its newest
-	// append that names it. Default 2.5 s.
+	// append that shows it. Default 2.5 s.
 	Lease time.Duration
 	// OrphanRunTime is how long runs may go on after their process has ended.
 	// Default 1.4 s.
@@ -207,7 +207,7 @@
 	dirty        []*job              // jobs whose status waits to be appended
 	inFlight     *batch
 	nextAppendAt time.Duration // earliest time of the next append
-	leaseSentAt  time.Duration // when the newest recorded append that names this process was sent
+	leaseSentAt  time.Duration // when the newest recorded append that renews the lease was sent
 	leaseGranted bool          // whether leaseSentAt is valid
 	refuseUntil  time.Duration // new jobs are refused until then
 	fencedOff    bool          // another process has taken over this one's jobs
--- a/core/durable/lease_test.go
+++ b/core/durable/lease_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpettrail/limpettrail/core/durable"
+	"github.com/limpettrail/limpettrail/core/entry"
+	"github.com/limpettrail/limpettrail/core/wire"
 )
 
 const (
@@ -93,3 +97,39 @@
 	w.runTimes[job] = runTime
 	w.submit(p, job, 1)
 }
+
+// Guards against two owners of a job at the same time during an upgrade: a process of an
+// earlier build skips records of kinds that it does not know, and takes the jobs over from
+// their writer if nothing else renews its lease.
+func TestRecordsUnknownToEarlierBuildsDoNotRenewLease(t *testing.T) {
+	m := durable.New(durable.Options{Self: durable.ProcessID{Incarnation: 7, Name: "vm"}})
+	var until, renewedAt, now time.Duration
+	knownKinds := "jsctl" // of the first build
+	shown := false        // the append in flight has a record that every build reads
+	var step func(durable.Event)
+	step = func(ev durable.Event) {
+		now += 30 * time.Millisecond
+		for _, action := range slices.Clone(m.Step(now, ev)) {
+			switch x := action.(type) {
+			case durable.Append:
+				shown = slices.ContainsFunc(x.Records, func(r durable.Record) bool {
+					return len(r.Value) > 0 && strings.Contains(knownKinds, r.Key[:1])
+				})
+				sent, records := now, slices.Clone(x.Records)
+				step(durable.Appended{Outcome: durable.Recorded, SentAt: sent})
+				step(durable.Read{Records: records, RequestedAt: now})
+			case durable.LeaseRenewed:
+				assert.Assert(t, shown || x.Until == until, "%v: the lease is renewed by records that earlier builds skip", now)
+				if x.Until > until {
+					until, renewedAt = x.Until, now
+				}
+			}
+		}
+	}
+	step(durable.Read{Snapshot: true, RequestedAt: now})
+	step(durable.Submit{Token: 1, Spec: durable.Spec{ID: "j", Class: "c", MaxFailedRuns: 9, Steps: []entry.Step{{Tasks: 1}}}})
+	for crashes := 1; now < 10*time.Second; crashes++ {
+		step(durable.RunCrashed{Run: wire.RunRef{Job: "j", Run: crashes}, Crashes: crashes})
+		assert.Assert(t, now-renewedAt < durable.DefaultLease, "the lease has expired at %v", now)
+	}
+}
