Let the test of unread bodies wait until both headers are accounted for

The figures of the account, printed in a failing run, show one connection evicted as idle: the test moved the clock by a minute while the server had read the header and had not yet accounted for it. Such a connection is idle to the account, and no input waits at its socket any more, so the eviction is right; only the reason that the test asserts is not. No caller is concerned: nothing of the request has run.

The test now moves the clock once both headers are charged, and asserts besides that none of the two is evicted as idle.

--- a/internal/ingressd/ingressd_test.go
+++ b/internal/ingressd/ingressd_test.go
@@ -238,15 +238,22 @@
 				calls.Add(1)
 				http.NotFound(w, r)
 			}), 0)
+			request := method + " /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
 			for range 2 {
-				s.send(method + " /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+				s.send(request)
 			}
+			// A connection whose header is not accounted for is evicted as an idle one.
+			s.await("headers", func(st ingress.Stats) bool {
+				return st.Bytes == 2*(connectionCost+ingress.RequestCost+ingress.HeaderCost(len(request), 4))
+			})
 			s.await("answer", func(ingress.Stats) bool {
 				s.guard.Advance(time.Minute)
 				answer, _ := io.ReadAll(s.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
 				return strings.HasPrefix(string(answer), "HTTP/1.1 404 ")
 			})
-			assert.Assert(t, s.guard.Stats().Counts[ingress.EvictedStalled] > 0)
+			counts := s.guard.Stats().Counts
+			assert.Assert(t, counts[ingress.EvictedStalled] > 0, "%v", counts)
+			assert.Equal(t, counts[ingress.EvictedIdle], uint64(0))
 			if method != http.MethodPost {
 				assert.Equal(t, calls.Load(), int32(1))
 			}
